--- /dev/null
+++ b/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! `chervilwharf`: the tool of operators and support engineers.
+
+fn main() {}
--- /dev/null
+++ b/daemon/src/checkout.rs
@@ -0,0 +1,385 @@
+//! Slots and connections of the servers, as guards.
+
+use std::collections::HashMap;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use chervilwharf_lib::admission::Admission;
+use chervilwharf_lib::admission::Priority;
+use chervilwharf_lib::admission::Ticket;
+use chervilwharf_lib::error_kind::ErrorKind;
+use chervilwharf_lib::id::DatabaseId;
+use chervilwharf_lib::id::TargetId;
+use chervilwharf_lib::pool::Checkout;
+use chervilwharf_lib::protos::Failure;
+use tokio::sync::oneshot;
+
+use crate::answer::failure;
+use crate::answer::failure_after;
+use crate::context::Shared;
+use crate::postgres::ServerConnection;
+
+/// Open connections of one server that nobody uses, and those who wait for a
+/// slot on it.
+#[derive(Default)]
+pub struct ConnectionStore {
+    idle: Mutex<HashMap<u64, ServerConnection>>,
+    waiting: Mutex<HashMap<Ticket, oneshot::Sender<Turn>>>,
+}
+
+/// What becomes of a request that waited for a slot.
+enum Turn {
+    Granted,
+    Refused(Duration),
+}
+
+impl ConnectionStore {
+    /// Wakes those who have a slot now.
+    fn grant(&self, tickets: Vec<Ticket>) -> Vec<Ticket> {
+        let mut waiting = self.waiting.lock().expect("never poisoned");
+        let mut gone = Vec::new();
+        for ticket in tickets {
+            let receiver = waiting.remove(&ticket);
+            if receiver.is_none_or(|sender| sender.send(Turn::Granted).is_err()) {
+                gone.push(ticket);
+            }
+        }
+        gone
+    }
+
+    fn refuse(&self, tickets: Vec<(Ticket, Duration)>) {
+        let mut waiting = self.waiting.lock().expect("never poisoned");
+        for (ticket, retry_after) in tickets {
+            if let Some(sender) = waiting.remove(&ticket) {
+                // A waiter that left in the meantime needs no answer.
+                let _ = sender.send(Turn::Refused(retry_after));
+            }
+        }
+    }
+}
+
+/// The right to run one statement at a server. Gives it back when dropped.
+pub struct SlotGuard {
+    context: Shared,
+    database: DatabaseId,
+    server: TargetId,
+    since: Instant,
+}
+
+impl Drop for SlotGuard {
+    fn drop(&mut self) {
+        let took = self.since.elapsed();
+        release(&self.context, &self.database, &self.server, took);
+    }
+}
+
+fn release(context: &Shared, database: &DatabaseId, server: &TargetId, took: Duration) {
+    let now = Instant::now();
+    let granted = context.with_database(database, |state| {
+        let slots = state.slots.get_mut(server)?;
+        Some(slots.release(now, took))
+    });
+    wake(context, database, server, granted.flatten().unwrap_or_default());
+}
+
+/// Wakes those with a slot; the slot of one who has left goes to the next.
+fn wake(context: &Shared, database: &DatabaseId, server: &TargetId, granted: Vec<Ticket>) {
+    let Some(known) = context.server(server) else {
+        return;
+    };
+    let mut gone = known.connections.grant(granted);
+    while !gone.is_empty() {
+        let next = context.with_database(database, |state| {
+            let slots = state.slots.get_mut(server)?;
+            let now = Instant::now();
+            let freed = gone.iter().flat_map(|_| slots.release(now, Duration::ZERO));
+            Some(freed.collect::<Vec<_>>())
+        });
+        gone = known.connections.grant(next.flatten().unwrap_or_default());
+    }
+}
+
+/// Refuses those who cannot make their deadline any more, and widens the
+/// slots of a new primary. Called by the control loop.
+pub fn maintain(context: &Shared, database: &DatabaseId) {
+    let now = Instant::now();
+    let servers = context.with_database(database, |state| {
+        let expire = |(id, slots): (&TargetId, &mut chervilwharf_lib::admission::SlotQueue)| {
+            let expired = slots.expire(now);
+            let granted = slots.allow_more(now);
+            (id.clone(), expired, granted)
+        };
+        state.slots.iter_mut().map(expire).collect::<Vec<_>>()
+    });
+    for (server, expired, granted) in servers.unwrap_or_default() {
+        if let Some(known) = context.server(&server) {
+            known.connections.refuse(expired);
+        }
+        wake(context, database, &server, granted);
+    }
+}
+
+/// Waits for a slot at a server.
+///
+/// # Errors
+///
+/// Refused at once when the deadline cannot be made.
+pub async fn acquire_slot(
+    context: &Shared,
+    database: &DatabaseId,
+    server: &TargetId,
+    priority: Priority,
+    deadline: Instant,
+) -> Result<SlotGuard, Failure> {
+    let known = context.server(server).ok_or_else(|| failure(ErrorKind::NoPrimary))?;
+    let (sender, receiver) = oneshot::channel();
+    let (admission, displaced) = context
+        .with_database(database, |state| {
+            let slots = state.slots.get_mut(server)?;
+            let admission = slots.request(Instant::now(), priority, deadline);
+            if let Admission::Queued(ticket) = admission {
+                // Under the lock of the shard, so that the turn cannot come
+                // before the waiter can be found.
+                known.connections.waiting.lock().expect("never poisoned").insert(ticket, sender);
+            }
+            Some((admission, slots.displaced()))
+        })
+        .flatten()
+        .ok_or_else(|| failure(ErrorKind::UnknownDatabase))?;
+    known.connections.refuse(displaced);
+    let guard = |since| SlotGuard {
+        context: context.clone(),
+        database: database.clone(),
+        server: server.clone(),
+        since,
+    };
+    match admission {
+        Admission::Granted => Ok(guard(Instant::now())),
+        Admission::Refused { retry_after } => {
+            Err(failure_after(ErrorKind::Overloaded, retry_after))
+        }
+        Admission::Queued(ticket) => {
+            let mut waiter = Waiter { context, database, server, ticket, receiver };
+            match (&mut waiter.receiver).await {
+                Ok(Turn::Granted) => Ok(guard(Instant::now())),
+                Ok(Turn::Refused(retry_after)) => {
+                    Err(failure_after(ErrorKind::Overloaded, retry_after))
+                }
+                Err(_) => Err(failure(ErrorKind::Overloaded)),
+            }
+        }
+    }
+}
+
+/// One who waits for a slot. Leaves the queue when its request is dropped;
+/// otherwise the slot would be granted to nobody and lost.
+struct Waiter<'a> {
+    context: &'a Shared,
+    database: &'a DatabaseId,
+    server: &'a TargetId,
+    ticket: Ticket,
+    receiver: oneshot::Receiver<Turn>,
+}
+
+impl Drop for Waiter<'_> {
+    fn drop(&mut self) {
+        // Closed first: a turn that is announced from now on fails and is
+        // passed on by its sender, one announced before is found here. The
+        // slot is released exactly once in either case.
+        self.receiver.close();
+        if matches!(self.receiver.try_recv(), Ok(Turn::Granted)) {
+            release(self.context, self.database, self.server, Duration::ZERO);
+            return;
+        }
+        if let Some(known) = self.context.server(self.server) {
+            known.connections.waiting.lock().expect("never poisoned").remove(&self.ticket);
+        }
+        self.context.with_database(self.database, |state| {
+            state.slots.get_mut(self.server).is_some_and(|slots| slots.abandon(self.ticket))
+        });
+    }
+}
+
+/// A connection in use. Goes back to the pool when dropped, if it is whole.
+pub struct ConnectionGuard {
+    context: Shared,
+    database: DatabaseId,
+    server: TargetId,
+    id: u64,
+    connection: Option<ServerConnection>,
+}
+
+impl ConnectionGuard {
+    /// The connection.
+    ///
+    /// # Panics
+    ///
+    /// Never: the connection is there until the guard is dropped.
+    pub fn get(&mut self) -> &mut ServerConnection {
+        self.connection.as_mut().expect("a guard holds its connection until it is dropped")
+    }
+
+    /// Server of the connection.
+    #[must_use]
+    pub fn server(&self) -> &TargetId {
+        &self.server
+    }
+}
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        let connection = self.connection.take().filter(ServerConnection::is_reusable);
+        let known = self.context.server(&self.server);
+        let id = self.id;
+        self.context.with_database(&self.database, |state| {
+            let Some(pool) = state.pools.get_mut(&self.server) else {
+                return;
+            };
+            match (connection, known) {
+                // A connection whose answer did not arrive whole is closed:
+                // what comes late on it must not reach the next request.
+                (None, _) | (_, None) => pool.closed(),
+                (Some(connection), Some(known)) => {
+                    let mut idle = known.connections.idle.lock().expect("never poisoned");
+                    idle.insert(id, connection);
+                    pool.give_back(id, Instant::now());
+                }
+            }
+        });
+    }
+}
+
+/// An opening that was started; counts as failed unless it is completed.
+struct Opening<'a> {
+    context: &'a Shared,
+    database: &'a DatabaseId,
+    server: &'a TargetId,
+    completed: bool,
+}
+
+impl Opening<'_> {
+    fn complete(mut self) -> u64 {
+        self.completed = true;
+        let id = self.context.with_database(self.database, |state| {
+            state.pools.get_mut(self.server).map(chervilwharf_lib::pool::ServerPool::opened)
+        });
+        id.flatten().unwrap_or(0)
+    }
+}
+
+impl Drop for Opening<'_> {
+    fn drop(&mut self) {
+        if self.completed {
+            return;
+        }
+        self.context.with_database(self.database, |state| {
+            if let Some(pool) = state.pools.get_mut(self.server) {
+                pool.open_failed();
+            }
+        });
+    }
+}
+
+/// Longest wait for a new connection to a server.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Gets a connection to a server.
+///
+/// # Errors
+///
+/// When none can be had before the deadline, or the server cannot be reached.
+pub async fn checkout(
+    context: &Shared,
+    database: &DatabaseId,
+    server: &TargetId,
+    deadline: Instant,
+) -> Result<ConnectionGuard, Failure> {
+    let known = context.server(server).ok_or_else(|| failure(ErrorKind::NoPrimary))?;
+    loop {
+        let decision = context
+            .with_database(database, |state| {
+                let pool = state.pools.get_mut(server)?;
+                let decision = pool.checkout(Instant::now());
+                let connection = match decision {
+                    Checkout::Reuse(id) => {
+                        known.connections.idle.lock().expect("never poisoned").remove(&id)
+                    }
+                    _ => None,
+                };
+                if matches!(decision, Checkout::Reuse(_)) && connection.is_none() {
+                    // The server's address changed and its store with it.
+                    pool.closed();
+                }
+                Some((decision, connection))
+            })
+            .flatten()
+            .ok_or_else(|| failure(ErrorKind::UnknownDatabase))?;
+        let guard = |id, connection| ConnectionGuard {
+            context: context.clone(),
+            database: database.clone(),
+            server: server.clone(),
+            id,
+            connection: Some(connection),
+        };
+        match decision {
+            (Checkout::Reuse(id), Some(connection)) => return Ok(guard(id, connection)),
+            (Checkout::Reuse(_), None) => {}
+            (Checkout::Wait(pause), _) => {
+                if Instant::now() + pause >= deadline {
+                    return Err(failure(ErrorKind::Overloaded));
+                }
+                tokio::time::sleep(pause).await;
+            }
+            (Checkout::Open, _) => {
+                let opening = Opening { context, database, server, completed: false };
+                let opened = ServerConnection::open(&known.address, OPEN_TIMEOUT).await;
+                let connection = opened.map_err(|_| failure(ErrorKind::NoPrimary))?;
+                return Ok(guard(opening.complete(), connection));
+            }
+        }
+    }
+}
+
+/// Opens a connection ahead of need, if one is missing.
+pub async fn warm_up(context: Shared, database: DatabaseId, server: TargetId, warm: usize) {
+    let wanted = context.with_database(&database, |state| {
+        let pool = state.pools.get_mut(&server)?;
+        Some(pool.wants_warm(Instant::now(), warm))
+    });
+    if wanted.flatten() != Some(true) {
+        return;
+    }
+    let Some(known) = context.server(&server) else {
+        return;
+    };
+    let opening =
+        Opening { context: &context, database: &database, server: &server, completed: false };
+    let Ok(connection) = ServerConnection::open(&known.address, OPEN_TIMEOUT).await else {
+        return;
+    };
+    let id = opening.complete();
+    drop(ConnectionGuard {
+        context: context.clone(),
+        database: database.clone(),
+        server: server.clone(),
+        id,
+        connection: Some(connection),
+    });
+}
+
+/// Closes connections to a server that has failed or that nobody needs.
+pub fn close_idle(context: &Shared, database: &DatabaseId, server: &TargetId) {
+    let Some(known) = context.server(server) else {
+        return;
+    };
+    context.with_database(database, |state| {
+        let Some(pool) = state.pools.get_mut(server) else {
+            return;
+        };
+        for id in pool.drain_idle() {
+            known.connections.idle.lock().expect("never poisoned").remove(&id);
+            pool.closed();
+        }
+    });
+}
--- /dev/null
+++ b/daemon/src/control.rs
@@ -0,0 +1,328 @@
+//! The control loop: ticks the decisions and performs what they ask for.
+
+use std::collections::HashMap;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use chervilwharf_lib::id::DatabaseId;
+use chervilwharf_lib::id::InstanceId;
+use chervilwharf_lib::id::TargetId;
+use chervilwharf_lib::id::Term;
+use chervilwharf_lib::instance::Gate;
+use chervilwharf_lib::instance::InstanceAction;
+use chervilwharf_lib::instance::InstanceEvent;
+use chervilwharf_lib::membership::HeartbeatBody;
+use chervilwharf_lib::membership::PeerInfo;
+use chervilwharf_lib::ownership::LossReason;
+use chervilwharf_lib::ownership::OwnershipAction;
+use chervilwharf_lib::ownership::OwnershipEvent;
+use chervilwharf_lib::position::Position;
+use chervilwharf_lib::protos::Handover;
+use chervilwharf_lib::protos::frame::Body;
+use log::info;
+use log::warn;
+use tokio::sync::mpsc;
+
+use crate::checkout;
+use crate::context::Shared;
+use crate::link;
+use crate::metrics::CauseLabels;
+use crate::owner::Serving;
+use crate::platform_sync;
+use crate::write;
+
+/// Pace of the ticks.
+const TICK: Duration = Duration::from_millis(20);
+
+/// Pace of pool and queue maintenance, in ticks.
+const MAINTENANCE_TICKS: u64 = 2;
+
+/// Connections kept open to the primary ahead of need.
+const WARM_PRIMARY: usize = 4;
+
+/// Connections kept open to each replica ahead of need.
+const WARM_REPLICA: usize = 3;
+
+/// Longest wait for open transactions before a handover is put off.
+const TRANSACTION_GRACE: Duration = Duration::from_secs(12);
+
+/// Longest wait for requests in progress once nothing new starts.
+const WORK_GRACE: Duration = Duration::from_secs(5);
+
+/// When takes began, to measure how long each phase lasts.
+type TakeStarts = Mutex<HashMap<DatabaseId, Instant>>;
+
+/// Runs until the instance has stopped.
+pub async fn run(context: Shared, mut actions: mpsc::UnboundedReceiver<InstanceAction>) {
+    let starts: std::sync::Arc<TakeStarts> = std::sync::Arc::default();
+    let mut ticks = tokio::time::interval(TICK);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut count = 0_u64;
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => {
+                context.handle(InstanceEvent::Tick);
+                count += 1;
+                if count % MAINTENANCE_TICKS == 0 {
+                    maintain(&context);
+                }
+            }
+            action = actions.recv() => match action {
+                Some(action) => perform(&context, action, &starts),
+                None => return,
+            }
+        }
+    }
+}
+
+fn maintain(context: &Shared) {
+    context.transactions.expire(Instant::now());
+    let owned = context.instance.owned();
+    context.metrics.owned.set(i64::try_from(owned.len()).unwrap_or(i64::MAX));
+    for (database, _) in owned {
+        checkout::maintain(context, &database);
+        let view = context.with_database(&database, |state| {
+            let primary = state.ownership.serving().map(|(_, primary)| primary);
+            let now = Instant::now();
+            let position = primary.as_ref().and_then(|id| state.ownership.server_state(id));
+            if let Some(applied) = position.map(|state| state.received) {
+                state.floors.sample(now, applied);
+            }
+            let ids: Vec<_> = state.ownership.servers().map(|server| server.id.clone()).collect();
+            let usable: Vec<_> =
+                ids.into_iter().filter(|id| state.ownership.is_usable(id)).collect();
+            (primary, usable)
+        });
+        let Some((Some(primary), servers)) = view else {
+            continue;
+        };
+        for server in servers {
+            let warm = if server == primary { WARM_PRIMARY } else { WARM_REPLICA };
+            tokio::spawn(checkout::warm_up(context.clone(), database.clone(), server, warm));
+        }
+    }
+}
+
+fn perform(context: &Shared, action: InstanceAction, starts: &std::sync::Arc<TakeStarts>) {
+    match action {
+        InstanceAction::Ownership { database, action } => {
+            perform_ownership(context, database, action, starts);
+        }
+        InstanceAction::SendHeartbeat { peer, sequence, body } => {
+            tokio::spawn(send_heartbeat(context.clone(), peer, sequence, body));
+        }
+        InstanceAction::HandOver { database, term, to } => {
+            tokio::spawn(hand_over(context.clone(), database, term, to));
+        }
+        InstanceAction::DrainPrimary { database } => {
+            tokio::spawn(drain_primary(context.clone(), database));
+        }
+        InstanceAction::PublishOwner { database, record } => {
+            tokio::spawn(platform_sync::publish_owner(context.clone(), database, record));
+        }
+        InstanceAction::PullConfiguration { peer, version } => {
+            tokio::spawn(platform_sync::pull_from_peer(context.clone(), peer, version));
+        }
+    }
+}
+
+fn perform_ownership(
+    context: &Shared,
+    database: DatabaseId,
+    action: OwnershipAction,
+    starts: &std::sync::Arc<TakeStarts>,
+) {
+    match action {
+        OwnershipAction::Fence { server, term } => {
+            let now = Instant::now();
+            starts.lock().expect("never poisoned").entry(database.clone()).or_insert(now);
+            tokio::spawn(fence(context.clone(), database, server, term));
+        }
+        OwnershipAction::Promote { server, term } => {
+            tokio::spawn(promote(context.clone(), database, server, term));
+        }
+        OwnershipAction::Follow { server, term, primary } => {
+            tokio::spawn(follow(context.clone(), server, term, primary));
+        }
+        OwnershipAction::Probe { server, sequence } => {
+            tokio::spawn(probe(context.clone(), database, server, sequence));
+        }
+        OwnershipAction::Serve { term, primary, first, cause, .. } => {
+            let start = starts.lock().expect("never poisoned").remove(&database);
+            let took = start.map_or(Duration::ZERO, |start| start.elapsed());
+            context.metrics.take_duration.observe(took.as_secs_f64());
+            let labels = CauseLabels { cause: format!("{cause:?}") };
+            context.metrics.takes.get_or_create(&labels).inc();
+            info!(
+                "serving database={database} term={term} primary={primary} first={first} \
+                 cause={cause:?} took_ms={}",
+                took.as_millis()
+            );
+            tokio::spawn(prepare_database(context.clone(), database, term, primary, first));
+            context.changed.notify_waiters();
+        }
+        OwnershipAction::Pause { cause } => {
+            let now = Instant::now();
+            starts.lock().expect("never poisoned").insert(database.clone(), now);
+            warn!("replacing primary database={database} cause={cause:?}");
+            context.changed.notify_waiters();
+        }
+        OwnershipAction::Lost { term, reason } => {
+            starts.lock().expect("never poisoned").remove(&database);
+            let labels = CauseLabels { cause: format!("{reason:?}") };
+            context.metrics.losses.get_or_create(&labels).inc();
+            match reason {
+                LossReason::Released => info!("released database={database} term={term}"),
+                _ => warn!("lost database={database} term={term} reason={reason:?}"),
+            }
+            context.changed.notify_waiters();
+        }
+    }
+}
+
+async fn fence(context: Shared, database: DatabaseId, server: TargetId, term: Term) {
+    let Some(known) = context.server(&server) else {
+        return;
+    };
+    let result = known.control.fence(term, &context.settings.instance).await;
+    let event = OwnershipEvent::Fenced { server, term, result };
+    context.handle_ownership(&database, event);
+}
+
+async fn promote(context: Shared, database: DatabaseId, server: TargetId, term: Term) {
+    let Some(known) = context.server(&server) else {
+        return;
+    };
+    let result = known.control.promote(term, &context.settings.instance).await;
+    let event = OwnershipEvent::Promoted { server, term, result };
+    context.handle_ownership(&database, event);
+}
+
+async fn follow(context: Shared, server: TargetId, term: Term, primary: TargetId) {
+    let (Some(known), Some(upstream)) = (context.server(&server), context.server(&primary)) else {
+        return;
+    };
+    let address = upstream.replication_address.clone();
+    // A failed call is repeated by the decisions after the next probe.
+    let _ = known.control.follow(term, &context.settings.instance, &primary, &address).await;
+}
+
+async fn probe(context: Shared, database: DatabaseId, server: TargetId, sequence: u64) {
+    let Some(known) = context.server(&server) else {
+        return;
+    };
+    let state = known.control.state().await.ok();
+    let event = OwnershipEvent::Probed { server, sequence, state };
+    context.handle_ownership(&database, event);
+}
+
+/// Creates the ledger and closes connections of servers that do not answer.
+async fn prepare_database(
+    context: Shared,
+    database: DatabaseId,
+    term: Term,
+    primary: TargetId,
+    first: Position,
+) {
+    let others = context.with_database(&database, |state| {
+        let ids = state.ownership.servers().map(|server| server.id.clone());
+        ids.filter(|id| *id != primary).collect::<Vec<_>>()
+    });
+    for server in others.unwrap_or_default() {
+        checkout::close_idle(&context, &database, &server);
+    }
+    let is_new_group = first.index == 1;
+    if is_new_group {
+        let serving = Serving { term, primary };
+        let deadline = Instant::now() + WORK_GRACE;
+        let created = write::create_ledger(&context, &database, &serving, deadline).await;
+        if let Err(failure) = created {
+            warn!("ledger not created database={database}: {}", failure.message);
+        }
+    }
+}
+
+async fn send_heartbeat(context: Shared, peer: PeerInfo, sequence: u64, body: HeartbeatBody) {
+    let heartbeat = Body::Heartbeat(link::heartbeat_to_wire(&body, sequence));
+    let timeout = Duration::from_secs(2);
+    let answer = context.links.call(&context, &peer.id, heartbeat, timeout).await;
+    let event = match answer {
+        Ok(Body::HeartbeatReply(reply)) => {
+            let body = link::heartbeat_from_wire(&reply);
+            InstanceEvent::HeartbeatAnswered { sequence, body }
+        }
+        _ => InstanceEvent::HeartbeatFailed { peer: peer.id.clone(), sequence },
+    };
+    context.handle(event);
+}
+
+/// Waits until `done` holds, at most `limit`.
+async fn wait_until(context: &Shared, limit: Duration, done: impl Fn() -> bool) -> bool {
+    let deadline = Instant::now() + limit;
+    loop {
+        let changed = context.changed.notified();
+        if done() {
+            return true;
+        }
+        if Instant::now() >= deadline {
+            return false;
+        }
+        let _ = tokio::time::timeout(Duration::from_millis(5), changed).await;
+    }
+}
+
+/// Lets everything in progress on a database end; nothing new starts after.
+/// Returns whether it ended. If not, the database is open again.
+async fn quiesce(context: &Shared, database: &DatabaseId) -> bool {
+    let no_transactions = wait_until(context, TRANSACTION_GRACE, || {
+        context.with_database(database, |state| state.open_transactions == 0) != Some(false)
+    });
+    if !no_transactions.await {
+        context.with_database(database, |state| state.gate = Gate::Open);
+        return false;
+    }
+    context.with_database(database, |state| state.gate = Gate::Closed);
+    let ended = wait_until(context, WORK_GRACE, || {
+        context.with_database(database, |state| state.in_progress == 0) != Some(false)
+    });
+    if !ended.await {
+        context.with_database(database, |state| state.gate = Gate::Open);
+        return false;
+    }
+    true
+}
+
+async fn hand_over(context: Shared, database: DatabaseId, term: Term, to: InstanceId) {
+    let quiet = quiesce(&context, &database).await;
+    let mut accepted = false;
+    if quiet {
+        let owner = context.settings.instance.to_string();
+        let offer = Handover { database: database.to_string(), term, owner };
+        let timeout = Duration::from_secs(1);
+        let answer = context.links.call(&context, &to, Body::Handover(offer), timeout).await;
+        accepted = matches!(answer, Ok(Body::HandoverReply(reply)) if reply.accepted);
+    }
+    info!("handover database={database} to={to} accepted={accepted}");
+    let event = InstanceEvent::HandoverEnded { database, accepted };
+    context.handle(event);
+    context.changed.notify_waiters();
+}
+
+/// Replaces a leaving primary without losing or refusing a write.
+async fn drain_primary(context: Shared, database: DatabaseId) {
+    if quiesce(&context, &database).await {
+        // Any replica that has the last entry can be promoted without loss.
+        let last = context.with_database(&database, |state| {
+            let (_, primary) = state.ownership.serving()?;
+            state.ownership.server_state(&primary).map(|state| state.received)
+        });
+        if let Some(last) = last.flatten() {
+            let deadline = Instant::now() + WORK_GRACE;
+            let _ = crate::confirm::wait_confirmed(&context, &database, last, deadline).await;
+        }
+        let actions = context.instance.primary_drained(Instant::now(), &database);
+        context.queue(actions);
+    }
+    context.changed.notify_waiters();
+}
--- /dev/null
+++ b/daemon/src/forward.rs
@@ -0,0 +1,264 @@
+//! The entry's side of a request: finds the owner, sends the request there,
+//! and again if that is safe.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use chervilwharf_lib::error_kind::ErrorKind;
+use chervilwharf_lib::error_kind::Outcome;
+use chervilwharf_lib::floors::Freshness;
+use chervilwharf_lib::id::InstanceId;
+use chervilwharf_lib::instance::InstanceEvent;
+use chervilwharf_lib::membership::OwnerRecord;
+use chervilwharf_lib::protos::Describe;
+use chervilwharf_lib::protos::Failure;
+use chervilwharf_lib::protos::Freshness as WireFreshness;
+use chervilwharf_lib::protos::Inquiry;
+use chervilwharf_lib::protos::InquiryReply;
+use chervilwharf_lib::protos::Result as StatementResult;
+use chervilwharf_lib::protos::Rollback;
+use chervilwharf_lib::protos::StatementKind;
+use chervilwharf_lib::protos::Submit;
+use chervilwharf_lib::protos::frame::Body;
+use chervilwharf_lib::protos::freshness::Kind;
+
+use crate::answer::failure;
+use crate::answer::from_answer;
+use crate::answer::kind_of;
+use crate::context::Shared;
+use crate::inquiry;
+use crate::link::LinkError;
+use crate::owner;
+use crate::owner::EXPECTED_GAP;
+
+/// Pause before another look for the owner.
+const PAUSE: Duration = Duration::from_millis(10);
+
+/// The owner's own deadline ends this much before the caller's, so that its
+/// answer still arrives.
+const ANSWER_MARGIN: Duration = Duration::from_millis(20);
+
+/// An inquiry is given up after this time.
+const INQUIRY_TIME: Duration = Duration::from_secs(6);
+
+/// Freshness as message.
+#[must_use]
+pub fn freshness_to_wire(freshness: Freshness) -> WireFreshness {
+    let (kind, age) = match freshness {
+        Freshness::OwnWrites => (Kind::OwnWrites, Duration::ZERO),
+        Freshness::Fresh => (Kind::Fresh, Duration::ZERO),
+        Freshness::MaxAge(age) => (Kind::MaxAge, age),
+    };
+    let max_age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+    WireFreshness { kind: kind.into(), max_age_ms }
+}
+
+/// Where a database is owned, as far as this entry knows.
+enum Owner {
+    Here,
+    At(InstanceId),
+    Unknown,
+}
+
+fn find_owner(context: &Shared, database: &str) -> Owner {
+    let here =
+        context.with_database(database, |state| state.ownership.is_engaged()).unwrap_or(false);
+    if here {
+        return Owner::Here;
+    }
+    let membership = context.instance.membership();
+    match membership.owner(database) {
+        Some(record) if record.owner == membership.me().id => Owner::Unknown,
+        Some(record) => Owner::At(record.owner.clone()),
+        None => Owner::Unknown,
+    }
+}
+
+/// What one try of sending a request gave.
+enum Sent {
+    Answered(Result<StatementResult, Failure>),
+    /// Nothing reached an owner.
+    Unsent,
+    /// It may have reached an owner.
+    Lost,
+}
+
+async fn send_once(context: &Shared, submit: &Submit, deadline: Instant) -> Sent {
+    let owner = find_owner(context, &submit.database);
+    match owner {
+        Owner::Here => {
+            let answer = owner::serve(context.clone(), submit.clone()).await;
+            Sent::Answered(from_answer(answer))
+        }
+        Owner::Unknown => Sent::Unsent,
+        Owner::At(instance) => {
+            let wait = deadline.saturating_duration_since(Instant::now()) + ANSWER_MARGIN;
+            let body = Body::Submit(submit.clone());
+            match context.links.call(context, &instance, body, wait).await {
+                Ok(Body::Answer(answer)) => Sent::Answered(from_answer(answer)),
+                Err(LinkError::NotSent) => Sent::Unsent,
+                Ok(_) | Err(LinkError::Broken | LinkError::TimedOut) => Sent::Lost,
+            }
+        }
+    }
+}
+
+/// Learns from a refusal who owns the database.
+fn learn_owner(context: &Shared, database: &str, failure: &Failure) {
+    if failure.owner.is_empty() {
+        return;
+    }
+    let owner = failure.owner.as_str().into();
+    let record = OwnerRecord { owner, term: failure.owner_term };
+    let database = database.into();
+    context.handle(InstanceEvent::OwnerKnown { database, record });
+}
+
+/// Sends a request to its owner and returns the answer for the caller.
+///
+/// # Errors
+///
+/// The failure for the caller. "Not run" is only said when no owner can have
+/// started the request, or one has said that it did not run.
+pub async fn submit(context: &Shared, mut submit: Submit) -> Result<StatementResult, Failure> {
+    let deadline = Instant::now() + Duration::from_millis(submit.deadline_ms);
+    let began = Instant::now();
+    let mut maybe_running = false;
+    loop {
+        let left = deadline.saturating_duration_since(Instant::now());
+        submit.deadline_ms =
+            u64::try_from(left.saturating_sub(ANSWER_MARGIN).as_millis()).unwrap_or(u64::MAX);
+        submit.resend = maybe_running;
+        let last = match send_once(context, &submit, deadline).await {
+            Sent::Answered(Ok(result)) => return Ok(result),
+            Sent::Answered(Err(failure)) => {
+                if !is_worth_another_try(&failure) {
+                    return Err(failure);
+                }
+                learn_owner(context, &submit.database, &failure);
+                failure
+            }
+            Sent::Unsent => failure(ErrorKind::NoPrimary),
+            Sent::Lost => {
+                if submit.kind() == StatementKind::InTransaction {
+                    return Err(failure(ErrorKind::TransactionLost));
+                }
+                maybe_running = true;
+                failure(ErrorKind::OutcomeUnknown)
+            }
+        };
+        let now = Instant::now();
+        let too_late = now + PAUSE >= deadline;
+        // Without an owner for longer than a takeover lasts, the caller is
+        // better off knowing now.
+        let hopeless = now.saturating_duration_since(began) >= EXPECTED_GAP && !maybe_running;
+        if too_late || hopeless {
+            return Err(give_up(&submit, last, maybe_running));
+        }
+        context.metrics.retries.inc();
+        let changed = context.changed.notified();
+        let _ = tokio::time::timeout(PAUSE, changed).await;
+    }
+}
+
+/// A request that may be running somewhere is never called "not run".
+fn give_up(submit: &Submit, last: Failure, maybe_running: bool) -> Failure {
+    let is_read = submit.kind() == StatementKind::Read;
+    if maybe_running && !is_read {
+        return failure(ErrorKind::OutcomeUnknown);
+    }
+    if is_read && kind_of(&last).rule().outcome == Outcome::Unknown {
+        return failure(ErrorKind::NoPrimary);
+    }
+    last
+}
+
+fn is_worth_another_try(failure: &Failure) -> bool {
+    matches!(kind_of(failure), ErrorKind::NotOwner | ErrorKind::Stopping)
+}
+
+/// Asks the owner for the types of a statement.
+///
+/// # Errors
+///
+/// The failure for the caller.
+pub async fn describe(context: &Shared, describe: Describe) -> Result<StatementResult, Failure> {
+    let deadline = Instant::now() + Duration::from_millis(describe.deadline_ms);
+    loop {
+        let answer = match find_owner(context, &describe.database) {
+            Owner::Here => Some(owner::describe(context.clone(), describe.clone()).await),
+            Owner::Unknown => None,
+            Owner::At(instance) => {
+                let body = Body::Describe(describe.clone());
+                let wait = deadline.saturating_duration_since(Instant::now());
+                match context.links.call(context, &instance, body, wait).await {
+                    Ok(Body::Answer(answer)) => Some(answer),
+                    _ => None,
+                }
+            }
+        };
+        let last = match answer.map(from_answer) {
+            Some(Ok(result)) => return Ok(result),
+            Some(Err(failure)) if !is_worth_another_try(&failure) => return Err(failure),
+            Some(Err(failure)) => {
+                learn_owner(context, &describe.database, &failure);
+                failure
+            }
+            None => failure(ErrorKind::NoPrimary),
+        };
+        if Instant::now() + PAUSE >= deadline {
+            return Err(last);
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+/// Rolls an interactive transaction back, wherever it lives.
+pub async fn roll_back(context: &Shared, database: &str, transaction_id: &str) {
+    match find_owner(context, database) {
+        Owner::Here => context.transactions.roll_back(transaction_id),
+        Owner::At(instance) => {
+            let rollback = Rollback {
+                database: database.to_owned(),
+                transaction_id: transaction_id.to_owned(),
+            };
+            context.links.send(context, &instance, Body::Rollback(rollback)).await;
+        }
+        // Its owner is gone, and the transaction with it.
+        Owner::Unknown => {}
+    }
+}
+
+/// Asks what became of a request.
+pub async fn inquire(context: &Shared, inquiry: Inquiry) -> InquiryReply {
+    let deadline = Instant::now() + INQUIRY_TIME;
+    loop {
+        let reply = match find_owner(context, &inquiry.database) {
+            Owner::Here => Some(inquiry::answer(context.clone(), inquiry.clone()).await),
+            Owner::Unknown => None,
+            Owner::At(instance) => {
+                let body = Body::Inquiry(inquiry.clone());
+                let wait = deadline.saturating_duration_since(Instant::now());
+                match context.links.call(context, &instance, body, wait).await {
+                    Ok(Body::InquiryReply(reply)) => Some(reply),
+                    _ => None,
+                }
+            }
+        };
+        let retry = match &reply {
+            None => true,
+            Some(reply) => reply.failure.as_ref().is_some_and(|failure| {
+                learn_owner(context, &inquiry.database, failure);
+                is_worth_another_try(failure)
+            }),
+        };
+        match reply {
+            Some(reply) if !retry => return reply,
+            _ if Instant::now() + PAUSE >= deadline => {
+                let failure = Some(failure(ErrorKind::NoPrimary));
+                return InquiryReply { failure, ..InquiryReply::default() };
+            }
+            _ => tokio::time::sleep(PAUSE).await,
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/lib.rs
@@ -0,0 +1,29 @@
+//! The daemon: drives the decisions of `chervilwharf-lib` with sockets,
+//! tasks and the clock.
+
+pub mod admin;
+pub mod answer;
+pub mod checkout;
+pub mod command;
+pub mod confirm;
+pub mod context;
+pub mod control;
+pub mod entry;
+pub mod entry_handlers;
+pub mod entry_startup;
+pub mod filter;
+pub mod forward;
+pub mod inquiry;
+pub mod link;
+pub mod link_server;
+pub mod logging;
+pub mod metrics;
+pub mod owner;
+pub mod platform;
+pub mod platform_sync;
+pub mod postgres;
+pub mod read;
+pub mod start;
+pub mod target;
+pub mod transaction;
+pub mod write;
--- /dev/null
+++ b/daemon/src/link.rs
@@ -0,0 +1,316 @@
+//! Links to other instances: one connection each, many exchanges at once.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use chervilwharf_lib::id::InstanceId;
+use chervilwharf_lib::membership::HeartbeatBody;
+use chervilwharf_lib::membership::OwnerRecord;
+use chervilwharf_lib::membership::PeerInfo;
+use chervilwharf_lib::protos::Frame;
+use chervilwharf_lib::protos::Heartbeat;
+use chervilwharf_lib::protos::Hello;
+use chervilwharf_lib::protos::Ownership;
+use chervilwharf_lib::protos::frame::Body;
+use displaydoc::Display;
+use futures::SinkExt;
+use futures::StreamExt;
+use prost::Message;
+use sha2::Digest;
+use sha2::Sha256;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio_util::codec::Framed;
+use tokio_util::codec::LengthDelimitedCodec;
+
+use crate::context::Context;
+use crate::context::Shared;
+
+/// Largest frame: the largest result with room for its envelope.
+pub const FRAME_LIMIT_BYTES: usize = 20 * 1024 * 1024;
+
+/// Longest wait for a connection to another instance.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// A link without an answer to a heartbeat for this long is given up for a
+/// new one: it can have gone silent while a new connection would work.
+const SILENT_LINK: Duration = Duration::from_millis(450);
+
+/// Why an exchange got no answer.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum LinkError {
+    /// the other instance could not be reached; nothing was sent
+    NotSent,
+    /// the link broke after the message was sent
+    Broken,
+    /// no answer came in time
+    TimedOut,
+}
+
+type Pending = Mutex<HashMap<u64, oneshot::Sender<Body>>>;
+
+/// An open link to one instance.
+struct Link {
+    outgoing: mpsc::UnboundedSender<Bytes>,
+    pending: Arc<Pending>,
+    next_exchange: AtomicU64,
+    address: Arc<str>,
+}
+
+impl Link {
+    fn is_open(&self) -> bool {
+        !self.outgoing.is_closed()
+    }
+}
+
+/// Links to all instances spoken to, opened on demand.
+#[derive(Default)]
+pub struct Links {
+    links: tokio::sync::Mutex<HashMap<InstanceId, Arc<Link>>>,
+    next_number: AtomicU64,
+}
+
+/// The framing of all links.
+#[must_use]
+pub fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder().max_frame_length(FRAME_LIMIT_BYTES).new_codec()
+}
+
+/// Shows that the sender knows the shared key.
+#[must_use]
+pub fn proof(key: &str, instance: &str, link_number: u64) -> Vec<u8> {
+    let mut hasher = Sha256::new();
+    hasher.update(key.as_bytes());
+    hasher.update([0]);
+    hasher.update(instance.as_bytes());
+    hasher.update(link_number.to_be_bytes());
+    hasher.finalize().to_vec()
+}
+
+/// Encodes a frame.
+#[must_use]
+pub fn encode(exchange_id: u64, body: Body) -> Bytes {
+    let frame = Frame { exchange_id, body: Some(body) };
+    let mut buffer = BytesMut::with_capacity(frame.encoded_len());
+    // A buffer that grows cannot be too small.
+    let _ = frame.encode(&mut buffer);
+    buffer.freeze()
+}
+
+impl Links {
+    /// Sends a message to an instance and waits for the answer.
+    ///
+    /// # Errors
+    ///
+    /// Tells whether the message can have arrived.
+    pub async fn call(
+        &self,
+        context: &Shared,
+        peer: &InstanceId,
+        body: Body,
+        timeout: Duration,
+    ) -> Result<Body, LinkError> {
+        let is_control = matches!(body, Body::Heartbeat(_));
+        let link = self.link(context, peer).await.ok_or(LinkError::NotSent)?;
+        let exchange_id = link.next_exchange.fetch_add(1, Ordering::Relaxed);
+        let (sender, receiver) = oneshot::channel();
+        link.pending.lock().expect("never poisoned").insert(exchange_id, sender);
+        let _forget = Forget { pending: &link.pending, exchange_id };
+        let bytes = encode(exchange_id, body);
+        let size = bytes.len() as u64;
+        context.metrics.peer_bytes.inc_by(size);
+        if is_control {
+            context.metrics.control_bytes.inc_by(size);
+        }
+        if link.outgoing.send(bytes).is_err() {
+            return Err(LinkError::NotSent);
+        }
+        let wait = if is_control { timeout.min(SILENT_LINK) } else { timeout };
+        match tokio::time::timeout(wait, receiver).await {
+            Ok(Ok(body)) => Ok(body),
+            Ok(Err(_)) => Err(LinkError::Broken),
+            Err(_) => {
+                if is_control {
+                    self.drop_link(peer, &link).await;
+                }
+                Err(LinkError::TimedOut)
+            }
+        }
+    }
+
+    /// Sends a message that has no answer, if a link is open or can be.
+    pub async fn send(&self, context: &Shared, peer: &InstanceId, body: Body) {
+        if let Some(link) = self.link(context, peer).await {
+            // Lost with the link; whoever sends this does not rely on it.
+            let _ = link.outgoing.send(encode(0, body));
+        }
+    }
+
+    async fn drop_link(&self, peer: &InstanceId, link: &Arc<Link>) {
+        let mut links = self.links.lock().await;
+        if links.get(peer).is_some_and(|current| Arc::ptr_eq(current, link)) {
+            links.remove(peer);
+        }
+        // All exchanges on it fail now and can be sent again on a new link.
+        link.pending.lock().expect("never poisoned").clear();
+    }
+
+    async fn link(&self, context: &Shared, peer: &InstanceId) -> Option<Arc<Link>> {
+        let address = context.instance.membership().peer(peer)?.address.clone();
+        if let Some(link) = self.open_link(peer, &address).await {
+            return Some(link);
+        }
+        // Connected without the lock, so that one dead instance does not
+        // hold up the links to all others.
+        let number = self.next_number.fetch_add(1, Ordering::Relaxed) + start_number(context);
+        let link = connect(context, address, number).await?;
+        let mut links = self.links.lock().await;
+        if let Some(other) = links.get(peer).filter(|other| other.is_open()) {
+            return Some(other.clone());
+        }
+        links.insert(peer.clone(), link.clone());
+        Some(link)
+    }
+
+    async fn open_link(&self, peer: &InstanceId, address: &str) -> Option<Arc<Link>> {
+        let links = self.links.lock().await;
+        links.get(peer).filter(|link| link.is_open() && *link.address == *address).cloned()
+    }
+}
+
+/// Link numbers grow over restarts too: they start from the clock.
+fn start_number(context: &Context) -> u64 {
+    let up = context.started_at.elapsed();
+    let started = crate::metrics::since_epoch().saturating_sub(up);
+    u64::try_from(started.as_millis()).unwrap_or(0) << 16
+}
+
+struct Forget<'a> {
+    pending: &'a Pending,
+    exchange_id: u64,
+}
+
+impl Drop for Forget<'_> {
+    fn drop(&mut self) {
+        self.pending.lock().expect("never poisoned").remove(&self.exchange_id);
+    }
+}
+
+async fn connect(context: &Shared, address: Arc<str>, number: u64) -> Option<Arc<Link>> {
+    let connecting = TcpStream::connect(&*address);
+    let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await.ok()?.ok()?;
+    stream.set_nodelay(true).ok()?;
+    let mut framed = Framed::new(stream, codec());
+    let settings = &context.settings;
+    let hello = Hello {
+        instance: settings.instance.to_string(),
+        link_number: number,
+        proof: proof(&settings.peer_key, &settings.instance, number),
+    };
+    framed.send(encode(0, Body::Hello(hello))).await.ok()?;
+    let (outgoing, queue) = mpsc::unbounded_channel();
+    let pending: Arc<Pending> = Arc::default();
+    let link =
+        Link { outgoing, pending: pending.clone(), next_exchange: AtomicU64::new(1), address };
+    tokio::spawn(drive(framed, queue, pending));
+    Some(Arc::new(link))
+}
+
+/// Moves frames until the connection breaks or nobody holds the link.
+async fn drive(
+    framed: Framed<TcpStream, LengthDelimitedCodec>,
+    mut queue: mpsc::UnboundedReceiver<Bytes>,
+    pending: Arc<Pending>,
+) {
+    let (mut sink, mut stream) = framed.split();
+    let write = async {
+        while let Some(bytes) = queue.recv().await {
+            if sink.feed(bytes).await.is_err() {
+                return;
+            }
+            // What is queued already goes out in one write.
+            while let Ok(bytes) = queue.try_recv() {
+                if sink.feed(bytes).await.is_err() {
+                    return;
+                }
+            }
+            if sink.flush().await.is_err() {
+                return;
+            }
+        }
+    };
+    let read = async {
+        while let Some(Ok(bytes)) = stream.next().await {
+            let Ok(frame) = Frame::decode(bytes) else {
+                return;
+            };
+            let waiting = pending.lock().expect("never poisoned").remove(&frame.exchange_id);
+            if let (Some(sender), Some(body)) = (waiting, frame.body) {
+                // One who gave up waiting needs no answer.
+                let _ = sender.send(body);
+            }
+        }
+    };
+    tokio::select! {
+        () = write => {}
+        () = read => {}
+    }
+    // Dropping the senders tells all who wait that the link broke.
+    pending.lock().expect("never poisoned").clear();
+}
+
+/// A heartbeat as message.
+#[must_use]
+pub fn heartbeat_to_wire(body: &HeartbeatBody, sequence: u64) -> Heartbeat {
+    let sender = &body.sender;
+    let owned = body.owned.iter().map(|(database, term)| Ownership {
+        database: database.to_string(),
+        owner: String::new(),
+        term: *term,
+    });
+    let heard = body.heard.iter().map(|(database, record)| Ownership {
+        database: database.to_string(),
+        owner: record.owner.to_string(),
+        term: record.term,
+    });
+    Heartbeat {
+        instance: sender.id.to_string(),
+        address: sender.address.to_string(),
+        admin_address: sender.admin_address.to_string(),
+        failure_domain: sender.failure_domain.to_string(),
+        leaving: sender.leaving,
+        configuration_version: sender.configuration_version,
+        owned: owned.collect(),
+        heard: heard.collect(),
+        sequence,
+    }
+}
+
+/// A heartbeat from a message.
+#[must_use]
+pub fn heartbeat_from_wire(heartbeat: &Heartbeat) -> HeartbeatBody {
+    let owned = heartbeat.owned.iter().map(|entry| (entry.database.as_str().into(), entry.term));
+    let heard = heartbeat.heard.iter().map(|entry| {
+        let record = OwnerRecord { owner: entry.owner.as_str().into(), term: entry.term };
+        (entry.database.as_str().into(), record)
+    });
+    HeartbeatBody {
+        sender: PeerInfo {
+            id: heartbeat.instance.as_str().into(),
+            address: heartbeat.address.as_str().into(),
+            admin_address: heartbeat.admin_address.as_str().into(),
+            failure_domain: heartbeat.failure_domain.as_str().into(),
+            leaving: heartbeat.leaving,
+            configuration_version: heartbeat.configuration_version,
+        },
+        owned: owned.collect(),
+        heard: heard.collect(),
+    }
+}
--- /dev/null
+++ b/daemon/src/main.rs
@@ -0,0 +1,7 @@
+//! `chervilwharfd`: one instance of chervilwharf.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    chervilwharf_daemon::command::main()
+}
--- /dev/null
+++ b/daemon/src/owner.rs
@@ -0,0 +1,398 @@
+//! The owner's side of a request: finds out whether it can be served here
+//! and passes it to the path for its kind.
+
+use std::collections::HashMap;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use chervilwharf_lib::admission::Priority;
+use chervilwharf_lib::config::Acknowledge;
+use chervilwharf_lib::error_kind::ErrorKind;
+use chervilwharf_lib::floors::Freshness;
+use chervilwharf_lib::id::AccountId;
+use chervilwharf_lib::id::DatabaseId;
+use chervilwharf_lib::id::RequestId;
+use chervilwharf_lib::id::TargetId;
+use chervilwharf_lib::id::Term;
+use chervilwharf_lib::instance::Gate;
+use chervilwharf_lib::ownership::OwnershipEvent;
+use chervilwharf_lib::protos::Answer;
+use chervilwharf_lib::protos::Describe;
+use chervilwharf_lib::protos::Failure;
+use chervilwharf_lib::protos::Result as StatementResult;
+use chervilwharf_lib::protos::StatementKind;
+use chervilwharf_lib::protos::Submit;
+use chervilwharf_lib::protos::freshness;
+use tokio::sync::watch;
+
+use crate::answer::failure;
+use crate::answer::failure_after;
+use crate::answer::failure_with;
+use crate::answer::to_answer;
+use crate::checkout;
+use crate::checkout::ConnectionGuard;
+use crate::context::Context;
+use crate::context::Shared;
+use crate::postgres::BatchError;
+use crate::read;
+use crate::target::WRONG_TERM;
+use crate::target::held_term;
+use crate::transaction;
+use crate::write;
+
+/// A request as the owner works on it.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// The message it came in.
+    pub submit: Submit,
+    /// Its database.
+    pub database: DatabaseId,
+    /// Its account.
+    pub account: AccountId,
+    /// When it has to be answered.
+    pub deadline: Instant,
+    /// Place in the queues.
+    pub priority: Priority,
+    /// When a write counts as done.
+    pub acknowledge: Acknowledge,
+}
+
+impl Request {
+    fn new(context: &Context, submit: Submit) -> Self {
+        let active = context.config();
+        let service = active.config.services.get(submit.service.as_str());
+        Self {
+            database: submit.database.as_str().into(),
+            account: submit.account.as_str().into(),
+            deadline: Instant::now() + Duration::from_millis(submit.deadline_ms),
+            priority: service.map_or(Priority::MAX, |service| service.priority),
+            acknowledge: service.map(|service| service.acknowledge).unwrap_or_default(),
+            submit,
+        }
+    }
+
+    /// Name of the request.
+    #[must_use]
+    pub fn id(&self) -> RequestId {
+        self.submit.request_id.as_str().into()
+    }
+
+    /// How current its read must be.
+    #[must_use]
+    pub fn freshness(&self) -> Freshness {
+        let Some(wanted) = &self.submit.freshness else {
+            return Freshness::OwnWrites;
+        };
+        match wanted.kind() {
+            freshness::Kind::OwnWrites => Freshness::OwnWrites,
+            freshness::Kind::Fresh => Freshness::Fresh,
+            freshness::Kind::MaxAge => Freshness::MaxAge(Duration::from_millis(wanted.max_age_ms)),
+        }
+    }
+}
+
+/// Term and primary by which a request is served.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Serving {
+    /// Our term.
+    pub term: Term,
+    /// The primary.
+    pub primary: TargetId,
+}
+
+/// Counts a request in progress, so that a handover can wait for it.
+pub struct WorkGuard {
+    context: Shared,
+    database: DatabaseId,
+}
+
+impl Drop for WorkGuard {
+    fn drop(&mut self) {
+        self.context.with_database(&self.database, |state| {
+            state.in_progress = state.in_progress.saturating_sub(1);
+        });
+        self.context.changed.notify_waiters();
+    }
+}
+
+/// A request waits this long for a primary. Beyond the expected length of a
+/// failover it is refused at once, with a hint when to come back.
+pub const EXPECTED_GAP: Duration = Duration::from_secs(3);
+
+/// How often a wait looks again even when nothing was announced.
+const LOOK_AGAIN: Duration = Duration::from_millis(20);
+
+enum Entrance {
+    Go(Serving, WorkGuard),
+    Wait,
+    NotOurs,
+    Unknown,
+}
+
+/// Waits until the database can be served here.
+///
+/// # Errors
+///
+/// When another instance owns it, or no primary comes in time. Nothing has
+/// run then.
+pub async fn enter(
+    context: &Shared,
+    database: &DatabaseId,
+    deadline: Instant,
+    begins_transaction: bool,
+    in_transaction: bool,
+) -> Result<(Serving, WorkGuard), Failure> {
+    let began = Instant::now();
+    loop {
+        let changed = context.changed.notified();
+        match try_enter(context, database, begins_transaction, in_transaction) {
+            Entrance::Go(serving, guard) => return Ok((serving, guard)),
+            Entrance::NotOurs => return Err(not_owner(context, database)),
+            Entrance::Unknown => return Err(failure(ErrorKind::UnknownDatabase)),
+            Entrance::Wait => {}
+        }
+        let now = Instant::now();
+        if now >= deadline || now.saturating_duration_since(began) >= EXPECTED_GAP {
+            return Err(failure(ErrorKind::NoPrimary));
+        }
+        let _ = tokio::time::timeout(LOOK_AGAIN, changed).await;
+    }
+}
+
+fn try_enter(
+    context: &Shared,
+    database: &DatabaseId,
+    begins_transaction: bool,
+    in_transaction: bool,
+) -> Entrance {
+    let entrance = context.with_database(database, |state| {
+        if !state.ownership.is_engaged() {
+            return Entrance::NotOurs;
+        }
+        let shut = match state.gate {
+            Gate::Open => false,
+            Gate::NoNewTransactions => begins_transaction,
+            Gate::Closed => !in_transaction,
+        };
+        let Some((term, primary)) = state.ownership.serving().filter(|_| !shut) else {
+            return Entrance::Wait;
+        };
+        state.in_progress += 1;
+        let guard = WorkGuard { context: context.clone(), database: database.clone() };
+        Entrance::Go(Serving { term, primary }, guard)
+    });
+    entrance.unwrap_or(Entrance::Unknown)
+}
+
+/// Names the owner as far as we know it.
+#[must_use]
+pub fn not_owner(context: &Context, database: &str) -> Failure {
+    let membership = context.instance.membership();
+    let known = membership.owner(database).filter(|known| known.owner != membership.me().id);
+    let mut failure = failure(ErrorKind::NotOwner);
+    if let Some(known) = known {
+        failure.owner = known.owner.to_string();
+        failure.owner_term = known.term;
+    }
+    failure
+}
+
+/// Serves a request.
+pub async fn serve(context: Shared, submit: Submit) -> Answer {
+    let request = Request::new(&context, submit);
+    let result = match request.submit.kind() {
+        StatementKind::Read => read::run(&context, &request).await,
+        StatementKind::Write => write::run(&context, &request).await,
+        StatementKind::InTransaction => transaction::run(&context, &request).await,
+        StatementKind::Commit => transaction::commit(&context, &request).await,
+    };
+    to_answer(result)
+}
+
+/// Describes a statement at any server of the database.
+pub async fn describe(context: Shared, describe: Describe) -> Answer {
+    to_answer(describe_inner(&context, &describe).await)
+}
+
+async fn describe_inner(context: &Shared, describe: &Describe) -> Result<StatementResult, Failure> {
+    let database: DatabaseId = describe.database.as_str().into();
+    let deadline = Instant::now() + Duration::from_millis(describe.deadline_ms);
+    let (serving, _work) = enter(context, &database, deadline, false, false).await?;
+    let mut guard = connect(context, &database, &serving, &serving.primary, deadline).await?;
+    let described = guard.get().describe(&describe.sql, &describe.parameter_type_oids);
+    match tokio::time::timeout_at(deadline.into(), described).await {
+        Ok(Ok(described)) => Ok(described),
+        Ok(Err(error)) => Err(batch_failure(context, &database, &serving, &error)),
+        Err(_) => Err(failure(ErrorKind::DeadlineBeforeStart)),
+    }
+}
+
+/// Gets a connection on which our term is declared.
+///
+/// # Errors
+///
+/// When none can be had, or the server holds another term.
+pub async fn connect(
+    context: &Shared,
+    database: &DatabaseId,
+    serving: &Serving,
+    server: &TargetId,
+    deadline: Instant,
+) -> Result<ConnectionGuard, Failure> {
+    loop {
+        let mut guard = checkout::checkout(context, database, server, deadline).await?;
+        if guard.get().term == serving.term {
+            return Ok(guard);
+        }
+        let sql = format!("SELECT * FROM chervilwharf_use_term({})", serving.term);
+        let steps = [crate::postgres::Step::new(sql)];
+        let declared = tokio::time::timeout_at(deadline.into(), guard.get().run(&steps)).await;
+        match declared {
+            Ok(Ok(_)) => {
+                guard.get().term = serving.term;
+                return Ok(guard);
+            }
+            // An idle connection may have been closed long ago: the next one.
+            Ok(Err(BatchError::Broken(_))) if Instant::now() < deadline => {}
+            Ok(Err(error)) => return Err(batch_failure(context, database, serving, &error)),
+            Err(_) => return Err(failure(ErrorKind::DeadlineBeforeStart)),
+        }
+    }
+}
+
+/// Turns a failed batch into an answer for a request that did not run, and
+/// tells the decisions of a higher term.
+#[must_use]
+pub fn batch_failure(
+    context: &Context,
+    database: &DatabaseId,
+    serving: &Serving,
+    error: &BatchError,
+) -> Failure {
+    match error {
+        BatchError::Refused { sqlstate, message, .. } if sqlstate == WRONG_TERM => {
+            let held = held_term(message).map_or(0, |(term, _)| term);
+            if held > serving.term {
+                context.handle_ownership(database, OwnershipEvent::HigherTerm(held));
+                return not_owner(context, database);
+            }
+            failure(ErrorKind::NoPrimary)
+        }
+        BatchError::Refused { sqlstate, message, .. } => {
+            crate::answer::refused_by_server(sqlstate, message)
+        }
+        BatchError::Broken(_) => failure(ErrorKind::NoPrimary),
+        BatchError::TooLarge => failure(ErrorKind::ResultTooLarge),
+    }
+}
+
+/// Waits until answers may be given: a new owner lets the currency of the
+/// earlier one run out first.
+///
+/// # Errors
+///
+/// When the term ends or the deadline passes.
+pub async fn wait_until_current(
+    context: &Shared,
+    database: &DatabaseId,
+    term: Term,
+    deadline: Instant,
+) -> Result<(), Failure> {
+    let mut waited = false;
+    loop {
+        let now = Instant::now();
+        let state = context.with_database(database, |state| {
+            let (own, _) = state.ownership.serving()?;
+            (own == term).then(|| state.ownership.is_current(now))
+        });
+        match state.flatten() {
+            Some(true) => return Ok(()),
+            None => return Err(not_owner(context, database)),
+            Some(false) => {}
+        }
+        if !waited {
+            waited = true;
+            context.metrics.currency_waits.inc();
+        }
+        if now >= deadline {
+            return Err(failure_after(ErrorKind::NoPrimary, EXPECTED_GAP));
+        }
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+}
+
+/// Names a request: its account and its id.
+pub type InFlightKey = (AccountId, RequestId);
+
+/// Writes in progress at this owner.
+///
+/// An entry sends a request again when it lost sight of it. The second copy
+/// must wait for the first: until that has committed the ledger cannot know
+/// of it, and both would run.
+#[derive(Default)]
+pub struct InFlight {
+    running: Mutex<HashMap<InFlightKey, watch::Receiver<Option<Answer>>>>,
+}
+
+/// A place in [`InFlight`], given up when dropped.
+pub struct InFlightGuard {
+    context: Shared,
+    key: InFlightKey,
+    sender: watch::Sender<Option<Answer>>,
+}
+
+impl InFlightGuard {
+    /// Gives the answer to all who wait for it.
+    pub fn finish(&self, answer: Answer) {
+        self.sender.send_replace(Some(answer));
+    }
+}
+
+impl Drop for InFlightGuard {
+    fn drop(&mut self) {
+        self.context.in_flight.running.lock().expect("never poisoned").remove(&self.key);
+    }
+}
+
+impl InFlight {
+    /// Whether a request is in progress here.
+    #[must_use]
+    pub fn contains(&self, key: &InFlightKey) -> bool {
+        self.running.lock().expect("never poisoned").contains_key(key)
+    }
+
+    /// Starts a request, unless a copy of it is in progress.
+    ///
+    /// # Errors
+    ///
+    /// Returns where the answer of the other copy will come.
+    pub fn start(
+        context: &Shared,
+        key: InFlightKey,
+    ) -> Result<InFlightGuard, watch::Receiver<Option<Answer>>> {
+        let mut running = context.in_flight.running.lock().expect("never poisoned");
+        if let Some(receiver) = running.get(&key) {
+            return Err(receiver.clone());
+        }
+        let (sender, receiver) = watch::channel(None);
+        running.insert(key.clone(), receiver);
+        Ok(InFlightGuard { context: context.clone(), key, sender })
+    }
+}
+
+/// Waits for the answer of another copy of a request.
+pub async fn join(mut other: watch::Receiver<Option<Answer>>, deadline: Instant) -> Answer {
+    let finished = other.wait_for(Option::is_some);
+    match tokio::time::timeout_at(deadline.into(), finished).await {
+        Ok(Ok(answer)) => match answer.as_ref() {
+            Some(answer) => answer.clone(),
+            None => to_answer(Err(failure(ErrorKind::OutcomeUnknown))),
+        },
+        Ok(Err(_)) => to_answer(Err(failure(ErrorKind::OutcomeUnknown))),
+        Err(_) => to_answer(Err(failure_with(
+            ErrorKind::InFlight,
+            "an earlier copy of this request is still in flight",
+        ))),
+    }
+}
--- /dev/null
+++ b/daemon/src/platform_sync.rs
@@ -0,0 +1,244 @@
+//! Keeps the instance in line with the platform's store: configuration,
+//! instance list and last known owners.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilwharf_lib::config_check;
+use chervilwharf_lib::id::ConfigVersion;
+use chervilwharf_lib::id::DatabaseId;
+use chervilwharf_lib::id::InstanceId;
+use chervilwharf_lib::instance::InstanceEvent;
+use chervilwharf_lib::membership::OwnerRecord;
+use chervilwharf_lib::membership::PeerInfo;
+use chervilwharf_lib::placement;
+use chervilwharf_lib::placement::Candidate;
+use chervilwharf_lib::protos::ConfigurationPull;
+use chervilwharf_lib::protos::frame::Body;
+use log::error;
+use log::info;
+use log::warn;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::context::ActiveConfig;
+use crate::context::Shared;
+use crate::platform::CONFIGURATION_KEY;
+use crate::platform::INSTANCES_KEY;
+use crate::platform::PlatformError;
+use crate::platform::Versioned;
+use crate::platform::owner_key;
+
+/// What is stored as configuration: the text, and who wrote it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoredConfiguration {
+    /// Id of this very update, by which its writer finds out whether it took
+    /// effect when the store's answer was lost.
+    pub update_id: String,
+    /// Who applied it.
+    pub author: String,
+    /// When, in milliseconds since the Unix epoch.
+    pub at_ms: u64,
+    /// The text.
+    pub text: String,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct ListedInstance {
+    id: InstanceId,
+    peer_address: Arc<str>,
+    #[serde(default)]
+    admin_address: Arc<str>,
+    failure_domain: Arc<str>,
+    #[serde(default)]
+    leaving: bool,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct StoredOwner {
+    owner: InstanceId,
+    term: u64,
+}
+
+/// Longest single watch.
+const WATCH_WAIT: Duration = Duration::from_secs(20);
+
+/// Pause after a failed call to the store.
+const STORE_PAUSE: Duration = Duration::from_millis(300);
+
+/// Instances of a failure domain that watch the store for the others.
+const RELAYS_PER_DOMAIN: usize = 2;
+
+/// How often one who does not watch looks whether it became a relay.
+const RELAY_CHECK: Duration = Duration::from_millis(500);
+
+/// Tries to write who owns a database. After that the next change of owner
+/// will write it; the record is only a hint.
+const PUBLISH_TRIES: usize = 5;
+
+/// Pause between those tries.
+const PUBLISH_PAUSE: Duration = Duration::from_millis(500);
+
+/// Follows the configuration for ever.
+pub async fn follow_configuration(context: Shared) {
+    let mut reported_down = false;
+    loop {
+        let version = context.config().version;
+        if version > 0 && !is_relay(&context) {
+            tokio::time::sleep(RELAY_CHECK).await;
+            continue;
+        }
+        context.metrics.store_calls.inc();
+        let platform = &context.platform;
+        let stored = if version == 0 {
+            platform.get(CONFIGURATION_KEY).await
+        } else {
+            platform.watch(CONFIGURATION_KEY, version, WATCH_WAIT).await
+        };
+        match stored {
+            Ok(Some(stored)) => {
+                reported_down = false;
+                take_stored(&context, &stored).await;
+            }
+            Ok(None) if version == 0 => tokio::time::sleep(STORE_PAUSE).await,
+            Ok(None) => reported_down = false,
+            Err(error) => {
+                if !reported_down {
+                    warn!("store unavailable: {error}");
+                    reported_down = true;
+                }
+                tokio::time::sleep(STORE_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Whether this instance watches the store for its failure domain.
+fn is_relay(context: &Shared) -> bool {
+    let membership = context.instance.membership();
+    let me = membership.me();
+    let mut candidates =
+        vec![Candidate { id: me.id.clone(), failure_domain: me.failure_domain.clone() }];
+    for (peer, alive) in membership.peers() {
+        if alive && !peer.leaving && peer.failure_domain == me.failure_domain {
+            let failure_domain = peer.failure_domain.clone();
+            candidates.push(Candidate { id: peer.id.clone(), failure_domain });
+        }
+    }
+    let ranked = placement::rank("configuration relay", &candidates, None);
+    ranked.iter().take(RELAYS_PER_DOMAIN).any(|id| *id == me.id)
+}
+
+async fn take_stored(context: &Shared, stored: &Versioned) {
+    let active = context.config().version;
+    if stored.version < active {
+        // Restored from a backup, most likely. Going back would revert what
+        // was accepted; an operator has to apply the text again.
+        error!("store holds configuration {} but {active} is in force; kept", stored.version);
+        tokio::time::sleep(STORE_PAUSE * 10).await;
+        return;
+    }
+    match serde_json::from_str::<StoredConfiguration>(&stored.value) {
+        Ok(configuration) => take_text(context, stored.version, &configuration.text),
+        Err(error) => {
+            error!("configuration {} cannot be read: {error}", stored.version);
+            tokio::time::sleep(STORE_PAUSE * 10).await;
+        }
+    }
+}
+
+fn take_text(context: &Shared, version: ConfigVersion, text: &str) {
+    let checked = config_check::check(text);
+    let Some(config) = checked.config else {
+        let first = checked.findings.first().map(ToString::to_string).unwrap_or_default();
+        error!("configuration {version} is not valid and was not taken: {first}");
+        return;
+    };
+    let next = ActiveConfig { version, text: text.into(), config };
+    if context.activate(next) {
+        info!("configuration in force version={version}");
+    }
+}
+
+/// Takes a newer configuration from another instance.
+pub async fn pull_from_peer(context: Shared, peer: InstanceId, version: ConfigVersion) {
+    if context.config().version >= version {
+        return;
+    }
+    let pull = ConfigurationPull { have_version: context.config().version };
+    let timeout = Duration::from_secs(2);
+    let answer = context.links.call(&context, &peer, Body::ConfigurationPull(pull), timeout).await;
+    if let Ok(Body::Configuration(configuration)) = answer {
+        if configuration.version > context.config().version {
+            take_text(&context, configuration.version, &configuration.text);
+        }
+    }
+}
+
+/// Follows the list of instances for ever.
+pub async fn follow_instances(context: Shared) {
+    let mut version = 0;
+    loop {
+        context.metrics.store_calls.inc();
+        match context.platform.watch(INSTANCES_KEY, version, WATCH_WAIT).await {
+            Ok(Some(stored)) => {
+                version = stored.version;
+                match serde_json::from_str::<Vec<ListedInstance>>(&stored.value) {
+                    Ok(listed) => {
+                        let peers = listed.into_iter().map(peer_info).collect();
+                        context.handle(InstanceEvent::Listed(peers));
+                    }
+                    Err(error) => warn!("instance list {version} cannot be read: {error}"),
+                }
+            }
+            Ok(None) => {}
+            Err(_) => tokio::time::sleep(STORE_PAUSE).await,
+        }
+    }
+}
+
+fn peer_info(listed: ListedInstance) -> PeerInfo {
+    PeerInfo {
+        id: listed.id,
+        address: listed.peer_address,
+        admin_address: listed.admin_address,
+        failure_domain: listed.failure_domain,
+        leaving: listed.leaving,
+        configuration_version: 0,
+    }
+}
+
+/// Reads the last known owners once, at the start.
+pub async fn read_owners(context: Shared) {
+    for database in context.instance.database_ids() {
+        context.metrics.store_calls.inc();
+        if let Ok(Some(stored)) = context.platform.get(&owner_key(&database)).await {
+            if let Ok(owner) = serde_json::from_str::<StoredOwner>(&stored.value) {
+                let record = OwnerRecord { owner: owner.owner, term: owner.term };
+                context.handle(InstanceEvent::OwnerKnown { database, record });
+            }
+        }
+    }
+}
+
+/// Writes who owns a database, unless a higher term is known there.
+pub async fn publish_owner(context: Shared, database: DatabaseId, record: OwnerRecord) {
+    let key = owner_key(&database);
+    let owner = StoredOwner { owner: record.owner.clone(), term: record.term };
+    let value = serde_json::to_string(&owner).unwrap_or_default();
+    let mut expected = 0;
+    for _ in 0..PUBLISH_TRIES {
+        context.metrics.store_calls.inc();
+        match context.platform.put(&key, &value, expected).await {
+            Ok(_) => return,
+            Err(PlatformError::Conflict(Some(current))) => {
+                let known = serde_json::from_str::<StoredOwner>(&current.value);
+                if known.is_ok_and(|known| known.term >= record.term) {
+                    return;
+                }
+                expected = current.version;
+            }
+            Err(_) => tokio::time::sleep(PUBLISH_PAUSE).await,
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/postgres.rs
@@ -0,0 +1,357 @@
+//! One connection to a database server, by the message level of a
+//! PostgreSQL client library.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use chervilwharf_lib::protos::Column;
+use chervilwharf_lib::protos::Result as StatementResult;
+use chervilwharf_lib::protos::Row;
+use displaydoc::Display;
+use futures::SinkExt;
+use futures::StreamExt;
+use pgwire::api::client::Config;
+use pgwire::api::client::auth::DefaultStartupHandler;
+use pgwire::messages::PgWireBackendMessage;
+use pgwire::messages::PgWireFrontendMessage;
+use pgwire::messages::data::RowDescription;
+use pgwire::messages::extendedquery::Bind;
+use pgwire::messages::extendedquery::Describe;
+use pgwire::messages::extendedquery::Execute;
+use pgwire::messages::extendedquery::Parse;
+use pgwire::messages::extendedquery::Sync;
+use pgwire::messages::extendedquery::TARGET_TYPE_BYTE_PORTAL;
+use pgwire::messages::extendedquery::TARGET_TYPE_BYTE_STATEMENT;
+use pgwire::messages::response::ErrorResponse;
+use pgwire::messages::response::TransactionStatus;
+use pgwire::tokio::client::PgWireClient;
+
+/// Largest result that is passed on. It is held in memory once at the owner
+/// and once at the entry.
+pub const RESULT_LIMIT_BYTES: usize = 16 * 1024 * 1024;
+
+/// One statement of a batch.
+#[derive(Clone, Debug, Default)]
+pub struct Step {
+    /// Its text.
+    pub sql: String,
+    /// Its parameters as the caller encoded them; `None` is NULL.
+    pub parameters: Vec<Option<Bytes>>,
+    /// Types the caller gave; 0 where it gave none.
+    pub parameter_types: Vec<u32>,
+    /// Formats of the parameters, by the rules of the Bind message.
+    pub parameter_formats: Vec<i16>,
+    /// Formats wanted for the columns, by the rules of the Bind message.
+    pub result_formats: Vec<i16>,
+}
+
+impl Step {
+    /// A statement without parameters.
+    #[must_use]
+    pub fn new(sql: impl Into<String>) -> Self {
+        Self { sql: sql.into(), ..Self::default() }
+    }
+
+    /// Adds a parameter in text form.
+    #[must_use]
+    pub fn with_text(mut self, value: impl Into<Bytes>) -> Self {
+        self.parameters.push(Some(value.into()));
+        self.parameter_formats.push(0);
+        self
+    }
+
+    /// Adds a parameter in binary form.
+    #[must_use]
+    pub fn with_bytes(mut self, value: Option<Bytes>) -> Self {
+        self.parameters.push(value);
+        self.parameter_formats.push(1);
+        self
+    }
+
+    /// Names the types of the parameters.
+    #[must_use]
+    pub fn with_types(mut self, types: &[u32]) -> Self {
+        self.parameter_types = types.to_vec();
+        self
+    }
+}
+
+/// Why a batch did not run to its end.
+#[derive(Clone, Debug, Display)]
+pub enum BatchError {
+    /// step {step} was refused: {sqlstate} {message}
+    Refused {
+        /// Index of the refused step.
+        step: usize,
+        /// Results of the steps before it.
+        done: Vec<StatementResult>,
+        /// SQLSTATE of the server.
+        sqlstate: String,
+        /// Its message.
+        message: String,
+    },
+    /// the connection broke: {0}
+    Broken(String),
+    /// the result is larger than is passed on
+    TooLarge,
+}
+
+/// Where and how to log in.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServerAddress {
+    /// IP number and port.
+    pub address: SocketAddr,
+    /// Login name.
+    pub login: Arc<str>,
+    /// Password.
+    pub password: Arc<str>,
+    /// Database name at the server.
+    pub database: Arc<str>,
+}
+
+/// An open connection.
+pub struct ServerConnection {
+    client: PgWireClient,
+    /// A batch was started and its end was not seen. Nothing may be sent any
+    /// more: the next answer could belong to the unfinished batch.
+    unfinished: bool,
+    idle: bool,
+    /// Term declared on this connection.
+    pub term: u64,
+}
+
+impl ServerConnection {
+    /// Connects and logs in.
+    ///
+    /// # Errors
+    ///
+    /// When it takes longer than `timeout` or the server refuses.
+    pub async fn open(server: &ServerAddress, timeout: Duration) -> Result<Self, BatchError> {
+        let broken = |error: &dyn std::fmt::Display| BatchError::Broken(error.to_string());
+        let mut config: Config = "sslmode=disable".parse().map_err(|e| broken(&e))?;
+        config
+            .host(server.address.ip().to_string())
+            .port(server.address.port())
+            .user(&*server.login)
+            .password(server.password.as_bytes())
+            .dbname(&*server.database)
+            .connect_timeout(timeout);
+        let connect = PgWireClient::connect(Arc::new(config), DefaultStartupHandler::new(), None);
+        let client = match tokio::time::timeout(timeout, connect).await {
+            Ok(Ok(client)) => client,
+            Ok(Err(error)) => return Err(broken(&error)),
+            Err(_) => return Err(BatchError::Broken("no answer to the login".into())),
+        };
+        Ok(Self { client, unfinished: false, idle: true, term: 0 })
+    }
+
+    /// Whether the connection can be used for someone else.
+    #[must_use]
+    pub fn is_reusable(&self) -> bool {
+        !self.unfinished && self.idle
+    }
+
+    /// Whether the last batch was answered to its end.
+    #[must_use]
+    pub fn is_whole(&self) -> bool {
+        !self.unfinished
+    }
+
+    /// Runs all steps in one round trip; the first refused one ends it.
+    ///
+    /// When the future is dropped half-way the connection stays marked as
+    /// unfinished, so that a late answer cannot reach the next request.
+    ///
+    /// # Errors
+    ///
+    /// When a step is refused or the connection breaks.
+    pub async fn run(&mut self, steps: &[Step]) -> Result<Vec<StatementResult>, BatchError> {
+        if self.unfinished {
+            return Err(BatchError::Broken("an earlier answer is missing".into()));
+        }
+        self.unfinished = true;
+        self.send(steps).await?;
+        self.receive(steps.len()).await
+    }
+
+    async fn send(&mut self, steps: &[Step]) -> Result<(), BatchError> {
+        for step in steps {
+            let parse = Parse::new(None, step.sql.clone(), step.parameter_types.clone());
+            let bind = Bind::new(
+                None,
+                None,
+                step.parameter_formats.clone(),
+                step.parameters.clone(),
+                step.result_formats.clone(),
+            );
+            let describe = Describe::new(TARGET_TYPE_BYTE_PORTAL, None);
+            self.feed(PgWireFrontendMessage::Parse(parse)).await?;
+            self.feed(PgWireFrontendMessage::Bind(bind)).await?;
+            self.feed(PgWireFrontendMessage::Describe(describe)).await?;
+            self.feed(PgWireFrontendMessage::Execute(Execute::new(None, 0))).await?;
+        }
+        self.finish_sending().await
+    }
+
+    async fn finish_sending(&mut self) -> Result<(), BatchError> {
+        self.feed(PgWireFrontendMessage::Sync(Sync::new())).await?;
+        self.client.flush().await.map_err(|e| BatchError::Broken(e.to_string()))
+    }
+
+    async fn feed(&mut self, message: PgWireFrontendMessage) -> Result<(), BatchError> {
+        self.client.feed(message).await.map_err(|e| BatchError::Broken(e.to_string()))
+    }
+
+    async fn next(&mut self) -> Result<PgWireBackendMessage, BatchError> {
+        match self.client.next().await {
+            Some(Ok(message)) => Ok(message),
+            Some(Err(error)) => Err(BatchError::Broken(error.to_string())),
+            None => Err(BatchError::Broken("the server closed the connection".into())),
+        }
+    }
+
+    async fn receive(&mut self, steps: usize) -> Result<Vec<StatementResult>, BatchError> {
+        let mut done = Vec::with_capacity(steps);
+        let mut current = StatementResult::default();
+        let mut refusal = None;
+        let mut size = 0;
+        loop {
+            match self.next().await? {
+                PgWireBackendMessage::RowDescription(description) => {
+                    current.has_rows = true;
+                    current.columns = columns(&description);
+                }
+                PgWireBackendMessage::DataRow(row) => {
+                    size += row.data.len();
+                    if size > RESULT_LIMIT_BYTES {
+                        return Err(BatchError::TooLarge);
+                    }
+                    let column_count = i32::from(row.field_count);
+                    current.rows.push(Row { column_count, data: row.data.to_vec() });
+                }
+                PgWireBackendMessage::CommandComplete(complete) => {
+                    current.command_tag = complete.tag;
+                    done.push(std::mem::take(&mut current));
+                }
+                PgWireBackendMessage::EmptyQueryResponse(_) => {
+                    done.push(std::mem::take(&mut current));
+                }
+                PgWireBackendMessage::ErrorResponse(error) => refusal = Some(error),
+                PgWireBackendMessage::ReadyForQuery(ready) => {
+                    self.unfinished = false;
+                    self.idle = ready.status == TransactionStatus::Idle;
+                    break;
+                }
+                _ => {}
+            }
+        }
+        match refusal {
+            Some(error) => Err(refused(done, &error)),
+            None => Ok(done),
+        }
+    }
+
+    /// Learns the types of parameters and columns of a statement.
+    ///
+    /// # Errors
+    ///
+    /// When the statement is refused or the connection breaks.
+    pub async fn describe(
+        &mut self,
+        sql: &str,
+        parameter_types: &[u32],
+    ) -> Result<StatementResult, BatchError> {
+        if self.unfinished {
+            return Err(BatchError::Broken("an earlier answer is missing".into()));
+        }
+        self.unfinished = true;
+        let parse = Parse::new(None, sql.to_owned(), parameter_types.to_vec());
+        let describe = Describe::new(TARGET_TYPE_BYTE_STATEMENT, None);
+        self.feed(PgWireFrontendMessage::Parse(parse)).await?;
+        self.feed(PgWireFrontendMessage::Describe(describe)).await?;
+        self.finish_sending().await?;
+        let mut described = StatementResult::default();
+        let mut refusal = None;
+        loop {
+            match self.next().await? {
+                PgWireBackendMessage::ParameterDescription(parameters) => {
+                    described.parameter_type_oids = parameters.types;
+                }
+                PgWireBackendMessage::RowDescription(description) => {
+                    described.has_rows = true;
+                    described.columns = columns(&description);
+                }
+                PgWireBackendMessage::ErrorResponse(error) => refusal = Some(error),
+                PgWireBackendMessage::ReadyForQuery(ready) => {
+                    self.unfinished = false;
+                    self.idle = ready.status == TransactionStatus::Idle;
+                    break;
+                }
+                _ => {}
+            }
+        }
+        match refusal {
+            Some(error) => Err(refused(Vec::new(), &error)),
+            None => Ok(described),
+        }
+    }
+}
+
+fn columns(description: &RowDescription) -> Vec<Column> {
+    description
+        .fields
+        .iter()
+        .map(|field| Column {
+            name: field.name.clone(),
+            type_oid: field.type_id,
+            type_size: i32::from(field.type_size),
+            type_modifier: field.type_modifier,
+            format: i32::from(field.format_code),
+        })
+        .collect()
+}
+
+fn refused(done: Vec<StatementResult>, error: &ErrorResponse) -> BatchError {
+    let field = |code: u8| {
+        let found = error.fields.iter().find(|(field, _)| *field == code);
+        found.map(|(_, text)| text.clone()).unwrap_or_default()
+    };
+    let (sqlstate, message) = (field(b'C'), field(b'M'));
+    BatchError::Refused { step: done.len(), done, sqlstate, message }
+}
+
+/// Reads the columns of a row in text or binary form, as the server sent it.
+#[must_use]
+pub fn row_values(row: &Row) -> Vec<Option<Bytes>> {
+    let mut data = Bytes::from(BytesMut::from(row.data.as_slice()));
+    let mut values = Vec::new();
+    while data.len() >= 4 {
+        let length = i32::from_be_bytes([data[0], data[1], data[2], data[3]]);
+        let _ = data.split_to(4);
+        let Ok(length) = usize::try_from(length) else {
+            values.push(None);
+            continue;
+        };
+        if length > data.len() {
+            break;
+        }
+        values.push(Some(data.split_to(length)));
+    }
+    values
+}
+
+/// A value of a row in text form.
+#[must_use]
+pub fn text_value(values: &[Option<Bytes>], index: usize) -> Option<String> {
+    let bytes = values.get(index)?.as_ref()?;
+    Some(String::from_utf8_lossy(bytes).into_owned())
+}
+
+/// A number of a row in text form.
+#[must_use]
+pub fn number_value(values: &[Option<Bytes>], index: usize) -> Option<u64> {
+    text_value(values, index)?.parse().ok()
+}
--- /dev/null
+++ b/daemon/src/read.rs
@@ -0,0 +1,236 @@
+//! Reads: routed by how current they must be, and checked at the server.
+
+use std::time::Instant;
+
+use chervilwharf_lib::config::Acknowledge;
+use chervilwharf_lib::error_kind::ErrorKind;
+use chervilwharf_lib::id::TargetId;
+use chervilwharf_lib::position::Position;
+use chervilwharf_lib::protos::Failure;
+use chervilwharf_lib::protos::Result as StatementResult;
+use chervilwharf_lib::routing;
+use chervilwharf_lib::routing::ReadTarget;
+use chervilwharf_lib::routing::Route;
+
+use crate::answer::failure;
+use crate::answer::kind_of;
+use crate::checkout;
+use crate::confirm;
+use crate::confirm::NotConfirmed;
+use crate::context::Shared;
+use crate::owner;
+use crate::owner::Request;
+use crate::owner::Serving;
+use crate::postgres::BatchError;
+use crate::postgres::Step;
+use crate::target::NOT_APPLIED;
+use crate::target::READ_ONLY;
+use crate::target::WRONG_TERM;
+use crate::target::read_position;
+use crate::write;
+
+/// Tries of one read before the caller is told to come back.
+const MAX_TRIES: usize = 6;
+
+/// Index of the caller's statement in the batch of a read.
+const STATEMENT_STEP: usize = 2;
+
+/// Index of the position after the statement.
+const POSITION_STEP: usize = 3;
+
+/// What one try of a read gave.
+enum Tried {
+    Done(StatementResult, Position),
+    /// Try elsewhere: this server cannot answer it now.
+    Elsewhere,
+    /// The statement writes after all.
+    Writes,
+    Failed(Failure),
+}
+
+/// Runs a read.
+///
+/// # Errors
+///
+/// The failure for the caller. A read has no effect, so it never ran.
+pub async fn run(context: &Shared, request: &Request) -> Result<StatementResult, Failure> {
+    let mut excluded: Vec<TargetId> = Vec::new();
+    for _ in 0..MAX_TRIES {
+        let (serving, work) =
+            owner::enter(context, &request.database, request.deadline, false, false).await?;
+        let (server, floor) = choose(context, request, &serving, &excluded);
+        let by_replica = server != serving.primary;
+        match try_at(context, request, &serving, &server, floor).await {
+            Tried::Done(result, position) => {
+                let answered = finish(context, request, &serving, position, by_replica).await;
+                match answered {
+                    Ok(()) => {
+                        return Ok(StatementResult {
+                            by_replica,
+                            position_term: position.term,
+                            position_index: position.index,
+                            ..result
+                        });
+                    }
+                    Err(NotConfirmed::Late) => return Err(failure(ErrorKind::NoPrimary)),
+                    Err(NotConfirmed::TermOver) => {}
+                }
+            }
+            Tried::Elsewhere => excluded.push(server),
+            Tried::Writes => {
+                drop(work);
+                return write::run(context, request).await;
+            }
+            Tried::Failed(failure) => return Err(failure),
+        }
+        if Instant::now() >= request.deadline {
+            return Err(failure(ErrorKind::DeadlineBeforeStart));
+        }
+        context.metrics.retries.inc();
+        // The primary may just be changing; the next round waits for it.
+        if excluded.contains(&serving.primary) {
+            excluded.clear();
+            tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+        }
+    }
+    Err(failure(ErrorKind::NoPrimary))
+}
+
+/// Picks a server and the position it must have applied.
+fn choose(
+    context: &Shared,
+    request: &Request,
+    serving: &Serving,
+    excluded: &[TargetId],
+) -> (TargetId, Option<Position>) {
+    let near = context.settings.failure_domain.clone();
+    let freshness = request.freshness();
+    let chosen = context.with_database(&request.database, |state| {
+        let floor = state.floors.floor(Instant::now(), &request.account, freshness);
+        let replicas: Vec<_> = state
+            .ownership
+            .servers()
+            .filter(|server| server.id != serving.primary)
+            .map(|server| {
+                let known = state.ownership.server_state(&server.id);
+                let known = known.filter(|known| known.term == serving.term);
+                let slots = state.slots.get(&server.id);
+                ReadTarget {
+                    id: server.id.clone(),
+                    failure_domain: server.failure_domain.clone(),
+                    applied: known.map_or(Position::ZERO, |known| known.applied),
+                    usable: known.is_some() && state.ownership.is_usable(&server.id),
+                    in_flight: slots.map_or(0, chervilwharf_lib::admission::SlotQueue::in_flight),
+                    slots: slots.map_or(1, chervilwharf_lib::admission::SlotQueue::slots),
+                }
+            })
+            .collect();
+        (routing::choose(&replicas, floor, &near, excluded), floor)
+    });
+    match chosen {
+        Some((Route::Replica(id), floor)) => (id, floor),
+        _ => (serving.primary.clone(), None),
+    }
+}
+
+/// The batch of a read: a read-only transaction, the floor checked at the
+/// server, the statement, and how far the server was afterwards.
+fn batch(request: &Request, floor: Option<Position>) -> Vec<Step> {
+    let floor = floor.unwrap_or(Position::ZERO);
+    let require =
+        format!("SELECT * FROM chervilwharf_require_position({}, {})", floor.term, floor.index);
+    vec![
+        Step::new("BEGIN READ ONLY"),
+        Step::new(require),
+        write::statement_step(&request.submit),
+        Step::new("SELECT * FROM chervilwharf_position()"),
+        Step::new("COMMIT"),
+    ]
+}
+
+async fn try_at(
+    context: &Shared,
+    request: &Request,
+    serving: &Serving,
+    server: &TargetId,
+    floor: Option<Position>,
+) -> Tried {
+    let (database, deadline) = (&request.database, request.deadline);
+    let by_primary = *server == serving.primary;
+    let slot = checkout::acquire_slot(context, database, server, request.priority, deadline).await;
+    let _slot = match slot {
+        Ok(slot) => slot,
+        Err(failure) => return Tried::Failed(failure),
+    };
+    let mut guard = match owner::connect(context, database, serving, server, deadline).await {
+        Ok(guard) => guard,
+        Err(failure) if kind_of(&failure) == ErrorKind::NoPrimary => return Tried::Elsewhere,
+        Err(failure) => return Tried::Failed(failure),
+    };
+    let steps = batch(request, floor);
+    let run = tokio::time::timeout_at(deadline.into(), guard.get().run(&steps)).await;
+    let error = match run {
+        Ok(Ok(mut results)) => {
+            let position = results.get(POSITION_STEP).and_then(read_position);
+            let position = position.unwrap_or(Position::ZERO);
+            return Tried::Done(results.swap_remove(STATEMENT_STEP), position);
+        }
+        Ok(Err(error)) => error,
+        Err(_) => return Tried::Failed(failure(ErrorKind::DeadlineBeforeStart)),
+    };
+    end_transaction(guard);
+    match &error {
+        BatchError::Refused { sqlstate, .. } if sqlstate == NOT_APPLIED => {
+            context.metrics.floors_missed.inc();
+            Tried::Elsewhere
+        }
+        BatchError::Refused { sqlstate, .. } if sqlstate == READ_ONLY => Tried::Writes,
+        BatchError::Refused { sqlstate, .. } if sqlstate == WRONG_TERM && !by_primary => {
+            // A replica that just came back, or one fenced a moment before
+            // us; the primary's term decides whether we still own it.
+            Tried::Elsewhere
+        }
+        BatchError::Broken(_) => Tried::Elsewhere,
+        _ => Tried::Failed(owner::batch_failure(context, database, serving, &error)),
+    }
+}
+
+/// Ends a failed transaction in the background, so that its connection can
+/// be used again.
+pub fn end_transaction(mut guard: checkout::ConnectionGuard) {
+    if !guard.get().is_whole() {
+        return;
+    }
+    tokio::spawn(async move {
+        let rollback = [Step::new("ROLLBACK")];
+        let run = guard.get().run(&rollback);
+        // A connection that does not answer in this time is closed instead.
+        let _ = tokio::time::timeout(std::time::Duration::from_secs(1), run).await;
+    });
+}
+
+/// Checks after the server's reply that we still own the database, so that a
+/// pause of this process cannot let a stale answer slip through.
+async fn finish(
+    context: &Shared,
+    request: &Request,
+    serving: &Serving,
+    position: Position,
+    by_replica: bool,
+) -> Result<(), NotConfirmed> {
+    let (database, deadline) = (&request.database, request.deadline);
+    if !by_replica && request.acknowledge == Acknowledge::Replica {
+        // The primary may have shown a write that no replica has yet. Were
+        // it lost, the caller would have seen what never happened.
+        confirm::wait_confirmed(context, database, position, deadline).await?;
+    }
+    owner::wait_until_current(context, database, serving.term, deadline).await.map_err(
+        |error| match kind_of(&error) {
+            ErrorKind::NotOwner => NotConfirmed::TermOver,
+            _ => NotConfirmed::Late,
+        },
+    )?;
+    context.with_database(database, |state| state.floors.raise(&request.account, position));
+    context.metrics.record_read(by_replica);
+    Ok(())
+}
--- /dev/null
+++ b/daemon/src/start.rs
@@ -0,0 +1,190 @@
+//! Starts and stops an instance.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use chervilwharf_lib::instance::Instance;
+use chervilwharf_lib::instance::InstanceEvent;
+use chervilwharf_lib::membership::MembershipTiming;
+use chervilwharf_lib::membership::PeerInfo;
+use chervilwharf_lib::ownership::OwnershipTiming;
+use chervilwharf_lib::settings::Settings;
+use displaydoc::Display;
+use log::info;
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+
+use crate::admin;
+use crate::context::ActiveConfig;
+use crate::context::Context;
+use crate::context::Shared;
+use crate::control;
+use crate::entry_handlers;
+use crate::link::Links;
+use crate::link_server;
+use crate::metrics::Metrics;
+use crate::owner::InFlight;
+use crate::platform::HttpPlatform;
+use crate::platform_sync;
+use crate::transaction::Transactions;
+
+/// Why an instance could not be started.
+#[derive(Debug, Display)]
+pub enum StartError {
+    /// {name} {address} cannot be used: {error}
+    Listen {
+        /// Name of the setting.
+        name: &'static str,
+        /// Its value.
+        address: SocketAddr,
+        /// What the system says.
+        error: std::io::Error,
+    },
+}
+
+impl std::error::Error for StartError {}
+
+/// A running instance.
+pub struct Daemon {
+    context: Shared,
+    /// Where callers connect.
+    pub client_address: SocketAddr,
+    /// Where other instances connect.
+    pub peer_address: SocketAddr,
+    /// Where operators connect.
+    pub admin_address: SocketAddr,
+}
+
+/// Longest wait for handovers at a planned stop.
+const STOP_LIMIT: Duration = Duration::from_secs(20);
+
+/// Time for callers to notice that their connections end.
+const CLOSING_TIME: Duration = Duration::from_millis(100);
+
+async fn listen(
+    name: &'static str,
+    address: SocketAddr,
+) -> Result<(TcpListener, SocketAddr), StartError> {
+    let failed = |error| StartError::Listen { name, address, error };
+    let listener = TcpListener::bind(address).await.map_err(failed)?;
+    let bound = listener.local_addr().map_err(failed)?;
+    Ok((listener, bound))
+}
+
+impl Daemon {
+    /// Starts an instance on the current runtime.
+    ///
+    /// # Errors
+    ///
+    /// When an address cannot be used.
+    pub async fn start(settings: Settings) -> Result<Self, StartError> {
+        let (clients, client_address) = listen("client_address", settings.client_address).await?;
+        let (peers, peer_address) = listen("peer_address", settings.peer_address).await?;
+        let (operators, admin_address) = listen("admin_address", settings.admin_address).await?;
+        let (context, actions) = build(settings, peer_address, admin_address);
+        seed(&context);
+        tokio::spawn(control::run(context.clone(), actions));
+        tokio::spawn(link_server::accept(context.clone(), peers));
+        tokio::spawn(admin::serve(context.clone(), operators));
+        tokio::spawn(platform_sync::follow_instances(context.clone()));
+        tokio::spawn(platform_sync::follow_configuration(context.clone()));
+        tokio::spawn(read_owners_once_configured(context.clone()));
+        tokio::spawn(entry_handlers::accept(context.clone(), clients));
+        info!("started instance={}", context.settings.instance);
+        Ok(Self { context, client_address, peer_address, admin_address })
+    }
+
+    /// What the tasks of the instance share.
+    #[must_use]
+    pub fn context(&self) -> &Shared {
+        &self.context
+    }
+
+    /// Stops the instance: takes no new callers, hands its databases over,
+    /// and lets what is in progress end.
+    pub async fn stop(&self) {
+        let context = &self.context;
+        info!("stopping instance={}", context.settings.instance);
+        context.stopping.send_replace(true);
+        context.handle(InstanceEvent::Leave);
+        let deadline = Instant::now() + STOP_LIMIT;
+        while Instant::now() < deadline && !is_idle(context) {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        tokio::time::sleep(CLOSING_TIME).await;
+        info!("stopped instance={}", context.settings.instance);
+    }
+}
+
+/// Whether nothing is owned and no request of a caller is in progress.
+fn is_idle(context: &Shared) -> bool {
+    let alone = context.instance.membership().peers().all(|(peer, alive)| !alive || peer.leaving);
+    let owns = !context.instance.owned().is_empty();
+    let busy = context.active_requests.load(std::sync::atomic::Ordering::SeqCst) > 0;
+    (!owns || alone) && !busy
+}
+
+fn build(
+    settings: Settings,
+    peer_address: SocketAddr,
+    admin_address: SocketAddr,
+) -> (Shared, mpsc::UnboundedReceiver<chervilwharf_lib::instance::InstanceAction>) {
+    let advertised = settings.advertised_peer_address.clone();
+    let me = PeerInfo {
+        id: settings.instance.clone(),
+        address: advertised.unwrap_or_else(|| peer_address.to_string().into()),
+        admin_address: admin_address.to_string().into(),
+        failure_domain: settings.failure_domain.clone(),
+        leaving: false,
+        configuration_version: 0,
+    };
+    let timing = OwnershipTiming::default();
+    let (actions, queue) = mpsc::unbounded_channel();
+    let platform = HttpPlatform::new(settings.store_url.clone());
+    let context = Context {
+        instance: Instance::new(me, MembershipTiming::default(), timing),
+        timing,
+        active: watch::Sender::new(Arc::new(ActiveConfig::default())),
+        servers: HashMap::new().into(),
+        links: Links::default(),
+        platform: Arc::new(platform),
+        metrics: Metrics::new(),
+        in_flight: InFlight::default(),
+        transactions: Transactions::default(),
+        confirmations: HashMap::new().into(),
+        limits: HashMap::new().into(),
+        changed: Notify::new(),
+        actions,
+        stopping: watch::Sender::new(false),
+        active_requests: 0.into(),
+        started_at: Instant::now(),
+        settings,
+    };
+    (Arc::new(context), queue)
+}
+
+/// Learns of the instances named in the settings.
+fn seed(context: &Shared) {
+    let seeds = context.settings.seeds.iter().map(|seed| PeerInfo {
+        id: seed.instance.clone(),
+        address: seed.peer_address.clone(),
+        admin_address: "".into(),
+        failure_domain: seed.failure_domain.clone(),
+        leaving: false,
+        configuration_version: 0,
+    });
+    context.instance.membership().learn(Instant::now(), seeds);
+}
+
+async fn read_owners_once_configured(context: Shared) {
+    let mut active = context.active.subscribe();
+    // Fails only while the whole instance is going down.
+    if active.wait_for(|active| active.version > 0).await.is_ok() {
+        platform_sync::read_owners(context.clone()).await;
+    }
+}
--- /dev/null
+++ b/daemon/src/transaction.rs
@@ -0,0 +1,320 @@
+//! Interactive transactions: each holds one connection to the primary.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use chervilwharf_lib::error_kind::ErrorKind;
+use chervilwharf_lib::id::DatabaseId;
+use chervilwharf_lib::ledger;
+use chervilwharf_lib::ledger::LedgerOutcome;
+use chervilwharf_lib::protos::Failure;
+use chervilwharf_lib::protos::Result as StatementResult;
+
+use crate::answer::failure;
+use crate::answer::failure_with;
+use crate::answer::from_answer;
+use crate::answer::kind_of;
+use crate::answer::to_answer;
+use crate::checkout;
+use crate::checkout::ConnectionGuard;
+use crate::confirm::NotConfirmed;
+use crate::context::Shared;
+use crate::metrics::since_epoch;
+use crate::owner;
+use crate::owner::InFlight;
+use crate::owner::Request;
+use crate::owner::Serving;
+use crate::owner::WorkGuard;
+use crate::postgres::BatchError;
+use crate::postgres::Step;
+use crate::read::end_transaction;
+use crate::target::UNIQUE_VIOLATION;
+use crate::target::read_position;
+use crate::write;
+
+/// A transaction without a statement for this long is rolled back: it holds
+/// a scarce connection, and locks that block others.
+pub const IDLE_LIMIT: Duration = Duration::from_secs(10);
+
+/// An open transaction. Dropping it rolls back.
+struct OpenTransaction {
+    guard: Option<ConnectionGuard>,
+    serving: Serving,
+    _work: WorkGuard,
+    _count: TransactionCount,
+}
+
+impl Drop for OpenTransaction {
+    fn drop(&mut self) {
+        if let Some(guard) = self.guard.take() {
+            end_transaction(guard);
+        }
+    }
+}
+
+/// Counts an open transaction, so that a handover can wait for it.
+struct TransactionCount {
+    context: Shared,
+    database: DatabaseId,
+}
+
+impl TransactionCount {
+    fn new(context: &Shared, database: &DatabaseId) -> Self {
+        context.with_database(database, |state| state.open_transactions += 1);
+        Self { context: context.clone(), database: database.clone() }
+    }
+}
+
+impl Drop for TransactionCount {
+    fn drop(&mut self) {
+        self.context.with_database(&self.database, |state| {
+            state.open_transactions = state.open_transactions.saturating_sub(1);
+        });
+        self.context.changed.notify_waiters();
+    }
+}
+
+struct Held {
+    transaction: Arc<tokio::sync::Mutex<Option<OpenTransaction>>>,
+    last_used_at: Instant,
+    /// Link it came over; 0 for callers of this instance.
+    link: u64,
+}
+
+/// Interactive transactions held by this owner, by the id their entry chose.
+#[derive(Default)]
+pub struct Transactions {
+    held: Mutex<HashMap<String, Held>>,
+}
+
+type Slot = Arc<tokio::sync::Mutex<Option<OpenTransaction>>>;
+
+impl Transactions {
+    fn slot(&self, id: &str, link: u64) -> (Slot, bool) {
+        let mut held = self.held.lock().expect("never poisoned");
+        let is_new = !held.contains_key(id);
+        let entry = held.entry(id.to_owned()).or_insert_with(|| Held {
+            transaction: Arc::default(),
+            last_used_at: Instant::now(),
+            link,
+        });
+        entry.last_used_at = Instant::now();
+        (entry.transaction.clone(), is_new)
+    }
+
+    /// Ends a transaction without a trace.
+    pub fn roll_back(&self, id: &str) {
+        self.held.lock().expect("never poisoned").remove(id);
+    }
+
+    /// Ends the transactions that came over a link that is gone: their
+    /// callers cannot reach them any more.
+    pub fn roll_back_link(&self, link: u64) {
+        self.held.lock().expect("never poisoned").retain(|_, held| held.link != link);
+    }
+
+    /// Ends the transactions that were idle for too long.
+    pub fn expire(&self, now: Instant) {
+        let mut held = self.held.lock().expect("never poisoned");
+        held.retain(|_, held| {
+            let busy = held.transaction.try_lock().is_err();
+            busy || now.saturating_duration_since(held.last_used_at) < IDLE_LIMIT
+        });
+    }
+}
+
+tokio::task_local! {
+    /// Link over which the present request came.
+    pub static LINK: u64;
+}
+
+fn present_link() -> u64 {
+    LINK.try_with(|link| *link).unwrap_or(0)
+}
+
+/// Runs a statement of an interactive transaction.
+///
+/// # Errors
+///
+/// The failure for the caller. The whole transaction did not run then.
+pub async fn run(context: &Shared, request: &Request) -> Result<StatementResult, Failure> {
+    let id = &request.submit.transaction_id;
+    let (slot, is_new) = context.transactions.slot(id, present_link());
+    let mut held = slot.lock().await;
+    if held.is_none() {
+        if !is_new || request.submit.resend {
+            // It was rolled back here, or lived at an owner that is gone.
+            context.transactions.roll_back(id);
+            return Err(failure(ErrorKind::TransactionLost));
+        }
+        match open(context, request).await {
+            Ok(transaction) => *held = Some(transaction),
+            Err(failure) => {
+                context.transactions.roll_back(id);
+                return Err(failure);
+            }
+        }
+    }
+    let result = run_in(context, request, held.as_mut()).await;
+    if result.as_ref().is_err_and(|failure| kind_of(failure) != ErrorKind::ServerRefused) {
+        *held = None;
+        context.transactions.roll_back(id);
+    }
+    result
+}
+
+async fn open(context: &Shared, request: &Request) -> Result<OpenTransaction, Failure> {
+    let (database, deadline) = (&request.database, request.deadline);
+    let (serving, work) = owner::enter(context, database, deadline, true, false).await?;
+    let count = TransactionCount::new(context, database);
+    let server = serving.primary.clone();
+    let slot = checkout::acquire_slot(context, database, &server, request.priority, deadline);
+    let _slot = slot.await?;
+    let mut guard = owner::connect(context, database, &serving, &server, deadline).await?;
+    let begin = [Step::new("BEGIN")];
+    match tokio::time::timeout_at(deadline.into(), guard.get().run(&begin)).await {
+        Ok(Ok(_)) => {}
+        Ok(Err(error)) => return Err(owner::batch_failure(context, database, &serving, &error)),
+        Err(_) => return Err(failure(ErrorKind::DeadlineBeforeStart)),
+    }
+    Ok(OpenTransaction { guard: Some(guard), serving, _work: work, _count: count })
+}
+
+async fn run_in(
+    context: &Shared,
+    request: &Request,
+    held: Option<&mut OpenTransaction>,
+) -> Result<StatementResult, Failure> {
+    let lost = || failure(ErrorKind::TransactionLost);
+    let transaction = held.ok_or_else(lost)?;
+    let serving = transaction.serving.clone();
+    let (database, deadline) = (&request.database, request.deadline);
+    let server = &serving.primary;
+    let slot = checkout::acquire_slot(context, database, server, request.priority, deadline);
+    let _slot = slot.await?;
+    let guard = transaction.guard.as_mut().ok_or_else(lost)?;
+    let step = [write::statement_step(&request.submit)];
+    match tokio::time::timeout_at(deadline.into(), guard.get().run(&step)).await {
+        Ok(Ok(mut results)) => Ok(results.swap_remove(0)),
+        Ok(Err(BatchError::Broken(_))) | Err(_) => Err(lost()),
+        Ok(Err(error)) => {
+            let failure = owner::batch_failure(context, database, &serving, &error);
+            match kind_of(&failure) {
+                ErrorKind::NotOwner | ErrorKind::NoPrimary => Err(lost()),
+                _ => Err(failure),
+            }
+        }
+    }
+}
+
+/// Commits an interactive transaction, with its ledger row.
+///
+/// # Errors
+///
+/// The failure for the caller; its kind says whether it may have run.
+pub async fn commit(context: &Shared, request: &Request) -> Result<StatementResult, Failure> {
+    if ledger::is_expired(&request.submit.request_id, since_epoch()) {
+        return Err(failure(ErrorKind::RequestIdExpired));
+    }
+    let key = (request.account.clone(), request.id());
+    let guard = match InFlight::start(context, key) {
+        Ok(guard) => guard,
+        Err(other) => return from_answer(owner::join(other, request.deadline).await),
+    };
+    let task = {
+        let (context, request) = (context.clone(), request.clone());
+        let link = present_link();
+        tokio::spawn(LINK.scope(link, async move {
+            let answer = to_answer(commit_once(&context, &request).await);
+            guard.finish(answer.clone());
+            answer
+        }))
+    };
+    match task.await {
+        Ok(answer) => from_answer(answer),
+        Err(_) => Err(failure(ErrorKind::OutcomeUnknown)),
+    }
+}
+
+async fn commit_once(context: &Shared, request: &Request) -> Result<StatementResult, Failure> {
+    let id = &request.submit.transaction_id;
+    let (slot, _) = context.transactions.slot(id, present_link());
+    let held = slot.lock().await.take();
+    context.transactions.roll_back(id);
+    let Some(mut transaction) = held else {
+        // The owner that held it is gone, or it was idle for too long. Its
+        // COMMIT may have got through before: only the ledger knows.
+        return settle(context, request).await;
+    };
+    let serving = transaction.serving.clone();
+    let mut done = StatementResult { command_tag: "COMMIT".into(), ..StatementResult::default() };
+    let ran = LedgerOutcome::Ran;
+    let row = write::insert_step(request, &serving, ran, &request.submit.digest, Some(&done));
+    let steps = write::commit_batch(row);
+    let Some(guard) = transaction.guard.as_mut() else {
+        return settle(context, request).await;
+    };
+    let run = tokio::time::timeout_at(request.deadline.into(), guard.get().run(&steps)).await;
+    let position = match run {
+        Ok(Ok(results)) => results.get(2).and_then(read_position),
+        Ok(Err(BatchError::Refused { step, sqlstate, message, .. })) if step < 2 => {
+            if step == 0 && sqlstate == UNIQUE_VIOLATION {
+                drop(transaction);
+                return settle(context, request).await;
+            }
+            let error = BatchError::Refused { step, done: Vec::new(), sqlstate, message };
+            let failure = owner::batch_failure(context, &request.database, &serving, &error);
+            return Err(match kind_of(&failure) {
+                ErrorKind::NotOwner | ErrorKind::NoPrimary => lost_at_commit(),
+                _ => failure,
+            });
+        }
+        _ => None,
+    };
+    // The connection is free before the wait for the replica begins.
+    drop(transaction);
+    let Some(position) = position else {
+        return settle(context, request).await;
+    };
+    match write::finish(context, request, &serving, position).await {
+        Ok(()) => {
+            done.position_term = position.term;
+            done.position_index = position.index;
+            Ok(done)
+        }
+        Err(NotConfirmed::Late) => Err(failure(ErrorKind::OutcomeUnknown)),
+        Err(NotConfirmed::TermOver) => settle(context, request).await,
+    }
+}
+
+fn lost_at_commit() -> Failure {
+    failure_with(ErrorKind::TransactionLost, "the primary changed before COMMIT; nothing was kept")
+}
+
+/// Learns from the ledger what became of a transaction, and keeps it from
+/// running if it did not.
+async fn settle(context: &Shared, request: &Request) -> Result<StatementResult, Failure> {
+    loop {
+        let entered =
+            owner::enter(context, &request.database, request.deadline, false, false).await;
+        let (serving, _work) = entered.map_err(|_| failure(ErrorKind::OutcomeUnknown))?;
+        if let Ok(row) = write::settle_row(context, request, &serving).await {
+            let position = row.position_in(&serving);
+            match write::finish(context, request, &serving, position).await {
+                Ok(()) if row.outcome == LedgerOutcome::Cancelled => {
+                    return Err(lost_at_commit());
+                }
+                Ok(()) => return write::recorded(&row, &request.submit.digest),
+                Err(NotConfirmed::Late) => return Err(failure(ErrorKind::OutcomeUnknown)),
+                Err(NotConfirmed::TermOver) => {}
+            }
+        }
+        if Instant::now() + Duration::from_millis(10) >= request.deadline {
+            return Err(failure(ErrorKind::OutcomeUnknown));
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
--- /dev/null
+++ b/daemon/src/write.rs
@@ -0,0 +1,480 @@
+//! Writes: run at most once, recorded in the ledger, confirmed by a replica.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use chervilwharf_lib::config::Acknowledge;
+use chervilwharf_lib::error_kind::ErrorKind;
+use chervilwharf_lib::ledger;
+use chervilwharf_lib::ledger::LedgerOutcome;
+use chervilwharf_lib::position::Position;
+use chervilwharf_lib::protos::Failure;
+use chervilwharf_lib::protos::Result as StatementResult;
+use chervilwharf_lib::protos::Submit;
+use prost::Message;
+
+use crate::answer::failure;
+use crate::answer::failure_with;
+use crate::answer::from_answer;
+use crate::answer::kind_of;
+use crate::answer::to_answer;
+use crate::checkout;
+use crate::checkout::ConnectionGuard;
+use crate::confirm;
+use crate::confirm::NotConfirmed;
+use crate::context::Shared;
+use crate::metrics::since_epoch;
+use crate::owner;
+use crate::owner::InFlight;
+use crate::owner::Request;
+use crate::owner::Serving;
+use crate::postgres::BatchError;
+use crate::postgres::Step;
+use crate::postgres::number_value;
+use crate::postgres::row_values;
+use crate::read::end_transaction;
+use crate::target::UNIQUE_VIOLATION;
+use crate::target::WRONG_TERM;
+use crate::target::read_position;
+
+/// Type of a text in PostgreSQL's catalogue.
+const TEXT_OID: u32 = 25;
+
+/// Type of a byte string in PostgreSQL's catalogue.
+const BYTEA_OID: u32 = 17;
+
+/// Type of a 64-bit integer in PostgreSQL's catalogue.
+const INT8_OID: u32 = 20;
+
+/// Pause before a request looks again for a primary that can serve it.
+const RETRY_PAUSE: Duration = Duration::from_millis(10);
+
+/// A row of the ledger.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LedgerRow {
+    /// What became of the request.
+    pub outcome: LedgerOutcome,
+    /// Fingerprint of its statement.
+    pub digest: Vec<u8>,
+    /// Its answer, if it was small enough to be kept.
+    pub answer: Option<Vec<u8>>,
+    /// Where it was committed.
+    pub position: Position,
+}
+
+/// The caller's statement as a step of a batch.
+#[must_use]
+pub fn statement_step(submit: &Submit) -> Step {
+    let parameters = submit.parameters.iter();
+    Step {
+        sql: submit.sql.clone(),
+        parameters: parameters
+            .map(|p| (!p.null).then(|| Bytes::copy_from_slice(&p.value)))
+            .collect(),
+        parameter_types: submit.parameter_type_oids.clone(),
+        parameter_formats: formats(&submit.parameter_formats),
+        result_formats: formats(&submit.result_formats),
+    }
+}
+
+fn formats(codes: &[i32]) -> Vec<i16> {
+    codes.iter().map(|code| i16::try_from(*code).unwrap_or(0)).collect()
+}
+
+/// Fingerprint of a statement with its parameters.
+#[must_use]
+pub fn digest_of(submit: &Submit) -> Vec<u8> {
+    let parameters = submit.parameters.iter().map(|p| (!p.null).then_some(p.value.as_slice()));
+    ledger::digest(&submit.sql, parameters)
+}
+
+/// Runs a write outside an interactive transaction.
+///
+/// # Errors
+///
+/// The failure for the caller; its kind says whether the write may have run.
+pub async fn run(context: &Shared, request: &Request) -> Result<StatementResult, Failure> {
+    if ledger::is_expired(&request.submit.request_id, since_epoch()) {
+        return Err(failure(ErrorKind::RequestIdExpired));
+    }
+    let key = (request.account.clone(), request.id());
+    let guard = match InFlight::start(context, key) {
+        Ok(guard) => guard,
+        Err(other) => return from_answer(owner::join(other, request.deadline).await),
+    };
+    // In a task of its own: the entry may go away in the middle, and the
+    // write must still come to a known end.
+    let task = {
+        let (context, request) = (context.clone(), request.clone());
+        tokio::spawn(async move {
+            let answer = to_answer(run_once(&context, &request).await);
+            guard.finish(answer.clone());
+            answer
+        })
+    };
+    match task.await {
+        Ok(answer) => from_answer(answer),
+        Err(_) => Err(failure(ErrorKind::OutcomeUnknown)),
+    }
+}
+
+/// What one try of a write gave.
+enum Tried {
+    /// It committed here.
+    Committed(StatementResult, Position),
+    /// The ledger knows the request already.
+    Known(LedgerRow),
+    /// It did not run, and may be tried again.
+    NotRun(Failure),
+    /// It did not run, and trying again would give the same.
+    Refused(Failure),
+    /// COMMIT was sent and its answer is missing.
+    Unknown,
+}
+
+async fn run_once(context: &Shared, request: &Request) -> Result<StatementResult, Failure> {
+    let digest = digest_of(&request.submit);
+    let mut unknown = false;
+    loop {
+        let entered =
+            owner::enter(context, &request.database, request.deadline, false, false).await;
+        let (serving, _work) = match entered {
+            Ok(entered) => entered,
+            Err(_) if unknown => return Err(failure(ErrorKind::OutcomeUnknown)),
+            Err(failure) => return Err(failure),
+        };
+        let tried = if unknown {
+            settle(context, request, &serving).await
+        } else {
+            try_once(context, request, &serving, &digest).await
+        };
+        match tried {
+            Tried::Committed(result, position) => {
+                match finish(context, request, &serving, position).await {
+                    Ok(()) => return Ok(placed(result, position)),
+                    Err(NotConfirmed::Late) => return Err(failure(ErrorKind::OutcomeUnknown)),
+                    Err(NotConfirmed::TermOver) => unknown = true,
+                }
+            }
+            Tried::Known(row) => {
+                match finish(context, request, &serving, row.position_in(&serving)).await {
+                    Ok(()) => return recorded(&row, &digest),
+                    Err(NotConfirmed::Late) => return Err(failure(ErrorKind::OutcomeUnknown)),
+                    Err(NotConfirmed::TermOver) => unknown = true,
+                }
+            }
+            Tried::Refused(failure) => return Err(failure),
+            Tried::Unknown => unknown = true,
+            Tried::NotRun(failure) => {
+                let given_up = Instant::now() + RETRY_PAUSE >= request.deadline;
+                if given_up && unknown {
+                    return Err(crate::answer::failure(ErrorKind::OutcomeUnknown));
+                }
+                if given_up {
+                    return Err(failure);
+                }
+            }
+        }
+        if Instant::now() + RETRY_PAUSE >= request.deadline {
+            let kind =
+                if unknown { ErrorKind::OutcomeUnknown } else { ErrorKind::DeadlineBeforeStart };
+            return Err(failure(kind));
+        }
+        context.metrics.retries.inc();
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+}
+
+impl LedgerRow {
+    /// What has to be confirmed before this row may be relied upon. A row of
+    /// an earlier term came through the promotion; the first entry of the
+    /// present term, which every read of it waits for, covers it.
+    #[must_use]
+    pub fn position_in(&self, serving: &Serving) -> Position {
+        if self.position.term == serving.term {
+            self.position
+        } else {
+            Position::new(serving.term, 0)
+        }
+    }
+}
+
+fn placed(result: StatementResult, position: Position) -> StatementResult {
+    StatementResult { position_term: position.term, position_index: position.index, ..result }
+}
+
+/// The answer of a request that is in the ledger.
+///
+/// # Errors
+///
+/// When it was cancelled, or the id was used for another statement.
+pub fn recorded(row: &LedgerRow, digest: &[u8]) -> Result<StatementResult, Failure> {
+    if row.outcome == LedgerOutcome::Cancelled {
+        return Err(failure(ErrorKind::Cancelled));
+    }
+    if row.digest != digest {
+        return Err(failure(ErrorKind::RequestIdReused));
+    }
+    let Some(bytes) = &row.answer else {
+        return Err(failure_with(
+            ErrorKind::AnswerNotKept,
+            format!("the request ran at {}; its answer is too large to be kept", row.position),
+        ));
+    };
+    let result =
+        StatementResult::decode(bytes.as_slice()).map_err(|_| failure(ErrorKind::AnswerNotKept))?;
+    Ok(StatementResult { from_ledger: true, ..placed(result, row.position) })
+}
+
+async fn try_once(context: &Shared, request: &Request, serving: &Serving, digest: &[u8]) -> Tried {
+    let (database, deadline) = (&request.database, request.deadline);
+    let server = &serving.primary;
+    let slot = checkout::acquire_slot(context, database, server, request.priority, deadline).await;
+    let _slot = match slot {
+        Ok(slot) => slot,
+        Err(failure) => return Tried::Refused(failure),
+    };
+    let mut guard = match owner::connect(context, database, serving, server, deadline).await {
+        Ok(guard) => guard,
+        Err(failure) => return Tried::NotRun(failure),
+    };
+    let steps = [
+        Step::new("BEGIN"),
+        select_step(&request.account, &request.submit.request_id),
+        statement_step(&request.submit),
+    ];
+    // Nothing of this batch commits: when it fails or its answer is missing,
+    // the write did not run.
+    let run = tokio::time::timeout_at(deadline.into(), guard.get().run(&steps)).await;
+    let result = match run {
+        Ok(Ok(mut results)) => {
+            if let Some(row) = results.get(1).and_then(read_row) {
+                end_transaction(guard);
+                return Tried::Known(row);
+            }
+            results.swap_remove(2)
+        }
+        Ok(Err(error)) => {
+            end_transaction(guard);
+            return refused(context, request, serving, &error);
+        }
+        Err(_) => return Tried::Refused(failure(ErrorKind::DeadlineBeforeStart)),
+    };
+    let ran = LedgerOutcome::Ran;
+    let row = insert_step(request, serving, ran, digest, Some(&result));
+    commit(context, request, serving, guard, row, result).await
+}
+
+/// Sorts the failure of a batch that has not sent COMMIT.
+fn refused(context: &Shared, request: &Request, serving: &Serving, error: &BatchError) -> Tried {
+    if let BatchError::Refused { done, .. } = error {
+        // The ledger was asked before the statement: a repeated request may
+        // well fail now, and still has its first answer.
+        if let Some(row) = done.get(1).and_then(read_row) {
+            return Tried::Known(row);
+        }
+    }
+    let failure = owner::batch_failure(context, &request.database, serving, error);
+    match kind_of(&failure) {
+        ErrorKind::NotOwner | ErrorKind::NoPrimary => Tried::NotRun(failure),
+        _ => Tried::Refused(failure),
+    }
+}
+
+/// Inserts the ledger row and commits, in one batch.
+async fn commit(
+    context: &Shared,
+    request: &Request,
+    serving: &Serving,
+    mut guard: ConnectionGuard,
+    row: Step,
+    result: StatementResult,
+) -> Tried {
+    let steps = commit_batch(row);
+    let run = tokio::time::timeout_at(request.deadline.into(), guard.get().run(&steps)).await;
+    match run {
+        Ok(Ok(results)) => match results.get(2).and_then(read_position) {
+            Some(position) => Tried::Committed(result, position),
+            None => Tried::Unknown,
+        },
+        Ok(Err(BatchError::Refused { step, sqlstate, message, .. })) => {
+            end_transaction(guard);
+            match (step, sqlstate.as_str()) {
+                // Another copy, or a tombstone, came first: ask the ledger.
+                (0, UNIQUE_VIOLATION) => Tried::Unknown,
+                (0 | 1, WRONG_TERM) => {
+                    let error = BatchError::Refused { step, done: Vec::new(), sqlstate, message };
+                    let failure = owner::batch_failure(context, &request.database, serving, &error);
+                    Tried::NotRun(failure)
+                }
+                (0 | 1, _) => Tried::Refused(crate::answer::refused_by_server(&sqlstate, &message)),
+                _ => Tried::Unknown,
+            }
+        }
+        // COMMIT is on its way and nobody knows how far it came.
+        Ok(Err(_)) | Err(_) => Tried::Unknown,
+    }
+}
+
+/// The last batch of every write: ledger row, COMMIT, position.
+#[must_use]
+pub fn commit_batch(row: Step) -> [Step; 3] {
+    [row, Step::new("COMMIT"), Step::new("SELECT * FROM chervilwharf_position()")]
+}
+
+/// Finds out what became of a request whose COMMIT was not answered, and
+/// makes sure that it cannot run any more if it did not.
+async fn settle(context: &Shared, request: &Request, serving: &Serving) -> Tried {
+    match settle_row(context, request, serving).await {
+        Ok(row) => Tried::Known(row),
+        Err(failure) => Tried::NotRun(failure),
+    }
+}
+
+/// The ledger's row of a request. Writes a tombstone if there is none: any
+/// late arrival of the request then collides with it.
+///
+/// # Errors
+///
+/// When the primary cannot be asked. Nothing is settled then.
+pub async fn settle_row(
+    context: &Shared,
+    request: &Request,
+    serving: &Serving,
+) -> Result<LedgerRow, Failure> {
+    let (database, deadline) = (&request.database, request.deadline);
+    let server = &serving.primary;
+    let mut guard = owner::connect(context, database, serving, server, deadline).await?;
+    let select = select_step(&request.account, &request.submit.request_id);
+    let asked = tokio::time::timeout_at(deadline.into(), guard.get().run(&[select])).await;
+    let results = match asked {
+        Ok(Ok(results)) => results,
+        Ok(Err(error)) => return Err(owner::batch_failure(context, database, serving, &error)),
+        Err(_) => return Err(failure(ErrorKind::NoPrimary)),
+    };
+    if let Some(row) = results.first().and_then(read_row) {
+        return Ok(row);
+    }
+    let tombstone = insert_step(request, serving, LedgerOutcome::Cancelled, &[], None);
+    let mut steps = vec![Step::new("BEGIN")];
+    steps.extend(commit_batch(tombstone));
+    let written = tokio::time::timeout_at(deadline.into(), guard.get().run(&steps)).await;
+    match written {
+        Ok(Ok(results)) => {
+            let position = results.get(3).and_then(read_position);
+            let position = position.ok_or_else(|| failure(ErrorKind::NoPrimary))?;
+            Ok(LedgerRow {
+                outcome: LedgerOutcome::Cancelled,
+                digest: Vec::new(),
+                answer: None,
+                position,
+            })
+        }
+        // The request committed just now, or the answer is missing: ask again.
+        Ok(Err(error)) => {
+            let failure = owner::batch_failure(context, database, serving, &error);
+            end_transaction(guard);
+            Err(failure)
+        }
+        Err(_) => Err(failure(ErrorKind::NoPrimary)),
+    }
+}
+
+/// Waits until a write may be acknowledged.
+///
+/// # Errors
+///
+/// When that cannot be known before the deadline, or the term ends.
+pub async fn finish(
+    context: &Shared,
+    request: &Request,
+    serving: &Serving,
+    position: Position,
+) -> Result<(), NotConfirmed> {
+    let (database, deadline) = (&request.database, request.deadline);
+    if request.acknowledge == Acknowledge::Replica {
+        confirm::wait_confirmed(context, database, position, deadline).await?;
+    }
+    owner::wait_until_current(context, database, serving.term, deadline).await.map_err(
+        |error| match kind_of(&error) {
+            ErrorKind::NotOwner => NotConfirmed::TermOver,
+            _ => NotConfirmed::Late,
+        },
+    )?;
+    context.with_database(database, |state| {
+        state.floors.acknowledged(position);
+        state.floors.raise(&request.account, position);
+    });
+    Ok(())
+}
+
+fn select_step(account: &str, request_id: &str) -> Step {
+    Step {
+        // Outcome as text, the byte strings as they are, numbers as text.
+        result_formats: vec![0, 1, 1, 0, 0],
+        ..Step::new(ledger::SELECT_SQL)
+            .with_text(account.to_owned())
+            .with_text(request_id.to_owned())
+            .with_types(&[TEXT_OID, TEXT_OID])
+    }
+}
+
+/// The ledger row of a request.
+#[must_use]
+pub fn insert_step(
+    request: &Request,
+    serving: &Serving,
+    outcome: LedgerOutcome,
+    digest: &[u8],
+    answer: Option<&StatementResult>,
+) -> Step {
+    let kept = answer
+        .map(Message::encode_to_vec)
+        .filter(|bytes| bytes.len() <= ledger::KEPT_ANSWER_LIMIT_BYTES);
+    let at_ms = since_epoch().as_millis();
+    Step::new(ledger::INSERT_SQL)
+        .with_text(request.account.to_string())
+        .with_text(request.submit.request_id.clone())
+        .with_text(outcome.as_str())
+        .with_bytes(Some(Bytes::copy_from_slice(digest)))
+        .with_bytes(kept.map(Bytes::from))
+        .with_text(serving.term.to_string())
+        .with_text(at_ms.to_string())
+        .with_types(&[TEXT_OID, TEXT_OID, TEXT_OID, BYTEA_OID, BYTEA_OID, INT8_OID, INT8_OID])
+}
+
+/// Reads a row of the ledger, if there is one.
+#[must_use]
+pub fn read_row(result: &StatementResult) -> Option<LedgerRow> {
+    let values = row_values(result.rows.first()?);
+    let bytes = |index: usize| values.get(index).cloned().flatten().map(|b| b.to_vec());
+    let outcome = bytes(0).and_then(|text| String::from_utf8(text).ok())?;
+    Some(LedgerRow {
+        outcome: LedgerOutcome::from_text(&outcome)?,
+        digest: bytes(1).unwrap_or_default(),
+        answer: bytes(2),
+        position: Position::new(number_value(&values, 3)?, number_value(&values, 4)?),
+    })
+}
+
+/// Creates the ledger if the database has none.
+///
+/// # Errors
+///
+/// When the primary cannot be reached or refuses.
+pub async fn create_ledger(
+    context: &Shared,
+    request_database: &chervilwharf_lib::id::DatabaseId,
+    serving: &Serving,
+    deadline: Instant,
+) -> Result<(), Failure> {
+    let server = &serving.primary;
+    let mut guard = owner::connect(context, request_database, serving, server, deadline).await?;
+    let steps = [Step::new(ledger::CREATE_SQL)];
+    match tokio::time::timeout_at(deadline.into(), guard.get().run(&steps)).await {
+        Ok(Ok(_)) => Ok(()),
+        Ok(Err(error)) => Err(owner::batch_failure(context, request_database, serving, &error)),
+        Err(_) => Err(failure(ErrorKind::NoPrimary)),
+    }
+}
--- /dev/null
+++ b/demo/src/deployment.rs
@@ -0,0 +1,98 @@
+//! A whole deployment in one process, on embedded stand-ins.
+
+use std::error::Error;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+
+use chervilwharf_daemon::platform::CONFIGURATION_KEY;
+use chervilwharf_daemon::platform_sync::StoredConfiguration;
+use chervilwharf_daemon::start::Daemon;
+use chervilwharf_lib::config::Config;
+use chervilwharf_lib::config_check;
+use chervilwharf_lib::settings;
+use chervilwharf_standin::store::Store;
+use chervilwharf_standin::target::Target;
+use chervilwharf_standin::target::TargetOptions;
+use serde_json::json;
+
+/// Instances of the demonstration.
+const INSTANCE_COUNT: usize = 3;
+
+/// Shared secret of the instances of the demonstration.
+const PEER_KEY: &str = "only for the demonstration";
+
+/// A running deployment.
+pub struct Deployment {
+    /// The platform's store.
+    pub store: Store,
+    /// All database servers.
+    pub targets: Vec<Target>,
+    /// All instances.
+    pub daemons: Vec<Daemon>,
+    /// The configuration.
+    pub config: Config,
+}
+
+/// Any port of the loopback address.
+fn any_port() -> SocketAddr {
+    (Ipv4Addr::LOCALHOST, 0).into()
+}
+
+impl Deployment {
+    /// Starts servers, store and instances for a configuration text. The
+    /// addresses of its servers are replaced by those of the stand-ins.
+    ///
+    /// # Errors
+    ///
+    /// When the text is not valid or something cannot be started.
+    pub async fn start(text: &str) -> Result<Self, Box<dyn Error>> {
+        let checked = config_check::check(text);
+        let mut config = checked.config.ok_or_else(|| format!("{:?}", checked.findings))?;
+        let store = Store::start(any_port()).await?;
+        let mut targets = Vec::new();
+        for database in config.databases.values_mut() {
+            for server in &mut database.servers {
+                let target = Target::start(TargetOptions::new(&server.id)).await?;
+                server.address = target.address.to_string().into();
+                server.replication_address = Some(target.replication_address.to_string().into());
+                targets.push(target);
+            }
+        }
+        let stored = StoredConfiguration {
+            update_id: uuid::Uuid::now_v7().to_string(),
+            author: "demo".into(),
+            at_ms: 0,
+            text: serde_json::to_string_pretty(&config)?,
+        };
+        store.put(CONFIGURATION_KEY, &serde_json::to_string(&stored)?);
+        let daemons = start_instances(&config, &store).await?;
+        Ok(Self { store, targets, daemons, config })
+    }
+}
+
+async fn start_instances(config: &Config, store: &Store) -> Result<Vec<Daemon>, Box<dyn Error>> {
+    let mut daemons = Vec::new();
+    let mut listed = Vec::new();
+    for (number, domain) in config.failure_domains.iter().cycle().take(INSTANCE_COUNT).enumerate() {
+        let id = format!("entry-{}", number + 1);
+        let text = json!({
+            "instance": id,
+            "failure_domain": domain,
+            "client_address": any_port(),
+            "peer_address": any_port(),
+            "admin_address": any_port(),
+            "store_url": store.url(),
+            "peer_key": PEER_KEY,
+        });
+        let daemon = Daemon::start(settings::parse(&text.to_string())?).await?;
+        listed.push(json!({
+            "id": id,
+            "peer_address": daemon.peer_address,
+            "admin_address": daemon.admin_address,
+            "failure_domain": domain,
+        }));
+        daemons.push(daemon);
+    }
+    store.set_instances(&json!(listed));
+    Ok(daemons)
+}
--- /dev/null
+++ b/lib/gen-protos/src/main.rs
@@ -0,0 +1,13 @@
+//! Generates the message types in `lib/src/protos` from the `.proto` file
+//! beside them. Run it after a change of the protocol and commit the result;
+//! a build of the product needs neither this program nor `protoc`.
+
+use std::error::Error;
+use std::path::Path;
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let protos = Path::new(env!("CARGO_MANIFEST_DIR")).join("../src/protos");
+    let descriptors = protox::compile(["peer.proto"], [&protos])?;
+    prost_build::Config::new().out_dir(&protos).compile_fds(descriptors)?;
+    Ok(())
+}
--- /dev/null
+++ b/lib/src/config_check.rs
@@ -0,0 +1,508 @@
+//! Reads a configuration text and reports all that is wrong with it.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::fmt;
+use std::marker::PhantomData;
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Deserializer;
+use serde::de::DeserializeOwned;
+use serde::de::MapAccess;
+use serde::de::Visitor;
+use serde_json::value::RawValue;
+
+use crate::config::Account;
+use crate::config::Config;
+use crate::config::Database;
+use crate::config::Service;
+use crate::verifier::parse_verifier;
+
+/// Largest accepted text; the platform's store holds values up to a megabyte.
+pub const TEXT_LIMIT_BYTES: usize = 1_000_000;
+
+/// Longest deadline a service may ask for, in milliseconds.
+const DEADLINE_LIMIT_MS: u64 = 3_600_000;
+
+/// How bad a finding is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Severity {
+    /// The text cannot be put in force.
+    Error,
+    /// It can, but probably does not say what was meant.
+    Warning,
+}
+
+/// One thing found in a text.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Finding {
+    /// How bad it is.
+    pub severity: Severity,
+    /// Line, counted from one.
+    pub line: usize,
+    /// Column, counted from one.
+    pub column: usize,
+    /// What is wrong and what was expected.
+    pub message: String,
+}
+
+impl fmt::Display for Finding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let severity = match self.severity {
+            Severity::Error => "error",
+            Severity::Warning => "warning",
+        };
+        write!(f, "{}:{}: {severity}: {}", self.line, self.column, self.message)
+    }
+}
+
+/// A text that was read, with everything found in it.
+#[derive(Clone, Debug)]
+pub struct Checked {
+    /// The configuration, if there is no error.
+    pub config: Option<Config>,
+    /// All findings, in the order of the text.
+    pub findings: Vec<Finding>,
+}
+
+/// Reads and checks a text.
+#[must_use]
+pub fn check(text: &str) -> Checked {
+    let mut checker = Checker { text, findings: Vec::new() };
+    let config = checker.read();
+    checker.findings.sort_by_key(|finding| (finding.line, finding.column));
+    let has_error = checker.findings.iter().any(|f| f.severity == Severity::Error);
+    Checked { config: config.filter(|_| !has_error), findings: checker.findings }
+}
+
+/// Members of a JSON object in their order, duplicates included.
+///
+/// A map would silently keep the last of two members with one name, and an
+/// operator would look at the other one.
+struct Members<'a>(Vec<(String, &'a RawValue)>);
+
+impl<'de: 'a, 'a> Deserialize<'de> for Members<'a> {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        struct MembersVisitor<'a>(PhantomData<&'a ()>);
+        impl<'de: 'a, 'a> Visitor<'de> for MembersVisitor<'a> {
+            type Value = Members<'a>;
+
+            fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str("an object")
+            }
+
+            fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<Self::Value, A::Error> {
+                let mut members = Vec::new();
+                while let Some(member) = map.next_entry::<String, &'de RawValue>()? {
+                    members.push(member);
+                }
+                Ok(Members(members))
+            }
+        }
+        deserializer.deserialize_map(MembersVisitor(PhantomData))
+    }
+}
+
+/// A value and its place in the text.
+struct Placed<'a, T> {
+    raw: &'a RawValue,
+    value: T,
+}
+
+type Section<'a, T> = BTreeMap<String, Placed<'a, T>>;
+
+struct Checker<'a> {
+    text: &'a str,
+    findings: Vec<Finding>,
+}
+
+impl<'a> Checker<'a> {
+    fn read(&mut self) -> Option<Config> {
+        if self.text.len() > TEXT_LIMIT_BYTES {
+            let message = format!(
+                "the text has {} bytes, at most {TEXT_LIMIT_BYTES} are accepted",
+                self.text.len()
+            );
+            self.error_at(0, message);
+            return None;
+        }
+        let root: &RawValue = match serde_json::from_str(self.text) {
+            Ok(root) => root,
+            Err(error) => {
+                self.syntax_error(&error);
+                return None;
+            }
+        };
+        let members = self.members(root)?;
+        let mut domains = Vec::new();
+        let mut databases = Section::new();
+        let mut services = Section::new();
+        let mut accounts = Section::new();
+        for (name, raw) in members {
+            match name.as_str() {
+                "failure_domains" => domains = self.value::<Vec<String>>(raw).unwrap_or_default(),
+                "databases" => databases = self.section::<Database>(raw),
+                "services" => services = self.section::<Service>(raw),
+                "accounts" => accounts = self.section::<Account>(raw),
+                _ => self.error(
+                    raw,
+                    format!(
+                        "unknown section \"{name}\", expected failure_domains, databases, \
+                         services or accounts"
+                    ),
+                ),
+            }
+        }
+        self.check_databases(&databases, &domains);
+        self.check_services(&services, &databases);
+        self.check_accounts(&accounts, &services);
+        self.warn_unreachable(&databases, &services, &accounts);
+        Some(Config {
+            failure_domains: domains.into_iter().map(Into::into).collect(),
+            databases: into_values(databases),
+            services: into_values(services),
+            accounts: into_values(accounts),
+        })
+    }
+
+    fn section<T: DeserializeOwned>(&mut self, raw: &'a RawValue) -> Section<'a, T> {
+        let mut section = Section::new();
+        for (name, raw) in self.members(raw).unwrap_or_default() {
+            if name.is_empty() {
+                self.error(raw, "a name must not be empty".into());
+            }
+            if let Some(value) = self.value::<T>(raw) {
+                section.insert(name, Placed { raw, value });
+            }
+        }
+        section
+    }
+
+    /// Members of an object; reports a name that stands twice.
+    fn members(&mut self, raw: &'a RawValue) -> Option<Vec<(String, &'a RawValue)>> {
+        let members = match serde_json::from_str::<Members<'a>>(raw.get()) {
+            Ok(Members(members)) => members,
+            Err(error) => {
+                self.error(raw, format!("{}, expected an object", first_words(&error)));
+                return None;
+            }
+        };
+        let mut seen = BTreeSet::new();
+        for (name, raw) in &members {
+            if !seen.insert(name.clone()) {
+                self.error(raw, format!("\"{name}\" stands here for the second time"));
+            }
+        }
+        Some(members)
+    }
+
+    fn value<T: DeserializeOwned>(&mut self, raw: &'a RawValue) -> Option<T> {
+        match serde_json::from_str::<T>(raw.get()) {
+            Ok(value) => Some(value),
+            Err(error) => {
+                let start = self.offset(raw);
+                let inner = offset_of(raw.get(), error.line(), error.column());
+                self.error_at(start + inner, first_words(&error));
+                None
+            }
+        }
+    }
+
+    fn check_databases(&mut self, databases: &Section<'a, Database>, domains: &[String]) {
+        let mut seen = BTreeSet::new();
+        for (name, placed) in databases {
+            let servers = &placed.value.servers;
+            if servers.is_empty() {
+                self.error(placed.raw, format!("database \"{name}\" has no server"));
+            } else if servers.len() % 2 == 0 {
+                self.warning(
+                    placed.raw,
+                    format!(
+                        "database \"{name}\" has {} servers; an even number survives no more \
+                         failures than one less",
+                        servers.len()
+                    ),
+                );
+            }
+            for server in servers {
+                let place = self.find(placed.raw, &server.id);
+                if !seen.insert(server.id.clone()) {
+                    self.error_at(place, format!("server \"{}\" stands twice", server.id));
+                }
+                if server.address.parse::<SocketAddr>().is_err() {
+                    let place = self.find(placed.raw, &server.address);
+                    self.error_at(
+                        place,
+                        format!(
+                            "address \"{}\" of server \"{}\" is not an IP number and a port",
+                            server.address, server.id
+                        ),
+                    );
+                }
+                if !domains.iter().any(|domain| **domain == *server.failure_domain) {
+                    let place = self.find(placed.raw, &server.failure_domain);
+                    self.error_at(
+                        place,
+                        format!(
+                            "server \"{}\" is in the unknown failure domain \"{}\"{}",
+                            server.id,
+                            server.failure_domain,
+                            suggest(&server.failure_domain, domains.iter().map(String::as_str))
+                        ),
+                    );
+                }
+                if server.slots == 0 || server.connections < server.slots {
+                    self.error_at(
+                        place,
+                        format!(
+                            "server \"{}\" has {} slots and {} connections, expected at least \
+                             one slot and no fewer connections than slots",
+                            server.id, server.slots, server.connections
+                        ),
+                    );
+                }
+            }
+        }
+    }
+
+    fn check_services(
+        &mut self,
+        services: &Section<'a, Service>,
+        databases: &Section<'a, Database>,
+    ) {
+        for (name, placed) in services {
+            let service = &placed.value;
+            if !(service.objective > 0.0 && service.objective < 1.0) {
+                self.error(
+                    placed.raw,
+                    format!(
+                        "service \"{name}\" has the objective {}, expected a share between 0 and 1",
+                        service.objective
+                    ),
+                );
+            }
+            if service.deadline_ms == 0 || service.deadline_ms > DEADLINE_LIMIT_MS {
+                self.error(
+                    placed.raw,
+                    format!(
+                        "service \"{name}\" has deadline_ms {}, expected 1 to {DEADLINE_LIMIT_MS}",
+                        service.deadline_ms
+                    ),
+                );
+            }
+            for database in &service.depends_on.databases {
+                if !databases.contains_key(&**database) {
+                    let place = self.find(placed.raw, database);
+                    let hint = suggest(database, databases.keys().map(String::as_str));
+                    let message = format!(
+                        "service \"{name}\" needs the unknown database \"{database}\"{hint}"
+                    );
+                    self.error_at(place, message);
+                }
+            }
+            for other in &service.depends_on.services {
+                if !services.contains_key(&**other) {
+                    let place = self.find(placed.raw, other);
+                    let hint = suggest(other, services.keys().map(String::as_str));
+                    let message =
+                        format!("service \"{name}\" needs the unknown service \"{other}\"{hint}");
+                    self.error_at(place, message);
+                }
+            }
+        }
+        self.check_cycles(services);
+    }
+
+    fn check_cycles(&mut self, services: &Section<'a, Service>) {
+        let mut reported = BTreeSet::new();
+        for name in services.keys() {
+            let Some(cycle) = find_cycle(name, services) else {
+                continue;
+            };
+            let members: BTreeSet<_> = cycle.iter().cloned().collect();
+            if !reported.insert(members) {
+                continue;
+            }
+            let raw = services[name].raw;
+            self.error(
+                raw,
+                format!("services need each other in a circle: {}", cycle.join(" -> ")),
+            );
+        }
+    }
+
+    fn check_accounts(&mut self, accounts: &Section<'a, Account>, services: &Section<'a, Service>) {
+        for (name, placed) in accounts {
+            let account = &placed.value;
+            if account.services.is_empty() {
+                self.error(placed.raw, format!("account \"{name}\" has no service"));
+            }
+            for service in &account.services {
+                if !services.contains_key(&**service) {
+                    let place = self.find(placed.raw, service);
+                    let hint = suggest(service, services.keys().map(String::as_str));
+                    let message = format!(
+                        "account \"{name}\" acts for the unknown service \"{service}\"{hint}"
+                    );
+                    self.error_at(place, message);
+                }
+            }
+            if parse_verifier(&account.verifier).is_none() {
+                self.error(
+                    placed.raw,
+                    format!(
+                        "the verifier of account \"{name}\" is not of the form \
+                         SCRAM-SHA-256$iterations:salt$stored_key:server_key; \
+                         `chervilwharf verifier` makes one"
+                    ),
+                );
+            }
+        }
+    }
+
+    fn warn_unreachable(
+        &mut self,
+        databases: &Section<'a, Database>,
+        services: &Section<'a, Service>,
+        accounts: &Section<'a, Account>,
+    ) {
+        for (name, placed) in databases {
+            let used = services
+                .values()
+                .any(|service| service.value.depends_on.databases.iter().any(|id| **id == **name));
+            if !used {
+                self.warning(placed.raw, format!("no service needs database \"{name}\""));
+            }
+        }
+        for (name, placed) in services {
+            let used = accounts
+                .values()
+                .any(|account| account.value.services.iter().any(|id| **id == **name));
+            if !used {
+                self.warning(placed.raw, format!("no account acts for service \"{name}\""));
+            }
+        }
+    }
+
+    fn syntax_error(&mut self, error: &serde_json::Error) {
+        let message = first_words(error);
+        self.findings.push(Finding {
+            severity: Severity::Error,
+            line: error.line().max(1),
+            column: error.column().max(1),
+            message,
+        });
+    }
+
+    fn error(&mut self, raw: &RawValue, message: String) {
+        let offset = self.offset(raw);
+        self.error_at(offset, message);
+    }
+
+    fn error_at(&mut self, offset: usize, message: String) {
+        self.push(Severity::Error, offset, message);
+    }
+
+    fn warning(&mut self, raw: &RawValue, message: String) {
+        let offset = self.offset(raw);
+        self.push(Severity::Warning, offset, message);
+    }
+
+    fn push(&mut self, severity: Severity, offset: usize, message: String) {
+        let (line, column) = line_and_column(self.text, offset);
+        self.findings.push(Finding { severity, line, column, message });
+    }
+
+    /// Where a raw value begins. It is a slice of the text itself, so the
+    /// difference of the addresses is its offset.
+    fn offset(&self, raw: &RawValue) -> usize {
+        let start = self.text.as_ptr() as usize;
+        (raw.get().as_ptr() as usize).saturating_sub(start).min(self.text.len())
+    }
+
+    /// Where a string stands inside a raw value.
+    fn find(&self, raw: &RawValue, needle: &str) -> usize {
+        let quoted = serde_json::to_string(needle).unwrap_or_default();
+        self.offset(raw) + raw.get().find(&quoted).unwrap_or(0)
+    }
+}
+
+fn into_values<K: From<String> + Ord, T>(section: Section<'_, T>) -> BTreeMap<K, T> {
+    section.into_iter().map(|(name, placed)| (name.into(), placed.value)).collect()
+}
+
+/// The message of an error without its place, which is given apart.
+fn first_words(error: &serde_json::Error) -> String {
+    let text = error.to_string();
+    match text.rfind(" at line ") {
+        Some(end) => text[..end].to_owned(),
+        None => text,
+    }
+}
+
+fn line_and_column(text: &str, offset: usize) -> (usize, usize) {
+    let before = &text.as_bytes()[..offset.min(text.len())];
+    let line = text[..before.len()].matches('\n').count() + 1;
+    let line_start = before.iter().rposition(|byte| *byte == b'\n').map_or(0, |at| at + 1);
+    (line, before.len() - line_start + 1)
+}
+
+fn offset_of(text: &str, line: usize, column: usize) -> usize {
+    let skipped: usize =
+        text.split_inclusive('\n').take(line.saturating_sub(1)).map(str::len).sum();
+    (skipped + column.saturating_sub(1)).min(text.len())
+}
+
+fn find_cycle(start: &str, services: &Section<'_, Service>) -> Option<Vec<String>> {
+    let mut path = vec![start.to_owned()];
+    let mut visited = BTreeSet::new();
+    visit(start, start, services, &mut path, &mut visited).then_some(path)
+}
+
+fn visit(
+    at: &str,
+    goal: &str,
+    services: &Section<'_, Service>,
+    path: &mut Vec<String>,
+    visited: &mut BTreeSet<String>,
+) -> bool {
+    let Some(placed) = services.get(at) else {
+        return false;
+    };
+    for next in &placed.value.depends_on.services {
+        path.push(next.to_string());
+        if **next == *goal {
+            return true;
+        }
+        if visited.insert(next.to_string()) && visit(next, goal, services, path, visited) {
+            return true;
+        }
+        path.pop();
+    }
+    false
+}
+
+/// Names the known word that is most like an unknown one.
+fn suggest<'b>(unknown: &str, known: impl Iterator<Item = &'b str>) -> String {
+    let closest = known
+        .map(|word| (edit_distance(unknown, word), word))
+        .filter(|(distance, word)| *distance <= 2.max(word.len() / 4))
+        .min();
+    closest.map_or_else(String::new, |(_, word)| format!(", did you mean \"{word}\"?"))
+}
+
+fn edit_distance(a: &str, b: &str) -> usize {
+    let b: Vec<char> = b.chars().collect();
+    let mut row: Vec<usize> = (0..=b.len()).collect();
+    for (i, x) in a.chars().enumerate() {
+        let mut diagonal = row[0];
+        row[0] = i + 1;
+        for (j, y) in b.iter().enumerate() {
+            let substituted = diagonal + usize::from(x != *y);
+            diagonal = row[j + 1];
+            row[j + 1] = substituted.min(row[j] + 1).min(diagonal + 1);
+        }
+    }
+    row[b.len()]
+}
--- /dev/null
+++ b/lib/src/error_kind.rs
@@ -0,0 +1,178 @@
+//! The closed list of error kinds and the table from kind to answer.
+
+use std::time::Duration;
+
+use displaydoc::Display;
+
+/// What a caller may conclude about a request that got an error.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The request did not run and will not run unless it is sent again.
+    NotRun,
+    /// It may have run. Ask, or send it again under the same id.
+    Unknown,
+}
+
+/// Every way in which a request can end without its result.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display)]
+pub enum ErrorKind {
+    /// the database server refused the statement
+    ServerRefused,
+    /// this instance does not own the database
+    NotOwner,
+    /// the database has no primary now
+    NoPrimary,
+    /// too many requests are waiting for the database
+    Overloaded,
+    /// the deadline passed before the request was started
+    DeadlineBeforeStart,
+    /// the result of the request could not be learned in time
+    OutcomeUnknown,
+    /// the request was cancelled before it ran
+    Cancelled,
+    /// the request id was used before for another statement
+    RequestIdReused,
+    /// the request id is older than the retention of the ledger
+    RequestIdExpired,
+    /// the answer recorded for this request is too large to be kept
+    AnswerNotKept,
+    /// no such database
+    UnknownDatabase,
+    /// the account may not use this database or service
+    NotAllowed,
+    /// the account has too many connections
+    TooManyConnections,
+    /// the account sends requests faster than it may
+    RateLimited,
+    /// the statement is too large
+    StatementTooLarge,
+    /// the result is too large
+    ResultTooLarge,
+    /// the statement could not be understood
+    BadStatement,
+    /// the transaction was lost and has been rolled back
+    TransactionLost,
+    /// the transaction is aborted, only ROLLBACK is accepted
+    TransactionAborted,
+    /// the feature is not supported through the proxy
+    Unsupported,
+    /// the instance is stopping
+    Stopping,
+    /// an earlier request of this account with the same id is in flight
+    InFlight,
+}
+
+/// One row of the table from kind to answer.
+#[derive(Clone, Copy, Debug)]
+pub struct AnswerRule {
+    /// SQLSTATE the caller sees.
+    pub sqlstate: &'static str,
+    /// What the caller may conclude.
+    pub outcome: Outcome,
+    /// When to come back, unless a better estimate is at hand. `None` means
+    /// that the same request would fail in the same way.
+    pub retry_after: Option<Duration>,
+    /// Whether the kind burns the error budget of the service.
+    pub burns_budget: bool,
+}
+
+const SOON: Option<Duration> = Some(Duration::from_millis(100));
+const AFTER_FAILOVER: Option<Duration> = Some(Duration::from_secs(1));
+const LATER: Option<Duration> = Some(Duration::from_secs(5));
+
+impl ErrorKind {
+    /// Every kind, in the order of the table in the documentation.
+    pub const ALL: [Self; 22] = [
+        Self::ServerRefused,
+        Self::NotOwner,
+        Self::NoPrimary,
+        Self::Overloaded,
+        Self::DeadlineBeforeStart,
+        Self::OutcomeUnknown,
+        Self::Cancelled,
+        Self::RequestIdReused,
+        Self::RequestIdExpired,
+        Self::AnswerNotKept,
+        Self::UnknownDatabase,
+        Self::NotAllowed,
+        Self::TooManyConnections,
+        Self::RateLimited,
+        Self::StatementTooLarge,
+        Self::ResultTooLarge,
+        Self::BadStatement,
+        Self::TransactionLost,
+        Self::TransactionAborted,
+        Self::Unsupported,
+        Self::Stopping,
+        Self::InFlight,
+    ];
+
+    /// The table from kind to answer.
+    #[must_use]
+    #[allow(clippy::match_same_arms, reason = "a table with one row for each kind")]
+    pub fn rule(self) -> AnswerRule {
+        use Outcome::NotRun;
+        use Outcome::Unknown;
+        let (sqlstate, outcome, retry_after, burns_budget) = match self {
+            Self::ServerRefused => ("XX000", NotRun, None, false),
+            Self::NotOwner => ("57P03", NotRun, SOON, true),
+            Self::NoPrimary => ("57P03", NotRun, AFTER_FAILOVER, true),
+            Self::Overloaded => ("53300", NotRun, SOON, true),
+            Self::DeadlineBeforeStart => ("57014", NotRun, SOON, true),
+            Self::OutcomeUnknown => ("40003", Unknown, SOON, true),
+            Self::Cancelled => ("57014", NotRun, None, true),
+            Self::RequestIdReused => ("22023", NotRun, None, false),
+            Self::RequestIdExpired => ("22023", NotRun, None, false),
+            Self::AnswerNotKept => ("54000", NotRun, None, false),
+            Self::UnknownDatabase => ("3D000", NotRun, None, false),
+            Self::NotAllowed => ("42501", NotRun, None, false),
+            Self::TooManyConnections => ("53300", NotRun, LATER, false),
+            Self::RateLimited => ("53400", NotRun, SOON, false),
+            Self::StatementTooLarge => ("54000", NotRun, None, false),
+            Self::ResultTooLarge => ("54000", NotRun, None, false),
+            Self::BadStatement => ("42601", NotRun, None, false),
+            Self::TransactionLost => ("40001", NotRun, SOON, true),
+            Self::TransactionAborted => ("25P02", NotRun, None, false),
+            Self::Unsupported => ("0A000", NotRun, None, false),
+            Self::Stopping => ("57P01", NotRun, SOON, true),
+            Self::InFlight => ("55006", Unknown, SOON, false),
+        };
+        AnswerRule { sqlstate, outcome, retry_after, burns_budget }
+    }
+
+    /// Stable name used between instances, in metrics and in reports.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::ServerRefused => "server_refused",
+            Self::NotOwner => "not_owner",
+            Self::NoPrimary => "no_primary",
+            Self::Overloaded => "overloaded",
+            Self::DeadlineBeforeStart => "deadline_before_start",
+            Self::OutcomeUnknown => "outcome_unknown",
+            Self::Cancelled => "cancelled",
+            Self::RequestIdReused => "request_id_reused",
+            Self::RequestIdExpired => "request_id_expired",
+            Self::AnswerNotKept => "answer_not_kept",
+            Self::UnknownDatabase => "unknown_database",
+            Self::NotAllowed => "not_allowed",
+            Self::TooManyConnections => "too_many_connections",
+            Self::RateLimited => "rate_limited",
+            Self::StatementTooLarge => "statement_too_large",
+            Self::ResultTooLarge => "result_too_large",
+            Self::BadStatement => "bad_statement",
+            Self::TransactionLost => "transaction_lost",
+            Self::TransactionAborted => "transaction_aborted",
+            Self::Unsupported => "unsupported",
+            Self::Stopping => "stopping",
+            Self::InFlight => "in_flight",
+        }
+    }
+
+    /// Finds a kind by its name. A name from a newer version reads as
+    /// [`ErrorKind::OutcomeUnknown`], the only answer that promises nothing.
+    #[must_use]
+    pub fn from_name(name: &str) -> Self {
+        Self::ALL.into_iter().find(|kind| kind.name() == name).unwrap_or(Self::OutcomeUnknown)
+    }
+}
--- /dev/null
+++ b/lib/src/lib.rs
@@ -0,0 +1,34 @@
+//! The decisions of chervilwharf, free of sockets, tasks and clocks.
+//!
+//! Every module here is a plain value that takes events together with the
+//! current time and returns what has to be done. The daemon performs the
+//! actions; the tests drive the same values on a virtual clock.
+
+pub mod admission;
+pub mod burn;
+pub mod classify;
+pub mod config;
+pub mod config_check;
+pub mod detector;
+pub mod error_kind;
+pub mod floors;
+pub mod id;
+pub mod instance;
+pub mod ledger;
+pub mod limits;
+pub mod membership;
+pub mod ownership;
+pub mod placement;
+pub mod pool;
+pub mod position;
+pub mod retry;
+pub mod routing;
+pub mod settings;
+pub mod verifier;
+
+/// Messages between instances, generated from `protos/peer.proto`.
+#[allow(clippy::all, clippy::pedantic, missing_docs, reason = "generated")]
+#[rustfmt::skip]
+pub mod protos {
+    include!("protos/chervilwharf.peer.rs");
+}
--- /dev/null
+++ b/lib/src/placement.rs
@@ -0,0 +1,71 @@
+//! Which instance should own which database.
+
+use std::hash::Hasher;
+
+use crate::id::FailureDomainId;
+use crate::id::InstanceId;
+
+/// An instance that can own databases.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Candidate {
+    /// The instance.
+    pub id: InstanceId,
+    /// Where it runs.
+    pub failure_domain: FailureDomainId,
+}
+
+/// FNV-1a: stable over versions and machines, which `std`'s hasher is not.
+/// All instances must compute the same order from the same list.
+struct StableHasher(u64);
+
+impl Hasher for StableHasher {
+    fn finish(&self) -> u64 {
+        // A final mix, since FNV alone leaves the high bits of short keys alike.
+        let mut value = self.0;
+        value ^= value >> 33;
+        value = value.wrapping_mul(0xff51_afd7_ed55_8ccd);
+        value ^= value >> 33;
+        value
+    }
+
+    fn write(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            self.0 ^= u64::from(*byte);
+            self.0 = self.0.wrapping_mul(0x0000_0100_0000_01b3);
+        }
+    }
+}
+
+/// A hash that is the same on every instance.
+#[must_use]
+pub fn stable_hash(parts: &[&str]) -> u64 {
+    let mut hasher = StableHasher(0xcbf2_9ce4_8422_2325);
+    for part in parts {
+        hasher.write(part.as_bytes());
+        hasher.write(&[0xff]);
+    }
+    hasher.finish()
+}
+
+/// Orders the candidates for `key`, best first (rendezvous hashing).
+///
+/// Candidates in `preferred` (the failure domain of the primary) come first,
+/// since each write pays the way from the owner to the primary. When an
+/// instance goes, only the databases it was first for move.
+#[must_use]
+pub fn rank(
+    key: &str,
+    candidates: &[Candidate],
+    preferred: Option<&FailureDomainId>,
+) -> Vec<InstanceId> {
+    let mut scored: Vec<_> = candidates
+        .iter()
+        .map(|candidate| {
+            let near = preferred == Some(&candidate.failure_domain);
+            let score = stable_hash(&[key, &candidate.id]);
+            (near, score, candidate.id.clone())
+        })
+        .collect();
+    scored.sort_by(|a, b| b.cmp(a));
+    scored.into_iter().map(|(_, _, id)| id).collect()
+}
--- /dev/null
+++ b/lib/src/position.rs
@@ -0,0 +1,40 @@
+//! Positions in the replicated log of a database group.
+
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::id::Term;
+
+/// A place in a group's log: the term of an entry and its index.
+///
+/// The order compares the term first. Two logs that diverged can hold the
+/// same index; the one whose last entry has the higher term is the one that
+/// can hold acknowledged writes (the rule of Raft, section 5.4.2).
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Position {
+    /// Term in which the entry was written.
+    pub term: Term,
+    /// Index of the entry, counted from one.
+    pub index: u64,
+}
+
+impl Position {
+    /// Before the first entry of any log.
+    pub const ZERO: Self = Self { term: 0, index: 0 };
+
+    /// Names the entry `index` written in `term`.
+    #[must_use]
+    pub fn new(term: Term, index: u64) -> Self {
+        Self { term, index }
+    }
+}
+
+impl fmt::Display for Position {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.term, self.index)
+    }
+}
--- /dev/null
+++ b/standin/src/load.rs
@@ -0,0 +1,1 @@
+//! Open-loop load.
--- /dev/null
+++ b/standin/src/target.rs
@@ -0,0 +1,301 @@
+//! A database server: real SQL by SQLite behind the PostgreSQL protocol, a
+//! log shipped to replicas with settable lag, and terms.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use axum::Json;
+use axum::Router;
+use axum::extract::State;
+use axum::routing::post;
+use chervilwharf_lib::position::Position;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::sync::Semaphore;
+
+use crate::target_log::LogEntry;
+use crate::target_log::ServerLog;
+use crate::target_session::DataFile;
+use crate::target_session::apply_entry;
+use crate::target_wire;
+
+/// How a stand-in server behaves.
+#[derive(Clone, Debug)]
+pub struct TargetOptions {
+    /// Its name, by which it is told whom to follow.
+    pub id: String,
+    /// Where it takes connections; port 0 for any.
+    pub address: SocketAddr,
+    /// Where it serves its log; port 0 for any.
+    pub replication_address: SocketAddr,
+    /// Cost of a new connection.
+    pub connect_cost: Duration,
+    /// Connections it accepts.
+    pub connections: usize,
+    /// Statements it runs at once.
+    pub slots: usize,
+    /// Time each statement takes beyond its real work.
+    pub statement_cost: Duration,
+    /// File that keeps log and term over a restart.
+    pub log_file: Option<PathBuf>,
+}
+
+impl TargetOptions {
+    /// A server on any port, with the brief's limits and no added cost.
+    #[must_use]
+    pub fn new(id: &str) -> Self {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self {
+            id: id.to_owned(),
+            address: any,
+            replication_address: any,
+            connect_cost: Duration::ZERO,
+            connections: 64,
+            slots: 3,
+            statement_cost: Duration::ZERO,
+            log_file: None,
+        }
+    }
+}
+
+/// What sessions, replication and control share.
+pub(crate) struct TargetCore {
+    pub options: TargetOptions,
+    log: Mutex<ServerLog>,
+    pub data: DataFile,
+    /// Serialises transactions that write.
+    pub write_lock: Arc<tokio::sync::Mutex<()>>,
+    pub grown: Notify,
+    pub slots: Semaphore,
+    pub connection_count: AtomicUsize,
+    lag_ms: AtomicU64,
+    statements: AtomicU64,
+}
+
+impl TargetCore {
+    pub fn log(&self) -> MutexGuard<'_, ServerLog> {
+        self.log.lock().expect("no code panics while it holds the log")
+    }
+
+    pub fn count_statement(&self) {
+        self.statements.fetch_add(1, Ordering::Relaxed);
+    }
+
+    fn lag(&self) -> Duration {
+        Duration::from_millis(self.lag_ms.load(Ordering::Relaxed))
+    }
+}
+
+/// A running stand-in server.
+pub struct Target {
+    core: Arc<TargetCore>,
+    /// Where it takes connections.
+    pub address: SocketAddr,
+    /// Where it serves its log.
+    pub replication_address: SocketAddr,
+}
+
+/// How often a replica looks for entries that have become due.
+const APPLY_INTERVAL: Duration = Duration::from_millis(1);
+
+/// Longest wait of a replica for news from its primary; also its heartbeat.
+const PULL_WAIT: Duration = Duration::from_millis(50);
+
+/// A pull without an answer for this long has failed.
+const PULL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Entries in one answer to a pull.
+const PULL_LIMIT: usize = 2000;
+
+impl Target {
+    /// Starts a server on the current runtime.
+    ///
+    /// # Errors
+    ///
+    /// When an address cannot be bound or the log file cannot be used.
+    pub async fn start(options: TargetOptions) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(options.address).await?;
+        let replication = TcpListener::bind(options.replication_address).await?;
+        let address = listener.local_addr()?;
+        let replication_address = replication.local_addr()?;
+        let log = ServerLog::new(options.log_file.as_deref())?;
+        let core = Arc::new(TargetCore {
+            data: DataFile::new()?,
+            slots: Semaphore::new(options.slots),
+            options,
+            log: Mutex::new(log),
+            write_lock: Arc::default(),
+            grown: Notify::new(),
+            connection_count: AtomicUsize::new(0),
+            lag_ms: AtomicU64::new(0),
+            statements: AtomicU64::new(0),
+        });
+        apply_all(&core);
+        let routes = Router::new()
+            .route("/pull", post(serve_pull))
+            .route("/lag/{ms}", post(set_lag))
+            .with_state(core.clone());
+        tokio::spawn(async move { axum::serve(replication, routes).await });
+        tokio::spawn(target_wire::accept(listener, core.clone()));
+        tokio::spawn(follow_upstream(core.clone()));
+        tokio::spawn(apply_received(core.clone()));
+        Ok(Self { core, address, replication_address })
+    }
+
+    /// Makes this server, as a replica, apply entries only after `lag`.
+    pub fn set_lag(&self, lag: Duration) {
+        let lag_ms = u64::try_from(lag.as_millis()).unwrap_or(u64::MAX);
+        self.core.lag_ms.store(lag_ms, Ordering::Relaxed);
+    }
+
+    /// Statements it has run.
+    #[must_use]
+    pub fn statement_count(&self) -> u64 {
+        self.core.statements.load(Ordering::Relaxed)
+    }
+
+    /// Whether it is the primary in the highest term it has seen.
+    #[must_use]
+    pub fn is_primary(&self) -> bool {
+        self.core.log().is_primary
+    }
+
+    /// Connections open now.
+    #[must_use]
+    pub fn connection_count(&self) -> usize {
+        self.core.connection_count.load(Ordering::Relaxed)
+    }
+}
+
+async fn set_lag(
+    State(core): State<Arc<TargetCore>>,
+    axum::extract::Path(lag_ms): axum::extract::Path<u64>,
+) {
+    core.lag_ms.store(lag_ms, Ordering::Relaxed);
+}
+
+#[derive(Serialize, Deserialize)]
+struct Pull {
+    term: u64,
+    ends: Vec<Position>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct Pulled {
+    term: u64,
+    is_primary: bool,
+    /// Entries both logs share.
+    common: usize,
+    entries: Vec<LogEntry>,
+}
+
+async fn serve_pull(State(core): State<Arc<TargetCore>>, Json(pull): Json<Pull>) -> Json<Pulled> {
+    let grown = core.grown.notified();
+    let first = answer_pull(&core, &pull);
+    if !first.entries.is_empty() || !first.is_primary {
+        return Json(first);
+    }
+    // Nothing new: wait for the next commit, so that a replica learns of it
+    // without asking again and again.
+    let _ = tokio::time::timeout(PULL_WAIT, grown).await;
+    Json(answer_pull(&core, &pull))
+}
+
+fn answer_pull(core: &TargetCore, pull: &Pull) -> Pulled {
+    let log = core.log();
+    let is_primary = log.is_primary && log.term == pull.term;
+    let common = log.common_length(&pull.ends);
+    let entries = if is_primary {
+        log.entries.iter().skip(common).take(PULL_LIMIT).map(|(entry, _)| entry.clone()).collect()
+    } else {
+        Vec::new()
+    };
+    Pulled { term: log.term, is_primary, common, entries }
+}
+
+async fn follow_upstream(core: Arc<TargetCore>) {
+    let client = reqwest::Client::builder()
+        .timeout(PULL_TIMEOUT)
+        .no_proxy()
+        .tcp_nodelay(true)
+        .build()
+        .expect("the client has no unusual settings");
+    loop {
+        let job = {
+            let log = core.log();
+            let pull = Pull { term: log.term, ends: log.term_ends() };
+            log.upstream.clone().map(|upstream| (upstream, pull))
+        };
+        let Some((upstream, pull)) = job else {
+            tokio::time::sleep(APPLY_INTERVAL).await;
+            continue;
+        };
+        let url = format!("http://{}/pull", upstream.address);
+        let answer = match client.post(url).json(&pull).send().await {
+            Ok(response) => response.json::<Pulled>().await.ok(),
+            Err(_) => None,
+        };
+        let followed = answer.is_some_and(|pulled| take_pulled(&core, &upstream.id, &pull, pulled));
+        if !followed {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+}
+
+/// Appends what the primary sent, unless a newer term came in between.
+fn take_pulled(core: &TargetCore, upstream: &str, pull: &Pull, pulled: Pulled) -> bool {
+    let mut log = core.log();
+    let still_follows = log.upstream.as_ref().is_some_and(|now| now.id == upstream);
+    if !still_follows || log.term != pull.term || pulled.term != log.term || !pulled.is_primary {
+        return false;
+    }
+    let now = Instant::now();
+    log.heard_at = Some(now);
+    if log.truncate(pulled.common) {
+        core.data.reset();
+    }
+    for entry in pulled.entries {
+        log.append(entry, now);
+    }
+    true
+}
+
+async fn apply_received(core: Arc<TargetCore>) {
+    loop {
+        tokio::time::sleep(APPLY_INTERVAL).await;
+        let lag = core.lag();
+        let now = Instant::now();
+        let mut log = core.log();
+        while let Some((entry, received_at)) = log.entries.get(log.applied) {
+            if now.saturating_duration_since(*received_at) < lag {
+                break;
+            }
+            apply_entry(&core.data, entry);
+            log.applied += 1;
+        }
+    }
+}
+
+/// Applies everything received, whatever the lag: a server does so before it
+/// becomes the primary.
+pub(crate) fn apply_all(core: &TargetCore) {
+    let mut log = core.log();
+    apply_all_of(&core.data, &mut log);
+}
+
+pub(crate) fn apply_all_of(data: &DataFile, log: &mut ServerLog) {
+    while let Some((entry, _)) = log.entries.get(log.applied) {
+        apply_entry(data, entry);
+        log.applied += 1;
+    }
+}
--- /dev/null
+++ b/testing/testutils/src/cluster.rs
@@ -0,0 +1,423 @@
+//! A deployment of real processes: servers, instances, and a store, with a
+//! fault proxy before each of them.
+
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+use std::time::Instant;
+
+use chervilwharf_daemon::platform::CONFIGURATION_KEY;
+use chervilwharf_daemon::platform_sync::StoredConfiguration;
+use chervilwharf_lib::config::Account;
+use chervilwharf_lib::config::Config;
+use chervilwharf_lib::config::Database;
+use chervilwharf_lib::config::DefaultFreshness;
+use chervilwharf_lib::config::Dependencies;
+use chervilwharf_lib::config::Server;
+use chervilwharf_lib::config::Service;
+use chervilwharf_lib::verifier;
+use chervilwharf_standin::fault_proxy::FaultProxy;
+use chervilwharf_standin::store::Store;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::process::Process;
+use crate::process::program;
+
+/// Secret of the instances of a test.
+pub const PEER_KEY: &str = "only for tests, never elsewhere";
+
+/// Longest wait for a condition before a test fails. Far beyond what any
+/// condition takes, so that a slow machine gives the same verdict.
+pub const PATIENCE: Duration = Duration::from_secs(60);
+
+/// What a deployment consists of.
+#[derive(Clone, Debug)]
+pub struct Shape {
+    /// Failure domains.
+    pub domains: usize,
+    /// Databases, with three servers each.
+    pub databases: usize,
+    /// Instances.
+    pub instances: usize,
+    /// Cost of a new connection to a server.
+    pub connect_cost: Duration,
+    /// Added cost of a statement.
+    pub statement_cost: Duration,
+    /// Connections of a server.
+    pub connections: usize,
+    /// One-way delay of every link between processes.
+    pub delay: Duration,
+    /// Servers keep their log over a restart.
+    pub durable: bool,
+}
+
+impl Default for Shape {
+    fn default() -> Self {
+        Self {
+            domains: 3,
+            databases: 1,
+            instances: 3,
+            connect_cost: Duration::ZERO,
+            statement_cost: Duration::ZERO,
+            connections: 20,
+            delay: Duration::ZERO,
+            durable: false,
+        }
+    }
+}
+
+/// A database server and the proxies before it.
+pub struct TargetNode {
+    /// Its name.
+    pub id: String,
+    /// The process; `None` while it is down.
+    pub process: Option<Process>,
+    /// Before its SQL side.
+    pub sql_proxy: FaultProxy,
+    /// Before its log.
+    pub log_proxy: FaultProxy,
+    log_file: Option<PathBuf>,
+}
+
+/// An instance and the proxies before it.
+pub struct InstanceNode {
+    /// Its name.
+    pub id: String,
+    /// Its failure domain.
+    pub domain: String,
+    /// The process; `None` while it is down.
+    pub process: Option<Process>,
+    /// Before the side of its callers.
+    pub client_proxy: FaultProxy,
+    /// Before the side of other instances.
+    pub peer_proxy: FaultProxy,
+    /// Its operators' side.
+    pub admin: SocketAddr,
+    store_proxy: FaultProxy,
+}
+
+impl InstanceNode {
+    /// The network between this instance and the store.
+    #[must_use]
+    pub fn store_proxy(&self) -> &FaultProxy {
+        &self.store_proxy
+    }
+}
+
+/// A running deployment.
+pub struct Cluster {
+    /// The platform's store.
+    pub store: Store,
+    /// Servers, three for each database in turn.
+    pub targets: Vec<TargetNode>,
+    /// Instances.
+    pub instances: Vec<InstanceNode>,
+    /// The configuration.
+    pub config: Config,
+    shape: Shape,
+    folder: PathBuf,
+}
+
+fn any_port() -> SocketAddr {
+    (Ipv4Addr::LOCALHOST, 0).into()
+}
+
+async fn proxy(shape: &Shape) -> FaultProxy {
+    let proxy = FaultProxy::start().await.expect("a port can be had");
+    if !shape.delay.is_zero() {
+        proxy.set(chervilwharf_standin::fault_proxy::Behaviour::delayed(shape.delay));
+    }
+    proxy
+}
+
+fn address(process: &Process, name: &str) -> SocketAddr {
+    process.ready[name].parse().expect("programs print their addresses")
+}
+
+impl Cluster {
+    /// Starts a deployment and waits until all databases are served.
+    pub async fn start(shape: Shape) -> Self {
+        let mut cluster = Self::start_cold(shape).await;
+        cluster.store_configuration("test");
+        for index in 0..cluster.instances.len() {
+            cluster.start_instance(index);
+        }
+        cluster.list_instances();
+        cluster.wait_until_served().await;
+        cluster
+    }
+
+    /// Starts servers and store, but no instance.
+    pub async fn start_cold(shape: Shape) -> Self {
+        let name = format!("chervilwharf-test-{}", uuid::Uuid::now_v7());
+        let folder = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&folder).expect("a temporary folder can be made");
+        let store = Store::start(any_port()).await.expect("a port can be had");
+        let mut targets = Vec::new();
+        for database in 0..shape.databases {
+            for letter in ["a", "b", "c"] {
+                let id = format!("db{}{letter}", database + 1);
+                let log_file = shape.durable.then(|| folder.join(format!("{id}.log")));
+                targets.push(TargetNode {
+                    id,
+                    process: None,
+                    sql_proxy: proxy(&shape).await,
+                    log_proxy: proxy(&shape).await,
+                    log_file,
+                });
+            }
+        }
+        let mut instances = Vec::new();
+        for number in 0..shape.instances {
+            let store_proxy = FaultProxy::start().await.expect("a port can be had");
+            store_proxy.set_upstream(store.address);
+            instances.push(InstanceNode {
+                id: format!("entry-{}", number + 1),
+                domain: format!("domain-{}", number % shape.domains + 1),
+                process: None,
+                client_proxy: FaultProxy::start().await.expect("a port can be had"),
+                peer_proxy: proxy(&shape).await,
+                admin: any_port(),
+                store_proxy,
+            });
+        }
+        let config = configuration(&shape, &targets);
+        let mut cluster = Self { store, targets, instances, config, shape, folder };
+        for index in 0..cluster.targets.len() {
+            cluster.start_target(index);
+        }
+        cluster
+    }
+
+    /// Starts, or starts again, a server.
+    pub fn start_target(&mut self, index: usize) {
+        let connect_cost_ms = self.shape.connect_cost.as_millis().to_string();
+        let statement_cost_ms = self.shape.statement_cost.as_millis().to_string();
+        let log = self.folder.join("targets.txt");
+        let target = &mut self.targets[index];
+        let mut arguments = vec!["target", "--id", &target.id];
+        arguments.extend(["--connect-cost-ms", &connect_cost_ms]);
+        arguments.extend(["--statement-cost-ms", &statement_cost_ms]);
+        let log_file = target.log_file.as_ref().map(|path| path.display().to_string());
+        if let Some(path) = &log_file {
+            arguments.extend(["--log-file", path]);
+        }
+        let process = Process::start(&program("test-standin"), &arguments, &log);
+        target.sql_proxy.set_upstream(address(&process, "target"));
+        target.log_proxy.set_upstream(address(&process, "replication"));
+        target.process = Some(process);
+    }
+
+    /// Starts, or starts again, an instance.
+    pub fn start_instance(&mut self, index: usize) {
+        let seeds: Vec<_> = self
+            .instances
+            .iter()
+            .enumerate()
+            .filter(|(other, _)| *other != index)
+            .map(|(_, node)| {
+                json!({
+                    "instance": node.id,
+                    "peer_address": node.peer_proxy.address,
+                    "failure_domain": node.domain,
+                })
+            })
+            .collect();
+        let node = &mut self.instances[index];
+        let settings = json!({
+            "instance": node.id,
+            "failure_domain": node.domain,
+            "client_address": any_port(),
+            "peer_address": any_port(),
+            "advertised_peer_address": node.peer_proxy.address,
+            "admin_address": any_port(),
+            "store_url": format!("http://{}", node.store_proxy.address),
+            "peer_key": PEER_KEY,
+            "seeds": seeds,
+        });
+        let path = self.folder.join(format!("{}.json", node.id));
+        std::fs::write(&path, settings.to_string()).expect("the folder can be written");
+        let log = self.folder.join(format!("{}.txt", node.id));
+        let path = path.display().to_string();
+        let process = Process::start(&program("test-chervilwharfd"), &["--settings", &path], &log);
+        node.client_proxy.set_upstream(address(&process, "client"));
+        node.peer_proxy.set_upstream(address(&process, "peer"));
+        node.admin = address(&process, "admin");
+        node.process = Some(process);
+    }
+
+    /// Writes the configuration to the store.
+    pub fn store_configuration(&self, author: &str) -> u64 {
+        let stored = StoredConfiguration {
+            update_id: uuid::Uuid::now_v7().to_string(),
+            author: author.to_owned(),
+            at_ms: 0,
+            text: serde_json::to_string_pretty(&self.config).expect("plain data"),
+        };
+        let value = serde_json::to_string(&stored).expect("plain data");
+        self.store.put(CONFIGURATION_KEY, &value)
+    }
+
+    /// Puts all instances on the platform's list.
+    pub fn list_instances(&self) {
+        let listed: Vec<_> = self
+            .instances
+            .iter()
+            .map(|node| {
+                json!({
+                    "id": node.id,
+                    "peer_address": node.peer_proxy.address,
+                    "admin_address": node.admin,
+                    "failure_domain": node.domain,
+                })
+            })
+            .collect();
+        self.store.set_instances(&json!(listed));
+    }
+
+    /// What an instance says of itself.
+    pub async fn status(&self, index: usize) -> Option<Value> {
+        let url = format!("http://{}/status", self.instances[index].admin);
+        let client = reqwest::Client::builder().no_proxy().timeout(Duration::from_secs(2));
+        let client = client.build().expect("no unusual options");
+        client.get(url).send().await.ok()?.json().await.ok()
+    }
+
+    /// Metrics of an instance.
+    pub async fn metrics(&self, index: usize) -> String {
+        let url = format!("http://{}/metrics", self.instances[index].admin);
+        let client = reqwest::Client::builder().no_proxy().build().expect("no unusual options");
+        let response = client.get(url).send().await.expect("the instance is up");
+        response.text().await.expect("metrics are text")
+    }
+
+    /// Index of the instance that serves a database, its term and primary.
+    pub async fn serving(&self, database: &str) -> Option<(usize, u64, String)> {
+        let mut best: Option<(usize, u64, String)> = None;
+        for index in 0..self.instances.len() {
+            if self.instances[index].process.is_none() {
+                continue;
+            }
+            let Some(status) = self.status(index).await else {
+                continue;
+            };
+            let own = &status["databases"][database]["serving_here"];
+            let (Some(term), Some(primary)) = (own["term"].as_u64(), own["primary"].as_str())
+            else {
+                continue;
+            };
+            if best.as_ref().is_none_or(|(_, known, _)| *known < term) {
+                best = Some((index, term, primary.to_owned()));
+            }
+        }
+        best
+    }
+
+    /// Waits until every database is served by someone.
+    pub async fn wait_until_served(&self) {
+        for database in self.config.databases.keys() {
+            wait_for("every database is served", async || self.serving(database).await.is_some())
+                .await;
+        }
+    }
+
+    /// Index of a server by its name.
+    ///
+    /// # Panics
+    ///
+    /// When there is none.
+    #[must_use]
+    pub fn target(&self, id: &str) -> usize {
+        self.targets.iter().position(|node| node.id == id).expect("the server exists")
+    }
+
+    /// Folder with settings and logs, to look at after a failure.
+    #[must_use]
+    pub fn folder(&self) -> &PathBuf {
+        &self.folder
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        // Kept after a failure: the logs tell why.
+        if std::thread::panicking() {
+            eprintln!("logs of the failed test: {}", self.folder.display());
+        } else {
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+/// Waits until a condition holds.
+///
+/// # Panics
+///
+/// When it does not hold for very long.
+pub async fn wait_for(what: &str, condition: impl AsyncFn() -> bool) {
+    let deadline = Instant::now() + PATIENCE;
+    while !condition().await {
+        assert!(Instant::now() < deadline, "never came true: {what}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+fn configuration(shape: &Shape, targets: &[TargetNode]) -> Config {
+    let databases: Vec<String> = (1..=shape.databases).map(|n| format!("db{n}")).collect();
+    let server = |(index, node): (usize, &TargetNode)| Server {
+        id: node.id.as_str().into(),
+        address: node.sql_proxy.address.to_string().into(),
+        replication_address: Some(node.log_proxy.address.to_string().into()),
+        failure_domain: format!("domain-{}", index % shape.domains + 1).into(),
+        slots: 3,
+        connections: shape.connections,
+        leaving: false,
+    };
+    let group = |(number, name): (usize, &String)| {
+        let servers = targets[number * 3..number * 3 + 3].iter().enumerate().map(server);
+        let login = "chervilwharf";
+        let database =
+            Database { servers: servers.collect(), login: login.into(), password: login.into() };
+        (name.as_str().into(), database)
+    };
+    let service = |priority, freshness| Service {
+        priority,
+        objective: 0.999,
+        freshness,
+        acknowledge: chervilwharf_lib::config::Acknowledge::Replica,
+        deadline_ms: 10_000,
+        depends_on: Dependencies {
+            databases: databases.iter().map(|name| name.as_str().into()).collect(),
+            services: Vec::new(),
+        },
+    };
+    let account = |name: &str, service: &str| {
+        let salt = format!("salt of {name:<16}");
+        let account = Account {
+            verifier: verifier::make_verifier(name, salt.as_bytes()).into(),
+            services: vec![service.into()],
+            max_connections: 1000,
+            requests_per_s: 100_000,
+        };
+        (name.into(), account)
+    };
+    let services = BTreeMap::from([
+        ("bookings".into(), service(1, DefaultFreshness::OwnWrites)),
+        ("gates".into(), service(1, DefaultFreshness::Fresh)),
+        ("availability".into(), service(6, DefaultFreshness::MaxAgeMs(2000))),
+    ]);
+    Config {
+        failure_domains: (1..=shape.domains).map(|n| format!("domain-{n}").into()).collect(),
+        databases: databases.iter().enumerate().map(group).collect(),
+        services,
+        accounts: BTreeMap::from([
+            account("tenant", "bookings"),
+            account("tenant2", "bookings"),
+            account("kiosk", "gates"),
+            account("callcentre", "availability"),
+        ]),
+    }
+}
--- /dev/null
+++ b/testing/testutils/src/lib.rs
@@ -0,0 +1,5 @@
+//! A whole deployment of real processes for tests, each behind fault proxies.
+
+pub mod callers;
+pub mod cluster;
+pub mod process;
--- /dev/null
+++ b/testing/testutils/src/process.rs
@@ -0,0 +1,122 @@
+//! A child process of a test, ended by its id when dropped.
+
+use std::collections::HashMap;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+
+/// A running process.
+pub struct Process {
+    child: Child,
+    /// What its first line said, as `name=value`.
+    pub ready: HashMap<String, String>,
+}
+
+/// Where cargo puts the programs: next to the tests.
+///
+/// # Panics
+///
+/// When the test does not run from cargo's target folder.
+#[must_use]
+pub fn program(name: &str) -> PathBuf {
+    let test = std::env::current_exe().expect("a test knows its own path");
+    let folder = test.parent().and_then(Path::parent).expect("tests lie in target/profile/deps");
+    let path = folder.join(name);
+    assert!(path.exists(), "{name} is not built; run the tests of the whole workspace");
+    path
+}
+
+impl Process {
+    /// Starts a program and waits for its line `ready name=value …`.
+    ///
+    /// # Panics
+    ///
+    /// When it cannot be started or ends before that line.
+    #[must_use]
+    pub fn start(program: &Path, arguments: &[&str], log: &Path) -> Self {
+        let log = std::fs::File::options()
+            .create(true)
+            .append(true)
+            .open(log)
+            .expect("the log file can be written");
+        let mut child = Command::new(program)
+            .args(arguments)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::from(log))
+            .stdin(Stdio::null())
+            .spawn()
+            .expect("the program can be started");
+        let output = child.stdout.take().expect("its output is piped");
+        let mut line = String::new();
+        BufReader::new(output).read_line(&mut line).expect("its output can be read");
+        let ready: HashMap<_, _> = line
+            .split_whitespace()
+            .filter_map(|word| word.split_once('='))
+            .map(|(name, value)| (name.to_owned(), value.to_owned()))
+            .collect();
+        assert!(line.starts_with("ready"), "{} said {line:?}", program.display());
+        Self { child, ready }
+    }
+
+    fn signal(&self, signal: libc::c_int) {
+        let id = libc::pid_t::try_from(self.child.id()).expect("process ids are small");
+        // SAFETY: kill takes no pointers; the id is that of our own child,
+        // which has not been waited for and so cannot be reused.
+        let result = unsafe { libc::kill(id, signal) };
+        assert_eq!(result, 0, "signal {signal} to our own child");
+    }
+
+    /// Ends it at once.
+    ///
+    /// # Panics
+    ///
+    /// When it cannot be waited for.
+    pub fn kill(&mut self) {
+        self.signal(libc::SIGKILL);
+        self.child.wait().expect("a killed child ends");
+    }
+
+    /// Stops it in its tracks.
+    pub fn freeze(&self) {
+        self.signal(libc::SIGSTOP);
+    }
+
+    /// Lets it go on.
+    pub fn thaw(&self) {
+        self.signal(libc::SIGCONT);
+    }
+
+    /// Asks it to end.
+    pub fn terminate(&self) {
+        self.signal(libc::SIGTERM);
+    }
+
+    /// Whether it has ended, and with which exit code.
+    ///
+    /// # Panics
+    ///
+    /// When its state cannot be read.
+    pub fn exit_code(&mut self) -> Option<i32> {
+        let status = self.child.try_wait().expect("a child can be asked");
+        status.map(|status| status.code().unwrap_or(-1))
+    }
+
+    /// Its process id.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        if matches!(self.child.try_wait(), Ok(None)) {
+            let _ = self.child.kill();
+            let _ = self.child.wait();
+        }
+    }
+}
