owner: let statements of open transactions pass the slot queue

Cause: a transaction held a lock of the primary while statements that waited for that lock filled all its slots; the transaction's own next statement then waited for a slot until its deadline. Four writers with transactions stood still for good (test_killed_primary_leaves_transactions_whole, 60 s without progress, before any fault was brought about).

Ruled out: the fault itself, since the writers stood still before it; holding a slot for a whole transaction, since three idle ones would then block a database for the idle limit.

Conclusion: statements of open transactions take a slot without waiting.

--- a/daemon/src/checkout.rs
+++ b/daemon/src/checkout.rs
@@ -172,6 +172,21 @@
     }
 }
 
+/// Takes a slot for a statement of an open transaction, without waiting.
+pub fn overdraw_slot(context: &Shared, database: &DatabaseId, server: &TargetId) -> SlotGuard {
+    context.with_database(database, |state| {
+        if let Some(slots) = state.slots.get_mut(server) {
+            slots.overdraw();
+        }
+    });
+    SlotGuard {
+        context: context.clone(),
+        database: database.clone(),
+        server: server.clone(),
+        since: Instant::now(),
+    }
+}
+
 /// One who waits for a slot. Leaves the queue when its request is dropped;
 /// otherwise the slot would be granted to nobody and lost.
 struct Waiter<'a> {
--- a/daemon/src/transaction.rs
+++ b/daemon/src/transaction.rs
@@ -192,9 +192,7 @@
     let transaction = held.ok_or_else(lost)?;
     let serving = transaction.serving.clone();
     let (database, deadline) = (&request.database, request.deadline);
-    let server = &serving.primary;
-    let slot = checkout::acquire_slot(context, database, server, request.priority, deadline);
-    let _slot = slot.await?;
+    let _slot = checkout::overdraw_slot(context, database, &serving.primary);
     let guard = transaction.guard.as_mut().ok_or_else(lost)?;
     let step = [write::statement_step(&request.submit)];
     match tokio::time::timeout_at(deadline.into(), guard.get().run(&step)).await {
--- a/lib/src/admission.rs
+++ b/lib/src/admission.rs
@@ -91,6 +91,15 @@
         Admission::Queued(ticket)
     }
 
+    /// Takes a slot whether or not one is free.
+    ///
+    /// For a statement of an open transaction: those in the slots may wait
+    /// for its locks, and if it had to wait for a slot in turn, all of them
+    /// would stand still until their deadlines.
+    pub fn overdraw(&mut self) {
+        self.in_use += 1;
+    }
+
     fn has_lower_priority(&self, priority: Priority) -> bool {
         self.waiting.last().is_some_and(|key| key.priority > priority)
     }
--- a/testing/testutils/src/cluster.rs
+++ b/testing/testutils/src/cluster.rs
@@ -418,6 +418,10 @@
             account("tenant2", "bookings"),
             account("kiosk", "gates"),
             account("callcentre", "availability"),
+            account("writer1", "bookings"),
+            account("writer2", "bookings"),
+            account("writer3", "bookings"),
+            account("writer4", "bookings"),
         ]),
     }
 }
--- a/testing/testutils/src/lib.rs
+++ b/testing/testutils/src/lib.rs
@@ -1,5 +1,6 @@
 //! A whole deployment of real processes for tests, each behind fault proxies.
 
 pub mod callers;
+pub mod checker;
 pub mod cluster;
 pub mod process;
--- a/testing/testutils/tests/test_path.rs
+++ b/testing/testutils/tests/test_path.rs
@@ -3,6 +3,7 @@
 use chervilwharf_testutils::callers::sqlstate;
 use chervilwharf_testutils::cluster::Cluster;
 use chervilwharf_testutils::cluster::Shape;
+use chervilwharf_testutils::cluster::wait_for;
 use tokio_postgres::SimpleQueryMessage;
 use tokio_postgres::types::Type;
 
@@ -135,3 +136,36 @@
     client.batch_execute("SELECT 1").await.unwrap();
     neighbour.batch_execute("SELECT 1").await.unwrap();
 }
+
+/// Symptom: transactions stand still until their deadlines. Sequence: one
+/// holds a lock, others wait for it in all slots of the primary, and the next
+/// statement of the first waits for a slot. Cause: an open transaction has to
+/// queue behind those who wait for it.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_open_transaction_does_not_wait_behind_those_who_wait_for_it() {
+    let cluster = Cluster::start(Shape::default()).await;
+    let holder = cluster.connect(0, "tenant").await;
+    holder.batch_execute("CREATE TABLE t (id INTEGER)").await.unwrap();
+    holder.batch_execute("BEGIN").await.unwrap();
+    holder.batch_execute("INSERT INTO t VALUES (0)").await.unwrap();
+    let mut waiters = Vec::new();
+    for id in 1..=6 {
+        let waiter = cluster.connect(id % 3, "tenant").await;
+        waiters.push(tokio::spawn(async move {
+            waiter.batch_execute(&format!("INSERT INTO t VALUES ({id})")).await
+        }));
+    }
+    wait_for("the slots of the primary are taken", async || {
+        let (owner, _, primary) = cluster.serving("db1").await.unwrap();
+        let status = cluster.status(owner).await.unwrap();
+        let servers = status["databases"]["db1"]["serving_here"]["servers"].as_array().unwrap();
+        let primary = servers.iter().find(|server| server["server"] == primary.as_str());
+        primary.unwrap()["slots_in_use"] == 3
+    })
+    .await;
+    holder.batch_execute("INSERT INTO t VALUES (7)").await.unwrap();
+    holder.batch_execute("COMMIT").await.unwrap();
+    for waiter in waiters {
+        waiter.await.unwrap().unwrap();
+    }
+}
