ownership: grant terms to one life of an instance, not to its name

Cause: an owner that was restarted under the same name fenced with the term it had before. The servers took the name for the same holder and granted the term again; it then promoted a second server in that term, and a fresh read at one primary missed what the other had acknowledged.

Ruled out: the currency wait and handovers. The trace shows one instance, no handover, and two servers with is_primary in term 1.

Also found while reading for it: a giver whose handover was not accepted went on answering within its currency, though the offer may have arrived and the taker does not wait that time out. It now forgets which servers confirmed it.

Conclusion: a holder is instance@life, new with every start.

--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -185,7 +185,7 @@
     let Some(known) = context.server(&server) else {
         return;
     };
-    let result = known.control.fence(term, &context.settings.instance).await;
+    let result = known.control.fence(term, context.instance.holder()).await;
     let event = OwnershipEvent::Fenced { server, term, result };
     context.handle_ownership(&database, event);
 }
@@ -194,7 +194,7 @@
     let Some(known) = context.server(&server) else {
         return;
     };
-    let result = known.control.promote(term, &context.settings.instance).await;
+    let result = known.control.promote(term, context.instance.holder()).await;
     let event = OwnershipEvent::Promoted { server, term, result };
     context.handle_ownership(&database, event);
 }
@@ -205,7 +205,7 @@
     };
     let address = upstream.replication_address.clone();
     // A failed call is repeated by the decisions after the next probe.
-    let _ = known.control.follow(term, &context.settings.instance, &primary, &address).await;
+    let _ = known.control.follow(term, context.instance.holder(), &primary, &address).await;
 }
 
 async fn probe(context: Shared, database: DatabaseId, server: TargetId, sequence: u64) {
--- a/daemon/src/target.rs
+++ b/daemon/src/target.rs
@@ -8,7 +8,7 @@
 use chervilwharf_lib::config::Database;
 use chervilwharf_lib::config::Server;
 use chervilwharf_lib::id::DatabaseId;
-use chervilwharf_lib::id::InstanceId;
+use chervilwharf_lib::id::HolderId;
 use chervilwharf_lib::id::TargetId;
 use chervilwharf_lib::id::Term;
 use chervilwharf_lib::ownership::FenceFailure;
@@ -44,16 +44,16 @@
     async fn state(&self) -> Result<ServerState, FenceFailure>;
 
     /// Makes it refuse all terms below `term`.
-    async fn fence(&self, term: Term, owner: &InstanceId) -> Result<ServerState, FenceFailure>;
+    async fn fence(&self, term: Term, holder: &HolderId) -> Result<ServerState, FenceFailure>;
 
     /// Makes it the primary of `term`. Returns the first entry of the term.
-    async fn promote(&self, term: Term, owner: &InstanceId) -> Result<Position, FenceFailure>;
+    async fn promote(&self, term: Term, holder: &HolderId) -> Result<Position, FenceFailure>;
 
     /// Makes it follow a primary.
     async fn follow(
         &self,
         term: Term,
-        owner: &InstanceId,
+        holder: &HolderId,
         primary: &TargetId,
         primary_address: &str,
     ) -> Result<(), FenceFailure>;
@@ -141,14 +141,14 @@
         read_state(&result).ok_or(FenceFailure::Unreachable)
     }
 
-    async fn fence(&self, term: Term, owner: &InstanceId) -> Result<ServerState, FenceFailure> {
-        let sql = format!("SELECT * FROM chervilwharf_fence({term}, '{}')", quote(owner));
+    async fn fence(&self, term: Term, holder: &HolderId) -> Result<ServerState, FenceFailure> {
+        let sql = format!("SELECT * FROM chervilwharf_fence({term}, '{}')", quote(holder));
         let result = self.call(&sql).await?;
         read_state(&result).ok_or(FenceFailure::Unreachable)
     }
 
-    async fn promote(&self, term: Term, owner: &InstanceId) -> Result<Position, FenceFailure> {
-        let sql = format!("SELECT * FROM chervilwharf_promote({term}, '{}')", quote(owner));
+    async fn promote(&self, term: Term, holder: &HolderId) -> Result<Position, FenceFailure> {
+        let sql = format!("SELECT * FROM chervilwharf_promote({term}, '{}')", quote(holder));
         let result = self.call(&sql).await?;
         read_position(&result).ok_or(FenceFailure::Unreachable)
     }
@@ -156,13 +156,13 @@
     async fn follow(
         &self,
         term: Term,
-        owner: &InstanceId,
+        holder: &HolderId,
         primary: &TargetId,
         primary_address: &str,
     ) -> Result<(), FenceFailure> {
         let sql = format!(
             "SELECT * FROM chervilwharf_follow({term}, '{}', '{}', '{}')",
-            quote(owner),
+            quote(holder),
             quote(primary),
             quote(primary_address)
         );
--- a/lib/src/config_check.rs
+++ b/lib/src/config_check.rs
@@ -228,6 +228,7 @@
             for server in servers {
                 let place = self.find(placed.raw, &server.id);
                 if !seen.insert(server.id.clone()) {
+                    let place = self.find_last(placed.raw, &server.id);
                     self.error_at(place, format!("server \"{}\" stands twice", server.id));
                 }
                 if server.address.parse::<SocketAddr>().is_err() {
@@ -421,6 +422,12 @@
         (raw.get().as_ptr() as usize).saturating_sub(start).min(self.text.len())
     }
 
+    /// Where a string stands inside a raw value for the last time.
+    fn find_last(&self, raw: &RawValue, needle: &str) -> usize {
+        let quoted = serde_json::to_string(needle).unwrap_or_default();
+        self.offset(raw) + raw.get().rfind(&quoted).unwrap_or(0)
+    }
+
     /// Where a string stands inside a raw value.
     fn find(&self, raw: &RawValue, needle: &str) -> usize {
         let quoted = serde_json::to_string(needle).unwrap_or_default();
--- a/lib/src/id.rs
+++ b/lib/src/id.rs
@@ -5,6 +5,10 @@
 /// Names one running `chervilwharfd`.
 pub type InstanceId = Arc<str>;
 
+/// Names one life of an instance: its name and what tells this life from
+/// those before a restart. Servers grant terms to holders, not to instances.
+pub type HolderId = Arc<str>;
+
 /// Names one database group: a database with its primary and replicas.
 pub type DatabaseId = Arc<str>;
 
--- a/lib/src/instance.rs
+++ b/lib/src/instance.rs
@@ -16,6 +16,7 @@
 use crate::floors::Floors;
 use crate::id::ConfigVersion;
 use crate::id::DatabaseId;
+use crate::id::HolderId;
 use crate::id::InstanceId;
 use crate::id::TargetId;
 use crate::id::Term;
@@ -25,6 +26,7 @@
 use crate::membership::MembershipTiming;
 use crate::membership::OwnerRecord;
 use crate::membership::PeerInfo;
+use crate::ownership;
 use crate::ownership::GroupServer;
 use crate::ownership::Ownership;
 use crate::ownership::OwnershipAction;
@@ -201,6 +203,7 @@
     membership: Mutex<Membership>,
     shards: Vec<Mutex<Shard>>,
     ownership_timing: OwnershipTiming,
+    holder: HolderId,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -208,17 +211,31 @@
 }
 
 impl Instance {
-    /// An instance without databases.
+    /// An instance without databases. `life` tells this life of the instance
+    /// from those before a restart.
     #[must_use]
-    pub fn new(me: PeerInfo, membership: MembershipTiming, ownership: OwnershipTiming) -> Self {
+    pub fn new(
+        me: PeerInfo,
+        life: &str,
+        membership: MembershipTiming,
+        ownership: OwnershipTiming,
+    ) -> Self {
+        let holder = ownership::holder(&me.id, life);
         let shards = (0..SHARD_COUNT).map(|_| Mutex::default()).collect();
         Self {
             membership: Mutex::new(Membership::new(me, membership)),
             shards,
             ownership_timing: ownership,
+            holder,
         }
     }
 
+    /// Name of this life of the instance, as told to servers.
+    #[must_use]
+    pub fn holder(&self) -> &HolderId {
+        &self.holder
+    }
+
     /// This instance's view of the others.
     pub fn membership(&self) -> MutexGuard<'_, Membership> {
         lock(&self.membership)
@@ -265,6 +282,7 @@
             let state = shard.databases.entry(id.clone()).or_insert_with(|| DatabaseState {
                 ownership: Ownership::new(
                     me.id.clone(),
+                    self.holder.clone(),
                     me.failure_domain.clone(),
                     id.clone(),
                     servers.clone(),
@@ -471,6 +489,10 @@
     ) -> Vec<InstanceAction> {
         self.with_database(database, |state| state.gate = Gate::Open);
         if !accepted {
+            // The offer may have arrived and only its answer be lost. The
+            // other does not wait out our currency, so there must be none
+            // left until a majority has confirmed our term anew.
+            self.with_database(database, |state| state.ownership.forget_currency());
             return Vec::new();
         }
         self.ownership_event(now, database, OwnershipEvent::Release)
--- a/lib/src/ownership.rs
+++ b/lib/src/ownership.rs
@@ -8,13 +8,13 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
 use crate::detector::Detector;
 use crate::id::DatabaseId;
 use crate::id::FailureDomainId;
+use crate::id::HolderId;
 use crate::id::InstanceId;
 use crate::id::TargetId;
 use crate::id::Term;
@@ -96,8 +96,8 @@
 pub struct ServerState {
     /// Highest term it has seen.
     pub term: Term,
-    /// Owner that fenced it with this term.
-    pub owner: Arc<str>,
+    /// Holder that fenced it with this term.
+    pub owner: HolderId,
     /// Whether it was promoted in this term.
     pub is_primary: bool,
     /// Server it follows, if it does.
@@ -170,8 +170,8 @@
     HigherTerm {
         /// Its term.
         term: Term,
-        /// The owner in that term.
-        owner: Arc<str>,
+        /// Its holder.
+        owner: HolderId,
     },
     /// It could not be reached or failed.
     Unreachable,
@@ -314,6 +314,7 @@
 #[derive(Clone, Debug)]
 pub struct Ownership {
     me: InstanceId,
+    holder: HolderId,
     near: FailureDomainId,
     database: DatabaseId,
     timing: OwnershipTiming,
@@ -329,6 +330,24 @@
     jitter_state: u64,
 }
 
+/// Separates the name of an instance from its life in a holder.
+const HOLDER_SEPARATOR: char = '@';
+
+/// Names one life of an instance.
+///
+/// A server takes a repeated fence of a term from the same holder. An
+/// instance that was restarted has forgotten its term; if it had the same
+/// name to the servers as before, it would be granted its old term again and
+/// promote a second primary in it.
+#[must_use]
+pub fn holder(instance: &str, life: &str) -> HolderId {
+    format!("{instance}{HOLDER_SEPARATOR}{life}").into()
+}
+
+fn instance_of(holder: &str) -> &str {
+    holder.rsplit_once(HOLDER_SEPARATOR).map_or(holder, |(instance, _)| instance)
+}
+
 /// A gap between two ticks from which we conclude that we were paused.
 const PAUSE_GAP: Duration = Duration::from_millis(300);
 
@@ -337,6 +356,7 @@
     #[must_use]
     pub fn new(
         me: InstanceId,
+        holder: HolderId,
         near: FailureDomainId,
         database: DatabaseId,
         servers: Vec<GroupServer>,
@@ -345,6 +365,7 @@
         let jitter_state = crate::placement::stable_hash(&[&me, &database]) | 1;
         let mut ownership = Self {
             me,
+            holder,
             near,
             database,
             timing,
@@ -440,6 +461,14 @@
         times.get(self.majority() - 1).copied()
     }
 
+    /// Forgets which servers have confirmed our term.
+    pub fn forget_currency(&mut self) {
+        for view in self.servers.values_mut() {
+            view.confirmed_sent_at = None;
+            view.detector.forgive();
+        }
+    }
+
     /// Whether reads may be answered at `now`.
     #[must_use]
     pub fn is_current(&self, now: Instant) -> bool {
@@ -647,7 +676,7 @@
         // The first refusal only tells the current term to one who did not
         // know it. A second one is a race with another instance, unless the
         // term is our own from before a restart.
-        if !self.retried_at_once || owner == &*self.me {
+        if !self.retried_at_once || instance_of(owner) == &*self.me {
             self.retried_at_once = true;
             return self.start_fencing(now, cause);
         }
@@ -987,7 +1016,7 @@
         state: Option<ServerState>,
     ) -> Vec<OwnershipAction> {
         let own_term = self.serving().map(|(term, _)| term);
-        let me = self.me.clone();
+        let holder = self.holder.clone();
         let Some(view) = self.servers.get_mut(server) else {
             return Vec::new();
         };
@@ -1013,7 +1042,7 @@
         if term > own_term {
             return self.lose(now, LossReason::Fenced);
         }
-        if term == own_term && owner == me {
+        if term == own_term && owner == holder {
             if let Some(sent_at) = sent_at {
                 view.confirmed_sent_at = view.confirmed_sent_at.max(Some(sent_at));
             }
