owner: end work at a server with the term, not with the deadline

Cause: statements on their way to a primary that had gone silent waited until their deadlines, and so did those queued for its slots and those waiting for a connection to it; waits for a replica shared one round that the dead server held up by its timeout.

Ruled out: detection and promotion, 0.5 s and 3 ms of an 8.4 s gap by the log.

--- a/daemon/src/confirm.rs
+++ b/daemon/src/confirm.rs
@@ -1,25 +1,30 @@
 //! Waits until a replica has received a write.
 
+use std::collections::HashSet;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
 use chervilwharf_lib::id::DatabaseId;
+use chervilwharf_lib::id::TargetId;
 use chervilwharf_lib::position::Position;
-use futures::StreamExt;
-use futures::stream::FuturesUnordered;
 use tokio::sync::Notify;
 
 use crate::context::Context;
 use crate::context::Shared;
+use crate::owner;
+use crate::owner::Interruption;
 
 /// Waiters of one database. They share one position probe.
 #[derive(Default)]
 pub struct ConfirmHub {
     waiting: AtomicUsize,
     advanced: Notify,
+    /// Replicas that are being asked.
+    asking: Mutex<HashSet<TargetId>>,
 }
 
 struct Waiting<'a>(&'a ConfirmHub);
@@ -58,19 +63,22 @@
     if is_confirmed(context, database, position)? {
         return Ok(());
     }
-    let first = hub.waiting.fetch_add(1, Ordering::SeqCst) == 0;
+    hub.waiting.fetch_add(1, Ordering::SeqCst);
     let _waiting = Waiting(&hub);
-    if first {
-        tokio::spawn(probe_replicas(context.clone(), database.clone(), hub.clone()));
-    }
-    loop {
-        let advanced = hub.advanced.notified();
-        if is_confirmed(context, database, position)? {
-            return Ok(());
-        }
-        if tokio::time::timeout_at(deadline.into(), advanced).await.is_err() {
-            return Err(NotConfirmed::Late);
+    ask_replicas(context, database, &hub);
+    let confirmed = async {
+        loop {
+            let advanced = hub.advanced.notified();
+            if is_confirmed(context, database, position)? {
+                return Ok(());
+            }
+            advanced.await;
         }
+    };
+    match owner::within_term(context, database, position.term, deadline, confirmed).await {
+        Ok(result) => result,
+        Err(Interruption::TermOver) => Err(NotConfirmed::TermOver),
+        Err(Interruption::Late) => Err(NotConfirmed::Late),
     }
 }
 
@@ -86,12 +94,40 @@
     confirmed.flatten().ok_or(NotConfirmed::TermOver)
 }
 
-/// Asks the replicas for their position again and again while anyone waits.
-async fn probe_replicas(context: Shared, database: DatabaseId, hub: Arc<ConfirmHub>) {
-    while hub.waiting.load(Ordering::SeqCst) > 0 {
-        let advanced = probe_once(&context, &database).await;
-        hub.advanced.notify_waiters();
-        if !advanced {
+/// Starts asking each replica that is not being asked already.
+///
+/// Each is asked by a task of its own: one that does not answer must not
+/// delay what the others have to say.
+fn ask_replicas(context: &Shared, database: &DatabaseId, hub: &Arc<ConfirmHub>) {
+    let replicas = context.with_database(database, |state| {
+        let primary = state.ownership.serving().map(|(_, primary)| primary);
+        let others =
+            state.ownership.servers().filter(|server| Some(&server.id) != primary.as_ref());
+        others.map(|server| server.id.clone()).collect::<Vec<_>>()
+    });
+    for replica in replicas.unwrap_or_default() {
+        if hub.asking.lock().expect("never poisoned").insert(replica.clone()) {
+            tokio::spawn(ask(context.clone(), database.clone(), replica, hub.clone()));
+        }
+    }
+}
+
+/// Asks one replica for its position again and again while anyone waits.
+async fn ask(context: Shared, database: DatabaseId, replica: TargetId, hub: Arc<ConfirmHub>) {
+    loop {
+        {
+            // Checked and left under one lock, so that a waiter that comes
+            // now either is seen here or starts the next task.
+            let mut asking = hub.asking.lock().expect("never poisoned");
+            if hub.waiting.load(Ordering::SeqCst) == 0 {
+                asking.remove(&replica);
+                return;
+            }
+        }
+        let advanced = ask_once(&context, &database, &replica).await;
+        if advanced {
+            hub.advanced.notify_waiters();
+        } else {
             pause().await;
         }
     }
@@ -105,38 +141,19 @@
     }
 }
 
-/// Asks all replicas and takes the first answer. Returns whether it brought
-/// a later position.
-async fn probe_once(context: &Shared, database: &DatabaseId) -> bool {
-    let view = context.with_database(database, |state| {
-        let (term, primary) = state.ownership.serving()?;
-        let others = state.ownership.servers().filter(|server| server.id != primary);
-        let replicas: Vec<_> = others.map(|server| server.id.clone()).collect();
-        Some((term, replicas, state.ownership.confirmed()))
-    });
-    let Some((term, replicas, before)) = view.flatten() else {
+/// Returns whether the replica has more than was known of it.
+async fn ask_once(context: &Shared, database: &DatabaseId, replica: &TargetId) -> bool {
+    let Some(server) = context.server(replica) else {
+        tokio::time::sleep(Duration::from_millis(10)).await;
         return false;
     };
-    let mut answers = FuturesUnordered::new();
-    for id in replicas {
-        let Some(server) = context.server(&id) else {
-            continue;
-        };
-        answers.push(async move { (id, server.confirm.state().await) });
-    }
-    while let Some((id, answer)) = answers.next().await {
-        let Ok(state) = answer else {
-            continue;
-        };
-        let advanced = context.with_database(database, |database| {
-            if state.term == term {
-                database.ownership.received(&id, term, state.received);
-            }
-            database.ownership.confirmed() > before
-        });
-        if advanced == Some(true) {
-            return true;
-        }
-    }
-    false
+    let Ok(state) = server.confirm.state().await else {
+        return false;
+    };
+    let advanced = context.with_database(database, |database| {
+        let before = database.ownership.confirmed();
+        database.ownership.received(replica, state.term, state.received);
+        database.ownership.confirmed() > before
+    });
+    advanced == Some(true)
 }
--- a/daemon/src/context.rs
+++ b/daemon/src/context.rs
@@ -12,6 +12,7 @@
 use chervilwharf_lib::id::ConfigVersion;
 use chervilwharf_lib::id::DatabaseId;
 use chervilwharf_lib::id::TargetId;
+use chervilwharf_lib::id::Term;
 use chervilwharf_lib::instance::DatabaseState;
 use chervilwharf_lib::instance::Instance;
 use chervilwharf_lib::instance::InstanceAction;
@@ -88,6 +89,8 @@
     pub transactions: Transactions,
     /// Waits for confirmation, by database.
     pub confirmations: Mutex<HashMap<DatabaseId, Arc<ConfirmHub>>>,
+    /// Term in which each database is served here; 0 while it is not.
+    pub served_terms: Mutex<HashMap<DatabaseId, watch::Sender<Term>>>,
     /// Limits of accounts.
     pub limits: Mutex<HashMap<Arc<str>, AccountLimits>>,
     /// Woken when an owner phase, a gate or a known owner changed.
@@ -147,6 +150,21 @@
         self.instance.with_database(database, f)
     }
 
+    /// Term in which a database is served here, to be told when it ends.
+    #[must_use]
+    pub fn served_term(&self, database: &DatabaseId) -> watch::Receiver<Term> {
+        let mut terms = self.served_terms.lock().expect("never poisoned");
+        terms.entry(database.clone()).or_default().subscribe()
+    }
+
+    /// Announces the term in which a database is served here from now on.
+    pub fn set_served_term(&self, database: &DatabaseId, term: Term) {
+        let mut terms = self.served_terms.lock().expect("never poisoned");
+        terms.entry(database.clone()).or_default().send_replace(term);
+        drop(terms);
+        self.changed.notify_waiters();
+    }
+
     /// Confirmation waits of a database.
     #[must_use]
     pub fn confirm_hub(&self, database: &DatabaseId) -> Arc<ConfirmHub> {
--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -159,14 +159,14 @@
                  cause={cause:?} took_ms={}",
                 took.as_millis()
             );
+            context.set_served_term(&database, term);
             tokio::spawn(prepare_database(context.clone(), database, term, primary, first));
-            context.changed.notify_waiters();
         }
         OwnershipAction::Pause { cause } => {
             let now = Instant::now();
             starts.lock().expect("never poisoned").insert(database.clone(), now);
+            context.set_served_term(&database, 0);
             warn!("replacing primary database={database} cause={cause:?}");
-            context.changed.notify_waiters();
         }
         OwnershipAction::Lost { term, reason } => {
             starts.lock().expect("never poisoned").remove(&database);
@@ -176,7 +176,7 @@
                 LossReason::Released => info!("released database={database} term={term}"),
                 _ => warn!("lost database={database} term={term} reason={reason:?}"),
             }
-            context.changed.notify_waiters();
+            context.set_served_term(&database, 0);
         }
     }
 }
--- a/daemon/src/owner.rs
+++ b/daemon/src/owner.rs
@@ -32,6 +32,7 @@
 use crate::answer::to_answer;
 use crate::checkout;
 use crate::checkout::ConnectionGuard;
+use crate::checkout::SlotGuard;
 use crate::context::Context;
 use crate::context::Shared;
 use crate::postgres::BatchError;
@@ -109,10 +110,49 @@
 
 impl Drop for WorkGuard {
     fn drop(&mut self) {
-        self.context.with_database(&self.database, |state| {
+        let awaited = self.context.with_database(&self.database, |state| {
             state.in_progress = state.in_progress.saturating_sub(1);
+            state.gate == Gate::Closed && state.in_progress == 0
         });
-        self.context.changed.notify_waiters();
+        // Only a handover waits for the last request in progress.
+        if awaited == Some(true) {
+            self.context.changed.notify_waiters();
+        }
+    }
+}
+
+/// Why work at a server was given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Interruption {
+    /// The primary is being replaced, or the database is not ours any more.
+    TermOver,
+    /// The time for it is up.
+    Late,
+}
+
+/// Does work at a server while the database is served in `term`, at most
+/// until `limit`.
+///
+/// Packets to a dead server can vanish without an error. Without the end of
+/// the term as a signal, whoever had a statement on its way there would wait
+/// until the deadline, long after another primary serves.
+///
+/// # Errors
+///
+/// Why it was given up. The work itself is dropped then.
+pub async fn within_term<T>(
+    context: &Context,
+    database: &DatabaseId,
+    term: Term,
+    limit: Instant,
+    work: impl Future<Output = T>,
+) -> Result<T, Interruption> {
+    let mut served = context.served_term(database);
+    tokio::select! {
+        biased;
+        done = work => Ok(done),
+        _ = served.wait_for(|served| *served != term) => Err(Interruption::TermOver),
+        () = tokio::time::sleep_until(limit.into()) => Err(Interruption::Late),
     }
 }
 
@@ -228,7 +268,38 @@
     }
 }
 
-/// Gets a connection on which our term is declared.
+/// Gets a slot and a connection at a server, for as long as the term lasts.
+///
+/// # Errors
+///
+/// When they cannot be had before the deadline or the term ends. Nothing was
+/// sent then.
+pub async fn reach(
+    context: &Shared,
+    request: &Request,
+    serving: &Serving,
+    server: &TargetId,
+) -> Result<(SlotGuard, ConnectionGuard), Failure> {
+    let (database, deadline) = (&request.database, request.deadline);
+    let both = async {
+        let priority = request.priority;
+        let slot = checkout::acquire_slot(context, database, server, priority, deadline).await?;
+        let guard = connect_now(context, database, serving, server, deadline).await?;
+        Ok((slot, guard))
+    };
+    or_interrupted(within_term(context, database, serving.term, deadline, both).await)
+}
+
+fn or_interrupted<T>(done: Result<Result<T, Failure>, Interruption>) -> Result<T, Failure> {
+    match done {
+        Ok(result) => result,
+        Err(Interruption::TermOver) => Err(failure(ErrorKind::NoPrimary)),
+        Err(Interruption::Late) => Err(failure(ErrorKind::DeadlineBeforeStart)),
+    }
+}
+
+/// Gets a connection on which our term is declared, for as long as the term
+/// lasts.
 ///
 /// # Errors
 ///
@@ -239,6 +310,17 @@
     serving: &Serving,
     server: &TargetId,
     deadline: Instant,
+) -> Result<ConnectionGuard, Failure> {
+    let connected = connect_now(context, database, serving, server, deadline);
+    or_interrupted(within_term(context, database, serving.term, deadline, connected).await)
+}
+
+async fn connect_now(
+    context: &Shared,
+    database: &DatabaseId,
+    serving: &Serving,
+    server: &TargetId,
+    deadline: Instant,
 ) -> Result<ConnectionGuard, Failure> {
     loop {
         let mut guard = checkout::checkout(context, database, server, deadline).await?;
--- a/daemon/src/read.rs
+++ b/daemon/src/read.rs
@@ -1,5 +1,6 @@
 //! Reads: routed by how current they must be, and checked at the server.
 
+use std::time::Duration;
 use std::time::Instant;
 
 use chervilwharf_lib::config::Acknowledge;
@@ -19,6 +20,7 @@
 use crate::confirm::NotConfirmed;
 use crate::context::Shared;
 use crate::owner;
+use crate::owner::Interruption;
 use crate::owner::Request;
 use crate::owner::Serving;
 use crate::postgres::BatchError;
@@ -32,6 +34,10 @@
 /// Tries of one read before the caller is told to come back.
 const MAX_TRIES: usize = 6;
 
+/// A first try without an answer for this long is given up for another
+/// server or connection: this one may have gone silent.
+const STALL_LIMIT: Duration = Duration::from_millis(400);
+
 /// Index of the caller's statement in the batch of a read.
 const STATEMENT_STEP: usize = 2;
 
@@ -55,12 +61,12 @@
 /// The failure for the caller. A read has no effect, so it never ran.
 pub async fn run(context: &Shared, request: &Request) -> Result<StatementResult, Failure> {
     let mut excluded: Vec<TargetId> = Vec::new();
-    for _ in 0..MAX_TRIES {
+    for tries in 0..MAX_TRIES {
         let (serving, work) =
             owner::enter(context, &request.database, request.deadline, false, false).await?;
         let (server, floor) = choose(context, request, &serving, &excluded);
         let by_replica = server != serving.primary;
-        match try_at(context, request, &serving, &server, floor).await {
+        match try_at(context, request, &serving, &server, floor, tries == 0).await {
             Tried::Done(result, position) => {
                 let answered = finish(context, request, &serving, position, by_replica).await;
                 match answered {
@@ -90,7 +96,7 @@
         // The primary may just be changing; the next round waits for it.
         if excluded.contains(&serving.primary) {
             excluded.clear();
-            tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+            tokio::time::sleep(Duration::from_millis(20)).await;
         }
     }
     Err(failure(ErrorKind::NoPrimary))
@@ -154,21 +160,20 @@
     serving: &Serving,
     server: &TargetId,
     floor: Option<Position>,
+    is_first: bool,
 ) -> Tried {
     let (database, deadline) = (&request.database, request.deadline);
     let by_primary = *server == serving.primary;
-    let slot = checkout::acquire_slot(context, database, server, request.priority, deadline).await;
-    let _slot = match slot {
-        Ok(slot) => slot,
-        Err(failure) => return Tried::Failed(failure),
-    };
-    let mut guard = match owner::connect(context, database, serving, server, deadline).await {
-        Ok(guard) => guard,
+    let (_slot, mut guard) = match owner::reach(context, request, serving, server).await {
+        Ok(reached) => reached,
         Err(failure) if kind_of(&failure) == ErrorKind::NoPrimary => return Tried::Elsewhere,
         Err(failure) => return Tried::Failed(failure),
     };
     let steps = batch(request, floor);
-    let run = tokio::time::timeout_at(deadline.into(), guard.get().run(&steps)).await;
+    let stall = Instant::now() + STALL_LIMIT;
+    let limit = if is_first { deadline.min(stall) } else { deadline };
+    let run = guard.get().run(&steps);
+    let run = owner::within_term(context, database, serving.term, limit, run).await;
     let error = match run {
         Ok(Ok(mut results)) => {
             let position = results.get(POSITION_STEP).and_then(read_position);
@@ -176,7 +181,11 @@
             return Tried::Done(results.swap_remove(STATEMENT_STEP), position);
         }
         Ok(Err(error)) => error,
-        Err(_) => return Tried::Failed(failure(ErrorKind::DeadlineBeforeStart)),
+        Err(Interruption::TermOver) => return Tried::Elsewhere,
+        Err(Interruption::Late) if limit < deadline => return Tried::Elsewhere,
+        Err(Interruption::Late) => {
+            return Tried::Failed(failure(ErrorKind::DeadlineBeforeStart));
+        }
     };
     end_transaction(guard);
     match &error {
@@ -205,7 +214,7 @@
         let rollback = [Step::new("ROLLBACK")];
         let run = guard.get().run(&rollback);
         // A connection that does not answer in this time is closed instead.
-        let _ = tokio::time::timeout(std::time::Duration::from_secs(1), run).await;
+        let _ = tokio::time::timeout(Duration::from_secs(1), run).await;
     });
 }
 
--- a/daemon/src/start.rs
+++ b/daemon/src/start.rs
@@ -159,6 +159,7 @@
         in_flight: InFlight::default(),
         transactions: Transactions::default(),
         confirmations: HashMap::new().into(),
+        served_terms: HashMap::new().into(),
         limits: HashMap::new().into(),
         changed: Notify::new(),
         actions,
--- a/daemon/src/transaction.rs
+++ b/daemon/src/transaction.rs
@@ -171,11 +171,10 @@
     let (serving, work) = owner::enter(context, database, deadline, true, false).await?;
     let count = TransactionCount::new(context, database);
     let server = serving.primary.clone();
-    let slot = checkout::acquire_slot(context, database, &server, request.priority, deadline);
-    let _slot = slot.await?;
-    let mut guard = owner::connect(context, database, &serving, &server, deadline).await?;
+    let (_slot, mut guard) = owner::reach(context, request, &serving, &server).await?;
     let begin = [Step::new("BEGIN")];
-    match tokio::time::timeout_at(deadline.into(), guard.get().run(&begin)).await {
+    let run = guard.get().run(&begin);
+    match owner::within_term(context, database, serving.term, deadline, run).await {
         Ok(Ok(_)) => {}
         Ok(Err(error)) => return Err(owner::batch_failure(context, database, &serving, &error)),
         Err(_) => return Err(failure(ErrorKind::DeadlineBeforeStart)),
@@ -195,7 +194,8 @@
     let _slot = checkout::overdraw_slot(context, database, &serving.primary);
     let guard = transaction.guard.as_mut().ok_or_else(lost)?;
     let step = [write::statement_step(&request.submit)];
-    match tokio::time::timeout_at(deadline.into(), guard.get().run(&step)).await {
+    let run = guard.get().run(&step);
+    match owner::within_term(context, database, serving.term, deadline, run).await {
         Ok(Ok(mut results)) => Ok(results.swap_remove(0)),
         Ok(Err(BatchError::Broken(_))) | Err(_) => Err(lost()),
         Ok(Err(error)) => {
@@ -255,7 +255,9 @@
     let Some(guard) = transaction.guard.as_mut() else {
         return settle(context, request).await;
     };
-    let run = tokio::time::timeout_at(request.deadline.into(), guard.get().run(&steps)).await;
+    let run = guard.get().run(&steps);
+    let limit = request.deadline;
+    let run = owner::within_term(context, &request.database, serving.term, limit, run).await;
     let position = match run {
         Ok(Ok(results)) => results.get(2).and_then(read_position),
         Ok(Err(BatchError::Refused { step, sqlstate, message, .. })) if step < 2 => {
--- a/daemon/src/write.rs
+++ b/daemon/src/write.rs
@@ -19,7 +19,6 @@
 use crate::answer::from_answer;
 use crate::answer::kind_of;
 use crate::answer::to_answer;
-use crate::checkout;
 use crate::checkout::ConnectionGuard;
 use crate::confirm;
 use crate::confirm::NotConfirmed;
@@ -27,6 +26,7 @@
 use crate::metrics::since_epoch;
 use crate::owner;
 use crate::owner::InFlight;
+use crate::owner::Interruption;
 use crate::owner::Request;
 use crate::owner::Serving;
 use crate::postgres::BatchError;
@@ -129,13 +129,21 @@
     NotRun(Failure),
     /// It did not run, and trying again would give the same.
     Refused(Failure),
+    /// It did not run: the statement got no answer for a suspiciously long
+    /// time. Its connection may have gone silent.
+    Stalled,
     /// COMMIT was sent and its answer is missing.
     Unknown,
 }
 
+/// A first try without an answer for this long is given up for a second one
+/// on another connection, which may take all the time that is left.
+const STALL_LIMIT: Duration = Duration::from_secs(1);
+
 async fn run_once(context: &Shared, request: &Request) -> Result<StatementResult, Failure> {
     let digest = digest_of(&request.submit);
     let mut unknown = false;
+    let mut stalled = false;
     loop {
         let entered =
             owner::enter(context, &request.database, request.deadline, false, false).await;
@@ -147,7 +155,7 @@
         let tried = if unknown {
             settle(context, request, &serving).await
         } else {
-            try_once(context, request, &serving, &digest).await
+            try_once(context, request, &serving, &digest, stalled).await
         };
         match tried {
             Tried::Committed(result, position) => {
@@ -166,6 +174,7 @@
             }
             Tried::Refused(failure) => return Err(failure),
             Tried::Unknown => unknown = true,
+            Tried::Stalled => stalled = true,
             Tried::NotRun(failure) => {
                 let given_up = Instant::now() + RETRY_PAUSE >= request.deadline;
                 if given_up && unknown {
@@ -227,17 +236,18 @@
     Ok(StatementResult { from_ledger: true, ..placed(result, row.position) })
 }
 
-async fn try_once(context: &Shared, request: &Request, serving: &Serving, digest: &[u8]) -> Tried {
+async fn try_once(
+    context: &Shared,
+    request: &Request,
+    serving: &Serving,
+    digest: &[u8],
+    stalled_before: bool,
+) -> Tried {
     let (database, deadline) = (&request.database, request.deadline);
     let server = &serving.primary;
-    let slot = checkout::acquire_slot(context, database, server, request.priority, deadline).await;
-    let _slot = match slot {
-        Ok(slot) => slot,
-        Err(failure) => return Tried::Refused(failure),
-    };
-    let mut guard = match owner::connect(context, database, serving, server, deadline).await {
-        Ok(guard) => guard,
-        Err(failure) => return Tried::NotRun(failure),
+    let (_slot, mut guard) = match owner::reach(context, request, serving, server).await {
+        Ok(reached) => reached,
+        Err(failure) => return not_reached(failure),
     };
     let steps = [
         Step::new("BEGIN"),
@@ -246,7 +256,10 @@
     ];
     // Nothing of this batch commits: when it fails or its answer is missing,
     // the write did not run.
-    let run = tokio::time::timeout_at(deadline.into(), guard.get().run(&steps)).await;
+    let stall = Instant::now() + STALL_LIMIT;
+    let limit = if stalled_before { deadline } else { deadline.min(stall) };
+    let run = guard.get().run(&steps);
+    let run = owner::within_term(context, database, serving.term, limit, run).await;
     let result = match run {
         Ok(Ok(mut results)) => {
             if let Some(row) = results.get(1).and_then(read_row) {
@@ -259,13 +272,25 @@
             end_transaction(guard);
             return refused(context, request, serving, &error);
         }
-        Err(_) => return Tried::Refused(failure(ErrorKind::DeadlineBeforeStart)),
+        Err(Interruption::TermOver) => return Tried::NotRun(failure(ErrorKind::NoPrimary)),
+        Err(Interruption::Late) if limit < deadline => return Tried::Stalled,
+        Err(Interruption::Late) => {
+            return Tried::Refused(failure(ErrorKind::DeadlineBeforeStart));
+        }
     };
     let ran = LedgerOutcome::Ran;
     let row = insert_step(request, serving, ran, digest, Some(&result));
     commit(context, request, serving, guard, row, result).await
 }
 
+/// Sorts the failure to get at the primary.
+fn not_reached(failure: Failure) -> Tried {
+    match kind_of(&failure) {
+        ErrorKind::NotOwner | ErrorKind::NoPrimary => Tried::NotRun(failure),
+        _ => Tried::Refused(failure),
+    }
+}
+
 /// Sorts the failure of a batch that has not sent COMMIT.
 fn refused(context: &Shared, request: &Request, serving: &Serving, error: &BatchError) -> Tried {
     if let BatchError::Refused { done, .. } = error {
@@ -275,11 +300,7 @@
             return Tried::Known(row);
         }
     }
-    let failure = owner::batch_failure(context, &request.database, serving, error);
-    match kind_of(&failure) {
-        ErrorKind::NotOwner | ErrorKind::NoPrimary => Tried::NotRun(failure),
-        _ => Tried::Refused(failure),
-    }
+    not_reached(owner::batch_failure(context, &request.database, serving, error))
 }
 
 /// Inserts the ledger row and commits, in one batch.
@@ -292,7 +313,9 @@
     result: StatementResult,
 ) -> Tried {
     let steps = commit_batch(row);
-    let run = tokio::time::timeout_at(request.deadline.into(), guard.get().run(&steps)).await;
+    let limit = request.deadline.min(Instant::now() + STALL_LIMIT);
+    let run = guard.get().run(&steps);
+    let run = owner::within_term(context, &request.database, serving.term, limit, run).await;
     match run {
         Ok(Ok(results)) => match results.get(2).and_then(read_position) {
             Some(position) => Tried::Committed(result, position),
@@ -347,7 +370,10 @@
     let server = &serving.primary;
     let mut guard = owner::connect(context, database, serving, server, deadline).await?;
     let select = select_step(&request.account, &request.submit.request_id);
-    let asked = tokio::time::timeout_at(deadline.into(), guard.get().run(&[select])).await;
+    let select = [select];
+    let limit = deadline.min(Instant::now() + STALL_LIMIT);
+    let run = guard.get().run(&select);
+    let asked = owner::within_term(context, database, serving.term, limit, run).await;
     let results = match asked {
         Ok(Ok(results)) => results,
         Ok(Err(error)) => return Err(owner::batch_failure(context, database, serving, &error)),
@@ -359,7 +385,8 @@
     let tombstone = insert_step(request, serving, LedgerOutcome::Cancelled, &[], None);
     let mut steps = vec![Step::new("BEGIN")];
     steps.extend(commit_batch(tombstone));
-    let written = tokio::time::timeout_at(deadline.into(), guard.get().run(&steps)).await;
+    let run = guard.get().run(&steps);
+    let written = owner::within_term(context, database, serving.term, deadline, run).await;
     match written {
         Ok(Ok(results)) => {
             let position = results.get(3).and_then(read_position);
--- /dev/null
+++ b/testing/testutils/src/experiments/mod.rs
@@ -0,0 +1,8 @@
+//! Measurements against whole deployments. The figures go into
+//! docs/MEASUREMENTS.md and docs/CAPACITY.md.
+
+pub mod capacity;
+pub mod gap;
+pub mod latency;
+pub mod share;
+pub mod stats;
--- a/testing/testutils/src/lib.rs
+++ b/testing/testutils/src/lib.rs
@@ -3,5 +3,6 @@
 pub mod callers;
 pub mod checker;
 pub mod cluster;
+pub mod experiments;
 pub mod process;
 pub mod tool;
--- a/testing/testutils/src/process.rs
+++ b/testing/testutils/src/process.rs
@@ -24,7 +24,9 @@
 #[must_use]
 pub fn program(name: &str) -> PathBuf {
     let test = std::env::current_exe().expect("a test knows its own path");
-    let folder = test.parent().and_then(Path::parent).expect("tests lie in target/profile/deps");
+    // Tests lie in target/profile/deps, programs one folder above.
+    let folder = test.parent().expect("a program lies in a folder");
+    let folder = if folder.ends_with("deps") { folder.parent().unwrap_or(folder) } else { folder };
     let path = folder.join(name);
     assert!(path.exists(), "{name} is not built; run the tests of the whole workspace");
     path
