--- a/daemon/src/answer.rs
+++ b/daemon/src/answer.rs
@@ -86,6 +86,10 @@
     };
     let request = request_id.map(|id| format!(" request_id={id}")).unwrap_or_default();
     info.detail = Some(format!("outcome={outcome} kind={}{request}", kind.name()));
+    if kind == ErrorKind::Stopping {
+        // The connection ends with this answer.
+        "FATAL".clone_into(&mut info.severity);
+    }
     info.hint = retry_hint(failure, rule.retry_after, rule.outcome);
     PgWireError::UserError(Box::new(info))
 }
--- a/daemon/src/confirm.rs
+++ b/daemon/src/confirm.rs
@@ -23,10 +23,28 @@
 pub struct ConfirmHub {
     waiting: AtomicUsize,
     advanced: Notify,
+    /// Position the waiters were last told of.
+    announced: Mutex<Position>,
     /// Replicas that are being asked.
     asking: Mutex<HashSet<TargetId>>,
 }
 
+impl ConfirmHub {
+    /// Wakes the waiters if more is confirmed than they were told. The paced
+    /// probes also learn of positions, so what was known before this answer
+    /// says nothing about what the waiters know.
+    fn announce(&self, confirmed: Position) -> bool {
+        let mut announced = self.announced.lock().expect("never poisoned");
+        if confirmed <= *announced {
+            return false;
+        }
+        *announced = confirmed;
+        drop(announced);
+        self.advanced.notify_waiters();
+        true
+    }
+}
+
 struct Waiting<'a>(&'a ConfirmHub);
 
 impl Drop for Waiting<'_> {
@@ -124,10 +142,8 @@
                 return;
             }
         }
-        let advanced = ask_once(&context, &database, &replica).await;
-        if advanced {
-            hub.advanced.notify_waiters();
-        } else {
+        let confirmed = ask_once(&context, &database, &replica).await;
+        if !hub.announce(confirmed) {
             pause().await;
         }
     }
@@ -141,19 +157,18 @@
     }
 }
 
-/// Returns whether the replica has more than was known of it.
-async fn ask_once(context: &Shared, database: &DatabaseId, replica: &TargetId) -> bool {
+/// Asks a replica once and returns what is confirmed after its answer.
+async fn ask_once(context: &Shared, database: &DatabaseId, replica: &TargetId) -> Position {
     let Some(server) = context.server(replica) else {
         tokio::time::sleep(Duration::from_millis(10)).await;
-        return false;
+        return Position::ZERO;
     };
     let Ok(state) = server.confirm.state().await else {
-        return false;
+        return Position::ZERO;
     };
-    let advanced = context.with_database(database, |database| {
-        let before = database.ownership.confirmed();
+    let confirmed = context.with_database(database, |database| {
         database.ownership.received(replica, state.term, state.received);
-        database.ownership.confirmed() > before
+        database.ownership.confirmed()
     });
-    advanced == Some(true)
+    confirmed.unwrap_or(Position::ZERO)
 }
--- a/daemon/src/context.rs
+++ b/daemon/src/context.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::RwLock;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::time::Duration;
 use std::time::Instant;
@@ -99,6 +100,8 @@
     pub actions: mpsc::UnboundedSender<InstanceAction>,
     /// Set when the instance has to stop.
     pub stopping: watch::Sender<bool>,
+    /// Set when callers have to go elsewhere: new requests are refused.
+    pub refusing: AtomicBool,
     /// Requests of callers in progress at this entry.
     pub active_requests: AtomicUsize,
     /// When the instance started.
--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -44,12 +44,21 @@
 /// Connections kept open to each replica ahead of need.
 const WARM_REPLICA: usize = 3;
 
+/// Spacing of the connections opened ahead of a handover.
+const OPENING_TURN: Duration = Duration::from_millis(6);
+
 /// Longest wait for open transactions before a handover is put off.
 const TRANSACTION_GRACE: Duration = Duration::from_secs(12);
 
 /// Longest wait for requests in progress once nothing new starts.
 const WORK_GRACE: Duration = Duration::from_secs(5);
 
+/// Longest wait for the answer to an offer.
+const HANDOVER_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Pause after an offer to an instance that could not prepare for it.
+const HANDOVER_PAUSE: Duration = Duration::from_millis(200);
+
 /// When takes began, to measure how long each phase lasts.
 type TakeStarts = Mutex<HashMap<DatabaseId, Instant>>;
 
@@ -217,6 +226,32 @@
     context.handle_ownership(&database, event);
 }
 
+/// Opens control connections and some for statements, ahead of a handover.
+pub async fn prepare_connections(context: &Shared, database: &DatabaseId) {
+    let servers = context.with_database(database, |state| {
+        state.ownership.servers().map(|server| server.id.clone()).collect::<Vec<_>>()
+    });
+    let mut openings = tokio::task::JoinSet::new();
+    for server in servers.unwrap_or_default() {
+        if let Some(known) = context.server(&server) {
+            let other = known.clone();
+            openings.spawn(async move { known.control.state().await.is_ok() });
+            openings.spawn(async move { other.confirm.state().await.is_ok() });
+        }
+        for number in 0..WARM_PRIMARY {
+            let (context, database, server) = (context.clone(), database.clone(), server.clone());
+            // Openings are spaced; each waits for its turn.
+            let turn = OPENING_TURN * u32::try_from(number).unwrap_or(0);
+            openings.spawn(async move {
+                tokio::time::sleep(turn).await;
+                checkout::warm_up(context, database, server, WARM_PRIMARY).await;
+                true
+            });
+        }
+    }
+    while openings.join_next().await.is_some() {}
+}
+
 /// Creates the ledger and closes connections of servers that do not answer.
 async fn prepare_database(
     context: Shared,
@@ -293,15 +328,26 @@
     true
 }
 
+async fn send_handover(context: &Shared, to: &InstanceId, offer: Handover) -> bool {
+    let answer = context.links.call(context, to, Body::Handover(offer), HANDOVER_TIMEOUT).await;
+    matches!(answer, Ok(Body::HandoverReply(reply)) if reply.accepted)
+}
+
 async fn hand_over(context: Shared, database: DatabaseId, term: Term, to: InstanceId) {
-    let quiet = quiesce(&context, &database).await;
-    let mut accepted = false;
-    if quiet {
-        let owner = context.settings.instance.to_string();
-        let offer = Handover { database: database.to_string(), term, owner };
-        let timeout = Duration::from_secs(1);
-        let answer = context.links.call(&context, &to, Body::Handover(offer), timeout).await;
-        accepted = matches!(answer, Ok(Body::HandoverReply(reply)) if reply.accepted);
+    let offer = Handover {
+        database: database.to_string(),
+        term,
+        owner: context.settings.instance.to_string(),
+        prepare: false,
+    };
+    // The other opens its connections while we still serve: opening them is
+    // most of what a handover takes.
+    let prepared = Handover { prepare: true, ..offer.clone() };
+    let ready = send_handover(&context, &to, prepared).await;
+    let quiet = ready && quiesce(&context, &database).await;
+    let accepted = quiet && send_handover(&context, &to, offer).await;
+    if !ready {
+        tokio::time::sleep(HANDOVER_PAUSE).await;
     }
     info!("handover database={database} to={to} accepted={accepted}");
     let event = InstanceEvent::HandoverEnded { database, accepted };
--- a/daemon/src/entry.rs
+++ b/daemon/src/entry.rs
@@ -192,6 +192,9 @@
             Some(class) => class,
             None => Self::classify(&statement.sql)?,
         };
+        if self.transaction.is_none() && self.context.refusing.load(Ordering::SeqCst) {
+            return Err(failure(ErrorKind::Stopping));
+        }
         let aborted = self.transaction.as_ref().is_some_and(|transaction| transaction.aborted);
         let ends = matches!(class, StatementClass::Rollback | StatementClass::Commit);
         if aborted && !ends {
--- a/daemon/src/entry_handlers.rs
+++ b/daemon/src/entry_handlers.rs
@@ -44,6 +44,7 @@
 use tokio::sync::Mutex;
 
 use crate::answer::failure_with;
+use crate::answer::kind_of;
 use crate::answer::to_wire;
 use crate::context::Shared;
 use crate::entry::Reply;
@@ -168,8 +169,12 @@
         let (replies, failure) = session.run_text(query).await;
         let mut responses: Vec<Response> =
             replies.into_iter().map(|reply| respond(reply, &Format::UnifiedText)).collect();
-        if let Some(failure) = failure {
-            responses.push(error_response(session, &failure));
+        match failure {
+            Some(failure) if kind_of(&failure) == ErrorKind::Stopping => {
+                return Err(to_wire(&failure, session.last_request_id()));
+            }
+            Some(failure) => responses.push(error_response(session, &failure)),
+            None => {}
         }
         Ok(responses)
     }
--- a/daemon/src/link_server.rs
+++ b/daemon/src/link_server.rs
@@ -26,6 +26,7 @@
 use tokio_util::codec::Framed;
 
 use crate::context::Shared;
+use crate::control;
 use crate::inquiry;
 use crate::link;
 use crate::owner;
@@ -175,6 +176,11 @@
 /// the giver can send everyone on without a gap.
 async fn answer_handover(context: &Shared, offer: &Handover) -> Body {
     let database = offer.database.as_str().into();
+    if offer.prepare {
+        let prepare = control::prepare_connections(context, &database);
+        let accepted = tokio::time::timeout(HANDOVER_TIME, prepare).await.is_ok();
+        return Body::HandoverReply(HandoverReply { accepted });
+    }
     context.handle(InstanceEvent::HandoverOffered { database, term: offer.term });
     let deadline = tokio::time::Instant::now() + HANDOVER_TIME;
     let mut accepted = false;
--- a/daemon/src/start.rs
+++ b/daemon/src/start.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -64,8 +65,9 @@
 /// Longest wait for handovers at a planned stop.
 const STOP_LIMIT: Duration = Duration::from_secs(20);
 
-/// Time for callers to notice that their connections end.
-const CLOSING_TIME: Duration = Duration::from_millis(100);
+/// Time in which callers that are at work are told to go elsewhere. Those
+/// that stay silent for so long have no request in progress.
+const CLOSING_TIME: Duration = Duration::from_secs(2);
 
 async fn listen(
     name: &'static str,
@@ -117,7 +119,13 @@
         while Instant::now() < deadline && !is_idle(context) {
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
-        tokio::time::sleep(CLOSING_TIME).await;
+        // Whoever sends a request from now on is told that it did not run,
+        // and loses its connection with that answer instead of in the middle.
+        context.refusing.store(true, Ordering::SeqCst);
+        let deadline = Instant::now() + CLOSING_TIME;
+        while Instant::now() < deadline && context.metrics.client_connections.get() > 0 {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
         info!("stopped instance={}", context.settings.instance);
     }
 }
@@ -126,7 +134,7 @@
 fn is_idle(context: &Shared) -> bool {
     let alone = context.instance.membership().peers().all(|(peer, alive)| !alive || peer.leaving);
     let owns = !context.instance.owned().is_empty();
-    let busy = context.active_requests.load(std::sync::atomic::Ordering::SeqCst) > 0;
+    let busy = context.active_requests.load(Ordering::SeqCst) > 0;
     (!owns || alone) && !busy
 }
 
@@ -164,6 +172,7 @@
         changed: Notify::new(),
         actions,
         stopping: watch::Sender::new(false),
+        refusing: false.into(),
         active_requests: 0.into(),
         started_at: Instant::now(),
         settings,
--- a/daemon/src/write.rs
+++ b/daemon/src/write.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use chervilwharf_lib::config::Acknowledge;
 use chervilwharf_lib::error_kind::ErrorKind;
+use chervilwharf_lib::id::Term;
 use chervilwharf_lib::ledger;
 use chervilwharf_lib::ledger::LedgerOutcome;
 use chervilwharf_lib::position::Position;
@@ -140,61 +141,97 @@
 /// on another connection, which may take all the time that is left.
 const STALL_LIMIT: Duration = Duration::from_secs(1);
 
+/// A write on its way, over as many tries as its deadline allows.
+struct Progress {
+    digest: Vec<u8>,
+    /// Term in which COMMIT was sent without an answer.
+    unknown_since: Option<Term>,
+    /// A first try stalled.
+    stalled: bool,
+}
+
+impl Progress {
+    /// The failure to give up with: never "not run" while that is not known.
+    fn give_up(&self, failure: Failure) -> Failure {
+        if self.unknown_since.is_some() {
+            return crate::answer::failure(ErrorKind::OutcomeUnknown);
+        }
+        failure
+    }
+}
+
 async fn run_once(context: &Shared, request: &Request) -> Result<StatementResult, Failure> {
     let digest = digest_of(&request.submit);
-    let mut unknown = false;
-    let mut stalled = false;
+    let mut progress = Progress { digest, unknown_since: None, stalled: false };
     loop {
         let entered =
             owner::enter(context, &request.database, request.deadline, false, false).await;
-        let (serving, _work) = match entered {
-            Ok(entered) => entered,
-            Err(_) if unknown => return Err(failure(ErrorKind::OutcomeUnknown)),
-            Err(failure) => return Err(failure),
-        };
-        let tried = if unknown {
-            settle(context, request, &serving).await
-        } else {
-            try_once(context, request, &serving, &digest, stalled).await
-        };
-        match tried {
+        let (serving, _work) = entered.map_err(|failure| progress.give_up(failure))?;
+        let last = match try_in(context, request, &serving, &mut progress).await {
             Tried::Committed(result, position) => {
                 match finish(context, request, &serving, position).await {
                     Ok(()) => return Ok(placed(result, position)),
                     Err(NotConfirmed::Late) => return Err(failure(ErrorKind::OutcomeUnknown)),
-                    Err(NotConfirmed::TermOver) => unknown = true,
+                    Err(NotConfirmed::TermOver) => progress.unknown_since = Some(serving.term),
                 }
+                failure(ErrorKind::OutcomeUnknown)
             }
             Tried::Known(row) => {
                 match finish(context, request, &serving, row.position_in(&serving)).await {
-                    Ok(()) => return recorded(&row, &digest),
+                    Ok(()) => return recorded(&row, &progress.digest),
                     Err(NotConfirmed::Late) => return Err(failure(ErrorKind::OutcomeUnknown)),
-                    Err(NotConfirmed::TermOver) => unknown = true,
+                    Err(NotConfirmed::TermOver) => progress.unknown_since = Some(serving.term),
                 }
+                failure(ErrorKind::OutcomeUnknown)
             }
-            Tried::Refused(failure) => return Err(failure),
-            Tried::Unknown => unknown = true,
-            Tried::Stalled => stalled = true,
-            Tried::NotRun(failure) => {
-                let given_up = Instant::now() + RETRY_PAUSE >= request.deadline;
-                if given_up && unknown {
-                    return Err(crate::answer::failure(ErrorKind::OutcomeUnknown));
-                }
-                if given_up {
-                    return Err(failure);
-                }
+            Tried::Refused(failure) => return Err(progress.give_up(failure)),
+            Tried::Unknown => {
+                progress.unknown_since = Some(serving.term);
+                failure(ErrorKind::OutcomeUnknown)
             }
-        }
+            Tried::Stalled => {
+                progress.stalled = true;
+                failure(ErrorKind::DeadlineBeforeStart)
+            }
+            Tried::NotRun(failure) => failure,
+        };
         if Instant::now() + RETRY_PAUSE >= request.deadline {
-            let kind =
-                if unknown { ErrorKind::OutcomeUnknown } else { ErrorKind::DeadlineBeforeStart };
-            return Err(failure(kind));
+            return Err(progress.give_up(last));
         }
         context.metrics.retries.inc();
         tokio::time::sleep(RETRY_PAUSE).await;
     }
 }
 
+/// One try in the present term.
+///
+/// A COMMIT that got no answer in this very term may still be on its way: it
+/// is settled by a tombstone. One of an earlier term can only have succeeded
+/// if the new primary has it; its old session is fenced off for good, so a
+/// look at the ledger settles it, and the write may run if it did not.
+async fn try_in(
+    context: &Shared,
+    request: &Request,
+    serving: &Serving,
+    progress: &mut Progress,
+) -> Tried {
+    match progress.unknown_since {
+        None => {}
+        Some(term) if term == serving.term => {
+            return match settle_row(context, request, serving).await {
+                Ok(row) => Tried::Known(row),
+                Err(failure) => Tried::NotRun(failure),
+            };
+        }
+        Some(_) => match look_up(context, request, serving).await {
+            Ok(Some(row)) => return Tried::Known(row),
+            Ok(None) => progress.unknown_since = None,
+            Err(failure) => return Tried::NotRun(failure),
+        },
+    }
+    try_once(context, request, serving, progress).await
+}
+
 impl LedgerRow {
     /// What has to be confirmed before this row may be relied upon. A row of
     /// an earlier term came through the promotion; the first entry of the
@@ -240,8 +277,7 @@
     context: &Shared,
     request: &Request,
     serving: &Serving,
-    digest: &[u8],
-    stalled_before: bool,
+    progress: &Progress,
 ) -> Tried {
     let (database, deadline) = (&request.database, request.deadline);
     let server = &serving.primary;
@@ -257,7 +293,7 @@
     // Nothing of this batch commits: when it fails or its answer is missing,
     // the write did not run.
     let stall = Instant::now() + STALL_LIMIT;
-    let limit = if stalled_before { deadline } else { deadline.min(stall) };
+    let limit = if progress.stalled { deadline } else { deadline.min(stall) };
     let run = guard.get().run(&steps);
     let run = owner::within_term(context, database, serving.term, limit, run).await;
     let result = match run {
@@ -279,7 +315,7 @@
         }
     };
     let ran = LedgerOutcome::Ran;
-    let row = insert_step(request, serving, ran, digest, Some(&result));
+    let row = insert_step(request, serving, ran, &progress.digest, Some(&result));
     commit(context, request, serving, guard, row, result).await
 }
 
@@ -346,12 +382,21 @@
     [row, Step::new("COMMIT"), Step::new("SELECT * FROM chervilwharf_position()")]
 }
 
-/// Finds out what became of a request whose COMMIT was not answered, and
-/// makes sure that it cannot run any more if it did not.
-async fn settle(context: &Shared, request: &Request, serving: &Serving) -> Tried {
-    match settle_row(context, request, serving).await {
-        Ok(row) => Tried::Known(row),
-        Err(failure) => Tried::NotRun(failure),
+/// Looks a request up in the ledger of the present primary.
+async fn look_up(
+    context: &Shared,
+    request: &Request,
+    serving: &Serving,
+) -> Result<Option<LedgerRow>, Failure> {
+    let (database, deadline) = (&request.database, request.deadline);
+    let mut guard = owner::connect(context, database, serving, &serving.primary, deadline).await?;
+    let select = [select_step(&request.account, &request.submit.request_id)];
+    let limit = deadline.min(Instant::now() + STALL_LIMIT);
+    let run = guard.get().run(&select);
+    match owner::within_term(context, database, serving.term, limit, run).await {
+        Ok(Ok(results)) => Ok(results.first().and_then(read_row)),
+        Ok(Err(error)) => Err(owner::batch_failure(context, database, serving, &error)),
+        Err(_) => Err(failure(ErrorKind::NoPrimary)),
     }
 }
 
@@ -366,22 +411,11 @@
     request: &Request,
     serving: &Serving,
 ) -> Result<LedgerRow, Failure> {
-    let (database, deadline) = (&request.database, request.deadline);
-    let server = &serving.primary;
-    let mut guard = owner::connect(context, database, serving, server, deadline).await?;
-    let select = select_step(&request.account, &request.submit.request_id);
-    let select = [select];
-    let limit = deadline.min(Instant::now() + STALL_LIMIT);
-    let run = guard.get().run(&select);
-    let asked = owner::within_term(context, database, serving.term, limit, run).await;
-    let results = match asked {
-        Ok(Ok(results)) => results,
-        Ok(Err(error)) => return Err(owner::batch_failure(context, database, serving, &error)),
-        Err(_) => return Err(failure(ErrorKind::NoPrimary)),
-    };
-    if let Some(row) = results.first().and_then(read_row) {
+    if let Some(row) = look_up(context, request, serving).await? {
         return Ok(row);
     }
+    let (database, deadline) = (&request.database, request.deadline);
+    let mut guard = owner::connect(context, database, serving, &serving.primary, deadline).await?;
     let tombstone = insert_step(request, serving, LedgerOutcome::Cancelled, &[], None);
     let mut steps = vec![Step::new("BEGIN")];
     steps.extend(commit_batch(tombstone));
--- a/lib/src/protos/chervilwharf.peer.rs
+++ b/lib/src/protos/chervilwharf.peer.rs
@@ -366,6 +366,9 @@
     pub term: u64,
     #[prost(string, tag = "3")]
     pub owner: ::prost::alloc::string::String,
+    /// Only open connections to the servers; the offer itself follows.
+    #[prost(bool, tag = "4")]
+    pub prepare: bool,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct HandoverReply {
--- a/standin/src/target.rs
+++ b/standin/src/target.rs
@@ -76,6 +76,8 @@
     /// Serialises transactions that write.
     pub write_lock: Arc<tokio::sync::Mutex<()>>,
     pub grown: Notify,
+    /// Whom it follows, or its term, has changed.
+    pub turned: Notify,
     pub slots: Semaphore,
     pub connection_count: AtomicUsize,
     lag_ms: AtomicU64,
@@ -136,6 +138,7 @@
             log: Mutex::new(log),
             write_lock: Arc::default(),
             grown: Notify::new(),
+            turned: Notify::new(),
             connection_count: AtomicUsize::new(0),
             lag_ms: AtomicU64::new(0),
             statements: AtomicU64::new(0),
@@ -231,6 +234,7 @@
         .build()
         .expect("the client has no unusual settings");
     loop {
+        let turned = core.turned.notified();
         let job = {
             let log = core.log();
             let pull = Pull { term: log.term, ends: log.term_ends() };
@@ -241,9 +245,14 @@
             continue;
         };
         let url = format!("http://{}/pull", upstream.address);
-        let answer = match client.post(url).json(&pull).send().await {
-            Ok(response) => response.json::<Pulled>().await.ok(),
-            Err(_) => None,
+        let pulling = async {
+            let response = client.post(url).json(&pull).send().await.ok()?;
+            response.json::<Pulled>().await.ok()
+        };
+        // A server told to follow another one does not wait for the old one.
+        let answer = tokio::select! {
+            answer = pulling => answer,
+            () = turned => continue,
         };
         let followed = answer.is_some_and(|pulled| take_pulled(&core, &upstream.id, &pull, pulled));
         if !followed {
--- a/standin/src/target_session.rs
+++ b/standin/src/target_session.rs
@@ -515,6 +515,7 @@
                 }
                 let upstream = Upstream { id: primary.clone(), address: address.clone() };
                 if log.upstream.as_ref() != Some(&upstream) {
+                    core.turned.notify_waiters();
                     log.upstream = Some(upstream);
                     log.heard_at = Some(std::time::Instant::now());
                 }
--- a/testing/testutils/src/checker.rs
+++ b/testing/testutils/src/checker.rs
@@ -53,6 +53,8 @@
     pub id: String,
     /// What the caller heard.
     pub heard: Heard,
+    /// The error, if there was one.
+    pub error: String,
     /// When it heard it.
     pub at: Instant,
     /// How long it took.
@@ -144,7 +146,7 @@
     }
 }
 
-async fn write_mark(roamer: &mut Roamer, style: Style, writer: &str, id: &str) -> Heard {
+async fn write_mark(roamer: &mut Roamer, style: Style, writer: &str, id: &str) -> (Heard, String) {
     let hints = format!("/*request_id='{id}',deadline_ms='{DEADLINE_MS}'*/");
     let insert = format!("INSERT INTO marks VALUES ('{writer}', '{id}')");
     let client = roamer.client().await;
@@ -163,6 +165,14 @@
             tokio::time::timeout(CALLER_PATIENCE, run).await
         }
     };
+    let error = match &result {
+        Ok(Ok(())) => String::new(),
+        Ok(Err(error)) => match error.as_db_error() {
+            Some(error) => format!("{} {}", error.code().code(), error.message()),
+            None => error.to_string(),
+        },
+        Err(_) => "the caller gave up".into(),
+    };
     let heard = match &result {
         Ok(Ok(())) => Heard::Acknowledged,
         Ok(Err(error)) => match told(error) {
@@ -174,7 +184,7 @@
     if heard != Heard::Acknowledged && (style == Style::Transaction || heard == Heard::Unknown) {
         roamer.drop_client();
     }
-    heard
+    (heard, error)
 }
 
 impl Workload {
@@ -223,9 +233,9 @@
                 count += 1;
                 let id = format!("{writer}-{count}");
                 let began = Instant::now();
-                let heard = write_mark(&mut roamer, style, &writer, &id).await;
+                let (heard, error) = write_mark(&mut roamer, style, &writer, &id).await;
                 let at = Instant::now();
-                let mark = Mark { id, heard, at, took: at - began };
+                let mark = Mark { id, heard, error, at, took: at - began };
                 history
                     .lock()
                     .expect("never poisoned")
--- a/testing/testutils/src/experiments/gap.rs
+++ b/testing/testutils/src/experiments/gap.rs
@@ -113,6 +113,9 @@
     apply(&mut cluster, fault, primary, owner);
     workload.wait_for_progress(50).await;
     let (history, _) = workload.stop().await;
+    if std::env::var_os("EXPERIMENT_TRACE").is_some() {
+        trace_slow(&history, at);
+    }
     let (detect, take) = phases(&cluster, at_ms);
     Gap {
         gap: gap_around(&history, at),
@@ -148,6 +151,19 @@
     }
 }
 
+/// Prints the slow writes, to find out where a gap comes from.
+fn trace_slow(history: &History, at: Instant) {
+    for mark in history.values().flatten() {
+        if mark.heard == Heard::Acknowledged && mark.took < Duration::from_millis(200) {
+            continue;
+        }
+        let end_ms = mark.at.saturating_duration_since(at).as_millis();
+        let took_ms = mark.took.as_millis();
+        let (heard, error) = (mark.heard, &mark.error);
+        eprintln!("{} {heard:?} {error} ended at {end_ms} ms after {took_ms} ms", mark.id);
+    }
+}
+
 /// The longest stretch without an acknowledged write that ends after `at`.
 fn gap_around(history: &History, at: Instant) -> Duration {
     let mut times: Vec<_> = history
