--- a/daemon/src/read.rs
+++ b/daemon/src/read.rs
@@ -172,12 +172,16 @@
     let steps = batch(request, floor);
     let stall = Instant::now() + STALL_LIMIT;
     let limit = if is_first { deadline.min(stall) } else { deadline };
+    let sent_at = Instant::now();
     let run = guard.get().run(&steps);
     let run = owner::within_term(context, database, serving.term, limit, run).await;
     let error = match run {
         Ok(Ok(mut results)) => {
             let position = results.get(POSITION_STEP).and_then(read_position);
             let position = position.unwrap_or(Position::ZERO);
+            context.with_database(database, |state| {
+                state.ownership.answered(server, serving.term, sent_at, position);
+            });
             return Tried::Done(results.swap_remove(STATEMENT_STEP), position);
         }
         Ok(Err(error)) => error,
--- a/daemon/src/write.rs
+++ b/daemon/src/write.rs
@@ -349,12 +349,19 @@
     result: StatementResult,
 ) -> Tried {
     let steps = commit_batch(row);
-    let limit = request.deadline.min(Instant::now() + STALL_LIMIT);
+    let sent_at = Instant::now();
+    let limit = request.deadline.min(sent_at + STALL_LIMIT);
     let run = guard.get().run(&steps);
     let run = owner::within_term(context, &request.database, serving.term, limit, run).await;
     match run {
         Ok(Ok(results)) => match results.get(2).and_then(read_position) {
-            Some(position) => Tried::Committed(result, position),
+            Some(position) => {
+                context.with_database(&request.database, |state| {
+                    let server = &serving.primary;
+                    state.ownership.answered(server, serving.term, sent_at, position);
+                });
+                Tried::Committed(result, position)
+            }
             None => Tried::Unknown,
         },
         Ok(Err(BatchError::Refused { step, sqlstate, message, .. })) => {
--- a/lib/src/detector.rs
+++ b/lib/src/detector.rs
@@ -61,6 +61,15 @@
         Some(sent_at)
     }
 
+    /// Other traffic sent at `sent_at` was answered, which proves as much as a
+    /// probe would have.
+    pub fn answered_otherwise(&mut self, sent_at: Instant) {
+        self.outstanding.retain(|(_, probe_sent_at)| *probe_sent_at > sent_at);
+        self.misses = 0;
+        self.last_sent_at = self.last_sent_at.max(Some(sent_at));
+        self.last_success_sent_at = self.last_success_sent_at.max(Some(sent_at));
+    }
+
     /// A probe failed for certain, for example because the connection was
     /// refused.
     pub fn failed(&mut self, sequence: u64) {
--- a/lib/src/ownership.rs
+++ b/lib/src/ownership.rs
@@ -24,8 +24,10 @@
 /// has its value.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct OwnershipTiming {
-    /// Pace of the probes to each server.
+    /// Pace of the probes to a server that no statement was sent to.
     pub probe_interval: Duration,
+    /// Pace of the probes to a server that answers statements.
+    pub state_interval: Duration,
     /// A probe without an answer for this long is missed.
     pub probe_timeout: Duration,
     /// Probes missed in a row that make a primary suspect.
@@ -51,6 +53,7 @@
     fn default() -> Self {
         Self {
             probe_interval: Duration::from_millis(100),
+            state_interval: Duration::from_millis(400),
             probe_timeout: Duration::from_millis(250),
             misses_to_suspect: 3,
             currency: Duration::from_millis(500),
@@ -306,8 +309,11 @@
     server: GroupServer,
     detector: Detector,
     state: Option<ServerState>,
-    /// Send time of the newest probe, or fence, that confirmed our term.
+    /// Send time of the newest probe, fence or statement that confirmed our
+    /// term.
     confirmed_sent_at: Option<Instant>,
+    /// When the last probe was sent.
+    probed_at: Option<Instant>,
 }
 
 /// State machine of one database at one instance.
@@ -546,6 +552,7 @@
                     detector: Detector::new(self.timing.probe_timeout),
                     state: None,
                     confirmed_sent_at: None,
+                    probed_at: None,
                 },
             };
             self.servers.insert(id, view);
@@ -886,10 +893,16 @@
         }
         let mut actions = Vec::new();
         for (id, view) in &mut self.servers {
-            if !view.detector.is_due(now, self.timing.probe_interval) {
+            // Statements prove that a server lives, but only a probe tells
+            // whether a replica hears its primary and whom it follows.
+            let state_is_due = view
+                .probed_at
+                .is_none_or(|at| now.saturating_duration_since(at) >= self.timing.state_interval);
+            if !state_is_due && !view.detector.is_due(now, self.timing.probe_interval) {
                 continue;
             }
             let sequence = view.detector.sent(now);
+            view.probed_at = Some(now);
             actions.push(OwnershipAction::Probe { server: id.clone(), sequence });
         }
         actions.extend(self.repair_followers(term, primary));
@@ -1064,6 +1077,26 @@
         }
     }
 
+    /// A statement sent at `sent_at` in our `term` was answered by a server,
+    /// which had applied `applied` afterwards.
+    ///
+    /// Statements are only taken by servers that hold our term, so the answer
+    /// confirms it like a probe. Under load hardly any probe is left to send.
+    pub fn answered(&mut self, server: &str, term: Term, sent_at: Instant, applied: Position) {
+        if self.serving().is_none_or(|(own, _)| own != term) {
+            return;
+        }
+        let Some(view) = self.servers.get_mut(server) else {
+            return;
+        };
+        view.detector.answered_otherwise(sent_at);
+        view.confirmed_sent_at = view.confirmed_sent_at.max(Some(sent_at));
+        if let Some(state) = view.state.as_mut().filter(|state| state.term == term) {
+            state.applied = state.applied.max(applied);
+            state.received = state.received.max(applied);
+        }
+    }
+
     fn higher_term(&mut self, now: Instant, term: Term) -> Vec<OwnershipAction> {
         self.highest_term = self.highest_term.max(term);
         match &self.phase {
--- a/lib/tests/exploration/world.rs
+++ b/lib/tests/exploration/world.rs
@@ -43,7 +43,7 @@
     Write { instance: usize, server: usize, term: u64, write: u64 },
     Written { instance: usize, term: u64, write: u64, position: Position },
     Read { read: Read, server: usize },
-    ReadDone { read: Read, seen: BTreeSet<u64> },
+    ReadDone { read: Read, server: usize, applied: Position, seen: BTreeSet<u64> },
     ReplicaState { instance: usize, server: usize },
     ReplicaIs { instance: usize, server: usize, term: u64, received: Position },
 }
@@ -57,6 +57,7 @@
     handovers: u32,
     /// Writes that had been acknowledged before it started.
     expected: BTreeSet<u64>,
+    sent_at_ms: u64,
 }
 
 struct Node {
@@ -348,11 +349,17 @@
                 let allowed = self.rule == MissingRule::TermCheck || state.term == read.term;
                 if self.reaches(read.instance, server) && allowed {
                     let seen = state.log.iter().filter_map(|entry| entry.write).collect();
-                    self.send(Message::ReadDone { read, seen });
+                    let applied = state.state().applied;
+                    self.send(Message::ReadDone { read, server, applied, seen });
                 }
             }
-            Message::ReadDone { read, seen } => {
+            Message::ReadDone { read, server, applied, seen } => {
                 if self.accepts(read.instance, &message, lives) {
+                    let sent_at = self.base + Duration::from_millis(read.sent_at_ms);
+                    self.nodes[read.instance].instance.with_database(DATABASE, |state| {
+                        let server = server_name(server);
+                        state.ownership.answered(&server, read.term, sent_at, applied);
+                    });
                     self.answer_read(&read, &seen);
                 }
             }
@@ -494,7 +501,8 @@
         if self.random(4) == 0 {
             let expected = self.acknowledged.clone();
             let handovers = self.nodes[index].handovers;
-            let read = Read { instance: index, term, handovers, expected };
+            let sent_at_ms = self.now_ms;
+            let read = Read { instance: index, term, handovers, expected, sent_at_ms };
             self.send(Message::Read { read, server });
         }
         for replica in 0..SERVERS {
--- a/testing/testutils/src/experiments/mod.rs
+++ b/testing/testutils/src/experiments/mod.rs
@@ -6,3 +6,4 @@
 pub mod latency;
 pub mod share;
 pub mod stats;
+pub mod usage;
