membership: keep the first few of each ranking instead of ranking all

Cause: each tick ranked every known instance for every known database, and ticked every database; at 6,100 nodes that is 79 million hashes every 20 ms. A change of one instance now touches only the rankings it can change, and only databases that are owned, or lately were, get ticks. A property test compares the kept rankings with ranking everything anew.

--- a/lib/src/detector.rs
+++ b/lib/src/detector.rs
@@ -101,6 +101,12 @@
         self.misses = 0;
     }
 
+    /// Whether nothing is on its way and nothing was missed.
+    #[must_use]
+    pub fn is_settled(&self) -> bool {
+        self.outstanding.is_empty() && self.misses == 0
+    }
+
     /// Probes missed in a row.
     #[must_use]
     pub fn misses(&self) -> u32 {
--- a/lib/src/instance.rs
+++ b/lib/src/instance.rs
@@ -5,6 +5,7 @@
 //! do not wait for each other.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -13,6 +14,7 @@
 
 use crate::admission::SlotQueue;
 use crate::config::Config;
+use crate::config::Database;
 use crate::floors::Floors;
 use crate::id::ConfigVersion;
 use crate::id::DatabaseId;
@@ -32,6 +34,7 @@
 use crate::ownership::OwnershipAction;
 use crate::ownership::OwnershipEvent;
 use crate::ownership::OwnershipTiming;
+use crate::ownership::Phase;
 use crate::ownership::TakeCause;
 use crate::placement::stable_hash;
 use crate::pool::ServerPool;
@@ -179,6 +182,11 @@
 }
 
 impl DatabaseState {
+    /// Whether nothing has to happen here as time passes.
+    fn is_at_rest(&self) -> bool {
+        *self.ownership.phase() == Phase::Idle && self.gate == Gate::Open
+    }
+
     fn view(&self) -> DatabaseView {
         let primary = self.ownership.serving().map(|(_, primary)| primary);
         let near = self
@@ -195,6 +203,8 @@
 #[derive(Debug, Default)]
 pub struct Shard {
     databases: BTreeMap<DatabaseId, DatabaseState>,
+    /// Databases that need ticks: those we own, or lately tried to own.
+    active: BTreeSet<DatabaseId>,
 }
 
 /// One instance.
@@ -312,7 +322,10 @@
         for shard in &self.shards {
             lock(shard).databases.retain(|id, _| config.databases.contains_key(id));
         }
-        self.membership().set_configuration_version(version);
+        let views: Vec<_> = config.databases.iter().map(configured_view).collect();
+        let mut membership = self.membership();
+        membership.set_databases(&views);
+        membership.set_configuration_version(version);
     }
 
     /// Takes an event and returns what has to be done.
@@ -393,7 +406,8 @@
         let mut owned = Vec::new();
         for shard in &self.shards {
             let shard = lock(shard);
-            let engaged = shard.databases.iter().filter(|(_, state)| state.ownership.is_engaged());
+            let active = shard.active.iter().filter_map(|id| shard.databases.get_key_value(id));
+            let engaged = active.filter(|(_, state)| state.ownership.is_engaged());
             owned.extend(engaged.map(|(id, state)| {
                 let term = state.ownership.serving().map_or(0, |(term, _)| term);
                 (id.clone(), term)
@@ -404,43 +418,38 @@
 
     fn tick(&self, now: Instant) -> Vec<InstanceAction> {
         let mut actions = Vec::new();
-        let mut views = Vec::new();
+        let mut movable = Vec::new();
         for shard in &self.shards {
             let mut shard = lock(shard);
-            for state in shard.databases.values_mut() {
-                let view = state.view();
-                if state.gate == Gate::Closed {
-                    // No failover in the middle of a handover: the other side
-                    // fences the group anyway.
-                    views.push((view, true, None));
+            for id in shard.active.clone() {
+                let Some(state) = shard.databases.get_mut(&id) else {
+                    shard.active.remove(&id);
                     continue;
+                };
+                actions.extend(tick_database(now, &id, state));
+                if state.gate == Gate::Open {
+                    let serving = state.ownership.serving();
+                    movable.extend(serving.map(|(term, _)| (state.view(), term)));
                 }
-                let tick = state.ownership.handle(now, OwnershipEvent::Tick);
-                actions.extend(on_database(&view.id, tick));
-                let is_open = state.gate == Gate::Open;
-                if is_open && state.ownership.should_replace_leaving_primary() {
-                    state.gate = Gate::NoNewTransactions;
-                    let database = view.id.clone();
-                    actions.push(InstanceAction::DrainPrimary { database });
+                if state.is_at_rest() {
+                    shard.active.remove(&id);
                 }
-                let movable = state.gate == Gate::Open;
-                let serving = state.ownership.serving().map(|(term, _)| term);
-                let serving = serving.filter(|_| movable);
-                views.push((view, state.ownership.is_engaged(), serving));
             }
         }
-        actions.extend(self.tick_membership(now, &views));
+        actions.extend(self.tick_membership(now, &movable));
         actions
     }
 
     fn tick_membership(
         &self,
         now: Instant,
-        views: &[(DatabaseView, bool, Option<Term>)],
+        movable: &[(DatabaseView, Term)],
     ) -> Vec<InstanceAction> {
         let mut actions = Vec::new();
-        let only_views: Vec<_> = views.iter().map(|(view, _, _)| view.clone()).collect();
-        let due = self.membership().tick(now, &only_views);
+        let (due, concerns, balance) = {
+            let mut membership = self.membership();
+            (membership.tick(now), membership.concerns(), membership.balance_is_due(now))
+        };
         if !due.is_empty() {
             let body = self.heartbeat_body();
             actions.extend(due.into_iter().map(|(peer, sequence)| InstanceAction::SendHeartbeat {
@@ -449,23 +458,24 @@
                 body: body.clone(),
             }));
         }
-        for (view, engaged, serving) in views {
-            if !engaged {
-                actions.extend(self.take_if_due(now, view));
-            }
-            if let Some(term) = serving {
-                actions.extend(self.hand_over_if_due(now, view, *term));
+        for database in concerns {
+            let idle = self.with_database(&database, |state| !state.ownership.is_engaged());
+            if idle == Some(true) {
+                actions.extend(self.take_if_due(now, &database));
             }
         }
+        for (view, term) in movable.iter().filter(|_| balance) {
+            actions.extend(self.hand_over_if_due(now, view, *term));
+        }
         actions
     }
 
-    fn take_if_due(&self, now: Instant, view: &DatabaseView) -> Vec<InstanceAction> {
-        let Some(silent) = self.membership().should_take(now, view) else {
+    fn take_if_due(&self, now: Instant, database: &DatabaseId) -> Vec<InstanceAction> {
+        let Some(silent) = self.membership().should_take(now, database) else {
             return Vec::new();
         };
         let cause = if silent { TakeCause::OwnerSilent } else { TakeCause::Vacant };
-        self.ownership_event(now, &view.id, OwnershipEvent::Take(cause))
+        self.ownership_event(now, database, OwnershipEvent::Take(cause))
     }
 
     fn hand_over_if_due(
@@ -504,14 +514,7 @@
         database: &DatabaseId,
         event: OwnershipEvent,
     ) -> Vec<InstanceAction> {
-        let actions = self.with_database(database, |state| {
-            let actions = state.ownership.handle(now, event);
-            for action in &actions {
-                prepare(state, action);
-            }
-            actions
-        });
-        let actions = actions.unwrap_or_default();
+        let actions = self.handle_in_shard(now, database, event);
         let mut published = Vec::new();
         for action in &actions {
             match action {
@@ -532,6 +535,26 @@
         all
     }
 
+    fn handle_in_shard(
+        &self,
+        now: Instant,
+        database: &DatabaseId,
+        event: OwnershipEvent,
+    ) -> Vec<OwnershipAction> {
+        let mut shard = self.shard(database);
+        let Some(state) = shard.databases.get_mut(database) else {
+            return Vec::new();
+        };
+        let actions = state.ownership.handle(now, event);
+        for action in &actions {
+            prepare(state, action);
+        }
+        if !state.is_at_rest() {
+            shard.active.insert(database.clone());
+        }
+        actions
+    }
+
     /// Replaces a leaving primary after its writes were drained.
     pub fn primary_drained(&self, now: Instant, database: &DatabaseId) -> Vec<InstanceAction> {
         let actions = self.with_database(database, |state| {
@@ -542,6 +565,29 @@
     }
 }
 
+/// Where a database lies by its configuration: all instances must see the
+/// same, and only its owner knows where its primary is now.
+fn configured_view((id, database): (&DatabaseId, &Database)) -> DatabaseView {
+    let first = database.servers.first();
+    DatabaseView { id: id.clone(), near: first.map(|server| server.failure_domain.clone()) }
+}
+
+fn tick_database(now: Instant, id: &DatabaseId, state: &mut DatabaseState) -> Vec<InstanceAction> {
+    if state.gate == Gate::Closed {
+        // No failover in the middle of a handover: the other side fences the
+        // group anyway.
+        return Vec::new();
+    }
+    let tick = state.ownership.handle(now, OwnershipEvent::Tick);
+    let mut actions = on_database(id, tick);
+    let is_open = state.gate == Gate::Open;
+    if is_open && state.ownership.should_replace_leaving_primary() {
+        state.gate = Gate::NoNewTransactions;
+        actions.push(InstanceAction::DrainPrimary { database: id.clone() });
+    }
+    actions
+}
+
 /// Brings the request state of a database in line before anyone else sees
 /// the new owner phase.
 fn prepare(state: &mut DatabaseState, action: &OwnershipAction) {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod retry;
 pub mod routing;
 pub mod settings;
+pub mod succession;
 pub mod verifier;
 
 /// Messages between instances, generated from `protos/peer.proto`.
--- a/lib/src/membership.rs
+++ b/lib/src/membership.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::ops::Bound;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -13,8 +14,7 @@
 use crate::id::FailureDomainId;
 use crate::id::InstanceId;
 use crate::id::Term;
-use crate::placement;
-use crate::placement::Candidate;
+use crate::succession::Succession;
 
 /// Times of the exchange between instances.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -31,6 +31,8 @@
     pub stagger: Duration,
     /// How long an owner may omit a database before it counts as given up.
     pub omitted_grace: Duration,
+    /// Pace of looking for better owners.
+    pub balance_interval: Duration,
     /// Quiet time before a database moves to a better placed instance.
     pub rebalance_after: Duration,
 }
@@ -44,6 +46,7 @@
             settle: Duration::from_millis(700),
             stagger: Duration::from_millis(500),
             omitted_grace: Duration::from_millis(300),
+            balance_interval: Duration::from_secs(1),
             rebalance_after: Duration::from_secs(5),
         }
     }
@@ -107,13 +110,19 @@
     me: PeerInfo,
     timing: MembershipTiming,
     peers: BTreeMap<InstanceId, Peer>,
+    /// Instances with a heartbeat on its way, or silent.
+    probing: BTreeSet<InstanceId>,
+    succession: Succession,
     owners: HashMap<DatabaseId, OwnerRecord>,
     rumors: BTreeMap<DatabaseId, Rumor>,
     vacant_since: HashMap<DatabaseId, Instant>,
     started_at: Option<Instant>,
     changed_at: Option<Instant>,
     last_tick_at: Option<Instant>,
-    rotation: usize,
+    /// Last instance greeted in rotation.
+    rotation: Option<InstanceId>,
+    rotated_at: Option<Instant>,
+    balanced_at: Option<Instant>,
 }
 
 /// Up to this many instances each watches every other one. Beyond it, an
@@ -141,17 +150,23 @@
     /// The view of an instance that knows only itself.
     #[must_use]
     pub fn new(me: PeerInfo, timing: MembershipTiming) -> Self {
+        let mut succession = Succession::new(me.id.clone());
+        succession.add(&me.id, &me.failure_domain);
         Self {
             me,
             timing,
             peers: BTreeMap::new(),
+            probing: BTreeSet::new(),
+            succession,
             owners: HashMap::new(),
             rumors: BTreeMap::new(),
             vacant_since: HashMap::new(),
             started_at: None,
             changed_at: None,
             last_tick_at: None,
-            rotation: 0,
+            rotation: None,
+            rotated_at: None,
+            balanced_at: None,
         }
     }
 
@@ -164,6 +179,24 @@
     /// Marks this instance as leaving.
     pub fn leave(&mut self) {
         self.me.leaving = true;
+        self.succession.remove(&self.me.id.clone());
+    }
+
+    /// Takes the databases of a configuration.
+    pub fn set_databases(&mut self, views: &[DatabaseView]) {
+        self.succession.set_databases(views);
+    }
+
+    /// Keeps the succession in line with what is known of an instance.
+    fn sync_candidate(&mut self, id: &str) {
+        let limit = self.timing.misses_to_silent;
+        match self.peers.get(id) {
+            Some(peer) if peer.detector.misses() < limit && !peer.info.leaving => {
+                let info = peer.info.clone();
+                self.succession.add(&info.id, &info.failure_domain);
+            }
+            _ => self.succession.remove(id),
+        }
     }
 
     /// Sets the configuration version announced to others.
@@ -190,11 +223,13 @@
                 peer.info.address = info.address;
                 peer.info.admin_address = info.admin_address;
             }
+            self.sync_candidate(&info.id);
             return;
         }
         self.changed_at = Some(now);
+        let id = info.id.clone();
         self.peers.insert(
-            info.id.clone(),
+            id.clone(),
             Peer {
                 info,
                 detector: Detector::new(timeout),
@@ -202,13 +237,24 @@
                 has_spoken: false,
             },
         );
+        self.sync_candidate(&id);
     }
 
     /// Forgets instances that the platform no longer lists and that are
     /// silent as well.
     pub fn retain_listed(&mut self, listed: &BTreeSet<InstanceId>) {
         let limit = self.timing.misses_to_silent;
-        self.peers.retain(|id, peer| listed.contains(id) || peer.detector.misses() < limit);
+        let gone: Vec<_> = self
+            .peers
+            .iter()
+            .filter(|(id, peer)| !listed.contains(*id) && peer.detector.misses() >= limit)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in gone {
+            self.peers.remove(&id);
+            self.probing.remove(&id);
+            self.sync_candidate(&id);
+        }
     }
 
     /// What is known of an instance.
@@ -262,6 +308,7 @@
         peer.info = body.sender.clone();
         peer.owned = body.owned.iter().cloned().collect();
         peer.has_spoken = true;
+        self.sync_candidate(&body.sender.id);
         let owned = body.owned.iter().map(|(database, term)| {
             let owner = body.sender.id.clone();
             (database.clone(), OwnerRecord { owner, term: *term })
@@ -275,75 +322,107 @@
     /// A heartbeat was answered.
     pub fn answered(&mut self, now: Instant, peer: &str, sequence: u64) {
         let limit = self.timing.misses_to_silent;
-        let Some(peer) = self.peers.get_mut(peer) else {
+        let Some(entry) = self.peers.get_mut(peer) else {
             return;
         };
-        if peer.detector.misses() >= limit {
+        if entry.detector.misses() >= limit {
             self.changed_at = Some(now);
         }
-        peer.detector.succeeded(sequence);
+        entry.detector.succeeded(sequence);
+        self.sync_candidate(peer);
     }
 
     /// A heartbeat failed for certain.
     pub fn failed(&mut self, peer: &str, sequence: u64) {
-        if let Some(peer) = self.peers.get_mut(peer) {
-            peer.detector.failed(sequence);
+        if let Some(entry) = self.peers.get_mut(peer) {
+            entry.detector.failed(sequence);
         }
+        self.sync_candidate(peer);
     }
 
     /// Counts missed heartbeats and returns whom to send one now.
-    pub fn tick(&mut self, now: Instant, databases: &[DatabaseView]) -> Vec<(PeerInfo, u64)> {
+    pub fn tick(&mut self, now: Instant) -> Vec<(PeerInfo, u64)> {
         self.started_at.get_or_insert(now);
         let paused =
             self.last_tick_at.is_some_and(|last| now.saturating_duration_since(last) > PAUSE_GAP);
         self.last_tick_at = Some(now);
-        for peer in self.peers.values_mut() {
-            if paused {
-                peer.detector.forgive();
-            }
-            peer.detector.tick(now);
-        }
         if paused {
             self.vacant_since.clear();
         }
-        let watched = self.watched(databases);
+        self.count_missed(now, paused);
         let interval = self.timing.heartbeat_interval;
         let mut due = Vec::new();
-        for id in watched {
+        for id in self.watched(now) {
             let Some(peer) = self.peers.get_mut(&id) else {
                 continue;
             };
             if peer.detector.is_due(now, interval) {
                 let sequence = peer.detector.sent(now);
                 due.push((peer.info.clone(), sequence));
+                self.probing.insert(id);
             }
         }
         due
     }
 
-    fn watched(&mut self, databases: &[DatabaseView]) -> BTreeSet<InstanceId> {
+    /// Looks at the instances with a heartbeat on its way; the others cannot
+    /// have missed any.
+    fn count_missed(&mut self, now: Instant, paused: bool) {
+        for id in self.probing.clone() {
+            let Some(peer) = self.peers.get_mut(&id) else {
+                continue;
+            };
+            if paused {
+                peer.detector.forgive();
+            }
+            peer.detector.tick(now);
+            if peer.detector.is_settled() {
+                self.probing.remove(&id);
+            }
+            self.sync_candidate(&id);
+        }
+    }
+
+    fn watched(&mut self, now: Instant) -> BTreeSet<InstanceId> {
         if self.peers.len() <= WATCH_ALL_LIMIT {
             return self.peers.keys().cloned().collect();
         }
         let mut watched = BTreeSet::new();
-        for view in databases {
-            let Some(record) = self.owners.get(&view.id) else {
+        for database in self.succession.mine() {
+            let Some(record) = self.owners.get(database) else {
                 continue;
             };
-            let rank = self.rank_of_me(view, Some(&record.owner));
+            let rank = self.succession.rank_of_me(database, Some(&record.owner));
             if rank.is_some_and(|rank| rank < SUCCESSORS) {
                 watched.insert(record.owner.clone());
             }
         }
-        let count = self.peers.len();
-        for offset in 0..ROTATING_PEERS {
-            let index = (self.rotation + offset * 7919) % count;
-            watched.extend(self.peers.keys().nth(index).cloned());
+        let due = self
+            .rotated_at
+            .is_none_or(|at| now.saturating_duration_since(at) >= self.timing.heartbeat_interval);
+        if due {
+            self.rotated_at = Some(now);
+            watched.extend(self.rotate());
         }
-        self.rotation = (self.rotation + ROTATING_PEERS) % count;
         watched
     }
 
+    /// The next few instances in the order of their names, over and over.
+    fn rotate(&mut self) -> Vec<InstanceId> {
+        let after = self.rotation.take();
+        let from = after.map_or(Bound::Unbounded, Bound::Excluded);
+        let mut next: Vec<_> = self
+            .peers
+            .range((from, Bound::Unbounded))
+            .map(|(id, _)| id.clone())
+            .take(ROTATING_PEERS)
+            .collect();
+        let missing = ROTATING_PEERS - next.len();
+        next.extend(self.peers.keys().take(missing).cloned());
+        self.rotation = next.last().cloned();
+        next
+    }
+
     /// Changes of ownership to tell with the next heartbeat.
     pub fn take_rumors(&mut self) -> Vec<(DatabaseId, OwnerRecord)> {
         let mut told = Vec::new();
@@ -355,45 +434,32 @@
         told
     }
 
-    /// Live instances that may own databases, this one included.
-    fn candidates(&self, without: Option<&InstanceId>) -> Vec<Candidate> {
-        let me = std::iter::once(&self.me);
-        let alive = self.peers.values().filter(|peer| self.is_alive(peer));
-        me.chain(alive.map(|peer| &peer.info))
-            .filter(|info| !info.leaving && Some(&info.id) != without)
-            .map(|info| Candidate {
-                id: info.id.clone(),
-                failure_domain: info.failure_domain.clone(),
-            })
-            .collect()
-    }
-
-    fn rank_of_me(&self, view: &DatabaseView, without: Option<&InstanceId>) -> Option<usize> {
-        let candidates = self.candidates(without);
-        let ranked = placement::rank(&view.id, &candidates, view.near.as_ref());
-        ranked.iter().position(|id| *id == self.me.id)
+    /// Databases this instance may have to take.
+    #[must_use]
+    pub fn concerns(&self) -> Vec<DatabaseId> {
+        self.succession.mine().cloned().collect()
     }
 
     /// Whether this instance has to take the database now, and because the
     /// known owner is silent (`true`) or because there is none (`false`).
-    pub fn should_take(&mut self, now: Instant, view: &DatabaseView) -> Option<bool> {
+    pub fn should_take(&mut self, now: Instant, database: &DatabaseId) -> Option<bool> {
         let started_at = self.started_at?;
         if self.me.leaving || now.saturating_duration_since(started_at) < self.timing.settle {
             return None;
         }
-        let record = self.owners.get(&view.id).cloned();
+        let record = self.owners.get(database).cloned();
         let fault = match &record {
             None => Some(OwnerFault::Vacant),
-            Some(record) => self.owner_fault(record, &view.id),
+            Some(record) => self.owner_fault(record, database),
         };
         let Some(fault) = fault else {
-            self.vacant_since.remove(&view.id);
+            self.vacant_since.remove(database);
             return None;
         };
-        let since = *self.vacant_since.entry(view.id.clone()).or_insert(now);
+        let since = *self.vacant_since.entry(database.clone()).or_insert(now);
         let owner = record.as_ref().map(|record| &record.owner);
         let without = owner.filter(|owner| **owner != self.me.id);
-        let rank = self.rank_of_me(view, without)?;
+        let rank = self.succession.rank_of_me(database, without.map(|id| &**id))?;
         let grace =
             if fault == OwnerFault::Omitted { self.timing.omitted_grace } else { Duration::ZERO };
         let wait = grace + self.timing.stagger * u32::try_from(rank).unwrap_or(u32::MAX);
@@ -421,6 +487,18 @@
         self.vacant_since.remove(database);
     }
 
+    /// Whether it is time to look for better owners of our databases. Each
+    /// look goes through all instances.
+    pub fn balance_is_due(&mut self, now: Instant) -> bool {
+        let due = self
+            .balanced_at
+            .is_none_or(|at| now.saturating_duration_since(at) >= self.timing.balance_interval);
+        if due {
+            self.balanced_at = Some(now);
+        }
+        due || self.me.leaving
+    }
+
     /// Instance that should own a database of ours instead of us, if any.
     #[must_use]
     pub fn better_owner(&self, now: Instant, view: &DatabaseView) -> Option<InstanceId> {
@@ -431,8 +509,7 @@
         if !quiet && !self.me.leaving {
             return None;
         }
-        let candidates = self.candidates(None);
-        let best = placement::rank(&view.id, &candidates, view.near.as_ref()).into_iter().next()?;
+        let best = self.succession.best(&view.id, view.near.as_ref())?;
         let spoke = self.peers.get(&best).is_some_and(|peer| peer.has_spoken);
         (best != self.me.id && spoke).then_some(best)
     }
--- a/lib/tests/test_decisions.rs
+++ b/lib/tests/test_decisions.rs
@@ -1,6 +1,7 @@
 //! The smaller decisions: queues, pools, floors, routing, placement, limits.
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -15,8 +16,10 @@
 use chervilwharf_lib::error_kind::ErrorKind;
 use chervilwharf_lib::floors::Floors;
 use chervilwharf_lib::floors::Freshness;
+use chervilwharf_lib::id::InstanceId;
 use chervilwharf_lib::ledger;
 use chervilwharf_lib::limits::AccountLimits;
+use chervilwharf_lib::membership::DatabaseView;
 use chervilwharf_lib::placement::Candidate;
 use chervilwharf_lib::placement::rank;
 use chervilwharf_lib::pool::Checkout;
@@ -27,6 +30,8 @@
 use chervilwharf_lib::routing::ReadTarget;
 use chervilwharf_lib::routing::Route;
 use chervilwharf_lib::routing::choose;
+use chervilwharf_lib::succession::DEPTH;
+use chervilwharf_lib::succession::Succession;
 use prost::Message;
 use quickcheck::quickcheck;
 
@@ -334,6 +339,53 @@
     assert_eq!(burn.windows[0].bad, 200);
 }
 
+/// The kept rankings are those one would get by ranking everything anew.
+#[test]
+fn test_succession_follows_every_change_of_membership() {
+    fn property(changes: Vec<(bool, u8)>) -> bool {
+        let me: InstanceId = "instance-0".into();
+        let domain = |n: u8| -> Arc<str> { format!("domain-{}", n % 3).into() };
+        let view = |n: u8| DatabaseView { id: format!("db{n}").into(), near: Some(domain(n)) };
+        let views: Vec<_> = (0..20).map(view).collect();
+        let mut succession = Succession::new(me.clone());
+        succession.set_databases(&views);
+        let mut present = BTreeSet::new();
+        for (joins, number) in changes {
+            let number = number % 12;
+            let id: InstanceId = format!("instance-{number}").into();
+            if joins {
+                succession.add(&id, &domain(number));
+                present.insert(number);
+            } else {
+                succession.remove(&id);
+                present.remove(&number);
+            }
+            let candidates: Vec<_> = present
+                .iter()
+                .map(|n| Candidate {
+                    id: format!("instance-{n}").into(),
+                    failure_domain: domain(*n),
+                })
+                .collect();
+            for view in &views {
+                let all = rank(&view.id, &candidates, view.near.as_ref());
+                let place = all.iter().take(DEPTH).position(|id| *id == me);
+                if succession.rank_of_me(&view.id, None) != place {
+                    return false;
+                }
+                if succession.best(&view.id, view.near.as_ref()) != all.first().cloned() {
+                    return false;
+                }
+                if succession.mine().any(|id| *id == view.id) != place.is_some() {
+                    return false;
+                }
+            }
+        }
+        true
+    }
+    quickcheck::quickcheck(property as fn(Vec<(bool, u8)>) -> bool);
+}
+
 quickcheck! {
     fn prop_any_bytes_decode_or_are_refused(bytes: Vec<u8>) -> bool {
         match Frame::decode(bytes.as_slice()) {
--- a/testing/testutils/src/lib.rs
+++ b/testing/testutils/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod checker;
 pub mod cluster;
 pub mod experiments;
+pub mod matrix;
 pub mod process;
 pub mod tool;
