--- a/daemon/src/owner.rs
+++ b/daemon/src/owner.rs
@@ -207,6 +207,7 @@
     in_transaction: bool,
 ) -> Entrance {
     let entrance = context.with_database(database, |state| {
+        state.ownership.requested(Instant::now());
         if !state.ownership.is_engaged() {
             return Entrance::NotOurs;
         }
@@ -328,7 +329,7 @@
             return Ok(guard);
         }
         let sql = format!("SELECT * FROM chervilwharf_use_term({})", serving.term);
-        let steps = [crate::postgres::Step::new(sql)];
+        let steps = [crate::postgres::Step::own(sql)];
         let declared = tokio::time::timeout_at(deadline.into(), guard.get().run(&steps)).await;
         match declared {
             Ok(Ok(_)) => {
@@ -396,6 +397,8 @@
         if !waited {
             waited = true;
             context.metrics.currency_waits.inc();
+            // An idle database is probed seldom; ask now instead of waiting.
+            context.handle_ownership(database, OwnershipEvent::Tick);
         }
         if now >= deadline {
             return Err(failure_after(ErrorKind::NoPrimary, EXPECTED_GAP));
--- a/daemon/src/postgres.rs
+++ b/daemon/src/postgres.rs
@@ -46,6 +46,9 @@
     pub parameter_formats: Vec<i16>,
     /// Formats wanted for the columns, by the rules of the Bind message.
     pub result_formats: Vec<i16>,
+    /// The columns are known already: do not ask for their description, which
+    /// is most of the answer to a small statement.
+    pub skip_columns: bool,
 }
 
 impl Step {
@@ -55,6 +58,12 @@
         Self { sql: sql.into(), ..Self::default() }
     }
 
+    /// A statement of our own, whose columns we know.
+    #[must_use]
+    pub fn own(sql: impl Into<String>) -> Self {
+        Self { sql: sql.into(), skip_columns: true, ..Self::default() }
+    }
+
     /// Adds a parameter in text form.
     #[must_use]
     pub fn with_text(mut self, value: impl Into<Bytes>) -> Self {
@@ -191,7 +200,9 @@
             let describe = Describe::new(TARGET_TYPE_BYTE_PORTAL, None);
             self.feed(PgWireFrontendMessage::Parse(parse)).await?;
             self.feed(PgWireFrontendMessage::Bind(bind)).await?;
-            self.feed(PgWireFrontendMessage::Describe(describe)).await?;
+            if !step.skip_columns {
+                self.feed(PgWireFrontendMessage::Describe(describe)).await?;
+            }
             self.feed(PgWireFrontendMessage::Execute(Execute::new(None, 0))).await?;
         }
         self.finish_sending().await
--- a/daemon/src/read.rs
+++ b/daemon/src/read.rs
@@ -146,11 +146,11 @@
     let require =
         format!("SELECT * FROM chervilwharf_require_position({}, {})", floor.term, floor.index);
     vec![
-        Step::new("BEGIN READ ONLY"),
-        Step::new(require),
+        Step::own("BEGIN READ ONLY"),
+        Step::own(require),
         write::statement_step(&request.submit),
-        Step::new("SELECT * FROM chervilwharf_position()"),
-        Step::new("COMMIT"),
+        Step::own("SELECT * FROM chervilwharf_position()"),
+        Step::own("COMMIT"),
     ]
 }
 
@@ -215,7 +215,7 @@
         return;
     }
     tokio::spawn(async move {
-        let rollback = [Step::new("ROLLBACK")];
+        let rollback = [Step::own("ROLLBACK")];
         let run = guard.get().run(&rollback);
         // A connection that does not answer in this time is closed instead.
         let _ = tokio::time::timeout(Duration::from_secs(1), run).await;
--- a/daemon/src/target.rs
+++ b/daemon/src/target.rs
@@ -79,7 +79,7 @@
     /// its silence for the server's would replace a healthy primary.
     async fn call(&self, sql: &str) -> Result<StatementResult, FenceFailure> {
         let mut slot = self.connection.lock().await;
-        let steps = [Step::new(sql)];
+        let steps = [Step::own(sql)];
         if let Some(mut connection) = slot.take() {
             match tokio::time::timeout(self.timeout, connection.run(&steps)).await {
                 Ok(Ok(results)) => {
--- a/daemon/src/transaction.rs
+++ b/daemon/src/transaction.rs
@@ -172,7 +172,7 @@
     let count = TransactionCount::new(context, database);
     let server = serving.primary.clone();
     let (_slot, mut guard) = owner::reach(context, request, &serving, &server).await?;
-    let begin = [Step::new("BEGIN")];
+    let begin = [Step::own("BEGIN")];
     let run = guard.get().run(&begin);
     match owner::within_term(context, database, serving.term, deadline, run).await {
         Ok(Ok(_)) => {}
--- a/daemon/src/write.rs
+++ b/daemon/src/write.rs
@@ -76,6 +76,7 @@
         parameter_types: submit.parameter_type_oids.clone(),
         parameter_formats: formats(&submit.parameter_formats),
         result_formats: formats(&submit.result_formats),
+        skip_columns: false,
     }
 }
 
@@ -286,7 +287,7 @@
         Err(failure) => return not_reached(failure),
     };
     let steps = [
-        Step::new("BEGIN"),
+        Step::own("BEGIN"),
         select_step(&request.account, &request.submit.request_id),
         statement_step(&request.submit),
     ];
@@ -386,7 +387,7 @@
 /// The last batch of every write: ledger row, COMMIT, position.
 #[must_use]
 pub fn commit_batch(row: Step) -> [Step; 3] {
-    [row, Step::new("COMMIT"), Step::new("SELECT * FROM chervilwharf_position()")]
+    [row, Step::own("COMMIT"), Step::own("SELECT * FROM chervilwharf_position()")]
 }
 
 /// Looks a request up in the ledger of the present primary.
@@ -424,7 +425,7 @@
     let (database, deadline) = (&request.database, request.deadline);
     let mut guard = owner::connect(context, database, serving, &serving.primary, deadline).await?;
     let tombstone = insert_step(request, serving, LedgerOutcome::Cancelled, &[], None);
-    let mut steps = vec![Step::new("BEGIN")];
+    let mut steps = vec![Step::own("BEGIN")];
     steps.extend(commit_batch(tombstone));
     let run = guard.get().run(&steps);
     let written = owner::within_term(context, database, serving.term, deadline, run).await;
@@ -481,7 +482,7 @@
     Step {
         // Outcome as text, the byte strings as they are, numbers as text.
         result_formats: vec![0, 1, 1, 0, 0],
-        ..Step::new(ledger::SELECT_SQL)
+        ..Step::own(ledger::SELECT_SQL)
             .with_text(account.to_owned())
             .with_text(request_id.to_owned())
             .with_types(&[TEXT_OID, TEXT_OID])
@@ -501,7 +502,7 @@
         .map(Message::encode_to_vec)
         .filter(|bytes| bytes.len() <= ledger::KEPT_ANSWER_LIMIT_BYTES);
     let at_ms = since_epoch().as_millis();
-    Step::new(ledger::INSERT_SQL)
+    Step::own(ledger::INSERT_SQL)
         .with_text(request.account.to_string())
         .with_text(request.submit.request_id.clone())
         .with_text(outcome.as_str())
@@ -539,7 +540,7 @@
 ) -> Result<(), Failure> {
     let server = &serving.primary;
     let mut guard = owner::connect(context, request_database, serving, server, deadline).await?;
-    let steps = [Step::new(ledger::CREATE_SQL)];
+    let steps = [Step::own(ledger::CREATE_SQL)];
     match tokio::time::timeout_at(deadline.into(), guard.get().run(&steps)).await {
         Ok(Ok(_)) => Ok(()),
         Ok(Err(error)) => Err(owner::batch_failure(context, request_database, serving, &error)),
--- a/lib/src/membership.rs
+++ b/lib/src/membership.rs
@@ -21,6 +21,8 @@
 pub struct MembershipTiming {
     /// Pace of heartbeats to each watched instance.
     pub heartbeat_interval: Duration,
+    /// The same where not every instance watches every other one.
+    pub heartbeat_interval_of_many: Duration,
     /// A heartbeat without an answer for this long is missed.
     pub heartbeat_timeout: Duration,
     /// Heartbeats missed in a row that make an instance silent.
@@ -41,6 +43,7 @@
     fn default() -> Self {
         Self {
             heartbeat_interval: Duration::from_millis(150),
+            heartbeat_interval_of_many: Duration::from_millis(400),
             heartbeat_timeout: Duration::from_millis(350),
             misses_to_silent: 3,
             settle: Duration::from_millis(700),
@@ -350,7 +353,7 @@
             self.vacant_since.clear();
         }
         self.count_missed(now, paused);
-        let interval = self.timing.heartbeat_interval;
+        let interval = self.heartbeat_interval();
         let mut due = Vec::new();
         for id in self.watched(now) {
             let Some(peer) = self.peers.get_mut(&id) else {
@@ -365,6 +368,16 @@
         due
     }
 
+    /// Few instances can afford quick heartbeats; in a large fleet the bytes
+    /// count, and each owner still has two that watch it.
+    fn heartbeat_interval(&self) -> Duration {
+        if self.peers.len() <= WATCH_ALL_LIMIT {
+            self.timing.heartbeat_interval
+        } else {
+            self.timing.heartbeat_interval_of_many
+        }
+    }
+
     /// Looks at the instances with a heartbeat on its way; the others cannot
     /// have missed any.
     fn count_missed(&mut self, now: Instant, paused: bool) {
@@ -399,7 +412,7 @@
         }
         let due = self
             .rotated_at
-            .is_none_or(|at| now.saturating_duration_since(at) >= self.timing.heartbeat_interval);
+            .is_none_or(|at| now.saturating_duration_since(at) >= self.heartbeat_interval());
         if due {
             self.rotated_at = Some(now);
             watched.extend(self.rotate());
--- a/lib/src/ownership.rs
+++ b/lib/src/ownership.rs
@@ -28,6 +28,10 @@
     pub probe_interval: Duration,
     /// Pace of the probes to a server that answers statements.
     pub state_interval: Duration,
+    /// Pace of the probes to the servers of a database without requests.
+    pub idle_interval: Duration,
+    /// A database is idle after this time without a request.
+    pub idle_after: Duration,
     /// A probe without an answer for this long is missed.
     pub probe_timeout: Duration,
     /// Probes missed in a row that make a primary suspect.
@@ -54,6 +58,8 @@
         Self {
             probe_interval: Duration::from_millis(100),
             state_interval: Duration::from_millis(400),
+            idle_interval: Duration::from_secs(1),
+            idle_after: Duration::from_secs(2),
             probe_timeout: Duration::from_millis(250),
             misses_to_suspect: 3,
             currency: Duration::from_millis(500),
@@ -331,6 +337,7 @@
     avoid: BTreeSet<TargetId>,
     primary: Option<TargetId>,
     last_tick_at: Option<Instant>,
+    last_request_at: Option<Instant>,
     majority_seen_at: Option<Instant>,
     retried_at_once: bool,
     jitter_state: u64,
@@ -381,6 +388,7 @@
             avoid: BTreeSet::new(),
             primary: None,
             last_tick_at: None,
+            last_request_at: None,
             majority_seen_at: None,
             retried_at_once: false,
             jitter_state,
@@ -892,13 +900,13 @@
             return self.replace_primary(now, primary.clone(), cause);
         }
         let mut actions = Vec::new();
+        let (interval, state_interval) = self.probe_pace(now);
         for (id, view) in &mut self.servers {
             // Statements prove that a server lives, but only a probe tells
             // whether a replica hears its primary and whom it follows.
-            let state_is_due = view
-                .probed_at
-                .is_none_or(|at| now.saturating_duration_since(at) >= self.timing.state_interval);
-            if !state_is_due && !view.detector.is_due(now, self.timing.probe_interval) {
+            let state_is_due =
+                view.probed_at.is_none_or(|at| now.saturating_duration_since(at) >= state_interval);
+            if !state_is_due && !view.detector.is_due(now, interval) {
                 continue;
             }
             let sequence = view.detector.sent(now);
@@ -909,6 +917,27 @@
         actions
     }
 
+    /// Pace of the probes to a silent server, and to one that answers.
+    ///
+    /// Nobody waits for an idle database, so its servers are asked seldom;
+    /// the first request after that finds the next probe due at once.
+    fn probe_pace(&self, now: Instant) -> (Duration, Duration) {
+        let timing = &self.timing;
+        let quiet = self
+            .last_request_at
+            .is_none_or(|at| now.saturating_duration_since(at) >= timing.idle_after);
+        let suspect = self.servers.values().any(|view| view.detector.misses() > 0);
+        if quiet && !suspect {
+            return (timing.idle_interval, timing.idle_interval);
+        }
+        (timing.probe_interval, timing.state_interval)
+    }
+
+    /// A request came in for this database.
+    pub fn requested(&mut self, now: Instant) {
+        self.last_request_at = Some(now);
+    }
+
     fn is_isolated(&mut self, now: Instant) -> bool {
         let reachable = self
             .servers
--- a/lib/tests/exploration/world.rs
+++ b/lib/tests/exploration/world.rs
@@ -493,6 +493,8 @@
             return;
         };
         let server = (0..SERVERS).find(|index| server_name(*index) == primary).expect("known");
+        let now = self.now();
+        self.nodes[index].instance.with_database(DATABASE, |state| state.ownership.requested(now));
         if self.random(4) == 0 {
             let write = self.next_write;
             self.next_write += 1;
