--- a/cli/src/burn.rs
+++ b/cli/src/burn.rs
@@ -65,12 +65,9 @@
     let mut silent = Vec::new();
     let instances = client.instances().await?;
     for instance in &instances {
-        let counts = match client.ask(instance, "burn", &[]).await {
-            Ok(counts) => counts,
-            Err(_) => {
-                silent.push(instance.id.to_string());
-                continue;
-            }
+        let Ok(counts) = client.ask(instance, "burn", &[]).await else {
+            silent.push(instance.id.to_string());
+            continue;
         };
         let counts: BTreeMap<Arc<str>, BurnCounts> = serde_json::from_value(counts)
             .map_err(|error| format!("instance {} sent no counts: {error}", instance.id))?;
--- a/cli/src/command.rs
+++ b/cli/src/command.rs
@@ -28,7 +28,7 @@
     example = "Ask: {command_name} --store http://10.0.0.5:7000 request charge-17 --account tenant-app --database lease-ledger-1"
 )]
 pub struct Arguments {
-    /// base address of the platform's store; default from CHERVILWHARF_STORE
+    /// base address of the platform's store; default from `CHERVILWHARF_STORE`
     #[argh(option)]
     store: Option<String>,
     /// print JSON instead of text
--- a/cli/src/request.rs
+++ b/cli/src/request.rs
@@ -28,7 +28,7 @@
                     print(output, command, &answer);
                     return Ok(ending);
                 }
-                None => reason = answer["reason"].as_str().unwrap_or("unknown").to_owned(),
+                None => answer["reason"].as_str().unwrap_or("unknown").clone_into(&mut reason),
             },
             Err(error) => reason = error,
         }
--- a/lib/tests/exploration/world.rs
+++ b/lib/tests/exploration/world.rs
@@ -190,7 +190,7 @@
         self.queue.insert(due, (message, lives));
     }
 
-    fn violate(&mut self, what: String) {
+    fn violate(&mut self, what: &str) {
         self.violation.get_or_insert(format!("at {} ms: {what}", self.now_ms));
     }
 
@@ -272,7 +272,7 @@
                 break;
             }
             let (message, lives) = entry.remove();
-            self.receive(message, lives);
+            self.receive(&message, lives);
         }
     }
 
@@ -291,13 +291,13 @@
         false
     }
 
-    fn receive(&mut self, message: Message, lives: [u32; INSTANCES]) {
+    fn receive(&mut self, message: &Message, lives: [u32; INSTANCES]) {
         match message.clone() {
             Message::Control { instance, server, action } => {
                 self.control(instance, server, action);
             }
             Message::Event { instance, event } => {
-                if self.accepts(instance, &message, lives) {
+                if self.accepts(instance, message, lives) {
                     self.ownership(instance, event);
                 }
             }
@@ -305,19 +305,19 @@
                 if self.is_cut(SERVERS + from, SERVERS + to) {
                     return;
                 }
-                if self.accepts(to, &message, lives) {
+                if self.accepts(to, message, lives) {
                     self.event(to, InstanceEvent::Heartbeat(body));
                     let body = self.nodes[to].instance.heartbeat_body();
                     self.send(Message::HeartbeatReply { to: from, sequence, body });
                 }
             }
             Message::HeartbeatReply { to, sequence, body } => {
-                if self.accepts(to, &message, lives) {
+                if self.accepts(to, message, lives) {
                     self.event(to, InstanceEvent::HeartbeatAnswered { sequence, body });
                 }
             }
             Message::Handover { from, to, term } => {
-                if self.accepts(to, &message, lives) {
+                if self.accepts(to, message, lives) {
                     let database = DATABASE.into();
                     self.event(to, InstanceEvent::HandoverOffered { database, term });
                     // The answer is lost as often as not.
@@ -326,7 +326,7 @@
                 }
             }
             Message::HandoverEnded { from, accepted } => {
-                if self.accepts(from, &message, lives) {
+                if self.accepts(from, message, lives) {
                     let database = DATABASE.into();
                     self.event(from, InstanceEvent::HandoverEnded { database, accepted });
                 }
@@ -340,7 +340,7 @@
                 }
             }
             Message::Written { instance, term, write, position } => {
-                if self.accepts(instance, &message, lives) {
+                if self.accepts(instance, message, lives) {
                     self.nodes[instance].waiting.push((term, write, position));
                 }
             }
@@ -354,7 +354,7 @@
                 }
             }
             Message::ReadDone { read, server, applied, seen } => {
-                if self.accepts(read.instance, &message, lives) {
+                if self.accepts(read.instance, message, lives) {
                     let sent_at = self.base + Duration::from_millis(read.sent_at_ms);
                     self.nodes[read.instance].instance.with_database(DATABASE, |state| {
                         let server = server_name(server);
@@ -371,7 +371,7 @@
                 }
             }
             Message::ReplicaIs { instance, server, term, received } => {
-                if self.accepts(instance, &message, lives) {
+                if self.accepts(instance, message, lives) {
                     self.nodes[instance].instance.with_database(DATABASE, |state| {
                         state.ownership.received(&server_name(server), term, received);
                     });
@@ -416,11 +416,11 @@
         self.counts.promotions += 1;
         let first = *self.promoted_by.entry(term).or_insert(instance);
         if first != instance {
-            self.violate(format!("two owners promoted in term {term}"));
+            self.violate(&format!("two owners promoted in term {term}"));
         }
         let lost = self.acknowledged.iter().find(|write| !self.servers[server].has(**write));
         if let Some(write) = lost.copied() {
-            self.violate(format!("acknowledged write {write} is not at the new primary"));
+            self.violate(&format!("acknowledged write {write} is not at the new primary"));
         }
     }
 
@@ -568,7 +568,7 @@
         }
         self.counts.reads += 1;
         if let Some(write) = read.expected.difference(seen).next() {
-            self.violate(format!("a fresh read missed the acknowledged write {write}"));
+            self.violate(&format!("a fresh read missed the acknowledged write {write}"));
         }
     }
 }
--- a/testing/testutils/src/checker.rs
+++ b/testing/testutils/src/checker.rs
@@ -432,12 +432,11 @@
             if cluster.instances[index].process.is_none() {
                 continue;
             }
-            match inquire(cluster, index, writer, id).await.as_deref() {
-                Some(state @ ("ran_once" | "did_not_run")) => {
-                    state.clone_into(&mut answer.lock().expect("never poisoned"));
-                    return true;
-                }
-                _ => {}
+            if let Some(state @ ("ran_once" | "did_not_run")) =
+                inquire(cluster, index, writer, id).await.as_deref()
+            {
+                state.clone_into(&mut answer.lock().expect("never poisoned"));
+                return true;
             }
         }
         false
