owner: one place for copies in progress, retry budget, clean-up

Read as a newcomer: the same code stood in writes and transactions for joining a copy in progress, and in reads and writes for waiting until an answer may be given; both are one now. The retry budget, the forgetting of floors and the expiry of ledger rows were written and never called; they are.

Fault found on the way: a request with the id of one in progress but another statement got the answer of that one. It is refused now like one with an id from the ledger.

Reads at the primary no longer raise the account's floor.

--- a/daemon/src/context.rs
+++ b/daemon/src/context.rs
@@ -21,6 +21,7 @@
 use chervilwharf_lib::limits::AccountLimits;
 use chervilwharf_lib::ownership::OwnershipEvent;
 use chervilwharf_lib::ownership::OwnershipTiming;
+use chervilwharf_lib::retry::RetryBudget;
 use chervilwharf_lib::settings::Settings;
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
@@ -28,9 +29,9 @@
 
 use crate::checkout::ConnectionStore;
 use crate::confirm::ConfirmHub;
+use crate::in_flight::InFlight;
 use crate::link::Links;
 use crate::metrics::Metrics;
-use crate::owner::InFlight;
 use crate::platform::Platform;
 use crate::postgres::ServerAddress;
 use crate::target::PgTarget;
@@ -100,6 +101,8 @@
     pub actions: mpsc::UnboundedSender<InstanceAction>,
     /// Set when the instance has to stop.
     pub stopping: watch::Sender<bool>,
+    /// Limits how much of the load may be requests sent again.
+    pub retries: Mutex<RetryBudget>,
     /// Set when callers have to go elsewhere: new requests are refused.
     pub refusing: AtomicBool,
     /// Requests of callers in progress at this entry.
--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -38,6 +38,9 @@
 /// Pace of pool and queue maintenance, in ticks.
 const MAINTENANCE_TICKS: u64 = 2;
 
+/// Pace of forgetting what is not needed any more, in ticks.
+const CLEAN_UP_TICKS: u64 = 500;
+
 /// Connections kept open to the primary ahead of need.
 const WARM_PRIMARY: usize = 4;
 
@@ -76,6 +79,9 @@
                 if count % MAINTENANCE_TICKS == 0 {
                     maintain(&context);
                 }
+                if count % CLEAN_UP_TICKS == 0 {
+                    clean_up(&context);
+                }
             }
             action = actions.recv() => match action {
                 Some(action) => perform(&context, action, &starts),
@@ -113,6 +119,27 @@
     }
 }
 
+/// Forgets floors that every server has passed, and old ledger rows.
+fn clean_up(context: &Shared) {
+    for (database, term) in context.instance.owned() {
+        let primary = context.with_database(&database, |state| {
+            let everywhere = state.ownership.applied_everywhere();
+            state.floors.forget_below(everywhere, term);
+            state.ownership.serving().map(|(_, primary)| primary)
+        });
+        let Some(primary) = primary.flatten() else {
+            continue;
+        };
+        let context = context.clone();
+        tokio::spawn(async move {
+            let serving = Serving { term, primary };
+            let deadline = Instant::now() + WORK_GRACE;
+            // The next round tries again; a late clean-up harms nobody.
+            let _ = write::expire_ledger(&context, &database, &serving, deadline).await;
+        });
+    }
+}
+
 fn perform(context: &Shared, action: InstanceAction, starts: &std::sync::Arc<TakeStarts>) {
     match action {
         InstanceAction::Ownership { database, action } => {
--- a/daemon/src/forward.rs
+++ b/daemon/src/forward.rs
@@ -124,6 +124,7 @@
     let deadline = Instant::now() + Duration::from_millis(submit.deadline_ms);
     let began = Instant::now();
     let mut maybe_running = false;
+    context.retries.lock().expect("never poisoned").record_request();
     loop {
         let left = deadline.saturating_duration_since(Instant::now());
         submit.deadline_ms =
@@ -144,6 +145,9 @@
                     return Err(failure(ErrorKind::TransactionLost));
                 }
                 maybe_running = true;
+                if !context.retries.lock().expect("never poisoned").try_retry() {
+                    return Err(give_up(&submit, failure(ErrorKind::OutcomeUnknown), true));
+                }
                 failure(ErrorKind::OutcomeUnknown)
             }
         };
--- /dev/null
+++ b/daemon/src/in_flight.rs
@@ -0,0 +1,133 @@
+//! Writes in progress at this owner, so that copies of one run only once.
+
+use std::collections::HashMap;
+use std::sync::Mutex;
+use std::time::Instant;
+
+use chervilwharf_lib::error_kind::ErrorKind;
+use chervilwharf_lib::id::AccountId;
+use chervilwharf_lib::id::RequestId;
+use chervilwharf_lib::ledger;
+use chervilwharf_lib::protos::Answer;
+use chervilwharf_lib::protos::Failure;
+use chervilwharf_lib::protos::Result as StatementResult;
+use tokio::sync::watch;
+
+use crate::answer::failure;
+use crate::answer::failure_with;
+use crate::answer::from_answer;
+use crate::answer::to_answer;
+use crate::context::Shared;
+use crate::metrics::since_epoch;
+use crate::owner::Request;
+
+/// Names a request: its account and its id.
+pub type InFlightKey = (AccountId, RequestId);
+
+type AnswerReceiver = watch::Receiver<Option<Answer>>;
+
+/// Writes in progress at this owner.
+///
+/// An entry sends a request again when it lost sight of it. The second copy
+/// must wait for the first: until that has committed the ledger cannot know
+/// of it, and both would run.
+#[derive(Default)]
+pub struct InFlight {
+    running: Mutex<HashMap<InFlightKey, Running>>,
+}
+
+struct Running {
+    digest: Vec<u8>,
+    answer: AnswerReceiver,
+}
+
+/// A place in [`InFlight`], given up when dropped.
+struct InFlightGuard {
+    context: Shared,
+    key: InFlightKey,
+    sender: watch::Sender<Option<Answer>>,
+}
+
+impl Drop for InFlightGuard {
+    fn drop(&mut self) {
+        self.context.in_flight.running.lock().expect("never poisoned").remove(&self.key);
+    }
+}
+
+/// What to do with a request that has arrived.
+enum Started {
+    Run(InFlightGuard),
+    Join(AnswerReceiver),
+    /// The id belongs to another statement that is in progress.
+    Reused,
+}
+
+impl InFlight {
+    /// Whether a request is in progress here.
+    #[must_use]
+    pub fn contains(&self, key: &InFlightKey) -> bool {
+        self.running.lock().expect("never poisoned").contains_key(key)
+    }
+
+    fn start(context: &Shared, key: InFlightKey, digest: &[u8]) -> Started {
+        let mut running = context.in_flight.running.lock().expect("never poisoned");
+        match running.get(&key) {
+            Some(other) if other.digest == digest => return Started::Join(other.answer.clone()),
+            Some(_) => return Started::Reused,
+            None => {}
+        }
+        let (sender, answer) = watch::channel(None);
+        running.insert(key.clone(), Running { digest: digest.to_vec(), answer });
+        Started::Run(InFlightGuard { context: context.clone(), key, sender })
+    }
+}
+
+/// Runs `work` for a request, or joins the copy of it that is in progress.
+///
+/// The work gets a task of its own: the entry may go away in the middle, and
+/// the write must still come to a known end.
+///
+/// # Errors
+///
+/// The failure for the caller.
+pub async fn run_once(
+    context: &Shared,
+    request: &Request,
+    digest: &[u8],
+    work: impl Future<Output = Result<StatementResult, Failure>> + Send + 'static,
+) -> Result<StatementResult, Failure> {
+    if ledger::is_expired(&request.submit.request_id, since_epoch()) {
+        return Err(failure(ErrorKind::RequestIdExpired));
+    }
+    let key = (request.account.clone(), request.id());
+    let guard = match InFlight::start(context, key, digest) {
+        Started::Run(guard) => guard,
+        Started::Join(other) => return from_answer(join(other, request.deadline).await),
+        Started::Reused => return Err(failure(ErrorKind::RequestIdReused)),
+    };
+    let task = tokio::spawn(async move {
+        let answer = to_answer(work.await);
+        guard.sender.send_replace(Some(answer.clone()));
+        answer
+    });
+    match task.await {
+        Ok(answer) => from_answer(answer),
+        Err(_) => Err(failure(ErrorKind::OutcomeUnknown)),
+    }
+}
+
+/// Waits for the answer of another copy of a request.
+async fn join(mut other: AnswerReceiver, deadline: Instant) -> Answer {
+    let finished = other.wait_for(Option::is_some);
+    match tokio::time::timeout_at(deadline.into(), finished).await {
+        Ok(Ok(answer)) => match answer.as_ref() {
+            Some(answer) => answer.clone(),
+            None => to_answer(Err(failure(ErrorKind::OutcomeUnknown))),
+        },
+        Ok(Err(_)) => to_answer(Err(failure(ErrorKind::OutcomeUnknown))),
+        Err(_) => to_answer(Err(failure_with(
+            ErrorKind::InFlight,
+            "an earlier copy of this request is still in flight",
+        ))),
+    }
+}
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod entry_startup;
 pub mod filter;
 pub mod forward;
+pub mod in_flight;
 pub mod inquiry;
 pub mod link;
 pub mod link_server;
--- a/daemon/src/owner.rs
+++ b/daemon/src/owner.rs
@@ -1,8 +1,6 @@
 //! The owner's side of a request: finds out whether it can be served here
 //! and passes it to the path for its kind.
 
-use std::collections::HashMap;
-use std::sync::Mutex;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -17,6 +15,7 @@
 use chervilwharf_lib::id::Term;
 use chervilwharf_lib::instance::Gate;
 use chervilwharf_lib::ownership::OwnershipEvent;
+use chervilwharf_lib::position::Position;
 use chervilwharf_lib::protos::Answer;
 use chervilwharf_lib::protos::Describe;
 use chervilwharf_lib::protos::Failure;
@@ -24,15 +23,16 @@
 use chervilwharf_lib::protos::StatementKind;
 use chervilwharf_lib::protos::Submit;
 use chervilwharf_lib::protos::freshness;
-use tokio::sync::watch;
 
 use crate::answer::failure;
 use crate::answer::failure_after;
-use crate::answer::failure_with;
+use crate::answer::kind_of;
 use crate::answer::to_answer;
 use crate::checkout;
 use crate::checkout::ConnectionGuard;
 use crate::checkout::SlotGuard;
+use crate::confirm;
+use crate::confirm::NotConfirmed;
 use crate::context::Context;
 use crate::context::Shared;
 use crate::postgres::BatchError;
@@ -370,6 +370,30 @@
     }
 }
 
+/// Waits until an answer seen at `position` may be given: it survives the
+/// loss of the primary, and the database is still ours.
+///
+/// # Errors
+///
+/// When that cannot be known before the deadline, or the term ends.
+pub async fn wait_answerable(
+    context: &Shared,
+    request: &Request,
+    serving: &Serving,
+    position: Position,
+    needs_confirmation: bool,
+) -> Result<(), NotConfirmed> {
+    let (database, deadline) = (&request.database, request.deadline);
+    if needs_confirmation && request.acknowledge == Acknowledge::Replica {
+        confirm::wait_confirmed(context, database, position, deadline).await?;
+    }
+    let current = wait_until_current(context, database, serving.term, deadline).await;
+    current.map_err(|error| match kind_of(&error) {
+        ErrorKind::NotOwner => NotConfirmed::TermOver,
+        _ => NotConfirmed::Late,
+    })
+}
+
 /// Waits until answers may be given: a new owner lets the currency of the
 /// earlier one run out first.
 ///
@@ -406,78 +430,3 @@
         tokio::time::sleep(Duration::from_millis(2)).await;
     }
 }
-
-/// Names a request: its account and its id.
-pub type InFlightKey = (AccountId, RequestId);
-
-/// Writes in progress at this owner.
-///
-/// An entry sends a request again when it lost sight of it. The second copy
-/// must wait for the first: until that has committed the ledger cannot know
-/// of it, and both would run.
-#[derive(Default)]
-pub struct InFlight {
-    running: Mutex<HashMap<InFlightKey, watch::Receiver<Option<Answer>>>>,
-}
-
-/// A place in [`InFlight`], given up when dropped.
-pub struct InFlightGuard {
-    context: Shared,
-    key: InFlightKey,
-    sender: watch::Sender<Option<Answer>>,
-}
-
-impl InFlightGuard {
-    /// Gives the answer to all who wait for it.
-    pub fn finish(&self, answer: Answer) {
-        self.sender.send_replace(Some(answer));
-    }
-}
-
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        self.context.in_flight.running.lock().expect("never poisoned").remove(&self.key);
-    }
-}
-
-impl InFlight {
-    /// Whether a request is in progress here.
-    #[must_use]
-    pub fn contains(&self, key: &InFlightKey) -> bool {
-        self.running.lock().expect("never poisoned").contains_key(key)
-    }
-
-    /// Starts a request, unless a copy of it is in progress.
-    ///
-    /// # Errors
-    ///
-    /// Returns where the answer of the other copy will come.
-    pub fn start(
-        context: &Shared,
-        key: InFlightKey,
-    ) -> Result<InFlightGuard, watch::Receiver<Option<Answer>>> {
-        let mut running = context.in_flight.running.lock().expect("never poisoned");
-        if let Some(receiver) = running.get(&key) {
-            return Err(receiver.clone());
-        }
-        let (sender, receiver) = watch::channel(None);
-        running.insert(key.clone(), receiver);
-        Ok(InFlightGuard { context: context.clone(), key, sender })
-    }
-}
-
-/// Waits for the answer of another copy of a request.
-pub async fn join(mut other: watch::Receiver<Option<Answer>>, deadline: Instant) -> Answer {
-    let finished = other.wait_for(Option::is_some);
-    match tokio::time::timeout_at(deadline.into(), finished).await {
-        Ok(Ok(answer)) => match answer.as_ref() {
-            Some(answer) => answer.clone(),
-            None => to_answer(Err(failure(ErrorKind::OutcomeUnknown))),
-        },
-        Ok(Err(_)) => to_answer(Err(failure(ErrorKind::OutcomeUnknown))),
-        Err(_) => to_answer(Err(failure_with(
-            ErrorKind::InFlight,
-            "an earlier copy of this request is still in flight",
-        ))),
-    }
-}
--- a/daemon/src/read.rs
+++ b/daemon/src/read.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use chervilwharf_lib::config::Acknowledge;
 use chervilwharf_lib::error_kind::ErrorKind;
 use chervilwharf_lib::id::TargetId;
 use chervilwharf_lib::position::Position;
@@ -16,7 +15,6 @@
 use crate::answer::failure;
 use crate::answer::kind_of;
 use crate::checkout;
-use crate::confirm;
 use crate::confirm::NotConfirmed;
 use crate::context::Shared;
 use crate::owner;
@@ -231,19 +229,17 @@
     position: Position,
     by_replica: bool,
 ) -> Result<(), NotConfirmed> {
-    let (database, deadline) = (&request.database, request.deadline);
-    if !by_replica && request.acknowledge == Acknowledge::Replica {
-        // The primary may have shown a write that no replica has yet. Were
-        // it lost, the caller would have seen what never happened.
-        confirm::wait_confirmed(context, database, position, deadline).await?;
+    // The primary may have shown a write that no replica has yet. Were it
+    // lost, the caller would have seen what never happened.
+    owner::wait_answerable(context, request, serving, position, !by_replica).await?;
+    if by_replica {
+        // Replicas differ; the account must not go back from one to the
+        // other. After a read at the primary the same rule would keep it
+        // there for as long as it reads more often than replicas lag.
+        context.with_database(&request.database, |state| {
+            state.floors.raise(&request.account, position);
+        });
     }
-    owner::wait_until_current(context, database, serving.term, deadline).await.map_err(
-        |error| match kind_of(&error) {
-            ErrorKind::NotOwner => NotConfirmed::TermOver,
-            _ => NotConfirmed::Late,
-        },
-    )?;
-    context.with_database(database, |state| state.floors.raise(&request.account, position));
     context.metrics.record_read(by_replica);
     Ok(())
 }
--- a/daemon/src/start.rs
+++ b/daemon/src/start.rs
@@ -12,6 +12,7 @@
 use chervilwharf_lib::membership::MembershipTiming;
 use chervilwharf_lib::membership::PeerInfo;
 use chervilwharf_lib::ownership::OwnershipTiming;
+use chervilwharf_lib::retry::RetryBudget;
 use chervilwharf_lib::settings::Settings;
 use displaydoc::Display;
 use log::info;
@@ -26,10 +27,10 @@
 use crate::context::Shared;
 use crate::control;
 use crate::entry_handlers;
+use crate::in_flight::InFlight;
 use crate::link::Links;
 use crate::link_server;
 use crate::metrics::Metrics;
-use crate::owner::InFlight;
 use crate::platform::HttpPlatform;
 use crate::platform_sync;
 use crate::transaction::Transactions;
@@ -65,6 +66,13 @@
 /// Longest wait for handovers at a planned stop.
 const STOP_LIMIT: Duration = Duration::from_secs(20);
 
+/// Requests sent again, as a share of first tries.
+const RETRY_SHARE_PERCENT: u64 = 20;
+
+/// Requests that may be sent again at once: each caller of an entry has at
+/// most one in progress when an owner dies.
+const RETRY_BURST: u64 = 5000;
+
 /// Time in which callers that are at work are told to go elsewhere. Those
 /// that stay silent for so long have no request in progress.
 const CLOSING_TIME: Duration = Duration::from_secs(2);
@@ -172,6 +180,7 @@
         changed: Notify::new(),
         actions,
         stopping: watch::Sender::new(false),
+        retries: RetryBudget::new(RETRY_SHARE_PERCENT, RETRY_BURST).into(),
         refusing: false.into(),
         active_requests: 0.into(),
         started_at: Instant::now(),
--- a/daemon/src/transaction.rs
+++ b/daemon/src/transaction.rs
@@ -8,23 +8,19 @@
 
 use chervilwharf_lib::error_kind::ErrorKind;
 use chervilwharf_lib::id::DatabaseId;
-use chervilwharf_lib::ledger;
 use chervilwharf_lib::ledger::LedgerOutcome;
 use chervilwharf_lib::protos::Failure;
 use chervilwharf_lib::protos::Result as StatementResult;
 
 use crate::answer::failure;
 use crate::answer::failure_with;
-use crate::answer::from_answer;
 use crate::answer::kind_of;
-use crate::answer::to_answer;
 use crate::checkout;
 use crate::checkout::ConnectionGuard;
 use crate::confirm::NotConfirmed;
 use crate::context::Shared;
-use crate::metrics::since_epoch;
+use crate::in_flight;
 use crate::owner;
-use crate::owner::InFlight;
 use crate::owner::Request;
 use crate::owner::Serving;
 use crate::owner::WorkGuard;
@@ -214,27 +210,11 @@
 ///
 /// The failure for the caller; its kind says whether it may have run.
 pub async fn commit(context: &Shared, request: &Request) -> Result<StatementResult, Failure> {
-    if ledger::is_expired(&request.submit.request_id, since_epoch()) {
-        return Err(failure(ErrorKind::RequestIdExpired));
-    }
-    let key = (request.account.clone(), request.id());
-    let guard = match InFlight::start(context, key) {
-        Ok(guard) => guard,
-        Err(other) => return from_answer(owner::join(other, request.deadline).await),
-    };
-    let task = {
+    let work = {
         let (context, request) = (context.clone(), request.clone());
-        let link = present_link();
-        tokio::spawn(LINK.scope(link, async move {
-            let answer = to_answer(commit_once(&context, &request).await);
-            guard.finish(answer.clone());
-            answer
-        }))
+        LINK.scope(present_link(), async move { commit_once(&context, &request).await })
     };
-    match task.await {
-        Ok(answer) => from_answer(answer),
-        Err(_) => Err(failure(ErrorKind::OutcomeUnknown)),
-    }
+    in_flight::run_once(context, request, &request.submit.digest, work).await
 }
 
 async fn commit_once(context: &Shared, request: &Request) -> Result<StatementResult, Failure> {
--- a/daemon/src/write.rs
+++ b/daemon/src/write.rs
@@ -4,8 +4,8 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use chervilwharf_lib::config::Acknowledge;
 use chervilwharf_lib::error_kind::ErrorKind;
+use chervilwharf_lib::id::DatabaseId;
 use chervilwharf_lib::id::Term;
 use chervilwharf_lib::ledger;
 use chervilwharf_lib::ledger::LedgerOutcome;
@@ -17,16 +17,13 @@
 
 use crate::answer::failure;
 use crate::answer::failure_with;
-use crate::answer::from_answer;
 use crate::answer::kind_of;
-use crate::answer::to_answer;
 use crate::checkout::ConnectionGuard;
-use crate::confirm;
 use crate::confirm::NotConfirmed;
 use crate::context::Shared;
+use crate::in_flight;
 use crate::metrics::since_epoch;
 use crate::owner;
-use crate::owner::InFlight;
 use crate::owner::Interruption;
 use crate::owner::Request;
 use crate::owner::Serving;
@@ -97,28 +94,13 @@
 ///
 /// The failure for the caller; its kind says whether the write may have run.
 pub async fn run(context: &Shared, request: &Request) -> Result<StatementResult, Failure> {
-    if ledger::is_expired(&request.submit.request_id, since_epoch()) {
-        return Err(failure(ErrorKind::RequestIdExpired));
-    }
-    let key = (request.account.clone(), request.id());
-    let guard = match InFlight::start(context, key) {
-        Ok(guard) => guard,
-        Err(other) => return from_answer(owner::join(other, request.deadline).await),
-    };
-    // In a task of its own: the entry may go away in the middle, and the
-    // write must still come to a known end.
-    let task = {
+    let digest = digest_of(&request.submit);
+    let work = {
         let (context, request) = (context.clone(), request.clone());
-        tokio::spawn(async move {
-            let answer = to_answer(run_once(&context, &request).await);
-            guard.finish(answer.clone());
-            answer
-        })
+        let digest = digest.clone();
+        async move { run_to_end(&context, &request, digest).await }
     };
-    match task.await {
-        Ok(answer) => from_answer(answer),
-        Err(_) => Err(failure(ErrorKind::OutcomeUnknown)),
-    }
+    in_flight::run_once(context, request, &digest, work).await
 }
 
 /// What one try of a write gave.
@@ -161,8 +143,11 @@
     }
 }
 
-async fn run_once(context: &Shared, request: &Request) -> Result<StatementResult, Failure> {
-    let digest = digest_of(&request.submit);
+async fn run_to_end(
+    context: &Shared,
+    request: &Request,
+    digest: Vec<u8>,
+) -> Result<StatementResult, Failure> {
     let mut progress = Progress { digest, unknown_since: None, stalled: false };
     loop {
         let entered =
@@ -461,17 +446,8 @@
     serving: &Serving,
     position: Position,
 ) -> Result<(), NotConfirmed> {
-    let (database, deadline) = (&request.database, request.deadline);
-    if request.acknowledge == Acknowledge::Replica {
-        confirm::wait_confirmed(context, database, position, deadline).await?;
-    }
-    owner::wait_until_current(context, database, serving.term, deadline).await.map_err(
-        |error| match kind_of(&error) {
-            ErrorKind::NotOwner => NotConfirmed::TermOver,
-            _ => NotConfirmed::Late,
-        },
-    )?;
-    context.with_database(database, |state| {
+    owner::wait_answerable(context, request, serving, position, true).await?;
+    context.with_database(&request.database, |state| {
         state.floors.acknowledged(position);
         state.floors.raise(&request.account, position);
     });
@@ -527,6 +503,23 @@
     })
 }
 
+/// Deletes ledger rows past their retention; their ids are refused by then.
+///
+/// # Errors
+///
+/// When the primary cannot be reached or refuses. The next round tries again.
+pub async fn expire_ledger(
+    context: &Shared,
+    database: &DatabaseId,
+    serving: &Serving,
+    deadline: Instant,
+) -> Result<(), Failure> {
+    let oldest_ms = since_epoch().saturating_sub(ledger::RETENTION).as_millis();
+    let step =
+        Step::own(ledger::EXPIRE_SQL).with_text(oldest_ms.to_string()).with_types(&[INT8_OID]);
+    run_own(context, database, serving, deadline, step).await
+}
+
 /// Creates the ledger if the database has none.
 ///
 /// # Errors
@@ -534,16 +527,27 @@
 /// When the primary cannot be reached or refuses.
 pub async fn create_ledger(
     context: &Shared,
-    request_database: &chervilwharf_lib::id::DatabaseId,
+    database: &DatabaseId,
     serving: &Serving,
     deadline: Instant,
 ) -> Result<(), Failure> {
-    let server = &serving.primary;
-    let mut guard = owner::connect(context, request_database, serving, server, deadline).await?;
-    let steps = [Step::own(ledger::CREATE_SQL)];
-    match tokio::time::timeout_at(deadline.into(), guard.get().run(&steps)).await {
+    run_own(context, database, serving, deadline, Step::own(ledger::CREATE_SQL)).await
+}
+
+/// Runs a statement of our own at the primary.
+async fn run_own(
+    context: &Shared,
+    database: &DatabaseId,
+    serving: &Serving,
+    deadline: Instant,
+    step: Step,
+) -> Result<(), Failure> {
+    let mut guard = owner::connect(context, database, serving, &serving.primary, deadline).await?;
+    let steps = [step];
+    let run = guard.get().run(&steps);
+    match owner::within_term(context, database, serving.term, deadline, run).await {
         Ok(Ok(_)) => Ok(()),
-        Ok(Err(error)) => Err(owner::batch_failure(context, request_database, serving, &error)),
+        Ok(Err(error)) => Err(owner::batch_failure(context, database, serving, &error)),
         Err(_) => Err(failure(ErrorKind::NoPrimary)),
     }
 }
--- a/lib/src/ledger.rs
+++ b/lib/src/ledger.rs
@@ -38,8 +38,9 @@
 
 /// Deletes what is past its retention: parameter time, with a limit so that
 /// one clean-up never holds the primary for long.
-pub const EXPIRE_SQL: &str = "DELETE FROM chervilwharf_ledger WHERE rowid IN \
-    (SELECT rowid FROM chervilwharf_ledger WHERE at_ms < $1::bigint LIMIT 1000)";
+pub const EXPIRE_SQL: &str = "DELETE FROM chervilwharf_ledger WHERE at_ms < $1::bigint \
+    AND request_id IN (SELECT request_id FROM chervilwharf_ledger \
+    WHERE at_ms < $1::bigint LIMIT 1000)";
 
 /// What a ledger row says about its request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
