--- a/testing/testutils/tests/test_failover.rs
+++ b/testing/testutils/tests/test_failover.rs
@@ -222,3 +222,76 @@
     })
     .await;
 }
+
+/// Symptom: callers see errors when a server is taken out. Sequence: the
+/// primary is marked as leaving, under load. Cause: it is dropped instead of
+/// replaced after its writes have reached a replica.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_leaving_primary_is_replaced_without_an_error() {
+    let mut cluster = Cluster::start(Shape::default()).await;
+    let workload = Workload::start(&cluster, Style::Statement).await;
+    workload.wait_for_progress(PROGRESS).await;
+    let (_, _, leaving) = cluster.serving("db1").await.unwrap();
+    let servers = &mut cluster.config.databases.get_mut("db1").unwrap().servers;
+    let server = servers.iter_mut().find(|server| *server.id == *leaving).unwrap();
+    server.leaving = true;
+    cluster.store_configuration("operator");
+    wait_for("another server is primary", async || {
+        cluster.serving("db1").await.is_some_and(|(_, _, primary)| primary != leaving)
+    })
+    .await;
+    workload.wait_for_progress(PROGRESS).await;
+    let (history, stale) = workload.stop().await;
+    let errors: Vec<_> = history.values().flatten().filter(|mark| !mark.error.is_empty()).collect();
+    assert!(errors.is_empty(), "{errors:?}");
+    let violations = checker::check(&cluster, &history, stale).await;
+    assert_eq!(violations, Violations::default());
+    // What left gets nothing new, not even reads.
+    let (owner, _, _) = cluster.serving("db1").await.unwrap();
+    let status = cluster.status(owner).await.unwrap();
+    let servers = status["databases"]["db1"]["serving_here"]["servers"].as_array().unwrap();
+    let server = servers.iter().find(|server| server["server"] == leaving.as_str()).unwrap();
+    assert_eq!(server["usable"], false);
+}
+
+/// Symptom: a server that came back answers old data, or is never used again.
+/// Sequence: the primary is killed with a tail that no replica has, another is
+/// promoted, the old one starts again with its log. Cause: its tail is not cut
+/// back, or nobody fences it and makes it follow.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_returned_primary_follows_and_loses_its_tail() {
+    let mut cluster = Cluster::start(Shape { durable: true, ..Shape::default() }).await;
+    let workload = Workload::start(&cluster, Style::Statement).await;
+    workload.wait_for_progress(PROGRESS).await;
+    let index = primary(&cluster).await;
+    let (_, before, _) = cluster.serving("db1").await.unwrap();
+    // Its last commits reach no replica.
+    cluster.targets[index].log_proxy.set(Behaviour::silent());
+    tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+    cluster.targets[index].process.as_mut().unwrap().kill();
+    wait_for("another server is primary", async || {
+        cluster.serving("db1").await.is_some_and(|(_, term, _)| term > before)
+    })
+    .await;
+    cluster.targets[index].log_proxy.set(Behaviour::default());
+    cluster.start_target(index);
+    wait_for("the old primary is usable again and has caught up", async || {
+        let Some((owner, term, _)) = cluster.serving("db1").await else {
+            return false;
+        };
+        let status = cluster.status(owner).await.unwrap();
+        let servers = &status["databases"]["db1"]["serving_here"]["servers"];
+        let servers = servers.as_array().cloned().unwrap_or_default();
+        let in_line = |server: &serde_json::Value| {
+            server["usable"] == true
+                && server["term"] == term
+                && server["applied"].as_str().is_some_and(|a| a.starts_with(&format!("{term}/")))
+        };
+        servers.len() == 3 && servers.iter().all(in_line)
+    })
+    .await;
+    workload.wait_for_progress(PROGRESS).await;
+    let (history, stale) = workload.stop().await;
+    let violations = checker::check(&cluster, &history, stale).await;
+    assert_eq!(violations, Violations::default());
+}
--- a/testing/testutils/tests/test_path.rs
+++ b/testing/testutils/tests/test_path.rs
@@ -137,6 +137,38 @@
     neighbour.batch_execute("SELECT 1").await.unwrap();
 }
 
+/// Slots in use at the primary.
+async fn slots_in_use(cluster: &Cluster) -> u64 {
+    let (owner, _, primary) = cluster.serving("db1").await.unwrap();
+    let status = cluster.status(owner).await.unwrap();
+    let servers = status["databases"]["db1"]["serving_here"]["servers"].as_array().unwrap();
+    let primary = servers.iter().find(|server| server["server"] == primary.as_str());
+    primary.unwrap()["slots_in_use"].as_u64().unwrap()
+}
+
+/// Symptom: a caller gets the answer of a request it never made. Sequence: a
+/// request waits for a lock; another with the same id and another statement
+/// arrives. Cause: copies in progress are told apart by their id alone.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_id_of_a_request_in_progress_is_refused_for_another_statement() {
+    let cluster = Cluster::start(Shape::default()).await;
+    let holder = cluster.connect(0, "tenant").await;
+    holder.batch_execute("CREATE TABLE t (id INTEGER)").await.unwrap();
+    holder.batch_execute("BEGIN").await.unwrap();
+    holder.batch_execute("INSERT INTO t VALUES (0)").await.unwrap();
+    let first = cluster.connect(1, "tenant").await;
+    let waiting = tokio::spawn(async move {
+        first.batch_execute("INSERT INTO t VALUES (1) /*request_id='same'*/").await
+    });
+    wait_for("the first request waits", async || slots_in_use(&cluster).await == 1).await;
+    let second = cluster.connect(2, "tenant").await;
+    let other = "INSERT INTO t VALUES (2) /*request_id='same'*/";
+    let error = second.batch_execute(other).await.unwrap_err();
+    assert_eq!(sqlstate(&error), "22023");
+    holder.batch_execute("COMMIT").await.unwrap();
+    waiting.await.unwrap().unwrap();
+}
+
 /// Symptom: transactions stand still until their deadlines. Sequence: one
 /// holds a lock, others wait for it in all slots of the primary, and the next
 /// statement of the first waits for a slot. Cause: an open transaction has to
@@ -155,14 +187,8 @@
             waiter.batch_execute(&format!("INSERT INTO t VALUES ({id})")).await
         }));
     }
-    wait_for("the slots of the primary are taken", async || {
-        let (owner, _, primary) = cluster.serving("db1").await.unwrap();
-        let status = cluster.status(owner).await.unwrap();
-        let servers = status["databases"]["db1"]["serving_here"]["servers"].as_array().unwrap();
-        let primary = servers.iter().find(|server| server["server"] == primary.as_str());
-        primary.unwrap()["slots_in_use"] == 3
-    })
-    .await;
+    wait_for("the slots of the primary are taken", async || slots_in_use(&cluster).await == 3)
+        .await;
     holder.batch_execute("INSERT INTO t VALUES (7)").await.unwrap();
     holder.batch_execute("COMMIT").await.unwrap();
     for waiter in waiters {
