transaction: never go on in a new transaction after the first was lost

Cause: an entry overwrote the mark that a statement continues a transaction with whether it was being sent again. When the link between entry and owner was replaced between two statements, the owner had rolled back with the old link, took the next statement for the first of a new transaction, and committed that: acknowledged, with its first statements missing.

Ruled out: a double promotion or a lost log entry; the ledger row of the transaction was there, only its earlier statements were not.

Before: the new test fails, the second statement succeeds. After: it gets 40001, and the whole of test_path passes (9). Also: ownership's events and actions in a file of their own, and the futures of requests on the heap, since each idle caller held 20 KB for them.

--- a/daemon/src/entry.rs
+++ b/daemon/src/entry.rs
@@ -310,7 +310,7 @@
             submit.transaction_id.clone_from(&transaction.id);
             submit.request_id.clone_from(&transaction.request_id);
             submit.kind = StatementKind::InTransaction.into();
-            submit.resend = transaction.started;
+            submit.continues = transaction.started;
             transaction.started = true;
         } else {
             submit.request_id = self.take_request_id(hints);
--- a/daemon/src/forward.rs
+++ b/daemon/src/forward.rs
@@ -87,7 +87,8 @@
     let owner = find_owner(context, &submit.database);
     match owner {
         Owner::Here => {
-            let answer = owner::serve(context.clone(), submit.clone()).await;
+            // On the heap: idle callers would hold its space otherwise.
+            let answer = Box::pin(owner::serve(context.clone(), submit.clone())).await;
             Sent::Answered(from_answer(answer))
         }
         Owner::Unknown => Sent::Unsent,
@@ -190,7 +191,7 @@
     let deadline = Instant::now() + Duration::from_millis(describe.deadline_ms);
     loop {
         let answer = match find_owner(context, &describe.database) {
-            Owner::Here => Some(owner::describe(context.clone(), describe.clone()).await),
+            Owner::Here => Some(Box::pin(owner::describe(context.clone(), describe.clone())).await),
             Owner::Unknown => None,
             Owner::At(instance) => {
                 let body = Body::Describe(describe.clone());
--- a/daemon/src/in_flight.rs
+++ b/daemon/src/in_flight.rs
@@ -11,6 +11,7 @@
 use chervilwharf_lib::protos::Answer;
 use chervilwharf_lib::protos::Failure;
 use chervilwharf_lib::protos::Result as StatementResult;
+use futures::future::BoxFuture;
 use tokio::sync::watch;
 
 use crate::answer::failure;
@@ -94,7 +95,7 @@
     context: &Shared,
     request: &Request,
     digest: &[u8],
-    work: impl Future<Output = Result<StatementResult, Failure>> + Send + 'static,
+    work: BoxFuture<'static, Result<StatementResult, Failure>>,
 ) -> Result<StatementResult, Failure> {
     if ledger::is_expired(&request.submit.request_id, since_epoch()) {
         return Err(failure(ErrorKind::RequestIdExpired));
--- a/daemon/src/owner.rs
+++ b/daemon/src/owner.rs
@@ -14,7 +14,7 @@
 use chervilwharf_lib::id::TargetId;
 use chervilwharf_lib::id::Term;
 use chervilwharf_lib::instance::Gate;
-use chervilwharf_lib::ownership::OwnershipEvent;
+use chervilwharf_lib::ownership_types::OwnershipEvent;
 use chervilwharf_lib::position::Position;
 use chervilwharf_lib::protos::Answer;
 use chervilwharf_lib::protos::Describe;
--- a/daemon/src/start.rs
+++ b/daemon/src/start.rs
@@ -11,7 +11,7 @@
 use chervilwharf_lib::instance::InstanceEvent;
 use chervilwharf_lib::membership::MembershipTiming;
 use chervilwharf_lib::membership::PeerInfo;
-use chervilwharf_lib::ownership::OwnershipTiming;
+use chervilwharf_lib::ownership_types::OwnershipTiming;
 use chervilwharf_lib::retry::RetryBudget;
 use chervilwharf_lib::settings::Settings;
 use displaydoc::Display;
--- a/daemon/src/transaction.rs
+++ b/daemon/src/transaction.rs
@@ -141,8 +141,10 @@
     let (slot, is_new) = context.transactions.slot(id, present_link());
     let mut held = slot.lock().await;
     if held.is_none() {
-        if !is_new || request.submit.resend {
-            // It was rolled back here, or lived at an owner that is gone.
+        if !is_new || request.submit.resend || request.submit.continues {
+            // It was rolled back here, or lived at an owner that is gone. A
+            // new transaction in its place would commit without what ran
+            // before, and tell the caller that all of it is there.
             context.transactions.roll_back(id);
             return Err(failure(ErrorKind::TransactionLost));
         }
@@ -212,7 +214,8 @@
 pub async fn commit(context: &Shared, request: &Request) -> Result<StatementResult, Failure> {
     let work = {
         let (context, request) = (context.clone(), request.clone());
-        LINK.scope(present_link(), async move { commit_once(&context, &request).await })
+        let committing = async move { commit_once(&context, &request).await };
+        Box::pin(LINK.scope(present_link(), committing))
     };
     in_flight::run_once(context, request, &request.submit.digest, work).await
 }
--- a/daemon/src/write.rs
+++ b/daemon/src/write.rs
@@ -98,7 +98,7 @@
     let work = {
         let (context, request) = (context.clone(), request.clone());
         let digest = digest.clone();
-        async move { run_to_end(&context, &request, digest).await }
+        Box::pin(async move { run_to_end(&context, &request, digest).await })
     };
     in_flight::run_once(context, request, &digest, work).await
 }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod limits;
 pub mod membership;
 pub mod ownership;
+pub mod ownership_types;
 pub mod placement;
 pub mod pool;
 pub mod position;
--- a/lib/src/protos/chervilwharf.peer.rs
+++ b/lib/src/protos/chervilwharf.peer.rs
@@ -182,6 +182,9 @@
     /// Digests of the statements of the transaction, for COMMIT.
     #[prost(bytes = "vec", tag = "15")]
     pub digest: ::prost::alloc::vec::Vec<u8>,
+    /// An earlier statement of the same interactive transaction has run.
+    #[prost(bool, tag = "16")]
+    pub continues: bool,
 }
 /// Asks for parameter and column types of a statement.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/lib/tests/exploration/servers.rs
+++ b/lib/tests/exploration/servers.rs
@@ -2,8 +2,8 @@
 
 use std::sync::Arc;
 
-use chervilwharf_lib::ownership::FenceFailure;
-use chervilwharf_lib::ownership::ServerState;
+use chervilwharf_lib::ownership_types::FenceFailure;
+use chervilwharf_lib::ownership_types::ServerState;
 use chervilwharf_lib::position::Position;
 
 /// Rules of the protocol that can be taken out, to show that the exploration
--- a/lib/tests/exploration/world.rs
+++ b/lib/tests/exploration/world.rs
@@ -15,9 +15,9 @@
 use chervilwharf_lib::membership::HeartbeatBody;
 use chervilwharf_lib::membership::MembershipTiming;
 use chervilwharf_lib::membership::PeerInfo;
-use chervilwharf_lib::ownership::OwnershipAction;
-use chervilwharf_lib::ownership::OwnershipEvent;
-use chervilwharf_lib::ownership::OwnershipTiming;
+use chervilwharf_lib::ownership_types::OwnershipAction;
+use chervilwharf_lib::ownership_types::OwnershipEvent;
+use chervilwharf_lib::ownership_types::OwnershipTiming;
 use chervilwharf_lib::position::Position;
 
 use crate::servers::MissingRule;
--- a/lib/tests/test_ownership.rs
+++ b/lib/tests/test_ownership.rs
@@ -4,14 +4,14 @@
 use std::time::Instant;
 
 use chervilwharf_lib::ownership;
-use chervilwharf_lib::ownership::FenceFailure;
-use chervilwharf_lib::ownership::GroupServer;
 use chervilwharf_lib::ownership::Ownership;
-use chervilwharf_lib::ownership::OwnershipAction;
-use chervilwharf_lib::ownership::OwnershipEvent;
-use chervilwharf_lib::ownership::OwnershipTiming;
-use chervilwharf_lib::ownership::ServerState;
-use chervilwharf_lib::ownership::TakeCause;
+use chervilwharf_lib::ownership_types::FenceFailure;
+use chervilwharf_lib::ownership_types::GroupServer;
+use chervilwharf_lib::ownership_types::OwnershipAction;
+use chervilwharf_lib::ownership_types::OwnershipEvent;
+use chervilwharf_lib::ownership_types::OwnershipTiming;
+use chervilwharf_lib::ownership_types::ServerState;
+use chervilwharf_lib::ownership_types::TakeCause;
 use chervilwharf_lib::position::Position;
 
 fn new_ownership(life: &str) -> Ownership {
--- a/testing/testutils/src/experiments/capacity.rs
+++ b/testing/testutils/src/experiments/capacity.rs
@@ -12,7 +12,7 @@
 use chervilwharf_lib::membership::MembershipTiming;
 use chervilwharf_lib::membership::OwnerRecord;
 use chervilwharf_lib::membership::PeerInfo;
-use chervilwharf_lib::ownership::OwnershipTiming;
+use chervilwharf_lib::ownership_types::OwnershipTiming;
 
 use crate::cluster::Cluster;
 use crate::cluster::Shape;
--- a/testing/testutils/tests/test_path.rs
+++ b/testing/testutils/tests/test_path.rs
@@ -195,3 +195,29 @@
         waiter.await.unwrap().unwrap();
     }
 }
+
+/// Symptom: a transaction is acknowledged, and its first statements are
+/// missing. Sequence: the link between entry and owner goes silent between two
+/// statements; the owner rolls back; the next statement comes over a new link.
+/// Cause: the owner takes it for the first of a new transaction.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_transaction_whose_link_was_lost_does_not_go_on_in_a_new_one() {
+    let cluster = Cluster::start(Shape::default()).await;
+    let (owner, _, _) = cluster.serving("db1").await.unwrap();
+    let client = cluster.connect((owner + 1) % 3, "tenant").await;
+    client.batch_execute("CREATE TABLE t (id INTEGER)").await.unwrap();
+    client.batch_execute("BEGIN").await.unwrap();
+    client.batch_execute("INSERT INTO t VALUES (1)").await.unwrap();
+    cluster.instances[owner].peer_proxy.forget_open_connections();
+    // The heartbeats notice, and the owner rolls back with the old link.
+    wait_for("the owner holds no transaction", async || {
+        let status = cluster.status(owner).await.unwrap();
+        status["databases"]["db1"]["serving_here"]["open_transactions"] == 0
+    })
+    .await;
+    let error = client.batch_execute("INSERT INTO t VALUES (2)").await.unwrap_err();
+    assert_eq!(sqlstate(&error), "40001");
+    client.batch_execute("ROLLBACK").await.unwrap();
+    let count = client.simple_query("SELECT count(*) FROM t").await.unwrap();
+    assert_eq!(first_value(&count).as_deref(), Some("0"));
+}
