--- a/daemon/src/checkout.rs
+++ b/daemon/src/checkout.rs
@@ -234,12 +234,6 @@
     pub fn get(&mut self) -> &mut ServerConnection {
         self.connection.as_mut().expect("a guard holds its connection until it is dropped")
     }
-
-    /// Server of the connection.
-    #[must_use]
-    pub fn server(&self) -> &TargetId {
-        &self.server
-    }
 }
 
 impl Drop for ConnectionGuard {
@@ -383,6 +377,22 @@
     });
 }
 
+/// Closes connections that nobody has used for a while, but for a few.
+pub fn close_expired(context: &Shared, database: &DatabaseId, server: &TargetId, warm: usize) {
+    let Some(known) = context.server(server) else {
+        return;
+    };
+    context.with_database(database, |state| {
+        let Some(pool) = state.pools.get_mut(server) else {
+            return;
+        };
+        for id in pool.expire(Instant::now(), warm) {
+            known.connections.idle.lock().expect("never poisoned").remove(&id);
+            pool.closed();
+        }
+    });
+}
+
 /// Closes connections to a server that has failed or that nobody needs.
 pub fn close_idle(context: &Shared, database: &DatabaseId, server: &TargetId) {
     let Some(known) = context.server(server) else {
--- a/daemon/src/context.rs
+++ b/daemon/src/context.rs
@@ -20,7 +20,6 @@
 use chervilwharf_lib::instance::InstanceEvent;
 use chervilwharf_lib::limits::AccountLimits;
 use chervilwharf_lib::ownership_types::OwnershipEvent;
-use chervilwharf_lib::ownership_types::OwnershipTiming;
 use chervilwharf_lib::retry::RetryBudget;
 use chervilwharf_lib::settings::Settings;
 use tokio::sync::Notify;
@@ -73,8 +72,6 @@
     pub settings: Settings,
     /// The decisions.
     pub instance: Instance,
-    /// Times of failure detection.
-    pub timing: OwnershipTiming,
     /// The configuration in force.
     pub active: watch::Sender<Arc<ActiveConfig>>,
     /// Servers of the configuration.
--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -119,17 +119,23 @@
     }
 }
 
-/// Forgets floors that every server has passed, and old ledger rows.
+/// Forgets floors that every server has passed, idle connections, and old
+/// ledger rows.
 fn clean_up(context: &Shared) {
     for (database, term) in context.instance.owned() {
-        let primary = context.with_database(&database, |state| {
+        let view = context.with_database(&database, |state| {
             let everywhere = state.ownership.applied_everywhere();
             state.floors.forget_below(everywhere, term);
-            state.ownership.serving().map(|(_, primary)| primary)
+            let servers: Vec<_> = state.ownership.servers().map(|s| s.id.clone()).collect();
+            let primary = state.ownership.serving().map(|(_, primary)| primary);
+            primary.map(|primary| (primary, servers))
         });
-        let Some(primary) = primary.flatten() else {
+        let Some((primary, servers)) = view.flatten() else {
             continue;
         };
+        for server in servers {
+            checkout::close_expired(context, &database, &server, WARM_PRIMARY);
+        }
         let context = context.clone();
         tokio::spawn(async move {
             let serving = Serving { term, primary };
--- a/daemon/src/start.rs
+++ b/daemon/src/start.rs
@@ -161,12 +161,10 @@
         configuration_version: 0,
     };
     let life = uuid::Uuid::now_v7().to_string();
-    let timing = OwnershipTiming::default();
     let (actions, queue) = mpsc::unbounded_channel();
     let platform = HttpPlatform::new(settings.store_url.clone());
     let context = Context {
-        instance: Instance::new(me, &life, MembershipTiming::default(), timing),
-        timing,
+        instance: Instance::new(me, &life, MembershipTiming::default(), OwnershipTiming::default()),
         active: watch::Sender::new(Arc::new(ActiveConfig::default())),
         servers: HashMap::new().into(),
         links: Links::default(),
--- a/lib/src/config.rs
+++ b/lib/src/config.rs
@@ -223,13 +223,4 @@
         let has_database = entry.depends_on.databases.iter().any(|id| &**id == database);
         has_service && has_database
     }
-
-    /// Finds a server and its group.
-    #[must_use]
-    pub fn server(&self, id: &str) -> Option<(&DatabaseId, &Server)> {
-        self.databases.iter().find_map(|(name, database)| {
-            let server = database.servers.iter().find(|server| &*server.id == id)?;
-            Some((name, server))
-        })
-    }
 }
--- a/lib/src/detector.rs
+++ b/lib/src/detector.rs
@@ -16,7 +16,6 @@
     next_sequence: u64,
     misses: u32,
     last_sent_at: Option<Instant>,
-    last_success_sent_at: Option<Instant>,
 }
 
 impl Detector {
@@ -29,7 +28,6 @@
             next_sequence: 1,
             misses: 0,
             last_sent_at: None,
-            last_success_sent_at: None,
         }
     }
 
@@ -57,7 +55,6 @@
         // order only per connection; the newer answer settles them too.
         self.outstanding.drain(..=index);
         self.misses = 0;
-        self.last_success_sent_at = Some(sent_at);
         Some(sent_at)
     }
 
@@ -67,7 +64,6 @@
         self.outstanding.retain(|(_, probe_sent_at)| *probe_sent_at > sent_at);
         self.misses = 0;
         self.last_sent_at = self.last_sent_at.max(Some(sent_at));
-        self.last_success_sent_at = self.last_success_sent_at.max(Some(sent_at));
     }
 
     /// A probe failed for certain, for example because the connection was
@@ -112,10 +108,4 @@
     pub fn misses(&self) -> u32 {
         self.misses
     }
-
-    /// When the newest answered probe was sent.
-    #[must_use]
-    pub fn last_success_sent_at(&self) -> Option<Instant> {
-        self.last_success_sent_at
-    }
 }
--- a/lib/src/limits.rs
+++ b/lib/src/limits.rs
@@ -32,12 +32,6 @@
         self.connections = self.connections.saturating_sub(1);
     }
 
-    /// Connections open now.
-    #[must_use]
-    pub fn connections(&self) -> u32 {
-        self.connections
-    }
-
     /// Takes one request from the bucket.
     ///
     /// # Errors
--- a/lib/src/membership.rs
+++ b/lib/src/membership.rs
@@ -294,11 +294,6 @@
         true
     }
 
-    /// The owner gave the database up: whoever is first may take it.
-    pub fn forget_owner(&mut self, database: &str) {
-        self.owners.remove(database);
-    }
-
     /// Processes a heartbeat or an answer to one.
     pub fn heard(&mut self, now: Instant, body: &HeartbeatBody) {
         self.learn_one(now, body.sender.clone());
