owner: no write before the ledger exists; deployments under test apart

Writes now wait until the ledger of a young group exists. - Deployments under test crossed: a killed server's port was given to a server of another deployment, whose old peers went on fencing it (term 1152 in a fresh group). Each deployment has a secret of its own now, as login at its servers, key of its instances and part of all passwords.

--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -17,7 +17,6 @@
 use chervilwharf_lib::ownership_types::LossReason;
 use chervilwharf_lib::ownership_types::OwnershipAction;
 use chervilwharf_lib::ownership_types::OwnershipEvent;
-use chervilwharf_lib::position::Position;
 use chervilwharf_lib::protos::Handover;
 use chervilwharf_lib::protos::frame::Body;
 use log::info;
@@ -62,6 +61,9 @@
 /// Pause after an offer to an instance that could not prepare for it.
 const HANDOVER_PAUSE: Duration = Duration::from_millis(200);
 
+/// Pause before another try to make the ledger.
+const LEDGER_PAUSE: Duration = Duration::from_millis(50);
+
 /// When takes began, to measure how long each phase lasts.
 type TakeStarts = Mutex<HashMap<DatabaseId, Instant>>;
 
@@ -202,7 +204,7 @@
                 took.as_millis()
             );
             context.set_served_term(&database, term);
-            tokio::spawn(prepare_database(context.clone(), database, term, primary, first));
+            tokio::spawn(prepare_database(context.clone(), database, term, primary));
         }
         OwnershipAction::Pause { cause } => {
             let now = Instant::now();
@@ -285,14 +287,8 @@
     while openings.join_next().await.is_some() {}
 }
 
-/// Creates the ledger and closes connections of servers that do not answer.
-async fn prepare_database(
-    context: Shared,
-    database: DatabaseId,
-    term: Term,
-    primary: TargetId,
-    first: Position,
-) {
+/// Closes connections of servers that may not answer, and makes the ledger.
+async fn prepare_database(context: Shared, database: DatabaseId, term: Term, primary: TargetId) {
     let others = context.with_database(&database, |state| {
         let ids = state.ownership.servers().map(|server| server.id.clone());
         ids.filter(|id| *id != primary).collect::<Vec<_>>()
@@ -300,13 +296,31 @@
     for server in others.unwrap_or_default() {
         checkout::close_idle(&context, &database, &server);
     }
-    let is_new_group = first.index == 1;
-    if is_new_group {
-        let serving = Serving { term, primary };
+    make_ledger(&context, &database, term, primary).await;
+}
+
+/// Creates the ledger unless it is known to exist, for as long as we serve in
+/// `term`.
+async fn make_ledger(context: &Shared, database: &DatabaseId, term: Term, primary: TargetId) {
+    let serving = Serving { term, primary };
+    loop {
+        let missing = context.with_database(database, |state| {
+            let serves = state.ownership.serving().is_some_and(|(own, _)| own == term);
+            serves && !state.ledger_ready
+        });
+        if missing != Some(true) {
+            return;
+        }
         let deadline = Instant::now() + WORK_GRACE;
-        let created = write::create_ledger(&context, &database, &serving, deadline).await;
-        if let Err(failure) = created {
-            warn!("ledger not created database={database}: {}", failure.message);
+        match write::create_ledger(context, database, &serving, deadline).await {
+            Ok(()) => {
+                context.with_database(database, |state| state.ledger_ready = true);
+                context.changed.notify_waiters();
+            }
+            Err(failure) => {
+                warn!("ledger not created database={database}: {}", failure.message);
+                tokio::time::sleep(LEDGER_PAUSE).await;
+            }
         }
     }
 }
--- a/daemon/src/owner.rs
+++ b/daemon/src/owner.rs
@@ -216,7 +216,8 @@
             Gate::NoNewTransactions => begins_transaction,
             Gate::Closed => !in_transaction,
         };
-        let Some((term, primary)) = state.ownership.serving().filter(|_| !shut) else {
+        let ready = !shut && state.ledger_ready;
+        let Some((term, primary)) = state.ownership.serving().filter(|_| ready) else {
             return Entrance::Wait;
         };
         state.in_progress += 1;
--- a/lib/src/instance.rs
+++ b/lib/src/instance.rs
@@ -43,6 +43,10 @@
 /// Shards of an instance. A small multiple of the cores of an entry instance.
 const SHARD_COUNT: usize = 16;
 
+/// A group whose log is shorter may not have its ledger yet: its first owner
+/// can have died before it was made.
+const YOUNG_LOG: u64 = 16;
+
 /// Opening of connections to one server is spaced by this.
 const OPENING_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -161,6 +165,9 @@
     pub slots: BTreeMap<TargetId, SlotQueue>,
     /// Connections to each server.
     pub pools: BTreeMap<TargetId, ServerPool>,
+    /// Whether the ledger is known to exist. Without it no write may start:
+    /// it could not be recorded.
+    pub ledger_ready: bool,
     /// Whether new work may start.
     pub gate: Gate,
     /// Requests in progress.
@@ -301,6 +308,7 @@
                 floors: Floors::new(Position::ZERO),
                 slots: BTreeMap::new(),
                 pools: BTreeMap::new(),
+                ledger_ready: false,
                 gate: Gate::Open,
                 in_progress: 0,
                 open_transactions: 0,
@@ -592,6 +600,7 @@
 /// the new owner phase.
 fn prepare(state: &mut DatabaseState, action: &OwnershipAction) {
     if let OwnershipAction::Serve { first, primary, .. } = action {
+        state.ledger_ready = first.index > YOUNG_LOG;
         state.floors.promoted(*first);
         if let Some(slots) = state.slots.get_mut(primary) {
             slots.start_slowly();
--- a/standin/src/command.rs
+++ b/standin/src/command.rs
@@ -52,6 +52,9 @@
     /// file that keeps log and term over a restart
     #[argh(option)]
     log_file: Option<PathBuf>,
+    /// the only login accepted; any if omitted
+    #[argh(option)]
+    login: Option<String>,
 }
 
 /// Runs a store until it is killed.
@@ -94,6 +97,7 @@
         slots: command.slots,
         connections: command.connections,
         log_file: command.log_file,
+        login: command.login,
         ..TargetOptions::new(&command.id)
     };
     let target = Target::start(options).await?;
--- a/standin/src/target.rs
+++ b/standin/src/target.rs
@@ -48,6 +48,11 @@
     pub statement_cost: Duration,
     /// File that keeps log and term over a restart.
     pub log_file: Option<PathBuf>,
+    /// The only login it accepts, for sessions and for its log.
+    ///
+    /// A port given up by a server that was killed can be given to a server
+    /// of another deployment under test, whose peers still know it.
+    pub login: Option<String>,
 }
 
 impl TargetOptions {
@@ -64,6 +69,7 @@
             slots: 3,
             statement_cost: Duration::ZERO,
             log_file: None,
+            login: None,
         }
     }
 }
@@ -189,6 +195,7 @@
 
 #[derive(Serialize, Deserialize)]
 struct Pull {
+    login: Option<String>,
     term: u64,
     ends: Vec<Position>,
 }
@@ -216,7 +223,8 @@
 
 fn answer_pull(core: &TargetCore, pull: &Pull) -> Pulled {
     let log = core.log();
-    let is_primary = log.is_primary && log.term == pull.term;
+    let is_ours = core.options.login == pull.login;
+    let is_primary = is_ours && log.is_primary && log.term == pull.term;
     let common = log.common_length(&pull.ends);
     let entries = if is_primary {
         log.entries.iter().skip(common).take(PULL_LIMIT).map(|(entry, _)| entry.clone()).collect()
@@ -237,7 +245,8 @@
         let turned = core.turned.notified();
         let job = {
             let log = core.log();
-            let pull = Pull { term: log.term, ends: log.term_ends() };
+            let login = core.options.login.clone();
+            let pull = Pull { login, term: log.term, ends: log.term_ends() };
             log.upstream.clone().map(|upstream| (upstream, pull))
         };
         let Some((upstream, pull)) = job else {
--- a/standin/src/target_wire.rs
+++ b/standin/src/target_wire.rs
@@ -87,12 +87,16 @@
 
 #[async_trait]
 impl NoopStartupHandler for WireHandler {
-    async fn post_startup<C>(&self, _: &mut C, _: PgWireFrontendMessage) -> PgWireResult<()>
+    async fn post_startup<C>(&self, client: &mut C, _: PgWireFrontendMessage) -> PgWireResult<()>
     where
         C: ClientInfo + Sink<PgWireBackendMessage> + Unpin + Send,
         C::Error: Debug,
         PgWireError: From<<C as Sink<PgWireBackendMessage>>::Error>,
     {
+        let user = client.metadata().get(pgwire::api::METADATA_USER);
+        if self.core.options.login.as_ref().is_some_and(|login| Some(login) != user) {
+            return Err(user_error("FATAL", "28000", "no such login"));
+        }
         tokio::time::sleep(self.core.options.connect_cost).await;
         if self.core.connection_count.load(Ordering::Relaxed) > self.core.options.connections {
             return Err(user_error("FATAL", "53300", "sorry, too many clients already"));
--- a/testing/testutils/src/checker.rs
+++ b/testing/testutils/src/checker.rs
@@ -20,6 +20,7 @@
 use crate::callers::Told;
 use crate::callers::told;
 use crate::cluster::Cluster;
+use crate::cluster::password;
 use crate::cluster::wait_for;
 
 /// Table the writers fill. It has no key, so that a row that was written
@@ -105,13 +106,13 @@
     }
 }
 
-async fn connect(address: SocketAddr, account: &str) -> Option<Client> {
+async fn connect(address: SocketAddr, account: &str, secret: &str) -> Option<Client> {
     let mut config = tokio_postgres::Config::new();
     config
         .host(address.ip().to_string())
         .port(address.port())
         .user(account)
-        .password(account)
+        .password(password(account, secret))
         .dbname("db1")
         .connect_timeout(Duration::from_secs(2));
     let connecting = tokio::time::timeout(Duration::from_secs(2), config.connect(NoTls));
@@ -125,6 +126,7 @@
     entries: Vec<SocketAddr>,
     next: usize,
     account: String,
+    secret: String,
     client: Option<Client>,
 }
 
@@ -133,7 +135,7 @@
         while self.client.as_ref().is_none_or(Client::is_closed) {
             let address = self.entries[self.next % self.entries.len()];
             self.next += 1;
-            self.client = connect(address, &self.account).await;
+            self.client = connect(address, &self.account, &self.secret).await;
             if self.client.is_none() {
                 tokio::time::sleep(Duration::from_millis(10)).await;
             }
@@ -216,6 +218,7 @@
                 entries: entries.clone(),
                 next: number + offset,
                 account: (*writer).to_owned(),
+                secret: cluster.secret.clone(),
                 client: None,
             };
             workload.spawn_writer(roamer(0), style, writer, pause);
@@ -365,7 +368,7 @@
                 continue;
             }
             let address = cluster.instances[index].client_proxy.address;
-            let Some(client) = connect(address, "kiosk").await else {
+            let Some(client) = connect(address, "kiosk", &cluster.secret).await else {
                 continue;
             };
             // The kiosk reads what is fresh: everything acknowledged.
@@ -381,7 +384,8 @@
         if cluster.instances[index].process.is_none() || found.is_some() {
             continue;
         }
-        if let Some(client) = connect(cluster.instances[index].client_proxy.address, "kiosk").await
+        if let Some(client) =
+            connect(cluster.instances[index].client_proxy.address, "kiosk", &cluster.secret).await
         {
             found = client.simple_query("SELECT id FROM marks").await.ok().map(|m| rows(&m));
         }
--- a/testing/testutils/src/cluster.rs
+++ b/testing/testutils/src/cluster.rs
@@ -26,9 +26,6 @@
 use crate::process::Process;
 use crate::process::program;
 
-/// Secret of the instances of a test.
-pub const PEER_KEY: &str = "only for tests, never elsewhere";
-
 /// Longest wait for a condition before a test fails. Far beyond what any
 /// condition takes, so that a slow machine gives the same verdict.
 pub const PATIENCE: Duration = Duration::from_secs(60);
@@ -117,6 +114,12 @@
     pub instances: Vec<InstanceNode>,
     /// The configuration.
     pub config: Config,
+    /// Login at the servers, key of the instances and part of all passwords.
+    ///
+    /// Deployments of other tests run beside this one, and a port given up by
+    /// a killed process of theirs can come to ours. Without a secret of its
+    /// own each would take in what was meant for the other.
+    pub secret: String,
     shape: Shape,
     folder: PathBuf,
 }
@@ -184,8 +187,9 @@
                 store_proxy,
             });
         }
-        let config = configuration(&shape, &targets);
-        let mut cluster = Self { store, targets, instances, config, shape, folder };
+        let secret = uuid::Uuid::now_v7().to_string();
+        let config = configuration(&shape, &targets, &secret);
+        let mut cluster = Self { store, targets, instances, config, secret, shape, folder };
         for index in 0..cluster.targets.len() {
             cluster.start_target(index);
         }
@@ -198,7 +202,7 @@
         let statement_cost_ms = self.shape.statement_cost.as_millis().to_string();
         let log = self.folder.join("targets.txt");
         let target = &mut self.targets[index];
-        let mut arguments = vec!["target", "--id", &target.id];
+        let mut arguments = vec!["target", "--id", &target.id, "--login", &self.secret];
         arguments.extend(["--connect-cost-ms", &connect_cost_ms]);
         arguments.extend(["--statement-cost-ms", &statement_cost_ms]);
         let log_file = target.log_file.as_ref().map(|path| path.display().to_string());
@@ -235,7 +239,7 @@
             "advertised_peer_address": node.peer_proxy.address,
             "admin_address": any_port(),
             "store_url": format!("http://{}", node.store_proxy.address),
-            "peer_key": PEER_KEY,
+            "peer_key": self.secret,
             "seeds": seeds,
         });
         let path = self.folder.join(format!("{}.json", node.id));
@@ -366,7 +370,13 @@
     }
 }
 
-fn configuration(shape: &Shape, targets: &[TargetNode]) -> Config {
+/// Password of an account.
+#[must_use]
+pub fn password(account: &str, secret: &str) -> String {
+    format!("{account}-{secret}")
+}
+
+fn configuration(shape: &Shape, targets: &[TargetNode], secret: &str) -> Config {
     let databases: Vec<String> = (1..=shape.databases).map(|n| format!("db{n}")).collect();
     let server = |(index, node): (usize, &TargetNode)| Server {
         id: node.id.as_str().into(),
@@ -379,7 +389,7 @@
     };
     let group = |(number, name): (usize, &String)| {
         let servers = targets[number * 3..number * 3 + 3].iter().enumerate().map(server);
-        let login = "chervilwharf";
+        let login = secret;
         let database =
             Database { servers: servers.collect(), login: login.into(), password: login.into() };
         (name.as_str().into(), database)
@@ -398,7 +408,7 @@
     let account = |name: &str, service: &str| {
         let salt = format!("salt of {name:<16}");
         let account = Account {
-            verifier: verifier::make_verifier(name, salt.as_bytes()).into(),
+            verifier: verifier::make_verifier(&password(name, secret), salt.as_bytes()).into(),
             services: vec![service.into()],
             max_connections: 1000,
             requests_per_s: 100_000,
--- a/testing/testutils/src/experiments/latency.rs
+++ b/testing/testutils/src/experiments/latency.rs
@@ -47,7 +47,7 @@
     proxy.set_upstream(process.ready["target"].parse().expect("an address"));
     proxy.set(Behaviour::delayed(delay));
     let mut config = tokio_postgres::Config::new();
-    config.host("127.0.0.1").port(proxy.address.port()).user("direct").dbname("db1");
+    config.host("127.0.0.1").port(proxy.address.port()).user(&cluster.secret).dbname("db1");
     let (client, connection) = config.connect(NoTls).await.expect("the server is up");
     tokio::spawn(connection);
     client
