--- a/testing/testutils/tests/test_matrix.rs
+++ b/testing/testutils/tests/test_matrix.rs
@@ -13,7 +13,7 @@
     ("write: COMMIT sent", Fault::KillPrimary),
     ("write: COMMIT answered", Fault::OneWayPrimary),
     ("write: answer to entry", Fault::FreezeOwner),
-    ("read: at replica", Fault::LagReplicas),
+    ("read: at replica", Fault::FreezePrimary),
     ("transaction: COMMIT sent", Fault::KillPrimary),
     ("takeover: fence", Fault::StoreDown),
     ("takeover: promote", Fault::KillOwner),
