testutils: one way to send a signal and to set the lag

Read over the whole change: the matrix sent signals by its own unsafe call beside the one in Process, it and the share experiment each set the lag of replicas over HTTP, and a function for the longest gap stood unused beside the one that the gap experiment has. Each stands once now; what they do is the same, and no assertion changed.

--- a/testing/testutils/src/checker.rs
+++ b/testing/testutils/src/checker.rs
@@ -448,16 +448,3 @@
     .await;
     answer.into_inner().expect("never poisoned")
 }
-
-/// Longest time in which no write of anyone was acknowledged.
-#[must_use]
-pub fn longest_gap(history: &History) -> Duration {
-    let mut times: Vec<_> = history
-        .values()
-        .flatten()
-        .filter(|mark| mark.heard == Heard::Acknowledged)
-        .map(|mark| mark.at)
-        .collect();
-    times.sort_unstable();
-    times.windows(2).map(|pair| pair[1] - pair[0]).max().unwrap_or_default()
-}
--- a/testing/testutils/src/cluster.rs
+++ b/testing/testutils/src/cluster.rs
@@ -299,6 +299,20 @@
         response.text().await.expect("metrics are text")
     }
 
+    /// Makes all replicas apply entries only after `lag`.
+    ///
+    /// # Panics
+    ///
+    /// When a server is down.
+    pub async fn set_lag(&self, lag: Duration) {
+        let client = reqwest::Client::builder().no_proxy().build().expect("no unusual options");
+        for target in &self.targets {
+            let address = &target.process.as_ref().expect("up").ready["replication"];
+            let url = format!("http://{address}/lag/{}", lag.as_millis());
+            client.post(url).send().await.expect("the server is up");
+        }
+    }
+
     /// Index of the instance that serves a database, its term and primary.
     pub async fn serving(&self, database: &str) -> Option<(usize, u64, String)> {
         let mut best: Option<(usize, u64, String)> = None;
--- a/testing/testutils/src/experiments/share.rs
+++ b/testing/testutils/src/experiments/share.rs
@@ -166,12 +166,7 @@
         let text = format!("INSERT INTO kv VALUES ({number}, 0)");
         setup.batch_execute(&text).await.expect("runs");
     }
-    for target in &cluster.targets {
-        let address = target.process.as_ref().expect("up").ready["replication"].clone();
-        let url = format!("http://{address}/lag/{}", lag.as_millis());
-        let client = reqwest::Client::builder().no_proxy().build().expect("no unusual options");
-        client.post(url).send().await.expect("the server is up");
-    }
+    cluster.set_lag(lag).await;
     cluster
 }
 
--- a/testing/testutils/src/matrix.rs
+++ b/testing/testutils/src/matrix.rs
@@ -21,6 +21,7 @@
 use crate::checker::Workload;
 use crate::cluster::Cluster;
 use crate::cluster::Shape;
+use crate::process::signal;
 
 /// A step, told by bytes that pass at it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -191,6 +192,9 @@
 /// How long a passing fault lasts: beyond detection and currency.
 const FAULT_TIME: Duration = Duration::from_millis(2500);
 
+/// Lag of the replicas in the column that has one.
+const REPLICA_LAG: Duration = Duration::from_secs(2);
+
 /// Longest wait until all callers get on again.
 const RECOVERY_LIMIT: Duration = Duration::from_secs(40);
 
@@ -206,15 +210,12 @@
     store: Store,
 }
 
-fn signal(process: u32, signal: libc::c_int) {
-    let id = libc::pid_t::try_from(process).expect("process ids are small");
-    // SAFETY: kill takes no pointers. The process is a child of this one that
-    // has not been waited for, so its id cannot have been given away.
-    let _ = unsafe { libc::kill(id, signal) };
-}
-
 impl Levers {
     fn apply(&self, fault: Fault) {
+        // A process that an earlier fault of the cell has ended gets no more.
+        let signal = |process, number| {
+            let _ = signal(process, number);
+        };
         match fault {
             Fault::KillPrimary => signal(self.primary_process, libc::SIGKILL),
             Fault::FreezePrimary => signal(self.primary_process, libc::SIGSTOP),
@@ -228,7 +229,7 @@
             Fault::CutOwner => self.owner_peer.set(Behaviour::cut()),
             Fault::ForgetOwner => self.owner_peer.forget_open_connections(),
             Fault::LateOwner => self.owner_peer.set(Behaviour::delayed(Duration::from_millis(150))),
-            // Set before the step; see `prepare`.
+            // Set before the callers start.
             Fault::LagReplicas => {}
             Fault::StoreDown => {
                 self.store.set_faults(StoreFaults { down: true, ..StoreFaults::default() });
@@ -269,18 +270,6 @@
     }
 }
 
-async fn prepare(cluster: &Cluster, fault: Fault) {
-    if fault != Fault::LagReplicas {
-        return;
-    }
-    for target in &cluster.targets {
-        let address = target.process.as_ref().expect("up").ready["replication"].clone();
-        let client = reqwest::Client::builder().no_proxy().build().expect("no unusual options");
-        let lagged = client.post(format!("http://{address}/lag/2000")).send().await;
-        lagged.expect("the server is up");
-    }
-}
-
 fn arm(
     cluster: &Cluster,
     step: Step,
@@ -335,7 +324,9 @@
 
 async fn run_cell_inner(step: Step, fault: Fault) -> Verdict {
     let mut cluster = Cluster::start(Shape::default()).await;
-    prepare(&cluster, fault).await;
+    if fault == Fault::LagReplicas {
+        cluster.set_lag(REPLICA_LAG).await;
+    }
     let workload = Workload::start(&cluster, step.style).await;
     workload.wait_for_progress(PROGRESS).await;
     let Some((owner, _, primary)) = cluster.serving("db1").await else {
--- a/testing/testutils/src/process.rs
+++ b/testing/testutils/src/process.rs
@@ -32,6 +32,18 @@
     path
 }
 
+/// Sends a signal to a child of ours. Returns whether it was there to get it.
+///
+/// # Panics
+///
+/// Never: process ids fit.
+pub fn signal(process: u32, number: libc::c_int) -> bool {
+    let id = libc::pid_t::try_from(process).expect("process ids are small");
+    // SAFETY: kill takes no pointers. The process is a child of this one that
+    // has not been waited for, so its id cannot have been given away.
+    unsafe { libc::kill(id, number) == 0 }
+}
+
 impl Process {
     /// Starts a program and waits for its line `ready name=value …`.
     ///
@@ -64,12 +76,8 @@
         Self { child, ready }
     }
 
-    fn signal(&self, signal: libc::c_int) {
-        let id = libc::pid_t::try_from(self.child.id()).expect("process ids are small");
-        // SAFETY: kill takes no pointers; the id is that of our own child,
-        // which has not been waited for and so cannot be reused.
-        let result = unsafe { libc::kill(id, signal) };
-        assert_eq!(result, 0, "signal {signal} to our own child");
+    fn signal(&self, number: libc::c_int) {
+        assert!(signal(self.child.id(), number), "signal {number} to our own child");
     }
 
     /// Ends it at once.
