--- /dev/null
+++ b/daemon/src/engine/mod.rs
@@ -0,0 +1,17 @@
+//! The session engine: serves client sessions with typed statements on groups
+//! of replicated servers that guard their own lead.
+//!
+//! Protocols are behind borders: [`border`] for servers, [`directory`] for
+//! the platform's lists. A front decodes what a client sends into
+//! [`chervilwharf_lib::statement::Statement`] and gives it to a [`session`].
+
+pub mod border;
+pub mod clock;
+pub mod directory;
+pub mod lease;
+pub mod request;
+pub mod session;
+pub mod shard;
+pub mod shared;
+pub mod single;
+pub mod transaction;
--- /dev/null
+++ b/daemon/src/engine/session.rs
@@ -0,0 +1,268 @@
+//! A client's session: its values, prepared names, last own commit and
+//! transaction.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilwharf_lib::catalog::Consistency;
+use chervilwharf_lib::catalog::Route;
+use chervilwharf_lib::error_kind::ErrorKind;
+use chervilwharf_lib::id::RequestId;
+use chervilwharf_lib::layout::SessionValues;
+use chervilwharf_lib::moment::Moment;
+use chervilwharf_lib::position::Position;
+use chervilwharf_lib::statement::Access;
+use chervilwharf_lib::statement::Answer;
+use chervilwharf_lib::statement::Prepared;
+use chervilwharf_lib::statement::Statement;
+use chervilwharf_lib::statement::TransactionState;
+
+use crate::engine::border::Step;
+use crate::engine::clock::now;
+use crate::engine::lease::Lease;
+use crate::engine::request::Failure;
+use crate::engine::request::Request;
+use crate::engine::request::Served;
+use crate::engine::shard::Shard;
+use crate::engine::shared::Engine;
+use crate::engine::single;
+use crate::engine::single::Work;
+use crate::engine::transaction;
+use crate::engine::transaction::Transaction;
+
+/// What a client is told about one statement.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    /// Rows and the server's signature, an answer of our own (`None`), or a
+    /// failure.
+    pub result: Result<Option<Answer>, Failure>,
+    /// State of the session after the statement.
+    pub state: TransactionState,
+    /// The server's position, where a server answered.
+    pub position: Option<Position>,
+}
+
+/// One client's session.
+pub struct Session {
+    engine: Arc<Engine>,
+    shard: Arc<Shard>,
+    database: Arc<str>,
+    values: SessionValues,
+    prepared: HashMap<Arc<str>, Prepared>,
+    /// Position of the session's last own commit.
+    floor: Option<Position>,
+    transaction: Option<Transaction>,
+}
+
+/// Part of a statement's time that is kept back to answer the client: two
+/// trips of 3 ms and the time to write.
+const ANSWER_RESERVE: Duration = Duration::from_millis(15);
+
+impl Session {
+    /// Begins a session on a database name.
+    ///
+    /// # Errors
+    ///
+    /// When the configuration has no such name.
+    pub fn begin(engine: Arc<Engine>, database: Arc<str>) -> Result<Self, Failure> {
+        let Some(route) = engine.route(&database) else {
+            return Err(Failure::new(ErrorKind::UnknownDatabase));
+        };
+        let shard = engine.shard(&route.group);
+        Ok(Self {
+            engine,
+            shard,
+            database,
+            values: SessionValues::new(),
+            prepared: HashMap::new(),
+            floor: None,
+            transaction: None,
+        })
+    }
+
+    /// The group that serves the session's present operation.
+    #[must_use]
+    pub fn shard(&self) -> &Arc<Shard> {
+        &self.shard
+    }
+
+    /// Values that the client has set.
+    #[must_use]
+    pub fn values(&self) -> &SessionValues {
+        &self.values
+    }
+
+    /// State of the session.
+    #[must_use]
+    pub fn state(&self) -> TransactionState {
+        self.transaction.as_ref().map_or(TransactionState::Idle, Transaction::state)
+    }
+
+    /// How long the session may rest before its transaction is ended.
+    #[must_use]
+    pub fn rest_limit(&self) -> Option<Duration> {
+        let transaction = self.transaction.as_ref()?;
+        if !transaction.holds_connection() {
+            return None;
+        }
+        let limit = self.engine.catalog().transaction_idle?;
+        Some((transaction.active_at + limit).saturating_sub(now()))
+    }
+
+    /// Ends a transaction in which the client rested too long: its connection
+    /// is one of few, and others wait for it.
+    pub fn end_rest(&mut self) {
+        if let Some(transaction) = &mut self.transaction {
+            log::info!("a transaction on {} rested too long and is rolled back", self.database);
+            transaction.fail();
+        }
+    }
+
+    /// Lowest position that a read of this session has to see.
+    #[must_use]
+    pub fn floor_for(&self, arrived_at: Moment, consistency: Consistency) -> Option<Position> {
+        self.shard.with_group(|group| group.floor(arrived_at, consistency, self.floor))
+    }
+
+    /// The session's own commit reached a position.
+    pub fn raise_floor(&mut self, position: Position) {
+        self.floor = Some(self.floor.map_or(position, |floor| floor.max(position)));
+    }
+
+    /// What the session committed up to `floor` was rolled back by a change
+    /// of primary.
+    pub fn forget_floor(&mut self, floor: Position) {
+        if self.floor.is_some_and(|own| own <= floor) {
+            self.floor = None;
+        }
+    }
+
+    /// Steps that set a connection up for this session.
+    pub fn layout_steps(
+        &self,
+        lease: Option<&mut Lease>,
+        prepared: Option<&Prepared>,
+    ) -> Vec<Step> {
+        let Some(lease) = lease else {
+            return Vec::new();
+        };
+        let layout = &mut lease.connection().layout;
+        layout.adapt(&self.values, prepared).into_iter().map(Step::own).collect()
+    }
+
+    /// Runs one statement.
+    pub async fn run(&mut self, id: RequestId, statement: Statement) -> Reply {
+        let result = self.dispatch(id, statement).await;
+        let state = self.state();
+        match result {
+            Ok(Some(served)) => {
+                Reply { result: Ok(Some(served.answer)), state, position: served.position }
+            }
+            Ok(None) => Reply { result: Ok(None), state, position: None },
+            Err(failure) => Reply { result: Err(failure), state, position: None },
+        }
+    }
+
+    async fn dispatch(
+        &mut self,
+        id: RequestId,
+        statement: Statement,
+    ) -> Result<Option<Served>, Failure> {
+        let failed = self.state() == TransactionState::Failed;
+        match statement {
+            Statement::Commit => self.commit(id).await.map(Some),
+            Statement::Rollback => self.roll_back().map(|()| None),
+            _ if failed => Err(Failure::new(ErrorKind::TransactionAborted)),
+            Statement::Begin { read_only } => self.begin_transaction(read_only).map(|()| None),
+            Statement::Set { name, value } => {
+                self.values.insert(name, value);
+                Ok(None)
+            }
+            Statement::Prepare { name, prepared } => {
+                self.prepared.insert(name, prepared);
+                Ok(None)
+            }
+            Statement::Deallocate { name } => match self.prepared.remove(&name) {
+                Some(_) => Ok(None),
+                None => Err(Failure::new(ErrorKind::UnknownPreparedName)),
+            },
+            Statement::Execute { name, arguments } => {
+                let Some(prepared) = self.prepared.get(&name).cloned() else {
+                    return Err(Failure::new(ErrorKind::UnknownPreparedName));
+                };
+                let name = prepared.shared_name();
+                let writes = prepared.access == Access::Write;
+                let statement = Statement::Execute { name, arguments };
+                self.work(id, Work { statement, prepared: Some(prepared) }, writes).await.map(Some)
+            }
+            Statement::Read { .. } => {
+                self.work(id, Work { statement, prepared: None }, false).await.map(Some)
+            }
+            Statement::Write { .. } => {
+                self.work(id, Work { statement, prepared: None }, true).await.map(Some)
+            }
+            Statement::Reset => Err(Failure::new(ErrorKind::BadStatement)),
+        }
+    }
+
+    fn begin_transaction(&mut self, read_only: bool) -> Result<(), Failure> {
+        if self.transaction.is_some() {
+            return Err(Failure::new(ErrorKind::BadStatement));
+        }
+        let route = self.resolve()?;
+        self.transaction = Some(Transaction::new(route, read_only));
+        Ok(())
+    }
+
+    /// The route of the session's database as it is now.
+    fn resolve(&mut self) -> Result<Arc<Route>, Failure> {
+        let route = self.engine.route(&self.database);
+        let route = route.ok_or_else(|| Failure::new(ErrorKind::UnknownDatabase))?;
+        if *self.shard.id() != route.group {
+            self.shard = self.engine.shard(&route.group);
+            // Positions of another group's log mean nothing in this one.
+            self.floor = None;
+        }
+        Ok(route)
+    }
+
+    fn request(id: RequestId, route: Arc<Route>) -> Request {
+        let arrived_at = now();
+        let deadline = arrived_at + route.timeout.saturating_sub(ANSWER_RESERVE);
+        Request { id, route, arrived_at, deadline }
+    }
+
+    async fn work(&mut self, id: RequestId, work: Work, writes: bool) -> Result<Served, Failure> {
+        let Some(mut transaction) = self.transaction.take() else {
+            let request = Self::request(id, self.resolve()?);
+            return match writes {
+                true => single::write(self, &request, &work).await,
+                false => single::read(self, &request, &work).await,
+            };
+        };
+        let request = Self::request(id, transaction.route.clone());
+        let result = transaction::run(self, &mut transaction, &request, &work, writes).await;
+        self.transaction = Some(transaction);
+        result
+    }
+
+    async fn commit(&mut self, id: RequestId) -> Result<Served, Failure> {
+        let Some(mut transaction) = self.transaction.take() else {
+            return Err(Failure::new(ErrorKind::BadStatement));
+        };
+        if transaction.has_failed() {
+            return Err(Failure::new(ErrorKind::TransactionLost));
+        }
+        let request = Self::request(id, transaction.route.clone());
+        transaction::commit(self, &mut transaction, &request).await
+    }
+
+    fn roll_back(&mut self) -> Result<(), Failure> {
+        // Dropped, it rolls back by itself.
+        match self.transaction.take() {
+            Some(_) => Ok(()),
+            None => Err(Failure::new(ErrorKind::BadStatement)),
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/engine/shard.rs
@@ -0,0 +1,381 @@
+//! One group of servers at this instance: what is known of them, the
+//! connections, and the requests that wait for one.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+
+use chervilwharf_lib::admission::Priority;
+use chervilwharf_lib::error_kind::ErrorKind;
+use chervilwharf_lib::group::Group;
+use chervilwharf_lib::group::ServerInfo;
+use chervilwharf_lib::id::GroupId;
+use chervilwharf_lib::id::TargetId;
+use chervilwharf_lib::layout::SessionValues;
+use chervilwharf_lib::moment::Moment;
+use chervilwharf_lib::pool_share::Choice;
+use chervilwharf_lib::pool_share::Need;
+use chervilwharf_lib::pool_share::PoolShare;
+use chervilwharf_lib::pool_share::choose;
+use chervilwharf_lib::server_refusal::RefusalKind;
+use chervilwharf_lib::statement::Prepared;
+use chervilwharf_lib::wait_queue::WaitQueue;
+use tokio::sync::oneshot;
+
+use crate::engine::border::ConnectError;
+use crate::engine::border::Connector;
+use crate::engine::border::ServerConnection;
+use crate::engine::clock::now;
+use crate::engine::lease::Lease;
+use crate::engine::lease::PooledConnection;
+use crate::engine::request::Failure;
+
+/// What a request wants of a connection.
+#[derive(Clone, Debug)]
+pub struct Want<'a> {
+    /// Which servers will do.
+    pub need: Need,
+    /// Order of service.
+    pub priority: Priority,
+    /// When the request stops waiting.
+    pub give_up_at: Moment,
+    /// Values of its session, to choose a connection that has them.
+    pub values: &'a SessionValues,
+    /// What it is about to execute.
+    pub prepared: Option<&'a Prepared>,
+}
+
+/// A request that waits for a connection.
+struct Waiter {
+    need: Need,
+    grant: oneshot::Sender<Lease>,
+}
+
+/// Connections to one server.
+#[derive(Default)]
+struct Pool {
+    idle: Vec<PooledConnection>,
+    share: PoolShare,
+}
+
+#[derive(Default)]
+struct Inner {
+    group: Group,
+    pools: HashMap<TargetId, Pool>,
+    queue: WaitQueue<Waiter>,
+    budget: usize,
+}
+
+/// One group of servers at this instance, under one lock.
+pub struct Shard {
+    id: GroupId,
+    connector: Arc<dyn Connector>,
+    inner: Mutex<Inner>,
+}
+
+/// Longest time to open a connection: a few times the most that a server
+/// takes for it (27 ms) plus a round trip, so that a silent server is noticed
+/// while the request can still go elsewhere.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// After a failed opening no other is tried for this long, so that waiting
+/// requests do not turn into a flood of openings.
+const OPEN_PAUSE: Duration = Duration::from_millis(100);
+
+/// After a server said that it has too many connections. Others have to
+/// give some up first, which takes the time of a transaction.
+const TOO_MANY_PAUSE: Duration = Duration::from_millis(300);
+
+impl Shard {
+    /// A group of which nothing is known yet.
+    #[must_use]
+    pub fn new(id: GroupId, connector: Arc<dyn Connector>) -> Self {
+        let inner = Inner { budget: 1, ..Inner::default() };
+        Self { id, connector, inner: Mutex::new(inner) }
+    }
+
+    /// Its id.
+    #[must_use]
+    pub fn id(&self) -> &GroupId {
+        &self.id
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().expect("never poisoned")
+    }
+
+    /// Reads or updates what is known of the servers.
+    pub fn with_group<R>(&self, f: impl FnOnce(&mut Group) -> R) -> R {
+        f(&mut self.lock().group)
+    }
+
+    /// Sets how many connections to each server this instance may hold.
+    pub fn set_budget(self: &Arc<Self>, budget: usize) {
+        self.lock().budget = budget;
+        self.pump();
+    }
+
+    /// Requests that wait for a connection.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.lock().queue.len()
+    }
+
+    /// Takes the platform's list of servers over.
+    pub fn set_servers(self: &Arc<Self>, servers: Vec<ServerInfo>) {
+        let mut inner = self.lock();
+        inner.group.set_servers(now(), servers);
+        let Inner { group, pools, .. } = &mut *inner;
+        let mut closing = Vec::new();
+        pools.retain(|id, pool| {
+            let usable = group.takes_work(id);
+            if !usable {
+                pool.share.open -= pool.idle.len();
+                closing.append(&mut pool.idle);
+            }
+            usable || pool.share.open + pool.share.opening > 0
+        });
+        drop(inner);
+        drop(closing);
+        self.pump();
+    }
+
+    /// Gets a connection, waiting for its turn if need be.
+    ///
+    /// # Errors
+    ///
+    /// When none could be had in time. Nothing was sent then.
+    pub async fn acquire(self: &Arc<Self>, want: &Want<'_>) -> Result<Lease, Failure> {
+        let (place, mut granted) = {
+            let mut inner = self.lock();
+            if let Some((server, connection)) = inner.take_idle(now(), want) {
+                drop(inner);
+                return Ok(Lease::new(self.clone(), server, connection));
+            }
+            let (grant, granted) = oneshot::channel();
+            let waiter = Waiter { need: want.need.clone(), grant };
+            (inner.queue.push(want.priority, want.give_up_at, waiter), granted)
+        };
+        self.pump();
+        let wait = want.give_up_at.saturating_sub(now());
+        if let Ok(Ok(lease)) = tokio::time::timeout(wait, &mut granted).await {
+            return Ok(lease);
+        }
+        self.lock().queue.remove(place);
+        // It may have been granted at the last moment.
+        if let Ok(lease) = granted.try_recv() {
+            return Ok(lease);
+        }
+        Err(Failure::new(self.shortage(&want.need)))
+    }
+
+    fn shortage(&self, need: &Need) -> ErrorKind {
+        let inner = self.lock();
+        match need {
+            Need::Leader if inner.group.leader().is_none() => ErrorKind::NoPrimary,
+            _ => ErrorKind::Overloaded,
+        }
+    }
+
+    /// A connection comes back idle and whole.
+    pub(crate) fn take_back(self: &Arc<Self>, server: &TargetId, connection: PooledConnection) {
+        let mut inner = self.lock();
+        inner.unuse(server);
+        let usable = inner.group.takes_work(server);
+        let budget = inner.budget;
+        let pool = inner.pools.entry(server.clone()).or_default();
+        if usable && pool.share.open <= budget {
+            pool.idle.push(connection);
+        } else {
+            pool.share.open = pool.share.open.saturating_sub(1);
+        }
+        drop(inner);
+        self.pump();
+    }
+
+    /// A lent connection was closed.
+    pub(crate) fn closed(self: &Arc<Self>, server: &TargetId) {
+        let mut inner = self.lock();
+        inner.unuse(server);
+        if let Some(pool) = inner.pools.get_mut(server) {
+            pool.share.open = pool.share.open.saturating_sub(1);
+        }
+        drop(inner);
+        self.pump();
+    }
+
+    /// Hands idle connections to those who wait, in their order, and opens
+    /// connections for those who can have one.
+    pub fn pump(self: &Arc<Self>) {
+        let (grants, openings) = self.lock().assign(now());
+        for (grant, server, connection) in grants {
+            let lease = Lease::new(self.clone(), server, connection);
+            // The request may just have given up.
+            if let Err(lease) = grant.send(lease) {
+                lease.give_back();
+            }
+        }
+        for server in openings {
+            let shard = self.clone();
+            tokio::spawn(async move { shard.open(server).await });
+        }
+    }
+
+    async fn open(self: Arc<Self>, server: ServerInfo) {
+        let connecting = self.connector.connect(&self.id, &server);
+        let connected = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
+        let result = match connected {
+            Ok(result) => result,
+            Err(_) => Err(ConnectError::Unreachable("no answer in time".to_owned())),
+        };
+        self.opened(&server.id, result);
+        self.pump();
+    }
+
+    fn opened(
+        self: &Arc<Self>,
+        server: &TargetId,
+        result: Result<Box<dyn ServerConnection>, ConnectError>,
+    ) {
+        let now = now();
+        let mut inner = self.lock();
+        let known = inner.group.takes_work(server);
+        let pool = inner.pools.entry(server.clone()).or_default();
+        pool.share.opening = pool.share.opening.saturating_sub(1);
+        match result {
+            Ok(connection) if known => {
+                pool.share.open += 1;
+                pool.idle.push(PooledConnection::new(connection));
+                inner.group.observe_answer(server, None);
+            }
+            Ok(_) => {}
+            Err(ConnectError::Refused(refusal))
+                if refusal.kind == RefusalKind::TooManyConnections =>
+            {
+                pool.share.blocked_until = now + TOO_MANY_PAUSE;
+                log::debug!("server {server} has too many connections");
+            }
+            Err(error) => {
+                pool.share.blocked_until = now + OPEN_PAUSE;
+                inner.group.observe_failure(now, server);
+                drop(inner);
+                log::info!("no connection to server {server} of {}: {error}", self.id);
+                let shard = self.clone();
+                tokio::spawn(async move {
+                    tokio::time::sleep(OPEN_PAUSE).await;
+                    shard.pump();
+                });
+            }
+        }
+    }
+}
+
+type Grant = (oneshot::Sender<Lease>, TargetId, PooledConnection);
+
+impl Inner {
+    fn unuse(&mut self, server: &TargetId) {
+        if let Some(view) = self.group.server_mut(server) {
+            view.in_use = view.in_use.saturating_sub(1);
+        }
+    }
+
+    /// Takes the idle connection that fits best, if nobody waits who should
+    /// have it first.
+    fn take_idle(&mut self, now: Moment, want: &Want<'_>) -> Option<(TargetId, PooledConnection)> {
+        loop {
+            let Choice::Idle(server) = self.choose(now, &want.need) else {
+                return None;
+            };
+            let contested = self
+                .queue
+                .ahead_of(want.priority, want.give_up_at)
+                .any(|waiter: &Waiter| waiter.need.accepts(&self.group, now, &server));
+            if contested {
+                return None;
+            }
+            let fit =
+                |pooled: &PooledConnection| pooled.layout.distance(want.values, want.prepared);
+            if let Some(connection) = self.take_from(&server, fit) {
+                return Some((server, connection));
+            }
+        }
+    }
+
+    /// Takes the idle connection with the smallest `cost` that is still open.
+    fn take_from(
+        &mut self,
+        server: &TargetId,
+        cost: impl Fn(&PooledConnection) -> usize,
+    ) -> Option<PooledConnection> {
+        let pool = self.pools.get_mut(server)?;
+        while !pool.idle.is_empty() {
+            let indices = 0..pool.idle.len();
+            // The last one of the best: it was used most recently.
+            let best = indices.rev().min_by_key(|index| cost(&pool.idle[*index]))?;
+            let mut connection = pool.idle.swap_remove(best);
+            if connection.connection.is_closed() {
+                pool.share.open = pool.share.open.saturating_sub(1);
+                continue;
+            }
+            if let Some(view) = self.group.server_mut(server) {
+                view.in_use += 1;
+            }
+            return Some(connection);
+        }
+        None
+    }
+
+    fn choose(&self, now: Moment, need: &Need) -> Choice {
+        choose(&self.group, now, need, |id| self.share_of(id))
+    }
+
+    fn share_of(&self, id: &TargetId) -> PoolShare {
+        let pool = self.pools.get(id);
+        let mut share = pool.map(|pool| pool.share.clone()).unwrap_or_default();
+        share.idle = pool.map_or(0, |pool| pool.idle.len());
+        share.budget = self.budget;
+        share
+    }
+
+    fn assign(&mut self, now: Moment) -> (Vec<Grant>, Vec<ServerInfo>) {
+        let mut grants = Vec::new();
+        let mut openings = Vec::new();
+        // Openings under way will serve the first of those who wait for them.
+        let mut under_way: HashMap<TargetId, usize> =
+            self.pools.iter().map(|(id, pool)| (id.clone(), pool.share.opening)).collect();
+        let places: Vec<_> = self.queue.iter().map(|(place, _)| place).collect();
+        for place in places {
+            let Some(need) = self.queue.iter().find(|(at, _)| *at == place).map(|(_, w)| &w.need)
+            else {
+                continue;
+            };
+            let need = need.clone();
+            match self.choose(now, &need) {
+                Choice::Idle(server) => {
+                    let Some(connection) = self.take_from(&server, |_| 0) else {
+                        continue;
+                    };
+                    if let Some(waiter) = self.queue.remove(place) {
+                        grants.push((waiter.grant, server, connection));
+                    }
+                }
+                Choice::Open(server) => {
+                    let expected = under_way.entry(server.clone()).or_default();
+                    if *expected > 0 {
+                        *expected -= 1;
+                        continue;
+                    }
+                    let Some(view) = self.group.server(&server) else {
+                        continue;
+                    };
+                    openings.push(view.info.clone());
+                    self.pools.entry(server).or_default().share.opening += 1;
+                }
+                Choice::Wait => {}
+            }
+        }
+        (grants, openings)
+    }
+}
--- /dev/null
+++ b/daemon/src/engine/single.rs
@@ -0,0 +1,337 @@
+//! Single statements, outside of transactions.
+
+use std::time::Duration;
+
+use chervilwharf_lib::catalog::Consistency;
+use chervilwharf_lib::error_kind::ErrorKind;
+use chervilwharf_lib::moment::Moment;
+use chervilwharf_lib::pool_share::Need;
+use chervilwharf_lib::position::Position;
+use chervilwharf_lib::server_refusal::RefusalKind;
+use chervilwharf_lib::server_refusal::ServerRefusal;
+use chervilwharf_lib::statement::Prepared;
+use chervilwharf_lib::statement::Statement;
+use chervilwharf_lib::waits;
+
+use crate::engine::border::ExchangeError;
+use crate::engine::border::Step;
+use crate::engine::border::StepReply;
+use crate::engine::clock::now;
+use crate::engine::lease::Lease;
+use crate::engine::request::Failure;
+use crate::engine::request::Request;
+use crate::engine::request::Served;
+use crate::engine::session::Session;
+use crate::engine::shard::Want;
+
+/// A statement as it goes to a server.
+#[derive(Clone, Debug)]
+pub struct Work {
+    /// The statement, with the prepared name that servers know.
+    pub statement: Statement,
+    /// What it executes, if it is prepared.
+    pub prepared: Option<Prepared>,
+}
+
+/// How a try to run a statement ended.
+enum Try {
+    /// It ran.
+    Done(Served),
+    /// It is over, without a result.
+    Failed(Failure),
+    /// Nothing of it counts; it may be tried again.
+    Again {
+        /// The last reason.
+        failure: Failure,
+        /// Pause before the next try.
+        pause: Duration,
+    },
+}
+
+/// What comes back from sending steps to a server.
+pub enum Sent {
+    /// One reply for each step.
+    Replies(Vec<StepReply>),
+    /// No whole answer, or a step of our own failed. The lease is gone.
+    Lost(ExchangeError),
+}
+
+/// Sends steps within `limit`. On any trouble the connection is closed.
+pub async fn send(
+    session: &Session,
+    lease: &mut Option<Lease>,
+    steps: &[Step],
+    limit: Duration,
+) -> Sent {
+    let Some(mut open) = lease.take() else {
+        return Sent::Lost(ExchangeError::Ended("no connection".to_owned()));
+    };
+    let running = open.connection().connection.run(steps);
+    let result = match tokio::time::timeout(limit, running).await {
+        Ok(result) => result,
+        Err(_) => Err(ExchangeError::Silent),
+    };
+    match result {
+        Ok(replies) => {
+            *lease = Some(open);
+            Sent::Replies(replies)
+        }
+        Err(error) => {
+            session.shard().with_group(|group| group.observe_failure(now(), open.server()));
+            log::info!("exchange with server {} failed: {error}", open.server());
+            Sent::Lost(error)
+        }
+    }
+}
+
+/// Runs a single read.
+pub async fn read(
+    session: &mut Session,
+    request: &Request,
+    work: &Work,
+) -> Result<Served, Failure> {
+    let mut shunned = None;
+    let mut last = Failure::new(ErrorKind::DeadlineBeforeStart);
+    while now() < request.deadline {
+        match try_read(session, request, work, &mut shunned).await {
+            Try::Done(served) => return Ok(served),
+            Try::Failed(failure) => return Err(failure),
+            Try::Again { failure, pause } => {
+                last = failure;
+                tokio::time::sleep(pause.min(request.time_left(now()))).await;
+            }
+        }
+    }
+    Err(last)
+}
+
+async fn try_read(
+    session: &mut Session,
+    request: &Request,
+    work: &Work,
+    shunned: &mut Option<std::sync::Arc<str>>,
+) -> Try {
+    let consistency = request.route.consistency;
+    let floor = session.floor_for(request.arrived_at, consistency);
+    let need = match floor {
+        Some(floor) => Need::Reader { floor, shunned: shunned.clone() },
+        None => Need::Leader,
+    };
+    let mut lease = match acquire(session, request, need, work).await {
+        Ok(lease) => Some(lease),
+        Err(failure) => return Try::Failed(failure),
+    };
+    let mut steps = session.layout_steps(lease.as_mut(), work.prepared.as_ref());
+    let setup = steps.len();
+    if floor.is_none() {
+        // Only a transaction that may write is refused by a server that has
+        // lost the lead; a plain read would be answered with old data.
+        steps.push(Step::own(Statement::Begin { read_only: false }));
+    }
+    let main = steps.len();
+    let id = Some(request.id.clone());
+    steps.push(Step { id, floor, statement: work.statement.clone() });
+    if floor.is_none() {
+        steps.push(Step::own(Statement::Rollback));
+    }
+    let server = lease.as_ref().map(|lease| lease.server().clone()).unwrap_or_default();
+    let sent_at = now();
+    let limit = waits::read_stall_limit(request.route.objective).min(request.time_left(sent_at));
+    let replies = match send(session, &mut lease, &steps, limit).await {
+        Sent::Replies(replies) => replies,
+        Sent::Lost(_) => {
+            *shunned = Some(server);
+            let failure = Failure::new(ErrorKind::ServerTimedOut);
+            return Try::Again { failure, pause: Duration::ZERO };
+        }
+    };
+    if let Some(refusal) = first_refusal(&replies[..setup]) {
+        return unprepared(refusal);
+    }
+    if let Some(refusal) = first_refusal(&replies[setup..main]) {
+        give_back(lease, &replies);
+        return refused_read(session, &server, refusal, None, None);
+    }
+    let reply = replies[main].clone();
+    give_back(lease, &replies);
+    match reply.result {
+        Ok(answer) => {
+            session.shard().with_group(|group| {
+                if let (None, Some(position)) = (floor, reply.position) {
+                    group.observe_leading(sent_at, &server, position);
+                } else {
+                    group.observe_answer(&server, reply.position);
+                }
+                group.observe_read_time(&server, now().saturating_sub(sent_at));
+            });
+            Try::Done(Served { answer, position: reply.position })
+        }
+        Err(refusal) => {
+            if refusal.kind == RefusalKind::Failed || refusal.kind == RefusalKind::TimedOut {
+                *shunned = Some(server.clone());
+            }
+            refused_read(session, &server, refusal, floor, reply.position)
+        }
+    }
+}
+
+/// Gives a connection back if all is over on it.
+fn give_back(lease: Option<Lease>, replies: &[StepReply]) {
+    let idle = replies
+        .last()
+        .is_some_and(|reply| reply.state == chervilwharf_lib::statement::TransactionState::Idle);
+    if let (Some(lease), true) = (lease, idle) {
+        lease.give_back();
+    }
+}
+
+/// A step that prepares the connection was refused: the connection is closed
+/// by the caller, since what is set up on it is not known any more.
+fn unprepared(refusal: ServerRefusal) -> Try {
+    log::warn!("a connection could not be set up: {:?} {}", refusal.kind, refusal.text);
+    Try::Again { failure: refusal.into(), pause: waits::BUSY_PAUSE }
+}
+
+fn refused_read(
+    session: &mut Session,
+    server: &std::sync::Arc<str>,
+    refusal: ServerRefusal,
+    floor: Option<Position>,
+    position: Option<Position>,
+) -> Try {
+    let at = now();
+    let pause = match refusal.kind {
+        RefusalKind::Lagging => {
+            let floor = floor.unwrap_or_default();
+            let rolled_back = session
+                .shard()
+                .with_group(|group| group.observe_lagging(at, server, floor, position));
+            if rolled_back {
+                session.forget_floor(floor);
+            }
+            Duration::ZERO
+        }
+        RefusalKind::NotLeading => {
+            session.shard().with_group(|group| group.observe_not_leading(server, 0));
+            Duration::ZERO
+        }
+        RefusalKind::Busy => waits::BUSY_PAUSE,
+        // Reads may run again: nobody can tell the second run from the first.
+        RefusalKind::Failed | RefusalKind::TimedOut => Duration::ZERO,
+        _ => return Try::Failed(refusal.into()),
+    };
+    Try::Again { failure: refusal.into(), pause }
+}
+
+/// The first step that was refused.
+#[must_use]
+pub fn first_refusal(replies: &[StepReply]) -> Option<ServerRefusal> {
+    replies.iter().find_map(|reply| reply.result.as_ref().err().cloned())
+}
+
+async fn acquire(
+    session: &Session,
+    request: &Request,
+    need: Need,
+    work: &Work,
+) -> Result<Lease, Failure> {
+    let want = Want {
+        need,
+        priority: request.route.priority,
+        give_up_at: request.deadline,
+        values: session.values(),
+        prepared: work.prepared.as_ref(),
+    };
+    session.shard().acquire(&want).await
+}
+
+/// Runs a single write.
+pub async fn write(
+    session: &mut Session,
+    request: &Request,
+    work: &Work,
+) -> Result<Served, Failure> {
+    let mut last = Failure::new(ErrorKind::DeadlineBeforeStart);
+    while now() < request.deadline {
+        match try_write(session, request, work).await {
+            Try::Done(served) => {
+                if let Some(position) = served.position {
+                    session.raise_floor(position);
+                }
+                return Ok(served);
+            }
+            Try::Failed(failure) => return Err(failure),
+            Try::Again { failure, pause } => {
+                last = failure;
+                tokio::time::sleep(pause.min(request.time_left(now()))).await;
+            }
+        }
+    }
+    Err(last)
+}
+
+async fn try_write(session: &mut Session, request: &Request, work: &Work) -> Try {
+    let mut lease = match acquire(session, request, Need::Leader, work).await {
+        Ok(lease) => Some(lease),
+        Err(failure) => return Try::Failed(failure),
+    };
+    let mut steps = session.layout_steps(lease.as_mut(), work.prepared.as_ref());
+    let main = steps.len();
+    let id = Some(request.id.clone());
+    steps.push(Step { id, floor: None, statement: work.statement.clone() });
+    let server = lease.as_ref().map(|lease| lease.server().clone()).unwrap_or_default();
+    let sent_at = now();
+    let limit = request.time_left(sent_at);
+    let replies = match send(session, &mut lease, &steps, limit).await {
+        Sent::Replies(replies) => replies,
+        // It may have run; a second run would be a second effect.
+        Sent::Lost(_) => return Try::Failed(Failure::new(ErrorKind::OutcomeUnknown)),
+    };
+    let reply = replies[main].clone();
+    if let Some(refusal) = first_refusal(&replies[..main]) {
+        // The write was sent behind the refused step. Only its own reply
+        // tells whether it ran.
+        let ran = reply.result.as_ref().err().is_none_or(|own| !own.kind.promises_no_run());
+        return if ran {
+            Try::Failed(Failure::new(ErrorKind::OutcomeUnknown))
+        } else {
+            unprepared(refusal)
+        };
+    }
+    give_back(lease, &replies);
+    match reply.result {
+        Ok(answer) => {
+            let position = reply.position;
+            if let Some(position) = position {
+                session
+                    .shard()
+                    .with_group(|group| group.observe_leading(sent_at, &server, position));
+            }
+            Try::Done(Served { answer, position })
+        }
+        Err(refusal) => refused_write(session, &server, refusal),
+    }
+}
+
+fn refused_write(session: &Session, server: &std::sync::Arc<str>, refusal: ServerRefusal) -> Try {
+    match refusal.kind {
+        RefusalKind::NotLeading => {
+            session.shard().with_group(|group| group.observe_not_leading(server, 0));
+            Try::Again { failure: refusal.into(), pause: Duration::ZERO }
+        }
+        RefusalKind::Busy => Try::Again { failure: refusal.into(), pause: waits::BUSY_PAUSE },
+        _ => Try::Failed(refusal.into()),
+    }
+}
+
+/// Whether a read of this consistency may be answered by a replica.
+#[must_use]
+pub fn replicas_may_serve(consistency: Consistency) -> bool {
+    consistency != Consistency::Latest
+}
+
+/// Time between the arrival of a request and now.
+#[must_use]
+pub fn waited(arrived_at: Moment) -> Duration {
+    now().saturating_sub(arrived_at)
+}
--- /dev/null
+++ b/daemon/src/engine/transaction.rs
@@ -0,0 +1,387 @@
+//! Transactions: one server connection from the first statement to the end.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilwharf_lib::catalog::Consistency;
+use chervilwharf_lib::catalog::Route;
+use chervilwharf_lib::error_kind::ErrorKind;
+use chervilwharf_lib::id::TargetId;
+use chervilwharf_lib::moment::Moment;
+use chervilwharf_lib::pool_share::Need;
+use chervilwharf_lib::position::Position;
+use chervilwharf_lib::server_refusal::RefusalKind;
+use chervilwharf_lib::server_refusal::ServerRefusal;
+use chervilwharf_lib::statement::Statement;
+use chervilwharf_lib::statement::TransactionState;
+use chervilwharf_lib::waits;
+
+use crate::engine::border::Step;
+use crate::engine::border::StepReply;
+use crate::engine::clock::now;
+use crate::engine::lease::Lease;
+use crate::engine::request::Failure;
+use crate::engine::request::Request;
+use crate::engine::request::Served;
+use crate::engine::session::Session;
+use crate::engine::shard::Want;
+use crate::engine::single::Sent;
+use crate::engine::single::Work;
+use crate::engine::single::first_refusal;
+use crate::engine::single::send;
+
+/// A client's open transaction.
+///
+/// It takes a connection only with its first statement: a client that rests
+/// after BEGIN holds nothing that others need.
+pub struct Transaction {
+    /// The route in force when it began.
+    pub route: Arc<Route>,
+    read_only: bool,
+    lease: Option<Lease>,
+    /// Whether a statement that writes was sent.
+    wrote: bool,
+    failed: bool,
+    /// When the client's last statement was answered.
+    pub active_at: Moment,
+}
+
+impl Transaction {
+    /// A transaction that has not run anything yet.
+    #[must_use]
+    pub fn new(route: Arc<Route>, read_only: bool) -> Self {
+        Self { route, read_only, lease: None, wrote: false, failed: false, active_at: now() }
+    }
+
+    /// Its state as the client sees it.
+    #[must_use]
+    pub fn state(&self) -> TransactionState {
+        if self.failed { TransactionState::Failed } else { TransactionState::Open }
+    }
+
+    /// Whether it can only be ended.
+    #[must_use]
+    pub fn has_failed(&self) -> bool {
+        self.failed
+    }
+
+    /// Whether it keeps a connection that others could use.
+    #[must_use]
+    pub fn holds_connection(&self) -> bool {
+        self.lease.is_some()
+    }
+
+    /// Marks it as failed and frees its connection.
+    pub fn fail(&mut self) {
+        self.failed = true;
+        self.release();
+    }
+
+    /// Rolls back at the server, behind the client's back, and gives the
+    /// connection back.
+    pub fn release(&mut self) {
+        let Some(lease) = self.lease.take() else {
+            return;
+        };
+        tokio::spawn(roll_back(lease));
+    }
+}
+
+impl Drop for Transaction {
+    fn drop(&mut self) {
+        self.release();
+    }
+}
+
+/// Longest time for a rollback, which a server does at once. A connection on
+/// which it takes longer is closed, which rolls back as well.
+const ROLLBACK_LIMIT: Duration = Duration::from_millis(500);
+
+async fn roll_back(mut lease: Lease) {
+    let steps = [Step::own(Statement::Rollback)];
+    let rolling_back = lease.connection().connection.run(&steps);
+    let Ok(Ok(replies)) = tokio::time::timeout(ROLLBACK_LIMIT, rolling_back).await else {
+        log::info!("a connection to server {} is closed to roll back", lease.server());
+        return;
+    };
+    if replies.last().is_some_and(|reply| reply.state == TransactionState::Idle) {
+        lease.give_back();
+    }
+}
+
+/// Runs a statement of a transaction.
+pub async fn run(
+    session: &mut Session,
+    transaction: &mut Transaction,
+    request: &Request,
+    work: &Work,
+    writes: bool,
+) -> Result<Served, Failure> {
+    let result = run_inner(session, transaction, request, work, writes).await;
+    transaction.active_at = now();
+    if result.is_err() && transaction.lease.is_none() {
+        transaction.failed = true;
+    }
+    result
+}
+
+async fn run_inner(
+    session: &mut Session,
+    transaction: &mut Transaction,
+    request: &Request,
+    work: &Work,
+    writes: bool,
+) -> Result<Served, Failure> {
+    if transaction.lease.is_none() {
+        begin(session, transaction, request, work).await?;
+    }
+    let mut last = Failure::new(ErrorKind::Overloaded);
+    while now() < request.deadline {
+        let server = server_of(transaction);
+        let mut steps = session.layout_steps(transaction.lease.as_mut(), work.prepared.as_ref());
+        let main = steps.len();
+        let id = Some(request.id.clone());
+        steps.push(Step { id, floor: None, statement: work.statement.clone() });
+        transaction.wrote |= writes;
+        let sent_at = now();
+        let limit = request.time_left(sent_at);
+        let replies = match send(session, &mut transaction.lease, &steps, limit).await {
+            Sent::Replies(replies) => replies,
+            // Closing the connection rolls back, and COMMIT was never sent.
+            Sent::Lost(_) => return Err(Failure::new(ErrorKind::TransactionLost)),
+        };
+        let reply = replies[main].clone();
+        if first_refusal(&replies[..main]).is_some() {
+            transaction.lease = None;
+            return Err(Failure::new(ErrorKind::TransactionLost));
+        }
+        match reply.result {
+            Ok(answer) => {
+                observe(session, transaction, sent_at, &server, reply.position);
+                return Ok(Served { answer, position: reply.position });
+            }
+            Err(refusal) if may_try_again(&refusal, reply.state) => last = refusal.into(),
+            Err(refusal) => {
+                return Err(refused(session, transaction, &server, refusal, reply.state));
+            }
+        }
+        tokio::time::sleep(waits::BUSY_PAUSE.min(request.time_left(now()))).await;
+    }
+    transaction.fail();
+    Err(last)
+}
+
+fn may_try_again(refusal: &ServerRefusal, state: TransactionState) -> bool {
+    refusal.kind == RefusalKind::Busy && state == TransactionState::Open
+}
+
+fn refused(
+    session: &Session,
+    transaction: &mut Transaction,
+    server: &TargetId,
+    refusal: ServerRefusal,
+    state: TransactionState,
+) -> Failure {
+    if refusal.kind == RefusalKind::NotLeading {
+        session.shard().with_group(|group| group.observe_not_leading(server, 0));
+    }
+    match state {
+        TransactionState::Open => {}
+        TransactionState::Failed => transaction.fail(),
+        TransactionState::Idle => {
+            transaction.failed = true;
+            if let Some(lease) = transaction.lease.take() {
+                lease.give_back();
+            }
+        }
+    }
+    refusal.into()
+}
+
+fn observe(
+    session: &Session,
+    transaction: &Transaction,
+    sent_at: Moment,
+    server: &TargetId,
+    position: Option<Position>,
+) {
+    let proves_lead = !transaction.read_only;
+    session.shard().with_group(|group| match position {
+        Some(position) if proves_lead => group.observe_leading(sent_at, server, position),
+        position => group.observe_answer(server, position),
+    });
+}
+
+fn server_of(transaction: &Transaction) -> TargetId {
+    transaction.lease.as_ref().map(|lease| lease.server().clone()).unwrap_or_default()
+}
+
+/// Gets a connection and begins there.
+///
+/// The first statement is sent only after BEGIN was answered: behind a BEGIN
+/// that is refused it would run outside of any transaction.
+async fn begin(
+    session: &mut Session,
+    transaction: &mut Transaction,
+    request: &Request,
+    work: &Work,
+) -> Result<(), Failure> {
+    let mut last = Failure::new(ErrorKind::DeadlineBeforeStart);
+    while now() < request.deadline {
+        match try_begin(session, transaction, request, work).await {
+            Ok(()) => return Ok(()),
+            Err((failure, None)) => return Err(failure),
+            Err((failure, Some(pause))) => {
+                last = failure;
+                tokio::time::sleep(pause.min(request.time_left(now()))).await;
+            }
+        }
+    }
+    Err(last)
+}
+
+async fn try_begin(
+    session: &mut Session,
+    transaction: &mut Transaction,
+    request: &Request,
+    work: &Work,
+) -> Result<(), (Failure, Option<Duration>)> {
+    let consistency = transaction.route.consistency;
+    let at_replica = transaction.read_only && consistency != Consistency::Latest;
+    let floor = at_replica.then(|| session.floor_for(request.arrived_at, consistency)).flatten();
+    let need = match floor {
+        Some(floor) => Need::Reader { floor, shunned: None },
+        None => Need::Leader,
+    };
+    let want = Want {
+        need,
+        priority: request.route.priority,
+        give_up_at: request.deadline,
+        values: session.values(),
+        prepared: work.prepared.as_ref(),
+    };
+    let lease = session.shard().acquire(&want).await.map_err(|failure| (failure, None))?;
+    let server = lease.server().clone();
+    let mut lease = Some(lease);
+    let mut steps = session.layout_steps(lease.as_mut(), work.prepared.as_ref());
+    let setup = steps.len();
+    // A read-only BEGIN at the primary would not be refused after it lost the
+    // lead, so without a floor a transaction that may write is begun.
+    let statement = Statement::Begin { read_only: floor.is_some() };
+    steps.push(Step { id: None, floor, statement });
+    let limit = waits::read_stall_limit(request.route.objective).min(request.time_left(now()));
+    let replies = match send(session, &mut lease, &steps, limit).await {
+        Sent::Replies(replies) => replies,
+        Sent::Lost(_) => {
+            return Err((Failure::new(ErrorKind::TransactionLost), Some(Duration::ZERO)));
+        }
+    };
+    if let Some(refusal) = first_refusal(&replies[..setup]) {
+        return Err((refusal.into(), Some(waits::BUSY_PAUSE)));
+    }
+    let reply = &replies[setup];
+    let Err(refusal) = &reply.result else {
+        transaction.lease = lease;
+        return Ok(());
+    };
+    if let (Some(lease), TransactionState::Idle) = (lease, reply.state) {
+        lease.give_back();
+    }
+    Err(begin_refused(session, &server, refusal, floor, reply))
+}
+
+fn begin_refused(
+    session: &mut Session,
+    server: &TargetId,
+    refusal: &ServerRefusal,
+    floor: Option<Position>,
+    reply: &StepReply,
+) -> (Failure, Option<Duration>) {
+    let at = now();
+    let pause = match refusal.kind {
+        RefusalKind::Lagging => {
+            let floor = floor.unwrap_or_default();
+            let position = reply.position;
+            let rolled_back = session
+                .shard()
+                .with_group(|group| group.observe_lagging(at, server, floor, position));
+            if rolled_back {
+                session.forget_floor(floor);
+            }
+            Some(Duration::ZERO)
+        }
+        RefusalKind::NotLeading => {
+            session.shard().with_group(|group| group.observe_not_leading(server, 0));
+            Some(Duration::ZERO)
+        }
+        RefusalKind::Busy => Some(waits::BUSY_PAUSE),
+        _ => None,
+    };
+    (refusal.clone().into(), pause)
+}
+
+/// Commits a transaction.
+pub async fn commit(
+    session: &mut Session,
+    transaction: &mut Transaction,
+    request: &Request,
+) -> Result<Served, Failure> {
+    let work = Work { statement: Statement::Commit, prepared: None };
+    if transaction.lease.is_none() {
+        begin(session, transaction, request, &work).await?;
+    }
+    let mut last = Failure::new(ErrorKind::Overloaded);
+    while now() < request.deadline {
+        let server = server_of(transaction);
+        let steps =
+            [Step { id: Some(request.id.clone()), floor: None, statement: Statement::Commit }];
+        let sent_at = now();
+        let limit = request.time_left(sent_at);
+        let mut replies = match send(session, &mut transaction.lease, &steps, limit).await {
+            Sent::Replies(replies) => replies,
+            Sent::Lost(_) if transaction.wrote => {
+                return Err(Failure::new(ErrorKind::OutcomeUnknown));
+            }
+            // Nothing was written, so nothing can have been kept.
+            Sent::Lost(_) => return Err(Failure::new(ErrorKind::TransactionLost)),
+        };
+        let Some(reply) = replies.pop() else {
+            return Err(Failure::new(ErrorKind::OutcomeUnknown));
+        };
+        match reply.result {
+            Ok(answer) => {
+                committed(session, transaction, sent_at, &server, &reply.position);
+                if let (Some(lease), TransactionState::Idle) =
+                    (transaction.lease.take(), reply.state)
+                {
+                    lease.give_back();
+                }
+                return Ok(Served { answer, position: reply.position });
+            }
+            Err(refusal) if may_try_again(&refusal, reply.state) => last = refusal.into(),
+            Err(refusal) => {
+                return Err(refused(session, transaction, &server, refusal, reply.state));
+            }
+        }
+        tokio::time::sleep(waits::BUSY_PAUSE.min(request.time_left(now()))).await;
+    }
+    Err(last)
+}
+
+fn committed(
+    session: &mut Session,
+    transaction: &Transaction,
+    sent_at: Moment,
+    server: &TargetId,
+    position: &Option<Position>,
+) {
+    let Some(position) = *position else {
+        return;
+    };
+    if transaction.wrote {
+        session.raise_floor(position);
+        session.shard().with_group(|group| group.observe_leading(sent_at, server, position));
+    } else {
+        session.shard().with_group(|group| group.observe_answer(server, Some(position)));
+    }
+}
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod confirm;
 pub mod context;
 pub mod control;
+pub mod engine;
 pub mod entry;
 pub mod entry_handlers;
 pub mod entry_startup;
--- a/lib/src/error_kind.rs
+++ b/lib/src/error_kind.rs
@@ -61,6 +61,14 @@
     Stopping,
     /// an earlier request of this account with the same id is in flight
     InFlight,
+    /// the server ran the statement and it failed
+    ServerFailed,
+    /// the server ran the statement and it took too long
+    ServerTimedOut,
+    /// no statement is prepared under this name
+    UnknownPreparedName,
+    /// no server has applied what the read has to see
+    ReplicasBehind,
 }
 
 /// One row of the table from kind to answer.
@@ -83,7 +91,7 @@
 
 impl ErrorKind {
     /// Every kind, in the order of the table in the documentation.
-    pub const ALL: [Self; 22] = [
+    pub const ALL: [Self; 26] = [
         Self::ServerRefused,
         Self::NotOwner,
         Self::NoPrimary,
@@ -106,6 +114,10 @@
         Self::Unsupported,
         Self::Stopping,
         Self::InFlight,
+        Self::ServerFailed,
+        Self::ServerTimedOut,
+        Self::UnknownPreparedName,
+        Self::ReplicasBehind,
     ];
 
     /// The table from kind to answer.
@@ -137,6 +149,10 @@
             Self::Unsupported => ("0A000", NotRun, None, false),
             Self::Stopping => ("57P01", NotRun, SOON, true),
             Self::InFlight => ("55006", Unknown, SOON, false),
+            Self::ServerFailed => ("XX000", Unknown, None, true),
+            Self::ServerTimedOut => ("57014", Unknown, None, true),
+            Self::UnknownPreparedName => ("26000", NotRun, None, false),
+            Self::ReplicasBehind => ("57P03", NotRun, SOON, true),
         };
         AnswerRule { sqlstate, outcome, retry_after, burns_budget }
     }
@@ -167,6 +183,10 @@
             Self::Unsupported => "unsupported",
             Self::Stopping => "stopping",
             Self::InFlight => "in_flight",
+            Self::ServerFailed => "server_failed",
+            Self::ServerTimedOut => "server_timed_out",
+            Self::UnknownPreparedName => "unknown_prepared_name",
+            Self::ReplicasBehind => "replicas_behind",
         }
     }
 
--- /dev/null
+++ b/lib/src/group.rs
@@ -0,0 +1,420 @@
+//! What an instance knows of the servers of one group, and where it sends
+//! reads and writes.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::catalog::Consistency;
+use crate::id::FailureDomainId;
+use crate::id::TargetId;
+use crate::id::Term;
+use crate::moment::Moment;
+use crate::position::Position;
+use crate::samples::Samples;
+
+/// A server as the platform lists it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServerInfo {
+    /// Its id, which no other server ever had.
+    pub id: TargetId,
+    /// Where it listens. Addresses are used again by other servers.
+    pub address: SocketAddr,
+    /// Where it runs.
+    pub failure_domain: FailureDomainId,
+    /// Statements it runs at the same time.
+    pub slots: usize,
+    /// Whether it is about to leave.
+    pub draining: bool,
+    /// Whether it sees itself as the primary.
+    pub leads: bool,
+}
+
+/// A server's answer to a question for its state.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ServerStatus {
+    /// Whether it is the primary.
+    pub leads: bool,
+    /// Term it knows.
+    pub term: Term,
+    /// Last position it received.
+    pub received: Position,
+    /// Last position it applied.
+    pub applied: Position,
+    /// How long it lets changes wait before it applies them, as it says.
+    pub lag: Duration,
+}
+
+/// A server as the instance sees it.
+#[derive(Clone, Debug)]
+pub struct ServerView {
+    /// What the platform lists.
+    pub info: ServerInfo,
+    /// Last position known to be applied.
+    pub applied: Position,
+    /// A floor that the server lacked, and when it said so.
+    lacked: Option<(Position, Moment)>,
+    /// Exchanges that failed since the last one that succeeded.
+    pub failures: u32,
+    /// When the first of these failures was seen.
+    pub failing_since: Option<Moment>,
+    /// No reads are sent there before this time, if others can serve them.
+    avoided_until: Moment,
+    /// Connections in use now by this instance.
+    pub in_use: usize,
+    /// Smoothed time of a read.
+    read_time: Duration,
+}
+
+/// The server that an instance believes to be the primary.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Leader {
+    /// Its id.
+    pub id: TargetId,
+    /// Its term; 0 while only the platform's list names it.
+    pub term: Term,
+    /// When this was learned.
+    pub since: Moment,
+}
+
+/// After a server said that it lacks a position, it is not asked for that
+/// position again for this long. A fraction of the usual replication delay of
+/// 60 ms: long enough to save useless questions, short enough to come back.
+const LACK_REMEMBERED: Duration = Duration::from_millis(25);
+
+/// A server whose exchange failed gets no reads for this long per failure, so
+/// that a dead one costs each instance few requests.
+const AVOID_STEP: Duration = Duration::from_millis(500);
+
+/// Longest time that a server is avoided.
+const AVOID_LIMIT: Duration = Duration::from_secs(3);
+
+/// Weight of the newest sample in the smoothed read time, as one over this.
+const READ_TIME_SMOOTHING: u32 = 8;
+
+/// One group of servers.
+#[derive(Clone, Debug, Default)]
+pub struct Group {
+    servers: BTreeMap<TargetId, ServerView>,
+    leader: Option<Leader>,
+    /// Highest term that any server was seen in.
+    highest_term: Term,
+    samples: Samples,
+    /// Last position before each term, where it is known: what lies beyond it
+    /// in earlier terms was rolled back.
+    term_bases: BTreeMap<Term, Position>,
+}
+
+impl Group {
+    /// Takes the platform's list of servers over. Returns whether it changed
+    /// which server is taken for the primary.
+    pub fn set_servers(&mut self, now: Moment, listed: Vec<ServerInfo>) -> bool {
+        let before = self.leader.clone();
+        let mut servers = BTreeMap::new();
+        for info in listed {
+            let known = self.servers.remove(&info.id);
+            let view = match known {
+                Some(mut view) => {
+                    view.info = info;
+                    view
+                }
+                None => ServerView::new(info),
+            };
+            servers.insert(view.info.id.clone(), view);
+        }
+        self.servers = servers;
+        let gone =
+            self.leader.as_ref().is_some_and(|leader| !self.servers.contains_key(&leader.id));
+        if gone {
+            self.leader = None;
+        }
+        self.follow_list(now);
+        self.leader != before
+    }
+
+    /// Without a leader of our own knowledge, the platform's list names it.
+    fn follow_list(&mut self, now: Moment) {
+        let mut leading = self.servers.values().filter(|view| view.info.leads);
+        let (first, second) = (leading.next(), leading.next());
+        let (Some(view), None) = (first, second) else {
+            return;
+        };
+        if self.leader.as_ref().is_some_and(|leader| leader.id == view.info.id) {
+            return;
+        }
+        // The entry has no term, so it cannot be compared with what servers
+        // said themselves; it only fills a gap. A server that lost the lead
+        // refuses by itself, which makes the gap.
+        if self.leader.is_none() {
+            self.leader = Some(Leader { id: view.info.id.clone(), term: 0, since: now });
+        }
+    }
+
+    /// A server answered a question for its state that was sent at `asked_at`.
+    /// Returns whether another server is the leader now.
+    pub fn observe_status(
+        &mut self,
+        asked_at: Moment,
+        now: Moment,
+        id: &TargetId,
+        status: ServerStatus,
+    ) -> bool {
+        self.observe_answer(id, Some(status.applied));
+        self.highest_term = self.highest_term.max(status.term);
+        if !status.leads {
+            return self.observe_not_leading(id, status.term);
+        }
+        let known_term = self.leader.as_ref().map_or(0, |leader| leader.term);
+        if status.term < known_term {
+            return false;
+        }
+        if status.received.term < status.term {
+            self.term_bases.insert(status.term, status.received);
+        }
+        let changed = self.set_leader(now, id, status.term);
+        self.samples.record(asked_at, status.received);
+        changed
+    }
+
+    fn set_leader(&mut self, now: Moment, id: &TargetId, term: Term) -> bool {
+        let same = self.leader.as_ref().is_some_and(|leader| leader.id == *id);
+        if same {
+            if let Some(leader) = &mut self.leader {
+                // A primary that was replaced and promoted again: positions
+                // of its earlier term may have been cut off.
+                if leader.term != 0 && term > leader.term {
+                    self.samples.clear();
+                }
+                leader.term = leader.term.max(term);
+            }
+            return false;
+        }
+        let changed_term = self.leader.as_ref().is_none_or(|leader| leader.term < term);
+        if changed_term {
+            self.samples.clear();
+        }
+        self.leader = Some(Leader { id: id.clone(), term, since: now });
+        true
+    }
+
+    /// A server is not the primary. Returns whether it was taken for it.
+    pub fn observe_not_leading(&mut self, id: &TargetId, term: Term) -> bool {
+        self.highest_term = self.highest_term.max(term);
+        let was = self.leader.as_ref().is_some_and(|leader| leader.id == *id);
+        if was {
+            self.leader = None;
+        }
+        was
+    }
+
+    /// A server answered, with the position that its log had reached.
+    pub fn observe_answer(&mut self, id: &TargetId, applied: Option<Position>) {
+        let Some(view) = self.servers.get_mut(id) else {
+            return;
+        };
+        view.failures = 0;
+        view.failing_since = None;
+        view.avoided_until = Moment::ZERO;
+        if let Some(applied) = applied {
+            view.applied = applied;
+        }
+    }
+
+    /// A server answered something sent at `asked_at` that only the primary
+    /// answers so: a write, or a statement in a transaction that may write.
+    pub fn observe_leading(&mut self, asked_at: Moment, id: &TargetId, position: Position) {
+        self.observe_answer(id, Some(position));
+        let leads = self.leader.as_ref().is_some_and(|leader| leader.id == *id);
+        if leads {
+            self.samples.record(asked_at, position);
+        }
+    }
+
+    /// A server lacks `floor`; its log reached `applied`.
+    ///
+    /// Returns whether this proves that `floor` was rolled back: the server's
+    /// log has entries of a later term, and so everything of the earlier term
+    /// that survived.
+    pub fn observe_lagging(
+        &mut self,
+        now: Moment,
+        id: &TargetId,
+        floor: Position,
+        applied: Option<Position>,
+    ) -> bool {
+        self.observe_answer(id, applied);
+        if let Some(view) = self.servers.get_mut(id) {
+            view.lacked = Some((floor, now));
+        }
+        let leader_term = match &self.leader {
+            Some(leader) if leader.id == *id => leader.term,
+            _ => 0,
+        };
+        let log_term = applied.map_or(0, |position| position.term).max(leader_term);
+        let rolled_back = log_term > floor.term;
+        if rolled_back {
+            self.samples.clear();
+        }
+        rolled_back
+    }
+
+    /// An exchange with a server failed: no connection, or no answer.
+    pub fn observe_failure(&mut self, now: Moment, id: &TargetId) {
+        let Some(view) = self.servers.get_mut(id) else {
+            return;
+        };
+        view.failures += 1;
+        view.failing_since.get_or_insert(now);
+        let avoided_for = (AVOID_STEP * view.failures).min(AVOID_LIMIT);
+        view.avoided_until = now + avoided_for;
+    }
+
+    /// A read took this long at a server.
+    pub fn observe_read_time(&mut self, id: &TargetId, took: Duration) {
+        if let Some(view) = self.servers.get_mut(id) {
+            let kept = view.read_time * (READ_TIME_SMOOTHING - 1);
+            view.read_time = (kept + took) / READ_TIME_SMOOTHING;
+        }
+    }
+
+    /// Lowest position that a read which arrived at `arrived_at` has to see.
+    /// `None` while it is not known: only the primary can answer then.
+    #[must_use]
+    pub fn floor(
+        &self,
+        arrived_at: Moment,
+        consistency: Consistency,
+        session_floor: Option<Position>,
+    ) -> Option<Position> {
+        match consistency {
+            Consistency::Latest => None,
+            Consistency::Bounded(age) => self.samples.floor(arrived_at, age),
+            Consistency::ReadYourWrites(age) => {
+                let floor = self.samples.floor(arrived_at, age)?;
+                let own = session_floor.map(|position| self.surviving(position));
+                Some(own.map_or(floor, |own| own.max(floor)))
+            }
+        }
+    }
+
+    /// What is left of a position after the changes of primary since.
+    #[must_use]
+    pub fn surviving(&self, position: Position) -> Position {
+        let later = self.term_bases.range(position.term + 1..).next();
+        match later {
+            // The numbers of a log go on over terms, so the index compares.
+            Some((_, base)) if position.index > base.index => *base,
+            _ => position,
+        }
+    }
+
+    /// Whether a server can be expected to answer a read with this floor now.
+    #[must_use]
+    pub fn can_read(&self, now: Moment, id: &TargetId, floor: Position) -> bool {
+        let Some(view) = self.servers.get(id) else {
+            return false;
+        };
+        if view.info.draining {
+            return false;
+        }
+        if view.applied >= floor {
+            return true;
+        }
+        match view.lacked {
+            Some((lacked, at)) => floor < lacked || at + LACK_REMEMBERED <= now,
+            None => true,
+        }
+    }
+
+    /// Whether connections to a server are kept: it is listed and not leaving,
+    /// or it is the primary, which serves until it is replaced.
+    #[must_use]
+    pub fn takes_work(&self, id: &TargetId) -> bool {
+        self.servers.get(id).is_some_and(|view| !view.info.draining || self.leads(id))
+    }
+
+    /// Servers for a read with this floor, best first: replicas before the
+    /// primary, whose slots are needed for writes.
+    #[must_use]
+    pub fn readers(&self, now: Moment, floor: Position) -> Vec<TargetId> {
+        let mut able: Vec<_> = self
+            .servers
+            .values()
+            .filter(|view| self.can_read(now, &view.info.id, floor))
+            .map(|view| {
+                let avoided = view.avoided_until > now;
+                let leads = self.leads(&view.info.id);
+                let surely = view.applied >= floor;
+                (avoided, leads, view.in_use, !surely, view.read_time, &view.info.id)
+            })
+            .collect();
+        able.sort_unstable();
+        able.into_iter().map(|(.., id)| id.clone()).collect()
+    }
+
+    /// Whether a server is taken for the primary.
+    #[must_use]
+    pub fn leads(&self, id: &TargetId) -> bool {
+        self.leader.as_ref().is_some_and(|leader| leader.id == *id)
+    }
+
+    /// The server taken for the primary.
+    #[must_use]
+    pub fn leader(&self) -> Option<&Leader> {
+        self.leader.as_ref()
+    }
+
+    /// Highest term seen.
+    #[must_use]
+    pub fn highest_term(&self) -> Term {
+        self.highest_term
+    }
+
+    /// A server.
+    #[must_use]
+    pub fn server(&self, id: &str) -> Option<&ServerView> {
+        self.servers.get(id)
+    }
+
+    /// A server, to count its connections.
+    pub fn server_mut(&mut self, id: &str) -> Option<&mut ServerView> {
+        self.servers.get_mut(id)
+    }
+
+    /// All servers.
+    pub fn servers(&self) -> impl Iterator<Item = &ServerView> {
+        self.servers.values()
+    }
+
+    /// Age of the newest sample of the primary's position.
+    #[must_use]
+    pub fn sample_age(&self, now: Moment) -> Option<Duration> {
+        self.samples.newest_age(now)
+    }
+
+    /// Forgets the samples, after the log was cut back.
+    pub fn forget_samples(&mut self) {
+        self.samples.clear();
+    }
+}
+
+impl ServerView {
+    fn new(info: ServerInfo) -> Self {
+        Self {
+            info,
+            applied: Position::ZERO,
+            lacked: None,
+            failures: 0,
+            failing_since: None,
+            avoided_until: Moment::ZERO,
+            in_use: 0,
+            read_time: Duration::ZERO,
+        }
+    }
+
+    /// Whether reads avoid the server for now.
+    #[must_use]
+    pub fn is_avoided(&self, now: Moment) -> bool {
+        self.avoided_until > now
+    }
+}
--- a/lib/src/id.rs
+++ b/lib/src/id.rs
@@ -12,6 +12,10 @@
 /// Names one database group: a database with its primary and replicas.
 pub type DatabaseId = Arc<str>;
 
+/// Names one database group of the session engine: a primary and its replicas,
+/// behind one or more database names.
+pub type GroupId = Arc<str>;
+
 /// Names one database server of a group.
 pub type TargetId = Arc<str>;
 
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -6,27 +6,38 @@
 
 pub mod admission;
 pub mod burn;
+pub mod catalog;
 pub mod classify;
 pub mod config;
 pub mod config_check;
+pub mod connection_budget;
 pub mod detector;
 pub mod error_kind;
 pub mod floors;
+pub mod group;
 pub mod id;
 pub mod instance;
+pub mod layout;
 pub mod ledger;
 pub mod limits;
 pub mod membership;
+pub mod moment;
 pub mod ownership;
 pub mod ownership_types;
 pub mod placement;
 pub mod pool;
+pub mod pool_share;
 pub mod position;
 pub mod retry;
 pub mod routing;
+pub mod samples;
+pub mod server_refusal;
 pub mod settings;
+pub mod statement;
 pub mod succession;
 pub mod verifier;
+pub mod wait_queue;
+pub mod waits;
 
 /// Messages between instances, generated from `protos/peer.proto`.
 #[allow(clippy::all, clippy::pedantic, missing_docs, reason = "generated")]
--- /dev/null
+++ b/lib/src/pool_share.rs
@@ -0,0 +1,141 @@
+//! Which server a request gets a connection to.
+
+use crate::group::Group;
+use crate::id::TargetId;
+use crate::moment::Moment;
+use crate::position::Position;
+
+/// Which servers will do for a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Need {
+    /// The primary.
+    Leader,
+    /// Any server that has applied `floor`.
+    Reader {
+        /// Lowest position that the read has to see.
+        floor: Position,
+        /// A server that just failed this request: only if no other will do.
+        shunned: Option<TargetId>,
+    },
+    /// This server, to ask for its state.
+    Server(TargetId),
+}
+
+impl Need {
+    /// Whether a connection to a server would serve the request.
+    #[must_use]
+    pub fn accepts(&self, group: &Group, now: Moment, id: &TargetId) -> bool {
+        match self {
+            Self::Leader => group.leads(id),
+            Self::Reader { floor, .. } => group.can_read(now, id, *floor),
+            Self::Server(wanted) => wanted == id,
+        }
+    }
+}
+
+/// Connections to one server.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PoolShare {
+    /// Open, idle ones included.
+    pub open: usize,
+    /// Open and not in use.
+    pub idle: usize,
+    /// Being opened.
+    pub opening: usize,
+    /// Most that may be open.
+    pub budget: usize,
+    /// No connection is opened before this time.
+    pub blocked_until: Moment,
+}
+
+/// Connections being opened to one server at the same time. Each takes a slot
+/// for 12 to 27 ms; two leave one of three for statements.
+const MAX_OPENING: usize = 2;
+
+/// Connections to the primary that reads leave free when replicas could serve
+/// them: writes have nowhere else to go.
+const LEADER_RESERVE: usize = 2;
+
+impl PoolShare {
+    fn may_open(&self, now: Moment) -> bool {
+        let room = self.open + self.opening < self.budget;
+        room && self.opening < MAX_OPENING && self.blocked_until <= now
+    }
+
+    /// Connections that are idle or could be opened.
+    fn free(&self) -> usize {
+        let unopened = self.budget.saturating_sub(self.open + self.opening);
+        self.idle + unopened
+    }
+}
+
+/// How a request gets its connection.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Choice {
+    /// There is an idle one to this server.
+    Idle(TargetId),
+    /// One can be opened to this server.
+    Open(TargetId),
+    /// It has to wait.
+    Wait,
+}
+
+/// Chooses a server for a request.
+pub fn choose(
+    group: &Group,
+    now: Moment,
+    need: &Need,
+    share_of: impl Fn(&TargetId) -> PoolShare,
+) -> Choice {
+    match need {
+        Need::Leader => match group.leader() {
+            Some(leader) => among(now, std::slice::from_ref(&leader.id), &share_of),
+            None => Choice::Wait,
+        },
+        Need::Server(id) => among(now, std::slice::from_ref(id), &share_of),
+        Need::Reader { floor, shunned } => {
+            choose_reader(group, now, *floor, shunned.as_ref(), &share_of)
+        }
+    }
+}
+
+fn choose_reader(
+    group: &Group,
+    now: Moment,
+    floor: Position,
+    shunned: Option<&TargetId>,
+    share_of: &impl Fn(&TargetId) -> PoolShare,
+) -> Choice {
+    let able = group.readers(now, floor);
+    let sound = |id: &TargetId| {
+        let avoided = group.server(id).is_none_or(|view| view.is_avoided(now));
+        !avoided && shunned != Some(id)
+    };
+    let (sound, doubtful): (Vec<_>, Vec<_>) = able.into_iter().partition(sound);
+    let (leader, replicas): (Vec<_>, Vec<_>) = sound.into_iter().partition(|id| group.leads(id));
+    let choice = among(now, &replicas, share_of);
+    if choice != Choice::Wait {
+        return choice;
+    }
+    let spare = |id: &TargetId| replicas.is_empty() || share_of(id).free() > LEADER_RESERVE;
+    if leader.iter().all(spare) {
+        let choice = among(now, &leader, share_of);
+        if choice != Choice::Wait {
+            return choice;
+        }
+    }
+    if !replicas.is_empty() {
+        return Choice::Wait;
+    }
+    among(now, &doubtful, share_of)
+}
+
+fn among(now: Moment, ids: &[TargetId], share_of: &impl Fn(&TargetId) -> PoolShare) -> Choice {
+    if let Some(id) = ids.iter().find(|id| share_of(id).idle > 0) {
+        return Choice::Idle(id.clone());
+    }
+    match ids.iter().find(|id| share_of(id).may_open(now)) {
+        Some(id) => Choice::Open(id.clone()),
+        None => Choice::Wait,
+    }
+}
--- /dev/null
+++ b/lib/src/waits.rs
@@ -0,0 +1,21 @@
+//! How long to wait for what.
+
+use std::time::Duration;
+
+/// Pause before a statement that a server was too busy for is sent again:
+/// about the time of one statement, after which one place in its queue is free.
+pub const BUSY_PAUSE: Duration = Duration::from_millis(15);
+
+/// Shortest time after which a silent server is given up for a read. Above
+/// the longest statement (220 ms) plus a server's own queue would be safe but
+/// slow; statements of 200 ms are fewer than one in a hundred.
+const SHORTEST_READ_STALL: Duration = Duration::from_millis(200);
+
+/// How long a read waits for one server before it goes to another.
+///
+/// Four fifths of the objective: a lost answer then still leaves a fifth,
+/// about the usual time of a read, for the second server.
+#[must_use]
+pub fn read_stall_limit(objective: Duration) -> Duration {
+    (objective * 4 / 5).max(SHORTEST_READ_STALL)
+}
