--- /dev/null
+++ b/daemon/src/engine/configuration_control.rs
@@ -0,0 +1,54 @@
+//! Puts the configurations that the platform's store announces in force.
+
+use std::sync::Arc;
+
+use crate::engine::directory::Change;
+use crate::engine::directory::Entry;
+use crate::engine::directory::Record;
+use crate::engine::directory::RecordKind;
+use crate::engine::directory::Revision;
+use crate::engine::follow::Follower;
+use crate::engine::shared::Engine;
+
+/// Puts configurations in force.
+pub struct ConfigurationFollower {
+    engine: Arc<Engine>,
+}
+
+impl ConfigurationFollower {
+    /// Feeds an engine.
+    #[must_use]
+    pub fn new(engine: Arc<Engine>) -> Self {
+        Self { engine }
+    }
+
+    fn take(&self, record: Record) {
+        let Record::Configuration(catalog) = record else {
+            return;
+        };
+        let (version, routes) = (catalog.version, catalog.routes.len());
+        if self.engine.set_catalog(catalog) {
+            log::info!("configuration {version} with {routes} routes is in force");
+        }
+    }
+}
+
+impl Follower for ConfigurationFollower {
+    fn kind(&self) -> RecordKind {
+        RecordKind::Configuration
+    }
+
+    fn replace(&mut self, _revision: Revision, entries: Vec<Entry>) {
+        for entry in entries {
+            self.take(entry.record);
+        }
+    }
+
+    fn change(&mut self, _revision: Revision, changes: Vec<Change>) {
+        for change in changes {
+            if let Change::Present(entry) = change {
+                self.take(entry.record);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/engine/controllers.rs
@@ -0,0 +1,71 @@
+//! Starts the controllers of an engine.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilwharf_lib::fleet::InstanceRecord;
+use tokio::net::TcpListener;
+
+use crate::engine::configuration_control::ConfigurationFollower;
+use crate::engine::directory::Directory;
+use crate::engine::duty_control::DutyFollower;
+use crate::engine::fleet_control;
+use crate::engine::fleet_control::InstanceFollower;
+use crate::engine::follow::follow;
+use crate::engine::leader_control;
+use crate::engine::leader_control::Replacer;
+use crate::engine::peers;
+use crate::engine::promoter::Promoter;
+use crate::engine::server_control::ServerFollower;
+use crate::engine::shared::Engine;
+
+/// Starts all controllers. They run until the program ends.
+pub fn start(
+    engine: &Arc<Engine>,
+    directory: &Arc<dyn Directory>,
+    promoter: &Arc<dyn Promoter>,
+    peer_listener: TcpListener,
+    seeds: &[SocketAddr],
+) {
+    tokio::spawn(follow(directory.clone(), ConfigurationFollower::new(engine.clone())));
+    tokio::spawn(follow(directory.clone(), ServerFollower::new(engine.clone())));
+    tokio::spawn(follow(directory.clone(), InstanceFollower::new(engine.clone())));
+    tokio::spawn(follow(directory.clone(), DutyFollower::new(engine.clone())));
+    let replacer = Replacer {
+        engine: engine.clone(),
+        directory: directory.clone(),
+        promoter: promoter.clone(),
+    };
+    tokio::spawn(leader_control::run(replacer));
+    tokio::spawn(fleet_control::keep_record(engine.clone(), directory.clone()));
+    tokio::spawn(fleet_control::send_heartbeats(engine.clone(), directory.clone()));
+    tokio::spawn(peers::serve(engine.clone(), peer_listener));
+    tokio::spawn(ask_seeds(engine.clone(), seeds.to_vec()));
+}
+
+/// How long a starting instance waits for the store before it asks others:
+/// many times the store's usual answer of 4 ms.
+const STORE_FIRST: Duration = Duration::from_millis(250);
+
+/// Pause between two rounds over the seeds.
+const SEED_PAUSE: Duration = Duration::from_millis(500);
+
+/// Learns configuration and servers from other instances while the store does
+/// not answer. An instance that restarts during an outage of the store would
+/// otherwise serve nobody until its end.
+async fn ask_seeds(engine: Arc<Engine>, seeds: Vec<SocketAddr>) {
+    tokio::time::sleep(STORE_FIRST).await;
+    while engine.catalog().version == 0 || engine.servers_revision() == 0 {
+        for seed in &seeds {
+            let record = InstanceRecord {
+                id: seed.to_string().into(),
+                life: 0,
+                peer_address: *seed,
+                failure_domain: "".into(),
+            };
+            fleet_control::pull_directory(&engine, &record).await;
+        }
+        tokio::time::sleep(SEED_PAUSE).await;
+    }
+}
--- /dev/null
+++ b/daemon/src/engine/duty_control.rs
@@ -0,0 +1,164 @@
+//! Who may replace primaries: the duty of each group, kept in the platform's
+//! store.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use chervilwharf_lib::duty::DutyRecord;
+use chervilwharf_lib::duty::DutyToken;
+use chervilwharf_lib::duty::next_record;
+use chervilwharf_lib::id::GroupId;
+use chervilwharf_lib::id::InstanceId;
+
+use crate::engine::directory::Change;
+use crate::engine::directory::Directory;
+use crate::engine::directory::Entry;
+use crate::engine::directory::Record;
+use crate::engine::directory::RecordKind;
+use crate::engine::directory::Revision;
+use crate::engine::directory::WriteError;
+use crate::engine::follow::Follower;
+use crate::engine::shared::Engine;
+
+/// The duties as far as this instance knows them.
+#[derive(Debug, Default)]
+pub struct DutyBook {
+    duties: HashMap<GroupId, (Revision, DutyRecord)>,
+    /// Tokens of this life that were used without an answer, or refused. An
+    /// order that went unanswered can be carried out seconds later; only a
+    /// higher token keeps it from undoing what is ordered after it.
+    spent: HashMap<GroupId, DutyToken>,
+}
+
+impl DutyBook {
+    /// The record of a group.
+    #[must_use]
+    pub fn record(&self, group: &GroupId) -> Option<&DutyRecord> {
+        self.duties.get(group).map(|(_, record)| record)
+    }
+
+    /// Who holds the duty of a group.
+    #[must_use]
+    pub fn holder(&self, group: &GroupId) -> Option<InstanceId> {
+        self.record(group).map(|record| record.holder.clone())
+    }
+
+    /// A record was read. Returns whether it is new.
+    pub fn learn(&mut self, revision: Revision, record: DutyRecord) -> bool {
+        let known = self.duties.get(&record.group);
+        if known.is_some_and(|(at, _)| *at >= revision) {
+            return false;
+        }
+        self.duties.insert(record.group.clone(), (revision, record));
+        true
+    }
+
+    /// A token must not be used again.
+    pub fn spend(&mut self, duty: &DutyRecord) {
+        self.spent.insert(duty.group.clone(), duty.token);
+    }
+
+    fn usable(&self, group: &GroupId, id: &InstanceId, life: u64) -> Option<DutyRecord> {
+        let record = self.record(group)?;
+        let ours = record.holder == *id && record.life == life;
+        let spent = self.spent.get(group).is_some_and(|token| *token >= record.token);
+        (ours && !spent).then(|| record.clone())
+    }
+}
+
+/// Tells an engine who holds which duty.
+pub struct DutyFollower {
+    engine: Arc<Engine>,
+}
+
+impl DutyFollower {
+    /// Feeds an engine.
+    #[must_use]
+    pub fn new(engine: Arc<Engine>) -> Self {
+        Self { engine }
+    }
+
+    fn take(&self, entry: Entry) {
+        let Record::Duty(record) = entry.record else {
+            return;
+        };
+        let (group, holder, token) = (record.group.clone(), record.holder.clone(), record.token);
+        let new = self.engine.with_duties(|duties| duties.learn(entry.revision, record));
+        if new {
+            log::info!("instance {holder} has the duty of {group} with token {token}");
+            self.engine.duty_moved(&group, &holder);
+        }
+    }
+}
+
+impl Follower for DutyFollower {
+    fn kind(&self) -> RecordKind {
+        RecordKind::Duties
+    }
+
+    fn replace(&mut self, _revision: Revision, entries: Vec<Entry>) {
+        for entry in entries {
+            self.take(entry);
+        }
+    }
+
+    fn change(&mut self, _revision: Revision, changes: Vec<Change>) {
+        for change in changes {
+            if let Change::Present(entry) = change {
+                self.take(entry);
+            }
+        }
+    }
+}
+
+/// Takes the duty of a group under a new token. While the store cannot be
+/// reached, a token of this life that was never spent will do.
+pub async fn claim(
+    engine: &Engine,
+    directory: &dyn Directory,
+    group: &GroupId,
+) -> Option<DutyRecord> {
+    match claim_new(engine, directory, group).await {
+        Ok(record) => Some(record),
+        Err(error) => {
+            let me = engine.me();
+            let kept = engine.with_duties(|duties| duties.usable(group, &me.id, me.life));
+            let token = kept.as_ref().map(|record| record.token);
+            log::warn!("no new token for the duty of {group}, old one {token:?}: {error}");
+            // Somebody else's newer record makes an old token useless.
+            match error {
+                WriteError::Conflict(_) => None,
+                WriteError::NotDone(_) | WriteError::Unanswered(_) => kept,
+            }
+        }
+    }
+}
+
+async fn claim_new(
+    engine: &Engine,
+    directory: &dyn Directory,
+    group: &GroupId,
+) -> Result<DutyRecord, WriteError> {
+    let present = directory.get(RecordKind::Duties, group).await.map_err(WriteError::NotDone)?;
+    let last = match &present {
+        Some(Entry { record: Record::Duty(record), .. }) => Some(record.clone()),
+        _ => None,
+    };
+    let next = next_record(group, engine.me(), last.as_ref());
+    let record = Record::Duty(next.clone());
+    let expected = present.map(|entry| entry.revision);
+    let written = match directory.write(group, &record, expected).await {
+        // The write may have been done: then the record says so.
+        Err(WriteError::Unanswered(error)) => {
+            let entry = directory.get(RecordKind::Duties, group).await;
+            match entry.map_err(WriteError::NotDone)? {
+                Some(entry) if entry.record == record => entry.revision,
+                _ => return Err(WriteError::Unanswered(error)),
+            }
+        }
+        result => result?,
+    };
+    engine.with_duties(|duties| duties.learn(written, next.clone()));
+    log::info!("this instance takes the duty of {group} with token {}", next.token);
+    Ok(next)
+}
--- /dev/null
+++ b/daemon/src/engine/fleet_control.rs
@@ -0,0 +1,253 @@
+//! Keeps this instance's record in the platform's store, and knows which
+//! other instances are alive.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilwharf_lib::engine_protos::DirectoryPull;
+use chervilwharf_lib::engine_protos::DirectoryState;
+use chervilwharf_lib::engine_protos::Heartbeat;
+use chervilwharf_lib::engine_protos::engine_frame::Body;
+use chervilwharf_lib::fleet::HEARTBEAT_INTERVAL;
+use chervilwharf_lib::fleet::InstanceRecord;
+use chervilwharf_lib::id::InstanceId;
+use chervilwharf_lib::moment::Moment;
+
+use crate::engine::clock::now;
+use crate::engine::directory::Change;
+use crate::engine::directory::Directory;
+use crate::engine::directory::Entry;
+use crate::engine::directory::Record;
+use crate::engine::directory::RecordKind;
+use crate::engine::directory::Revision;
+use crate::engine::directory::WriteError;
+use crate::engine::follow::Follower;
+use crate::engine::records;
+use crate::engine::shared::Engine;
+
+/// Tells an engine which instances there are.
+pub struct InstanceFollower {
+    engine: Arc<Engine>,
+}
+
+impl InstanceFollower {
+    /// Feeds an engine.
+    #[must_use]
+    pub fn new(engine: Arc<Engine>) -> Self {
+        Self { engine }
+    }
+}
+
+fn instance_of(entry: Entry) -> Option<InstanceRecord> {
+    match entry.record {
+        Record::Instance(record) => Some(record),
+        _ => None,
+    }
+}
+
+impl Follower for InstanceFollower {
+    fn kind(&self) -> RecordKind {
+        RecordKind::Instances
+    }
+
+    fn replace(&mut self, _revision: Revision, entries: Vec<Entry>) {
+        let records: Vec<_> = entries.into_iter().filter_map(instance_of).collect();
+        let me = self.engine.me();
+        if !records.contains(me) {
+            self.engine.wants_record().notify_one();
+        }
+        self.engine.with_fleet(|fleet| fleet.replace(now(), records));
+        self.engine.share_connections();
+    }
+
+    fn change(&mut self, _revision: Revision, changes: Vec<Change>) {
+        for change in changes {
+            match change {
+                Change::Present(entry) => {
+                    if let Some(record) = instance_of(entry) {
+                        self.engine.with_fleet(|fleet| fleet.present(now(), record));
+                    }
+                }
+                Change::Removed(id) if id == self.engine.me().id => {
+                    self.engine.wants_record().notify_one();
+                }
+                Change::Removed(id) => self.engine.with_fleet(|fleet| fleet.removed(&id)),
+            }
+        }
+        self.engine.share_connections();
+    }
+}
+
+/// Pause before the record is written again after a failure.
+const REGISTER_PAUSE: Duration = Duration::from_millis(400);
+
+/// Keeps the record of this instance in the store until it stops.
+pub async fn keep_record(engine: Arc<Engine>, directory: Arc<dyn Directory>) {
+    loop {
+        engine.wants_record().notified().await;
+        while !engine.is_stopping() {
+            match write_record(&engine, &*directory).await {
+                Ok(()) => break,
+                Err(error) => {
+                    log::warn!("the record of this instance is not written: {error}");
+                    tokio::time::sleep(REGISTER_PAUSE).await;
+                }
+            }
+        }
+    }
+}
+
+async fn write_record(engine: &Engine, directory: &dyn Directory) -> Result<(), WriteError> {
+    let me = engine.me();
+    let record = Record::Instance(me.clone());
+    let present = directory.get(RecordKind::Instances, &me.id).await;
+    let present = present.map_err(WriteError::NotDone)?;
+    if present.as_ref().is_some_and(|entry| entry.record == record) {
+        return Ok(());
+    }
+    let expected = present.map(|entry| entry.revision);
+    directory.write(&me.id, &record, expected).await?;
+    log::info!("this instance is registered as {}, life {}", me.id, me.life);
+    Ok(())
+}
+
+/// Removes the record at a planned stop, so that the others share the
+/// connections of this instance without waiting for it to be silent.
+pub async fn withdraw_record(engine: &Engine, directory: &dyn Directory) {
+    let me = engine.me();
+    let removed = match directory.get(RecordKind::Instances, &me.id).await {
+        Ok(Some(entry)) => directory.remove(RecordKind::Instances, &me.id, entry.revision).await,
+        Ok(None) => Ok(()),
+        Err(error) => Err(WriteError::NotDone(error)),
+    };
+    if let Err(error) = removed {
+        // Others notice the silence instead.
+        log::info!("the record of this instance stays: {error}");
+    }
+}
+
+/// A pause between two rounds longer than this means that this instance stood
+/// still itself.
+const STOOD_STILL: Duration = Duration::from_millis(1_500);
+
+/// Sends heartbeats for ever.
+pub async fn send_heartbeats(engine: Arc<Engine>, directory: Arc<dyn Directory>) {
+    let mut last_round = now();
+    loop {
+        tokio::time::sleep(HEARTBEAT_INTERVAL).await;
+        let at = now();
+        if at > last_round + STOOD_STILL {
+            log::warn!("this instance stood still for {:?}", at - last_round);
+            engine.with_fleet(|fleet| fleet.stood_still(at));
+        }
+        last_round = at;
+        for record in engine.with_fleet(|fleet| fleet.watched()) {
+            let engine = engine.clone();
+            tokio::spawn(async move { heartbeat(&engine, &record).await });
+        }
+        engine.share_connections();
+        remove_lost(&engine, &directory, at);
+    }
+}
+
+async fn heartbeat(engine: &Engine, peer: &InstanceRecord) {
+    let question = Body::Heartbeat(engine.heartbeat());
+    let Ok(Body::HeartbeatReply(reply)) = engine.peers().ask(peer.peer_address, question).await
+    else {
+        return;
+    };
+    engine.take_heartbeat(&reply);
+    if engine.wants_directory_of(&reply) {
+        pull_directory(engine, peer).await;
+    }
+}
+
+/// Takes over what another instance knows of the platform's records.
+pub async fn pull_directory(engine: &Engine, peer: &InstanceRecord) {
+    let question = Body::DirectoryPull(DirectoryPull {});
+    match engine.peers().ask(peer.peer_address, question).await {
+        Ok(Body::DirectoryState(state)) => take_directory(engine, &peer.id, state),
+        Ok(_) => log::warn!("instance {} answered something else than was asked", peer.id),
+        Err(error) => log::info!("instance {} does not tell its records: {error}", peer.id),
+    }
+}
+
+fn take_directory(engine: &Engine, from: &InstanceId, state: DirectoryState) {
+    if let Some(configuration) = state.configuration {
+        let catalog = Arc::new(records::decode_catalog(configuration));
+        let version = catalog.version;
+        if engine.set_catalog(catalog) {
+            log::info!("configuration {version} is in force, told by instance {from}");
+        }
+    }
+    let servers: Vec<_> = state.servers.into_iter().filter_map(records::decode_server).collect();
+    let revision = state.servers_revision;
+    engine.update_servers(|list| {
+        if revision > list.revision() {
+            log::info!("servers of revision {revision} told by instance {from}");
+            list.replace(now(), servers);
+            list.advance(revision);
+        }
+    });
+}
+
+fn remove_lost(engine: &Arc<Engine>, directory: &Arc<dyn Directory>, at: Moment) {
+    let lost = engine.with_fleet(|fleet| fleet.removable(at));
+    for record in lost {
+        let directory = directory.clone();
+        tokio::spawn(async move { remove_record(&*directory, record).await });
+    }
+}
+
+async fn remove_record(directory: &dyn Directory, lost: InstanceRecord) {
+    let Ok(Some(entry)) = directory.get(RecordKind::Instances, &lost.id).await else {
+        return;
+    };
+    // It may have come back under the same name meanwhile.
+    if entry.record != Record::Instance(lost.clone()) {
+        return;
+    }
+    match directory.remove(RecordKind::Instances, &lost.id, entry.revision).await {
+        Ok(()) => log::info!("the record of instance {}, long silent, is removed", lost.id),
+        Err(error) => log::info!("the record of instance {} stays: {error}", lost.id),
+    }
+}
+
+impl Engine {
+    /// What this instance says of itself.
+    #[must_use]
+    pub fn heartbeat(&self) -> Heartbeat {
+        Heartbeat {
+            instance: self.me().id.to_string(),
+            life: self.me().life,
+            leaving: self.is_stopping(),
+            configuration_version: self.catalog().version,
+            servers_revision: self.servers_revision(),
+        }
+    }
+
+    /// Another instance is alive.
+    pub fn take_heartbeat(&self, heartbeat: &Heartbeat) {
+        self.with_fleet(|fleet| fleet.heard(now(), &heartbeat.instance, heartbeat.leaving));
+    }
+
+    /// Whether another instance knows records that this one lacks: while the
+    /// store turns this instance away, others may still be served by it.
+    #[must_use]
+    pub fn wants_directory_of(&self, heartbeat: &Heartbeat) -> bool {
+        let newer_servers = heartbeat.servers_revision > self.servers_revision();
+        heartbeat.configuration_version > self.catalog().version
+            || (newer_servers && self.has_servers_outage())
+    }
+
+    /// What this instance knows of the platform's records.
+    #[must_use]
+    pub fn directory_state(&self) -> DirectoryState {
+        let catalog = self.catalog();
+        let configuration = (catalog.version > 0).then(|| records::encode_catalog(&catalog));
+        let (servers_revision, servers) = self.listed_servers();
+        let servers =
+            servers.iter().map(|(group, info)| records::encode_server(group, info)).collect();
+        DirectoryState { configuration, servers_revision, servers }
+    }
+}
--- /dev/null
+++ b/daemon/src/engine/follow.rs
@@ -0,0 +1,102 @@
+//! Follows what the platform keeps, through outages and lost history.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::engine::directory::Change;
+use crate::engine::directory::Directory;
+use crate::engine::directory::DirectoryError;
+use crate::engine::directory::Entry;
+use crate::engine::directory::RecordKind;
+use crate::engine::directory::Revision;
+
+/// Takes over what a kind of records says.
+pub trait Follower: Send {
+    /// The kind it follows.
+    fn kind(&self) -> RecordKind;
+
+    /// These are all records.
+    fn replace(&mut self, revision: Revision, entries: Vec<Entry>);
+
+    /// These records changed, up to a revision.
+    fn change(&mut self, revision: Revision, changes: Vec<Change>);
+
+    /// Some time has passed without a change.
+    fn tick(&mut self) {}
+
+    /// The store began or ceased to fail.
+    fn outage(&mut self, _lasting: bool) {}
+
+    /// Longest time until the next tick is due.
+    fn wait_limit(&self) -> Duration {
+        WATCH_WAIT
+    }
+}
+
+/// Longest wait of one watch. Each call is paid for; keep-alive probes find
+/// a silent connection earlier than the end of the wait does.
+pub const WATCH_WAIT: Duration = Duration::from_secs(10);
+
+/// First and longest pause after a failed call. The longest leaves five tries
+/// within the 3 s in which a configuration has to be in force.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+const LONGEST_PAUSE: Duration = Duration::from_millis(600);
+
+/// Follows a kind of records for ever.
+pub async fn follow(directory: Arc<dyn Directory>, mut follower: impl Follower) {
+    let kind = follower.kind();
+    let mut pause = FIRST_PAUSE;
+    let mut revision: Option<Revision> = None;
+    loop {
+        let result = match revision {
+            None => list(&*directory, &mut follower).await,
+            Some(after) => watch(&*directory, &mut follower, after).await,
+        };
+        match result {
+            Ok(next) => {
+                if pause != FIRST_PAUSE {
+                    log::info!("the store answers again for {kind}, revision {next}");
+                    follower.outage(false);
+                }
+                pause = FIRST_PAUSE;
+                revision = Some(next);
+            }
+            Err(DirectoryError::HistoryGone) => {
+                log::info!("the store forgot the changes of {kind} since {revision:?}: list again");
+                revision = None;
+            }
+            Err(error) => {
+                if pause == FIRST_PAUSE {
+                    log::warn!("the store fails for {kind}: {error}");
+                    follower.outage(true);
+                }
+                tokio::time::sleep(pause).await;
+                pause = (pause * 2).min(LONGEST_PAUSE);
+                follower.tick();
+            }
+        }
+    }
+}
+
+async fn list(
+    directory: &dyn Directory,
+    follower: &mut impl Follower,
+) -> Result<Revision, DirectoryError> {
+    let listing = directory.list(follower.kind()).await?;
+    follower.replace(listing.revision, listing.entries);
+    Ok(listing.revision)
+}
+
+async fn watch(
+    directory: &dyn Directory,
+    follower: &mut impl Follower,
+    after: Revision,
+) -> Result<Revision, DirectoryError> {
+    let wait = follower.wait_limit();
+    let changes = directory.watch(follower.kind(), after, wait).await?;
+    if !changes.changes.is_empty() {
+        follower.change(changes.revision, changes.changes);
+    }
+    follower.tick();
+    Ok(changes.revision)
+}
--- /dev/null
+++ b/daemon/src/engine/leader_control.rs
@@ -0,0 +1,392 @@
+//! Watches the primaries of all groups, and replaces them.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use chervilwharf_lib::duty::DutyRecord;
+use chervilwharf_lib::duty::succession;
+use chervilwharf_lib::engine_protos::Contact;
+use chervilwharf_lib::engine_protos::LeaderQuery;
+use chervilwharf_lib::engine_protos::LeaderReply;
+use chervilwharf_lib::engine_protos::engine_frame::Body;
+use chervilwharf_lib::fleet::InstanceRecord;
+use chervilwharf_lib::group::ServerStatus;
+use chervilwharf_lib::id::GroupId;
+use chervilwharf_lib::id::TargetId;
+use chervilwharf_lib::leader_watch::LeaderWatch;
+use chervilwharf_lib::leader_watch::Opinions;
+use chervilwharf_lib::leader_watch::REPLACEMENT_TIME;
+use chervilwharf_lib::leader_watch::ReplaceReason;
+use chervilwharf_lib::leader_watch::WatchAction;
+use futures::future::join_all;
+
+use crate::engine::clock::now;
+use crate::engine::directory::Directory;
+use crate::engine::duty_control;
+use crate::engine::probe;
+use crate::engine::probe::Probed;
+use crate::engine::promoter::Promoted;
+use crate::engine::promoter::Promoter;
+use crate::engine::shard::Shard;
+use crate::engine::shared::Engine;
+
+/// Time between two looks at all groups. Each look is a wake-up that is paid
+/// for; a doubt is looked at when it comes up.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Pause between two questions to a server that is about to lead.
+const LEAD_POLL: Duration = Duration::from_millis(80);
+
+/// How long a server may take to lead after an order that was accepted.
+const LEAD_LIMIT: Duration = Duration::from_millis(1_800);
+
+/// How long to look for the effect of an order that got no answer before it
+/// is given again under a higher token.
+const UNANSWERED_LIMIT: Duration = Duration::from_millis(500);
+
+/// The watches of all groups.
+#[derive(Default)]
+pub struct LeaderWatches {
+    watches: Mutex<HashMap<GroupId, LeaderWatch>>,
+    /// Groups whose primary this instance is replacing.
+    replacing: Mutex<HashMap<GroupId, ()>>,
+}
+
+impl LeaderWatches {
+    fn with<R>(&self, group: &GroupId, f: impl FnOnce(&mut LeaderWatch) -> R) -> R {
+        let mut watches = self.watches.lock().expect("never poisoned");
+        f(watches.entry(group.clone()).or_default())
+    }
+
+    fn is_replacing(&self, group: &GroupId) -> bool {
+        self.replacing.lock().expect("never poisoned").contains_key(group)
+    }
+}
+
+/// Marks a group as being replaced as long as it lives.
+struct ReplacingGuard {
+    engine: Arc<Engine>,
+    group: GroupId,
+}
+
+impl ReplacingGuard {
+    /// `None` while a replacement is under way.
+    fn new(engine: &Arc<Engine>, group: &GroupId) -> Option<Self> {
+        let mut replacing = engine.watches().replacing.lock().expect("never poisoned");
+        if replacing.insert(group.clone(), ()).is_some() {
+            return None;
+        }
+        Some(Self { engine: engine.clone(), group: group.clone() })
+    }
+}
+
+impl Drop for ReplacingGuard {
+    fn drop(&mut self) {
+        let mut replacing = self.engine.watches().replacing.lock().expect("never poisoned");
+        replacing.remove(&self.group);
+    }
+}
+
+/// What a replacement needs.
+#[derive(Clone)]
+pub struct Replacer {
+    /// The engine.
+    pub engine: Arc<Engine>,
+    /// Where the duty is kept.
+    pub directory: Arc<dyn Directory>,
+    /// Carries the order out.
+    pub promoter: Arc<dyn Promoter>,
+}
+
+/// Watches all groups for ever.
+pub async fn run(replacer: Replacer) {
+    loop {
+        // Either wakes the loop.
+        let _timeout = tokio::time::timeout(TICK, replacer.engine.doubt().notified()).await;
+        for shard in replacer.engine.shards() {
+            look_at(&replacer, &shard);
+        }
+    }
+}
+
+fn look_at(replacer: &Replacer, shard: &Arc<Shard>) {
+    let engine = &replacer.engine;
+    let rank = engine.duty_rank(shard.id());
+    let (claimants, actions) = shard.with_group(|group| {
+        let actions = engine.watches().with(shard.id(), |watch| watch.tick(now(), group, rank));
+        (group.take_claimants(), actions)
+    });
+    for id in claimants {
+        perform(replacer, shard, WatchAction::Probe(id));
+    }
+    for action in actions {
+        perform(replacer, shard, action);
+    }
+    claim_vacant(replacer, shard, rank);
+}
+
+fn perform(replacer: &Replacer, shard: &Arc<Shard>, action: WatchAction) {
+    let (replacer, shard) = (replacer.clone(), shard.clone());
+    match action {
+        WatchAction::Probe(id) => {
+            tokio::spawn(async move {
+                if probe::probe(&shard, &id).await == Probed::Failed {
+                    replacer.engine.watches().with(shard.id(), |watch| watch.probe_failed(&id));
+                }
+            });
+        }
+        WatchAction::Sample(id) => {
+            tokio::spawn(async move { probe::sample(&shard, &id).await });
+        }
+        WatchAction::AskPeers(leader) => {
+            tokio::spawn(async move { ask_peers(&replacer.engine, &shard, leader).await });
+        }
+        WatchAction::Replace { from, reason } => {
+            let Some(guard) = ReplacingGuard::new(&replacer.engine, shard.id()) else {
+                return;
+            };
+            replacer.engine.watches().with(shard.id(), |watch| watch.replacing(now()));
+            tokio::spawn(async move {
+                let replaced = replace(&replacer, &shard, from, reason).await;
+                if !replaced {
+                    let watches = replacer.engine.watches();
+                    watches.with(shard.id(), |watch| watch.replacement_failed(now()));
+                }
+                drop(guard);
+            });
+        }
+    }
+}
+
+/// Takes a duty that nobody holds, ahead of need: while the store is down,
+/// only who holds a token already can replace a primary.
+fn claim_vacant(replacer: &Replacer, shard: &Arc<Shard>, rank: Option<usize>) {
+    let engine = &replacer.engine;
+    if rank != Some(0) || !engine.is_duty_vacant(shard.id()) || engine.has_servers_outage() {
+        return;
+    }
+    let Some(guard) = ReplacingGuard::new(engine, shard.id()) else {
+        return;
+    };
+    let (replacer, shard) = (replacer.clone(), shard.clone());
+    tokio::spawn(async move {
+        let claimed = duty_control::claim(&replacer.engine, &*replacer.directory, shard.id()).await;
+        if claimed.is_none() {
+            tokio::time::sleep(CLAIM_PAUSE).await;
+        }
+        drop(guard);
+    });
+}
+
+/// Pause after a duty could not be taken.
+const CLAIM_PAUSE: Duration = Duration::from_millis(500);
+
+async fn ask_peers(engine: &Arc<Engine>, shard: &Arc<Shard>, leader: Option<TargetId>) {
+    let others: Vec<InstanceRecord> = engine.live_others();
+    let question = LeaderQuery {
+        group: shard.id().to_string(),
+        server: leader.as_ref().map(ToString::to_string).unwrap_or_default(),
+    };
+    let asking = others.iter().map(|peer| {
+        let question = Body::LeaderQuery(question.clone());
+        engine.peers().ask(peer.peer_address, question)
+    });
+    let mut opinions = Opinions::default();
+    for answer in join_all(asking).await {
+        let Ok(Body::LeaderReply(reply)) = answer else {
+            opinions.unknown += 1;
+            continue;
+        };
+        opinions.replacing |= reply.replacing;
+        let knows_other = !reply.leader.is_empty() && Some(&*reply.leader) != leader.as_deref();
+        if knows_other {
+            // Ask it ourselves whether it leads, and in which term.
+            let id: TargetId = reply.leader.as_str().into();
+            let shard = shard.clone();
+            tokio::spawn(async move { probe::probe(&shard, &id).await });
+        }
+        match reply.contact() {
+            Contact::Answered => opinions.reached += 1,
+            Contact::Failed => opinions.failed += 1,
+            Contact::Unknown => opinions.unknown += 1,
+        }
+    }
+    log::info!("primary {leader:?} of {} as others see it: {opinions:?}", shard.id());
+    engine.watches().with(shard.id(), |watch| watch.heard(now(), leader.as_ref(), opinions));
+}
+
+/// Replaces a primary. Returns whether another server leads now.
+async fn replace(
+    replacer: &Replacer,
+    shard: &Arc<Shard>,
+    from: Option<TargetId>,
+    reason: ReplaceReason,
+) -> bool {
+    let Some((target, status)) = best_replica(shard, from.as_ref()).await else {
+        log::warn!("no replica of {} can take over from {from:?}", shard.id());
+        return false;
+    };
+    if status.leads {
+        return true;
+    }
+    let directory = &*replacer.directory;
+    let Some(duty) = duty_control::claim(&replacer.engine, directory, shard.id()).await else {
+        return false;
+    };
+    // The primary may have come back while the duty was taken.
+    if reason == ReplaceReason::Unreachable && has_come_back(shard, from.as_ref()) {
+        log::info!("primary {from:?} of {} answers again and stays", shard.id());
+        return false;
+    }
+    log::warn!(
+        "server {target} at {} takes over {} from {from:?} ({reason:?}), token {}",
+        status.received,
+        shard.id(),
+        duty.token
+    );
+    let promoted = replacer.promoter.promote(&duty, &target).await;
+    log::info!("promotion of {target} under token {}: {promoted:?}", duty.token);
+    finish(replacer, shard, &duty, &target, promoted).await
+}
+
+async fn finish(
+    replacer: &Replacer,
+    shard: &Arc<Shard>,
+    duty: &DutyRecord,
+    target: &TargetId,
+    promoted: Promoted,
+) -> bool {
+    let limit = match promoted {
+        Promoted::Accepted => LEAD_LIMIT,
+        Promoted::Unanswered => {
+            replacer.engine.with_duties(|duties| duties.spend(duty));
+            UNANSWERED_LIMIT
+        }
+        Promoted::Refused => {
+            replacer.engine.with_duties(|duties| duties.spend(duty));
+            return false;
+        }
+        Promoted::NotDone => return false,
+    };
+    let until = now() + limit;
+    while now() < until {
+        if let Probed::Status(status) = probe::probe(shard, target).await {
+            if status.leads {
+                return true;
+            }
+        }
+        tokio::time::sleep(LEAD_POLL).await;
+    }
+    false
+}
+
+fn has_come_back(shard: &Arc<Shard>, from: Option<&TargetId>) -> bool {
+    let Some(id) = from else {
+        return false;
+    };
+    shard.with_group(|group| {
+        group.leads(id) && group.server(id).is_some_and(|view| view.failures == 0)
+    })
+}
+
+/// The reachable replica that received most: it lacks the fewest
+/// acknowledged commits.
+async fn best_replica(
+    shard: &Arc<Shard>,
+    from: Option<&TargetId>,
+) -> Option<(TargetId, ServerStatus)> {
+    let candidates: Vec<TargetId> = shard.with_group(|group| {
+        let able = group.servers().filter(|view| !view.info.draining);
+        let able = able.filter(|view| Some(&view.info.id) != from);
+        able.map(|view| view.info.id.clone()).collect()
+    });
+    let probes = candidates.iter().map(|id| probe::probe(shard, id));
+    let probed = join_all(probes).await;
+    let mut best: Option<(TargetId, ServerStatus)> = None;
+    for (id, probed) in candidates.into_iter().zip(probed) {
+        let Probed::Status(status) = probed else {
+            continue;
+        };
+        let rank = |status: &ServerStatus| (status.leads, status.received);
+        if best.as_ref().is_none_or(|(_, known)| rank(&status) > rank(known)) {
+            best = Some((id, status));
+        }
+    }
+    best
+}
+
+impl Engine {
+    /// This instance's place among those that may replace the primary of a
+    /// group; `None` while it stops.
+    #[must_use]
+    pub fn duty_rank(&self, group: &GroupId) -> Option<usize> {
+        if self.is_stopping() {
+            return None;
+        }
+        let holder = self.with_duties(|duties| duties.holder(group));
+        let staying = self.with_fleet(|fleet| fleet.staying(now()));
+        let order = succession(group, holder.as_ref(), &staying);
+        order.iter().position(|id| *id == self.me().id)
+    }
+
+    /// Whether nobody holds the duty of a group who could act on it.
+    #[must_use]
+    pub fn is_duty_vacant(&self, group: &GroupId) -> bool {
+        let record = self.with_duties(|duties| duties.record(group).cloned());
+        let Some(record) = record else {
+            return true;
+        };
+        if record.holder == self.me().id {
+            return record.life != self.me().life;
+        }
+        self.with_fleet(|fleet| !fleet.staying(now()).contains(&record.holder))
+    }
+
+    /// Somebody took the duty of a group, usually to replace its primary.
+    pub fn duty_moved(&self, group: &GroupId, holder: &str) {
+        if *holder != *self.me().id {
+            self.watches().with(group, |watch| watch.replacing(now()));
+        }
+    }
+
+    fn live_others(&self) -> Vec<InstanceRecord> {
+        self.with_fleet(|fleet| {
+            let live = fleet.live(now());
+            fleet.others().filter(|record| live.contains(&record.id)).cloned().collect()
+        })
+    }
+
+    /// What this instance knows of a primary that another one doubts.
+    #[must_use]
+    pub fn leader_reply(&self, query: &LeaderQuery) -> LeaderReply {
+        let group: GroupId = query.group.as_str().into();
+        let shard = self.shard(&group);
+        let at = now();
+        let (contact, leader) = shard.with_group(|group| {
+            let contact = match group.server(&query.server) {
+                Some(view) if view.failures > 0 => Contact::Failed,
+                Some(view) if view.answered_at + REACHED_WITHIN > at => Contact::Answered,
+                _ => Contact::Unknown,
+            };
+            (contact, group.leader().cloned())
+        });
+        if contact == Contact::Unknown && !query.server.is_empty() {
+            let (shard, id) = (shard.clone(), TargetId::from(query.server.as_str()));
+            tokio::spawn(async move { probe::probe(&shard, &id).await });
+        }
+        LeaderReply {
+            contact: contact.into(),
+            leader: leader.as_ref().map(|leader| leader.id.to_string()).unwrap_or_default(),
+            term: leader.map_or(0, |leader| leader.term),
+            replacing: self.watches().is_replacing(&group),
+        }
+    }
+}
+
+/// An answer of a primary proves contact for this long.
+const REACHED_WITHIN: Duration = Duration::from_millis(400);
+
+/// Checks at compile time that others wait longer than a whole replacement.
+const _: () = assert!(REPLACEMENT_TIME.as_millis() > LEAD_LIMIT.as_millis());
--- a/daemon/src/engine/mod.rs
+++ b/daemon/src/engine/mod.rs
@@ -7,11 +7,24 @@
 
 pub mod border;
 pub mod clock;
+pub mod configuration_control;
+pub mod controllers;
 pub mod directory;
+pub mod duty_control;
+pub mod fleet_control;
+pub mod follow;
+pub mod leader_control;
 pub mod lease;
+pub mod peers;
+pub mod probe;
+pub mod promoter;
+pub mod records;
 pub mod request;
+pub mod server_control;
 pub mod session;
 pub mod shard;
 pub mod shared;
 pub mod single;
+pub mod socket;
+pub mod stop;
 pub mod transaction;
--- /dev/null
+++ b/daemon/src/engine/peers.rs
@@ -0,0 +1,170 @@
+//! Connections between instances that run the session engine.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use chervilwharf_lib::engine_protos::EngineFrame;
+use chervilwharf_lib::engine_protos::engine_frame::Body;
+use displaydoc::Display;
+use futures::SinkExt;
+use futures::StreamExt;
+use prost::Message;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio_util::codec::Framed;
+use tokio_util::codec::LengthDelimitedCodec;
+
+use crate::engine::socket;
+
+/// Longest frame: a configuration of some thousand routes.
+const MAX_FRAME_BYTES: usize = 4 * 1024 * 1024;
+
+/// Time for an answer, connecting included: many times a round trip of 3 ms,
+/// short enough that several tries fit into the time to notice a dead primary.
+const ASK_TIMEOUT: Duration = Duration::from_millis(300);
+
+type Frames = Framed<TcpStream, LengthDelimitedCodec>;
+
+/// Why another instance gave no answer.
+#[derive(Clone, Debug)]
+#[derive(Display)]
+pub enum PeerError {
+    /// it cannot be reached: {0}
+    Unreachable(String),
+    /// it did not answer in time
+    Silent,
+    /// its answer cannot be read
+    Unreadable,
+}
+
+fn frames(stream: TcpStream) -> Frames {
+    let codec = LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec();
+    Framed::new(stream, codec)
+}
+
+fn unreachable(error: std::io::Error) -> PeerError {
+    PeerError::Unreachable(error.to_string())
+}
+
+#[derive(Default)]
+struct PeerLink {
+    frames: Option<Frames>,
+    last_exchange_id: u64,
+}
+
+impl PeerLink {
+    async fn exchange(&mut self, address: SocketAddr, body: Body) -> Result<Body, PeerError> {
+        // Taken out, so that a connection on which an answer is still to come
+        // is closed when this future is dropped.
+        let mut frames = match self.frames.take() {
+            Some(frames) => frames,
+            None => {
+                let stream = TcpStream::connect(address).await.map_err(unreachable)?;
+                socket::configure(&stream).map_err(unreachable)?;
+                frames(stream)
+            }
+        };
+        self.last_exchange_id += 1;
+        let exchange_id = self.last_exchange_id;
+        let frame = EngineFrame { exchange_id, body: Some(body) };
+        frames.send(Bytes::from(frame.encode_to_vec())).await.map_err(unreachable)?;
+        let answer = read_frame(&mut frames).await?;
+        if answer.exchange_id != exchange_id {
+            return Err(PeerError::Unreadable);
+        }
+        self.frames = Some(frames);
+        answer.body.ok_or(PeerError::Unreadable)
+    }
+}
+
+async fn read_frame(frames: &mut Frames) -> Result<EngineFrame, PeerError> {
+    let bytes: BytesMut = match frames.next().await {
+        Some(Ok(bytes)) => bytes,
+        Some(Err(error)) => return Err(unreachable(error)),
+        None => return Err(PeerError::Unreachable("closed".to_owned())),
+    };
+    EngineFrame::decode(bytes).map_err(|_| PeerError::Unreadable)
+}
+
+/// Links to other instances, opened when they are needed.
+#[derive(Default)]
+pub struct Peers {
+    links: Mutex<HashMap<SocketAddr, Arc<tokio::sync::Mutex<PeerLink>>>>,
+}
+
+impl Peers {
+    /// Asks another instance.
+    ///
+    /// # Errors
+    ///
+    /// When no answer came in time.
+    pub async fn ask(&self, address: SocketAddr, body: Body) -> Result<Body, PeerError> {
+        let link = {
+            let mut links = self.links.lock().expect("never poisoned");
+            links.entry(address).or_default().clone()
+        };
+        let exchange = async {
+            let mut link = link.lock().await;
+            link.exchange(address, body).await
+        };
+        match tokio::time::timeout(ASK_TIMEOUT, exchange).await {
+            Ok(result) => result,
+            Err(_) => Err(PeerError::Silent),
+        }
+    }
+
+    /// Closes links to addresses that are not in use any more.
+    pub fn keep_only(&self, addresses: &[SocketAddr]) {
+        let mut links = self.links.lock().expect("never poisoned");
+        links.retain(|address, _| addresses.contains(address));
+    }
+}
+
+/// Answers other instances.
+pub trait PeerHandler: Send + Sync {
+    /// The answer to a question; `None` if it is none.
+    fn answer(&self, question: Body) -> Option<Body>;
+}
+
+/// Answers other instances for ever.
+pub async fn serve(handler: Arc<dyn PeerHandler>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let handler = handler.clone();
+                tokio::spawn(async move { answer_all(&*handler, stream).await });
+            }
+            Err(error) => {
+                log::warn!("another instance could not be accepted: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Pause after the system refused to accept a connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+async fn answer_all(handler: &dyn PeerHandler, stream: TcpStream) {
+    if let Err(error) = socket::configure(&stream) {
+        log::debug!("an instance's connection ended at once: {error}");
+        return;
+    }
+    let mut frames = frames(stream);
+    while let Ok(frame) = read_frame(&mut frames).await {
+        let body = frame.body.and_then(|question| handler.answer(question));
+        let Some(body) = body else {
+            log::warn!("an instance sent something that is no question");
+            return;
+        };
+        let answer = EngineFrame { exchange_id: frame.exchange_id, body: Some(body) };
+        if frames.send(Bytes::from(answer.encode_to_vec())).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/engine/probe.rs
@@ -0,0 +1,142 @@
+//! Asks servers for their state.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilwharf_lib::group::ServerStatus;
+use chervilwharf_lib::id::TargetId;
+use chervilwharf_lib::layout::SessionValues;
+use chervilwharf_lib::pool_share::Need;
+
+use crate::engine::border::ServerConnection;
+use crate::engine::clock::now;
+use crate::engine::shard::Shard;
+use crate::engine::shard::Want;
+
+/// Longest time for a new connection and an answer on it: a few times what a
+/// loaded server takes, since its state takes a slot like any statement.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Place of samples among the waiting requests: last.
+const SAMPLE_PRIORITY: u8 = u8::MAX;
+
+/// What a probe found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Probed {
+    /// The server told its state.
+    Status(ServerStatus),
+    /// It is alive, and too busy to tell.
+    Busy,
+    /// It does not answer.
+    Failed,
+}
+
+/// Asks a server on a new connection, so that an old one that went silent
+/// does not make a living server look dead.
+pub async fn probe(shard: &Arc<Shard>, id: &TargetId) -> Probed {
+    let Some(info) = shard.with_group(|group| group.server(id).map(|view| view.info.clone()))
+    else {
+        return Probed::Failed;
+    };
+    let asked_at = now();
+    let asking = async {
+        let connected = shard.connector().connect(shard.id(), &info).await;
+        let mut connection = connected.map_err(|error| error.to_string())?;
+        connection.status().await.map_err(|error| error.to_string())
+    };
+    let result = match tokio::time::timeout(PROBE_TIMEOUT, asking).await {
+        Ok(result) => result,
+        Err(_) => Err("no answer in time".to_owned()),
+    };
+    match result {
+        Ok(Ok(status)) => {
+            shard.observe_status(asked_at, id, status);
+            Probed::Status(status)
+        }
+        Ok(Err(_)) => {
+            shard.with_group(|group| group.observe_answer(now(), id, None));
+            Probed::Busy
+        }
+        Err(error) => {
+            shard.with_group(|group| group.observe_failure(now(), id));
+            log::info!("probe of server {id} of {} failed: {error}", shard.id());
+            Probed::Failed
+        }
+    }
+}
+
+/// Asks a server on a connection of the pool. Nothing follows from it when no
+/// connection is free: then statements tell enough of the server.
+pub async fn sample(shard: &Arc<Shard>, id: &TargetId) {
+    let values = SessionValues::new();
+    let asked_at = now();
+    let want = Want {
+        need: Need::Server(id.clone()),
+        priority: SAMPLE_PRIORITY,
+        give_up_at: asked_at + PROBE_TIMEOUT,
+        values: &values,
+        prepared: None,
+    };
+    let Ok(mut lease) = shard.acquire(&want).await else {
+        return;
+    };
+    let asked_at = now();
+    let asking = lease.connection().connection.status();
+    match tokio::time::timeout(PROBE_TIMEOUT, asking).await {
+        Ok(Ok(answer)) => {
+            lease.give_back();
+            if let Ok(status) = answer {
+                shard.observe_status(asked_at, id, status);
+            }
+        }
+        Ok(Err(error)) => {
+            log::info!("sample of server {id} of {} failed: {error}", shard.id());
+            shard.with_group(|group| group.observe_failure(now(), id));
+        }
+        Err(_) => {
+            log::info!("sample of server {id} of {} got no answer in time", shard.id());
+            shard.with_group(|group| group.observe_failure(now(), id));
+        }
+    }
+}
+
+impl Shard {
+    /// A server told its state.
+    pub fn observe_status(
+        self: &Arc<Self>,
+        asked_at: chervilwharf_lib::moment::Moment,
+        id: &TargetId,
+        status: ServerStatus,
+    ) {
+        let changed = self.with_group(|group| group.observe_status(asked_at, now(), id, status));
+        if changed && status.leads {
+            log::info!(
+                "server {id} leads {} in term {} from position {}",
+                self.id(),
+                status.term,
+                status.received
+            );
+        }
+        if changed {
+            self.pump();
+        }
+    }
+}
+
+/// A connection for control statements that is not counted in the pool.
+///
+/// # Errors
+///
+/// In words, when none can be opened in time.
+pub async fn control_connection(
+    shard: &Arc<Shard>,
+    id: &TargetId,
+) -> Result<Box<dyn ServerConnection>, String> {
+    let info = shard.with_group(|group| group.server(id).map(|view| view.info.clone()));
+    let info = info.ok_or_else(|| "not listed".to_owned())?;
+    let connecting = shard.connector().connect(shard.id(), &info);
+    match tokio::time::timeout(PROBE_TIMEOUT, connecting).await {
+        Ok(connected) => connected.map_err(|error| error.to_string()),
+        Err(_) => Err("no answer in time".to_owned()),
+    }
+}
--- /dev/null
+++ b/daemon/src/engine/records.rs
@@ -0,0 +1,127 @@
+//! Records of the platform as instances tell them to each other.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilwharf_lib::catalog::Catalog;
+use chervilwharf_lib::catalog::Consistency;
+use chervilwharf_lib::catalog::GroupSettings;
+use chervilwharf_lib::catalog::Route;
+use chervilwharf_lib::engine_protos;
+use chervilwharf_lib::engine_protos::route::Consistency as WireConsistency;
+use chervilwharf_lib::group::ServerInfo;
+use chervilwharf_lib::id::GroupId;
+
+fn milliseconds(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn text(text: String) -> Arc<str> {
+    text.into()
+}
+
+/// Encodes a configuration.
+#[must_use]
+pub fn encode_catalog(catalog: &Catalog) -> engine_protos::Configuration {
+    let groups = catalog.groups.iter().map(|(name, settings)| engine_protos::Group {
+        name: name.to_string(),
+        max_connections: settings.max_connections as u64,
+        sync_replicas: settings.sync_replicas as u64,
+    });
+    engine_protos::Configuration {
+        version: catalog.version,
+        routes: catalog.routes.values().map(|route| encode_route(route)).collect(),
+        groups: groups.collect(),
+        transaction_idle_ms: catalog.transaction_idle.map_or(0, milliseconds),
+    }
+}
+
+fn encode_route(route: &Route) -> engine_protos::Route {
+    let (consistency, max_staleness) = match route.consistency {
+        Consistency::Latest => (WireConsistency::Latest, Duration::ZERO),
+        Consistency::Bounded(age) => (WireConsistency::Bounded, age),
+        Consistency::ReadYourWrites(age) => (WireConsistency::ReadYourWrites, age),
+    };
+    engine_protos::Route {
+        database: route.database.to_string(),
+        group: route.group.to_string(),
+        consistency: consistency.into(),
+        max_staleness_ms: milliseconds(max_staleness),
+        timeout_ms: milliseconds(route.timeout),
+        objective_ms: milliseconds(route.objective),
+        priority: route.priority.into(),
+    }
+}
+
+/// Decodes a configuration.
+#[must_use]
+pub fn decode_catalog(configuration: engine_protos::Configuration) -> Catalog {
+    let mut routes = HashMap::with_capacity(configuration.routes.len());
+    for route in configuration.routes {
+        let route = decode_route(route);
+        routes.insert(route.database.clone(), Arc::new(route));
+    }
+    let mut groups = HashMap::new();
+    for group in configuration.groups {
+        let settings = GroupSettings {
+            max_connections: usize::try_from(group.max_connections).unwrap_or(usize::MAX),
+            sync_replicas: usize::try_from(group.sync_replicas).unwrap_or(usize::MAX),
+        };
+        groups.insert(text(group.name), settings);
+    }
+    let idle_ms = configuration.transaction_idle_ms;
+    Catalog {
+        version: configuration.version,
+        routes,
+        groups,
+        transaction_idle: (idle_ms > 0).then(|| Duration::from_millis(idle_ms)),
+    }
+}
+
+fn decode_route(route: engine_protos::Route) -> Route {
+    let age = Duration::from_millis(route.max_staleness_ms);
+    let consistency = match route.consistency() {
+        WireConsistency::Latest => Consistency::Latest,
+        WireConsistency::Bounded => Consistency::Bounded(age),
+        WireConsistency::ReadYourWrites => Consistency::ReadYourWrites(age),
+    };
+    Route {
+        consistency,
+        timeout: Duration::from_millis(route.timeout_ms),
+        objective: Duration::from_millis(route.objective_ms),
+        priority: u8::try_from(route.priority).unwrap_or(u8::MAX),
+        database: text(route.database),
+        group: text(route.group),
+    }
+}
+
+/// Encodes a server.
+#[must_use]
+pub fn encode_server(group: &GroupId, info: &ServerInfo) -> engine_protos::Server {
+    engine_protos::Server {
+        group: group.to_string(),
+        id: info.id.to_string(),
+        address: info.address.to_string(),
+        failure_domain: info.failure_domain.to_string(),
+        slots: info.slots as u64,
+        draining: info.draining,
+        leads: info.leads,
+    }
+}
+
+/// Decodes a server; `None` if its address is none.
+#[must_use]
+pub fn decode_server(server: engine_protos::Server) -> Option<(GroupId, ServerInfo)> {
+    let address: SocketAddr = server.address.parse().ok()?;
+    let info = ServerInfo {
+        id: text(server.id),
+        address,
+        failure_domain: text(server.failure_domain),
+        slots: usize::try_from(server.slots).unwrap_or(1),
+        draining: server.draining,
+        leads: server.leads,
+    };
+    Some((text(server.group), info))
+}
--- /dev/null
+++ b/daemon/src/engine/server_control.rs
@@ -0,0 +1,86 @@
+//! Follows the platform's list of servers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilwharf_lib::group::ServerInfo;
+use chervilwharf_lib::id::GroupId;
+
+use crate::engine::clock::now;
+use crate::engine::directory::Change;
+use crate::engine::directory::Entry;
+use crate::engine::directory::Record;
+use crate::engine::directory::RecordKind;
+use crate::engine::directory::Revision;
+use crate::engine::follow::Follower;
+use crate::engine::follow::WATCH_WAIT;
+use crate::engine::shared::Engine;
+
+/// Tells an engine which servers the platform lists.
+pub struct ServerFollower {
+    engine: Arc<Engine>,
+    /// Whether some servers are missing in the list and not dropped yet.
+    missing: bool,
+}
+
+/// How soon missing servers are looked at again.
+const MISSING_CHECK: Duration = Duration::from_millis(500);
+
+impl ServerFollower {
+    /// Feeds an engine.
+    #[must_use]
+    pub fn new(engine: Arc<Engine>) -> Self {
+        Self { engine, missing: false }
+    }
+}
+
+fn server_of(entry: Entry) -> Option<(GroupId, ServerInfo)> {
+    match entry.record {
+        Record::Server(group, info) => Some((group, info)),
+        _ => None,
+    }
+}
+
+impl Follower for ServerFollower {
+    fn kind(&self) -> RecordKind {
+        RecordKind::Servers
+    }
+
+    fn replace(&mut self, revision: Revision, entries: Vec<Entry>) {
+        let servers = entries.into_iter().filter_map(server_of).collect();
+        self.missing = self.engine.update_servers(|list| {
+            list.replace(now(), servers);
+            list.advance(revision);
+        });
+    }
+
+    fn change(&mut self, revision: Revision, changes: Vec<Change>) {
+        self.missing = self.engine.update_servers(|list| {
+            for change in changes {
+                match change {
+                    Change::Present(entry) => {
+                        if let Some((group, info)) = server_of(entry) {
+                            list.present(group, info);
+                        }
+                    }
+                    Change::Removed(id) => list.missing(now(), &id),
+                }
+            }
+            list.advance(revision);
+        });
+    }
+
+    fn tick(&mut self) {
+        if self.missing {
+            self.missing = self.engine.update_servers(|_| {});
+        }
+    }
+
+    fn wait_limit(&self) -> Duration {
+        if self.missing { MISSING_CHECK } else { WATCH_WAIT }
+    }
+
+    fn outage(&mut self, lasting: bool) {
+        self.engine.set_servers_outage(lasting);
+    }
+}
--- a/daemon/src/engine/session.rs
+++ b/daemon/src/engine/session.rs
@@ -17,6 +17,8 @@
 use chervilwharf_lib::statement::Prepared;
 use chervilwharf_lib::statement::Statement;
 use chervilwharf_lib::statement::TransactionState;
+use chervilwharf_lib::stop_plan::StopPlan;
+use tokio::sync::watch;
 
 use crate::engine::border::Step;
 use crate::engine::clock::now;
@@ -26,6 +28,7 @@
 use crate::engine::request::Served;
 use crate::engine::shard::Shard;
 use crate::engine::shared::Engine;
+use crate::engine::shared::SessionGuard;
 use crate::engine::single;
 use crate::engine::single::Work;
 use crate::engine::transaction;
@@ -43,6 +46,15 @@
     pub position: Option<Position>,
 }
 
+/// Why a session at rest has to change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RestEnd {
+    /// Its transaction has to be rolled back.
+    RollBack,
+    /// It has to be closed.
+    Close,
+}
+
 /// One client's session.
 pub struct Session {
     engine: Arc<Engine>,
@@ -53,8 +65,14 @@
     /// Position of the session's last own commit.
     floor: Option<Position>,
     transaction: Option<Transaction>,
+    /// Place among the sessions that a planned stop closes one by one.
+    spread: u32,
+    _counted: SessionGuard,
 }
 
+/// Sessions are closed in this many steps at a planned stop.
+const SPREAD_STEPS: u32 = 1000;
+
 /// Part of a statement's time that is kept back to answer the client: two
 /// trips of 3 ms and the time to write.
 const ANSWER_RESERVE: Duration = Duration::from_millis(15);
@@ -70,7 +88,10 @@
             return Err(Failure::new(ErrorKind::UnknownDatabase));
         };
         let shard = engine.shard(&route.group);
+        let counted = engine.count_session();
         Ok(Self {
+            spread: rand::random_range(0..SPREAD_STEPS),
+            _counted: counted,
             engine,
             shard,
             database,
@@ -115,10 +136,55 @@
     pub fn end_rest(&mut self) {
         if let Some(transaction) = &mut self.transaction {
             log::info!("a transaction on {} rested too long and is rolled back", self.database);
-            transaction.fail();
+            transaction.end_rest();
         }
     }
 
+    /// Waits until the session, at rest now, has to change by itself.
+    pub async fn rest(&self, stop: &mut watch::Receiver<Option<StopPlan>>) -> RestEnd {
+        loop {
+            let plan = *stop.borrow_and_update();
+            let (until, end) = self.rest_end(plan);
+            let wait = async {
+                match until {
+                    Some(until) => tokio::time::sleep(until.saturating_sub(now())).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                () = wait => return end,
+                changed = stop.changed() => {
+                    // Without an engine there is nothing to serve.
+                    if changed.is_err() {
+                        return RestEnd::Close;
+                    }
+                }
+            }
+        }
+    }
+
+    fn rest_end(&self, plan: Option<StopPlan>) -> (Option<Moment>, RestEnd) {
+        let idle = self.state() == TransactionState::Idle;
+        if let (Some(plan), true) = (plan, idle) {
+            return (Some(plan.close_at(self.spread)), RestEnd::Close);
+        }
+        let limit = self.rest_limit().map(|limit| now() + limit);
+        let stop = plan.map(|plan| plan.transactions_end_at()).filter(|_| self.holds_connection());
+        let until = [limit, stop].into_iter().flatten().min();
+        (until, RestEnd::RollBack)
+    }
+
+    fn holds_connection(&self) -> bool {
+        self.transaction.as_ref().is_some_and(Transaction::holds_connection)
+    }
+
+    /// Whether a planned stop ends the session now that its operation is over.
+    #[must_use]
+    pub fn is_over(&self, stop: &watch::Receiver<Option<StopPlan>>) -> bool {
+        let closing = stop.borrow().is_some_and(|plan| plan.closing_begins_at() <= now());
+        closing && self.state() == TransactionState::Idle
+    }
+
     /// Lowest position that a read of this session has to see.
     #[must_use]
     pub fn floor_for(&self, arrived_at: Moment, consistency: Consistency) -> Option<Position> {
@@ -173,7 +239,10 @@
         match statement {
             Statement::Commit => self.commit(id).await.map(Some),
             Statement::Rollback => self.roll_back().map(|()| None),
-            _ if failed => Err(Failure::new(ErrorKind::TransactionAborted)),
+            _ if failed => {
+                let refusal = self.transaction.as_mut().map(Transaction::refusal);
+                Err(Failure::new(refusal.unwrap_or(ErrorKind::TransactionAborted)))
+            }
             Statement::Begin { read_only } => self.begin_transaction(read_only).map(|()| None),
             Statement::Set { name, value } => {
                 self.values.insert(name, value);
--- a/daemon/src/engine/shard.rs
+++ b/daemon/src/engine/shard.rs
@@ -22,6 +22,7 @@
 use chervilwharf_lib::server_refusal::RefusalKind;
 use chervilwharf_lib::statement::Prepared;
 use chervilwharf_lib::wait_queue::WaitQueue;
+use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
 use crate::engine::border::ConnectError;
@@ -73,6 +74,8 @@
     id: GroupId,
     connector: Arc<dyn Connector>,
     inner: Mutex<Inner>,
+    /// Woken when there is something to find out about the primary.
+    doubt: Arc<Notify>,
 }
 
 /// Longest time to open a connection: a few times the most that a server
@@ -91,9 +94,20 @@
 impl Shard {
     /// A group of which nothing is known yet.
     #[must_use]
-    pub fn new(id: GroupId, connector: Arc<dyn Connector>) -> Self {
+    pub fn new(id: GroupId, connector: Arc<dyn Connector>, doubt: Arc<Notify>) -> Self {
         let inner = Inner { budget: 1, ..Inner::default() };
-        Self { id, connector, inner: Mutex::new(inner) }
+        Self { id, connector, inner: Mutex::new(inner), doubt }
+    }
+
+    /// Opens connections to the servers.
+    #[must_use]
+    pub fn connector(&self) -> &dyn Connector {
+        &*self.connector
+    }
+
+    /// There is something to find out about the primary.
+    pub fn doubt(&self) {
+        self.doubt.notify_one();
     }
 
     /// Its id.
@@ -111,6 +125,15 @@
         f(&mut self.lock().group)
     }
 
+    /// A server refused what only the primary does.
+    pub fn lost_lead(&self, server: &TargetId) {
+        let was = self.with_group(|group| group.observe_not_leading(server, 0));
+        if was {
+            log::info!("server {server} does not lead {} any more", self.id);
+            self.doubt();
+        }
+    }
+
     /// Sets how many connections to each server this instance may hold.
     pub fn set_budget(self: &Arc<Self>, budget: usize) {
         self.lock().budget = budget;
@@ -139,6 +162,7 @@
         });
         drop(inner);
         drop(closing);
+        self.doubt();
         self.pump();
     }
 
@@ -248,7 +272,7 @@
             Ok(connection) if known => {
                 pool.share.open += 1;
                 pool.idle.push(PooledConnection::new(connection));
-                inner.group.observe_answer(server, None);
+                inner.group.observe_answer(now, server, None);
             }
             Ok(_) => {}
             Err(ConnectError::Refused(refusal))
--- a/daemon/src/engine/shared.rs
+++ b/daemon/src/engine/shared.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::RwLock;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
@@ -10,10 +11,22 @@
 use chervilwharf_lib::catalog::Catalog;
 use chervilwharf_lib::catalog::Route;
 use chervilwharf_lib::connection_budget::budget_per_instance;
+use chervilwharf_lib::engine_protos::engine_frame::Body;
+use chervilwharf_lib::fleet::Fleet;
+use chervilwharf_lib::fleet::InstanceRecord;
+use chervilwharf_lib::group::ServerInfo;
 use chervilwharf_lib::id::GroupId;
+use chervilwharf_lib::server_list::ServerList;
+use chervilwharf_lib::stop_plan::StopPlan;
+use tokio::sync::Notify;
 use tokio::sync::watch;
 
 use crate::engine::border::Connector;
+use crate::engine::clock::now;
+use crate::engine::duty_control::DutyBook;
+use crate::engine::leader_control::LeaderWatches;
+use crate::engine::peers::PeerHandler;
+use crate::engine::peers::Peers;
 use crate::engine::shard::Shard;
 
 /// What all sessions of an instance share.
@@ -21,24 +34,87 @@
     connector: Arc<dyn Connector>,
     catalog: watch::Sender<Arc<Catalog>>,
     shards: RwLock<HashMap<GroupId, Arc<Shard>>>,
-    live_instances: AtomicUsize,
+    servers: Mutex<ServerList>,
+    /// Whether the store fails for the list of servers.
+    servers_outage: AtomicBool,
+    me: InstanceRecord,
+    fleet: Mutex<Fleet>,
+    peers: Peers,
+    duties: Mutex<DutyBook>,
+    watches: LeaderWatches,
+    /// Woken when there is something to find out about a primary.
+    doubt: Arc<Notify>,
+    /// Woken when the record of this instance has to be written.
+    wants_record: Notify,
+    sharing_instances: AtomicUsize,
     /// Set once a planned stop has begun.
-    stopping: AtomicBool,
+    stopping: watch::Sender<Option<StopPlan>>,
+    sessions: watch::Sender<usize>,
 }
 
 impl Engine {
     /// An engine without a configuration.
     #[must_use]
-    pub fn new(connector: Arc<dyn Connector>) -> Self {
+    pub fn new(me: InstanceRecord, connector: Arc<dyn Connector>) -> Self {
         Self {
             connector,
             catalog: watch::Sender::new(Arc::default()),
             shards: RwLock::default(),
-            live_instances: AtomicUsize::new(1),
-            stopping: AtomicBool::new(false),
+            servers: Mutex::default(),
+            servers_outage: AtomicBool::new(false),
+            fleet: Mutex::new(Fleet::new(me.id.clone())),
+            me,
+            peers: Peers::default(),
+            duties: Mutex::default(),
+            watches: LeaderWatches::default(),
+            doubt: Arc::default(),
+            wants_record: Notify::new(),
+            sharing_instances: AtomicUsize::new(1),
+            stopping: watch::Sender::new(None),
+            sessions: watch::Sender::new(0),
         }
     }
 
+    /// This instance.
+    #[must_use]
+    pub fn me(&self) -> &InstanceRecord {
+        &self.me
+    }
+
+    /// Links to other instances.
+    #[must_use]
+    pub fn peers(&self) -> &Peers {
+        &self.peers
+    }
+
+    /// Woken when the record of this instance has to be written.
+    #[must_use]
+    pub fn wants_record(&self) -> &Notify {
+        &self.wants_record
+    }
+
+    /// Reads or updates what is known of the duties.
+    pub fn with_duties<R>(&self, f: impl FnOnce(&mut DutyBook) -> R) -> R {
+        f(&mut self.duties.lock().expect("never poisoned"))
+    }
+
+    /// The watches of all groups.
+    #[must_use]
+    pub fn watches(&self) -> &LeaderWatches {
+        &self.watches
+    }
+
+    /// Woken when there is something to find out about a primary.
+    #[must_use]
+    pub fn doubt(&self) -> &Notify {
+        &self.doubt
+    }
+
+    /// Reads or updates what is known of the instances.
+    pub fn with_fleet<R>(&self, f: impl FnOnce(&mut Fleet) -> R) -> R {
+        f(&mut self.fleet.lock().expect("never poisoned"))
+    }
+
     /// The configuration in force.
     #[must_use]
     pub fn catalog(&self) -> Arc<Catalog> {
@@ -73,20 +149,16 @@
         newer
     }
 
-    /// Takes over how many instances share the connections of each server.
-    pub fn set_live_instances(&self, count: usize) {
-        let before = self.live_instances.swap(count.max(1), Ordering::Relaxed);
-        if before != count.max(1) {
+    /// Divides the connections of each server among the live instances.
+    pub fn share_connections(&self) {
+        let sharing = self.with_fleet(|fleet| fleet.sharing(now()));
+        let before = self.sharing_instances.swap(sharing, Ordering::Relaxed);
+        if before != sharing {
+            log::info!("{sharing} instances share the connections of each server");
             self.apply_budgets();
         }
     }
 
-    /// Instances that share the connections of each server.
-    #[must_use]
-    pub fn live_instances(&self) -> usize {
-        self.live_instances.load(Ordering::Relaxed)
-    }
-
     fn apply_budgets(&self) {
         let catalog = self.catalog();
         for group in catalog.groups.keys() {
@@ -97,7 +169,8 @@
             let Some(settings) = catalog.groups.get(group) else {
                 continue;
             };
-            shard.set_budget(budget_per_instance(settings.max_connections, self.live_instances()));
+            let sharing = self.sharing_instances.load(Ordering::Relaxed);
+            shard.set_budget(budget_per_instance(settings.max_connections, sharing));
         }
     }
 
@@ -108,9 +181,9 @@
             return shard.clone();
         }
         let mut shards = self.shards.write().expect("never poisoned");
-        let shard = shards
-            .entry(group.clone())
-            .or_insert_with(|| Arc::new(Shard::new(group.clone(), self.connector.clone())));
+        let shard = shards.entry(group.clone()).or_insert_with(|| {
+            Arc::new(Shard::new(group.clone(), self.connector.clone(), self.doubt.clone()))
+        });
         shard.clone()
     }
 
@@ -131,14 +204,96 @@
         shards.iter().any(|shard| shard.with_group(|group| group.servers().next().is_some()))
     }
 
+    /// Updates the list of servers and tells the shards. Returns whether some
+    /// servers are missing in the platform's list and still used.
+    pub fn update_servers(&self, update: impl FnOnce(&mut ServerList)) -> bool {
+        let (missing, groups) = {
+            let mut list = self.servers.lock().expect("never poisoned");
+            update(&mut list);
+            (list.drop_missing(now()), list.by_group())
+        };
+        for (group, servers) in groups {
+            self.shard(&group).set_servers(servers);
+        }
+        missing
+    }
+
+    /// Revision up to which the list of servers is known.
+    #[must_use]
+    pub fn servers_revision(&self) -> u64 {
+        self.servers.lock().expect("never poisoned").revision()
+    }
+
+    /// All listed servers, with the revision of the list.
+    #[must_use]
+    pub fn listed_servers(&self) -> (u64, Vec<(GroupId, ServerInfo)>) {
+        let list = self.servers.lock().expect("never poisoned");
+        let servers = list.all().map(|(group, info)| (group.clone(), info.clone())).collect();
+        (list.revision(), servers)
+    }
+
+    /// The store began or ceased to fail for the list of servers.
+    pub fn set_servers_outage(&self, lasting: bool) {
+        self.servers_outage.store(lasting, Ordering::Relaxed);
+    }
+
+    /// Whether the list of servers may be behind the store, or is not known.
+    #[must_use]
+    pub fn has_servers_outage(&self) -> bool {
+        self.servers_outage.load(Ordering::Relaxed) || self.servers_revision() == 0
+    }
+
     /// Whether a planned stop has begun.
     #[must_use]
     pub fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
+        self.stopping.borrow().is_some()
+    }
+
+    /// Announces a planned stop.
+    #[must_use]
+    pub fn stop_changes(&self) -> watch::Receiver<Option<StopPlan>> {
+        self.stopping.subscribe()
     }
 
     /// Begins a planned stop.
-    pub fn stop(&self) {
-        self.stopping.store(true, Ordering::Relaxed);
+    pub fn stop(&self, plan: StopPlan) {
+        self.stopping.send_replace(Some(plan));
+    }
+
+    /// Counts a session as long as the guard lives.
+    #[must_use]
+    pub fn count_session(self: &Arc<Self>) -> SessionGuard {
+        self.sessions.send_modify(|count| *count += 1);
+        SessionGuard(self.clone())
+    }
+
+    /// Waits until no session is left.
+    pub async fn sessions_ended(&self) {
+        let mut sessions = self.sessions.subscribe();
+        // Fails only when the engine is gone, and with it all sessions.
+        let _ended = sessions.wait_for(|count| *count == 0).await;
+    }
+}
+
+/// Counts one session.
+pub struct SessionGuard(Arc<Engine>);
+
+impl Drop for SessionGuard {
+    fn drop(&mut self) {
+        self.0.sessions.send_modify(|count| *count = count.saturating_sub(1));
+    }
+}
+
+impl PeerHandler for Engine {
+    fn answer(&self, question: Body) -> Option<Body> {
+        match question {
+            Body::Heartbeat(heartbeat) => {
+                self.take_heartbeat(&heartbeat);
+                Some(Body::HeartbeatReply(self.heartbeat()))
+            }
+            Body::LeaderQuery(query) => Some(Body::LeaderReply(self.leader_reply(&query))),
+            Body::DirectoryPull(_) => Some(Body::DirectoryState(self.directory_state())),
+            _ => None,
+        }
     }
 }
--- a/daemon/src/engine/single.rs
+++ b/daemon/src/engine/single.rs
@@ -78,6 +78,7 @@
         }
         Err(error) => {
             session.shard().with_group(|group| group.observe_failure(now(), open.server()));
+            session.shard().doubt();
             log::info!("exchange with server {} failed: {error}", open.server());
             Sent::Lost(error)
         }
@@ -158,9 +159,9 @@
         Ok(answer) => {
             session.shard().with_group(|group| {
                 if let (None, Some(position)) = (floor, reply.position) {
-                    group.observe_leading(sent_at, &server, position);
+                    group.observe_leading(sent_at, now(), &server, position);
                 } else {
-                    group.observe_answer(&server, reply.position);
+                    group.observe_answer(now(), &server, reply.position);
                 }
                 group.observe_read_time(&server, now().saturating_sub(sent_at));
             });
@@ -212,7 +213,7 @@
             Duration::ZERO
         }
         RefusalKind::NotLeading => {
-            session.shard().with_group(|group| group.observe_not_leading(server, 0));
+            session.shard().lost_lead(server);
             Duration::ZERO
         }
         RefusalKind::Busy => waits::BUSY_PAUSE,
@@ -305,7 +306,7 @@
             if let Some(position) = position {
                 session
                     .shard()
-                    .with_group(|group| group.observe_leading(sent_at, &server, position));
+                    .with_group(|group| group.observe_leading(sent_at, now(), &server, position));
             }
             Try::Done(Served { answer, position })
         }
@@ -316,7 +317,7 @@
 fn refused_write(session: &Session, server: &std::sync::Arc<str>, refusal: ServerRefusal) -> Try {
     match refusal.kind {
         RefusalKind::NotLeading => {
-            session.shard().with_group(|group| group.observe_not_leading(server, 0));
+            session.shard().lost_lead(server);
             Try::Again { failure: refusal.into(), pause: Duration::ZERO }
         }
         RefusalKind::Busy => Try::Again { failure: refusal.into(), pause: waits::BUSY_PAUSE },
--- a/daemon/src/engine/transaction.rs
+++ b/daemon/src/engine/transaction.rs
@@ -42,6 +42,8 @@
     /// Whether a statement that writes was sent.
     wrote: bool,
     failed: bool,
+    /// Whether the client has not been told yet that the transaction failed.
+    untold: bool,
     /// When the client's last statement was answered.
     pub active_at: Moment,
 }
@@ -50,7 +52,15 @@
     /// A transaction that has not run anything yet.
     #[must_use]
     pub fn new(route: Arc<Route>, read_only: bool) -> Self {
-        Self { route, read_only, lease: None, wrote: false, failed: false, active_at: now() }
+        Self {
+            route,
+            read_only,
+            lease: None,
+            wrote: false,
+            failed: false,
+            untold: false,
+            active_at: now(),
+        }
     }
 
     /// Its state as the client sees it.
@@ -71,6 +81,19 @@
         self.lease.is_some()
     }
 
+    /// Rolls it back while the client rests. The client learns of it from the
+    /// answer to its next statement.
+    pub fn end_rest(&mut self) {
+        self.untold = !self.failed;
+        self.fail();
+    }
+
+    /// Why a statement other than the end of the transaction is refused.
+    pub fn refusal(&mut self) -> ErrorKind {
+        let untold = std::mem::take(&mut self.untold);
+        if untold { ErrorKind::TransactionLost } else { ErrorKind::TransactionAborted }
+    }
+
     /// Marks it as failed and frees its connection.
     pub fn fail(&mut self) {
         self.failed = true;
@@ -183,7 +206,7 @@
     state: TransactionState,
 ) -> Failure {
     if refusal.kind == RefusalKind::NotLeading {
-        session.shard().with_group(|group| group.observe_not_leading(server, 0));
+        session.shard().lost_lead(server);
     }
     match state {
         TransactionState::Open => {}
@@ -207,8 +230,8 @@
 ) {
     let proves_lead = !transaction.read_only;
     session.shard().with_group(|group| match position {
-        Some(position) if proves_lead => group.observe_leading(sent_at, server, position),
-        position => group.observe_answer(server, position),
+        Some(position) if proves_lead => group.observe_leading(sent_at, now(), server, position),
+        position => group.observe_answer(now(), server, position),
     });
 }
 
@@ -311,7 +334,7 @@
             Some(Duration::ZERO)
         }
         RefusalKind::NotLeading => {
-            session.shard().with_group(|group| group.observe_not_leading(server, 0));
+            session.shard().lost_lead(server);
             Some(Duration::ZERO)
         }
         RefusalKind::Busy => Some(waits::BUSY_PAUSE),
@@ -380,8 +403,8 @@
     };
     if transaction.wrote {
         session.raise_floor(position);
-        session.shard().with_group(|group| group.observe_leading(sent_at, server, position));
+        session.shard().with_group(|group| group.observe_leading(sent_at, now(), server, position));
     } else {
-        session.shard().with_group(|group| group.observe_answer(server, Some(position)));
+        session.shard().with_group(|group| group.observe_answer(now(), server, Some(position)));
     }
 }
--- a/lib/gen-protos/src/main.rs
+++ b/lib/gen-protos/src/main.rs
@@ -7,7 +7,7 @@
 
 fn main() -> Result<(), Box<dyn Error>> {
     let protos = Path::new(env!("CARGO_MANIFEST_DIR")).join("../src/protos");
-    let descriptors = protox::compile(["peer.proto"], [&protos])?;
+    let descriptors = protox::compile(["peer.proto", "engine.proto"], [&protos])?;
     prost_build::Config::new().out_dir(&protos).compile_fds(descriptors)?;
     Ok(())
 }
--- /dev/null
+++ b/lib/src/duty.rs
@@ -0,0 +1,51 @@
+//! The duty of replacing the primary of a group, and the token that fences it.
+
+use crate::fleet::InstanceRecord;
+use crate::id::GroupId;
+use crate::id::InstanceId;
+use crate::placement::stable_hash;
+
+/// Fencing token of a duty: the platform refuses a lower one than it has seen.
+pub type DutyToken = u64;
+
+/// Who holds a duty, as kept in the platform's store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DutyRecord {
+    /// The group whose primary it is about.
+    pub group: GroupId,
+    /// The instance that holds the duty.
+    pub holder: InstanceId,
+    /// Its life: a restarted instance does not go on with a token of which it
+    /// cannot know what was done with it.
+    pub life: u64,
+    /// The token.
+    pub token: DutyToken,
+}
+
+/// The order in which instances take the duty for a group: its holder first,
+/// then by rendezvous hashing, so that the groups are spread.
+#[must_use]
+pub fn succession(
+    group: &GroupId,
+    holder: Option<&InstanceId>,
+    staying: &[InstanceId],
+) -> Vec<InstanceId> {
+    let mut ranked: Vec<_> = staying
+        .iter()
+        .map(|id| (holder == Some(id), stable_hash(&[group, id]), id.clone()))
+        .collect();
+    ranked.sort_unstable_by(|a, b| b.cmp(a));
+    ranked.into_iter().map(|(_, _, id)| id).collect()
+}
+
+/// The record that follows on `last` when an instance takes the duty, or goes
+/// on with it under a new token.
+#[must_use]
+pub fn next_record(group: &GroupId, me: &InstanceRecord, last: Option<&DutyRecord>) -> DutyRecord {
+    DutyRecord {
+        group: group.clone(),
+        holder: me.id.clone(),
+        life: me.life,
+        token: last.map_or(1, |record| record.token + 1),
+    }
+}
--- /dev/null
+++ b/lib/src/fleet.rs
@@ -0,0 +1,203 @@
+//! Which instances there are, and which of them are alive.
+//!
+//! Each instance has a record in the platform's store. Nothing there expires
+//! by itself, so instances watch each other: each sends heartbeats to the next
+//! few in a ring of all names, and removes the record of one that stays
+//! silent. The cost does not grow with the number of instances.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::id::FailureDomainId;
+use crate::id::InstanceId;
+use crate::moment::Moment;
+use crate::placement::stable_hash;
+
+/// What an instance says of itself in the platform's store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct InstanceRecord {
+    /// Its name.
+    pub id: InstanceId,
+    /// Tells this run of the program from earlier ones of the same name.
+    pub life: u64,
+    /// Where other instances reach it.
+    pub peer_address: SocketAddr,
+    /// Where it runs.
+    pub failure_domain: FailureDomainId,
+}
+
+/// Instances that each one sends heartbeats to. Three would bear the loss of
+/// two neighbours at the same time; more make the count of live instances
+/// true sooner where fleets are small.
+const WATCHED: usize = 8;
+
+/// An instance that did not answer for this long does not count as alive.
+/// Six heartbeats; longer than servers keep the connections of a dead caller
+/// (3 s), so that what they held is free when the others take it over.
+pub const SILENT_AFTER: Duration = Duration::from_millis(3_200);
+
+/// The record of one that was silent for this long is removed. A frozen
+/// instance usually wakes up before and finds its record in place.
+const REMOVED_AFTER: Duration = Duration::from_secs(8);
+
+/// Time between two heartbeats to the same instance.
+pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
+
+#[derive(Clone, Debug)]
+struct Member {
+    record: InstanceRecord,
+    /// When it last answered; its first sight counts as an answer.
+    heard_at: Moment,
+    leaving: bool,
+}
+
+/// The instances.
+#[derive(Clone, Debug)]
+pub struct Fleet {
+    me: InstanceId,
+    members: BTreeMap<InstanceId, Member>,
+}
+
+impl Fleet {
+    /// A fleet of which only this instance is known.
+    #[must_use]
+    pub fn new(me: InstanceId) -> Self {
+        Self { me, members: BTreeMap::new() }
+    }
+
+    /// A record was listed or changed.
+    pub fn present(&mut self, now: Moment, record: InstanceRecord) {
+        if record.id == self.me {
+            return;
+        }
+        let known = self.members.get(&record.id);
+        if known.is_some_and(|member| member.record == record) {
+            return;
+        }
+        let id = record.id.clone();
+        self.members.insert(id, Member { record, heard_at: now, leaving: false });
+    }
+
+    /// A record is gone.
+    pub fn removed(&mut self, id: &str) {
+        self.members.remove(id);
+    }
+
+    /// These are all records.
+    pub fn replace(&mut self, now: Moment, records: Vec<InstanceRecord>) {
+        self.members.retain(|id, _| records.iter().any(|record| record.id == *id));
+        for record in records {
+            self.present(now, record);
+        }
+    }
+
+    /// An instance answered, or asked something.
+    pub fn heard(&mut self, now: Moment, id: &str, leaving: bool) {
+        if let Some(member) = self.members.get_mut(id) {
+            member.heard_at = now;
+            member.leaving = leaving;
+        }
+    }
+
+    /// Instances to send heartbeats to: the next ones in the ring of names.
+    #[must_use]
+    pub fn watched(&self) -> Vec<InstanceRecord> {
+        let after = self.members.range(self.me.clone()..).map(|(_, member)| member);
+        let before = self.members.range(..self.me.clone()).map(|(_, member)| member);
+        after.chain(before).take(WATCHED).map(|member| member.record.clone()).collect()
+    }
+
+    /// Whether an instance counts as alive. Those that nobody here sends
+    /// heartbeats to are taken for alive as long as they have a record.
+    #[must_use]
+    pub fn is_live(&self, now: Moment, id: &str) -> bool {
+        if id == &*self.me {
+            return true;
+        }
+        let Some(member) = self.members.get(id) else {
+            return false;
+        };
+        let watched = self.watched().iter().any(|record| &*record.id == id);
+        !watched || member.heard_at + SILENT_AFTER > now
+    }
+
+    /// All instances that count as alive, this one included, in the order of
+    /// their names.
+    #[must_use]
+    pub fn live(&self, now: Moment) -> Vec<InstanceId> {
+        let watched = self.watched();
+        let silent = |member: &Member| {
+            member.heard_at + SILENT_AFTER <= now
+                && watched.iter().any(|record| record.id == member.record.id)
+        };
+        let mut live: Vec<_> = self
+            .members
+            .values()
+            .filter(|member| !silent(member))
+            .map(|member| member.record.id.clone())
+            .collect();
+        live.push(self.me.clone());
+        live.sort_unstable();
+        live
+    }
+
+    /// Live instances that do not leave, for duties.
+    #[must_use]
+    pub fn staying(&self, now: Moment) -> Vec<InstanceId> {
+        let leaving = |id: &InstanceId| self.members.get(id).is_some_and(|member| member.leaving);
+        self.live(now).into_iter().filter(|id| !leaving(id)).collect()
+    }
+
+    /// Records of all other instances.
+    pub fn others(&self) -> impl Iterator<Item = &InstanceRecord> {
+        self.members.values().map(|member| &member.record)
+    }
+
+    /// This instance stood still itself: that nobody answered meanwhile says
+    /// nothing of the others.
+    pub fn stood_still(&mut self, now: Moment) {
+        for member in self.members.values_mut() {
+            member.heard_at = now;
+        }
+    }
+
+    /// How many instances share the connections of each server.
+    ///
+    /// While most others are silent, it is more likely that this instance is
+    /// cut off than that they are all gone. They keep their connections then.
+    #[must_use]
+    pub fn sharing(&self, now: Moment) -> usize {
+        let live = self.live(now).len();
+        if self.is_cut_off(now) { self.members.len() + 1 } else { live }
+    }
+
+    fn is_cut_off(&self, now: Moment) -> bool {
+        let watched = self.watched();
+        let silent = |record: &&InstanceRecord| {
+            let member = self.members.get(&record.id);
+            member.is_some_and(|member| member.heard_at + SILENT_AFTER <= now)
+        };
+        watched.iter().filter(silent).count() * 2 > watched.len()
+    }
+
+    /// Instances whose record this one should remove: it watches them, they
+    /// were silent for long, and it is the one chosen for it.
+    #[must_use]
+    pub fn removable(&self, now: Moment) -> Vec<InstanceRecord> {
+        if self.is_cut_off(now) {
+            return Vec::new();
+        }
+        let live = self.live(now);
+        let chosen = |record: &InstanceRecord| {
+            let first = live.iter().max_by_key(|id| stable_hash(&[&record.id, id]));
+            first == Some(&self.me)
+        };
+        let long_silent = |record: &InstanceRecord| {
+            let member = self.members.get(&record.id);
+            member.is_some_and(|member| member.heard_at + REMOVED_AFTER <= now)
+        };
+        let watched = self.watched().into_iter();
+        watched.filter(|record| long_silent(record) && chosen(record)).collect()
+    }
+}
--- a/lib/src/group.rs
+++ b/lib/src/group.rs
@@ -56,8 +56,8 @@
     lacked: Option<(Position, Moment)>,
     /// Exchanges that failed since the last one that succeeded.
     pub failures: u32,
-    /// When the first of these failures was seen.
-    pub failing_since: Option<Moment>,
+    /// When it last answered.
+    pub answered_at: Moment,
     /// No reads are sent there before this time, if others can serve them.
     avoided_until: Moment,
     /// Connections in use now by this instance.
@@ -103,6 +103,8 @@
     /// Last position before each term, where it is known: what lies beyond it
     /// in earlier terms was rolled back.
     term_bases: BTreeMap<Term, Position>,
+    /// Servers that began to call themselves primary in the platform's list.
+    claimants: Vec<TargetId>,
 }
 
 impl Group {
@@ -113,6 +115,10 @@
         let mut servers = BTreeMap::new();
         for info in listed {
             let known = self.servers.remove(&info.id);
+            let claims = info.leads && known.as_ref().is_none_or(|view| !view.info.leads);
+            if claims && !self.leads(&info.id) {
+                self.claimants.push(info.id.clone());
+            }
             let view = match known {
                 Some(mut view) => {
                     view.info = info;
@@ -132,6 +138,12 @@
         self.leader != before
     }
 
+    /// Takes the servers that began to call themselves primary: they have to
+    /// be asked for their term.
+    pub fn take_claimants(&mut self) -> Vec<TargetId> {
+        std::mem::take(&mut self.claimants)
+    }
+
     /// Without a leader of our own knowledge, the platform's list names it.
     fn follow_list(&mut self, now: Moment) {
         let mut leading = self.servers.values().filter(|view| view.info.leads);
@@ -159,7 +171,7 @@
         id: &TargetId,
         status: ServerStatus,
     ) -> bool {
-        self.observe_answer(id, Some(status.applied));
+        self.observe_answer(now, id, Some(status.applied));
         self.highest_term = self.highest_term.max(status.term);
         if !status.leads {
             return self.observe_not_leading(id, status.term);
@@ -208,12 +220,12 @@
     }
 
     /// A server answered, with the position that its log had reached.
-    pub fn observe_answer(&mut self, id: &TargetId, applied: Option<Position>) {
+    pub fn observe_answer(&mut self, now: Moment, id: &TargetId, applied: Option<Position>) {
         let Some(view) = self.servers.get_mut(id) else {
             return;
         };
         view.failures = 0;
-        view.failing_since = None;
+        view.answered_at = now;
         view.avoided_until = Moment::ZERO;
         if let Some(applied) = applied {
             view.applied = applied;
@@ -222,8 +234,14 @@
 
     /// A server answered something sent at `asked_at` that only the primary
     /// answers so: a write, or a statement in a transaction that may write.
-    pub fn observe_leading(&mut self, asked_at: Moment, id: &TargetId, position: Position) {
-        self.observe_answer(id, Some(position));
+    pub fn observe_leading(
+        &mut self,
+        asked_at: Moment,
+        now: Moment,
+        id: &TargetId,
+        position: Position,
+    ) {
+        self.observe_answer(now, id, Some(position));
         let leads = self.leader.as_ref().is_some_and(|leader| leader.id == *id);
         if leads {
             self.samples.record(asked_at, position);
@@ -242,7 +260,7 @@
         floor: Position,
         applied: Option<Position>,
     ) -> bool {
-        self.observe_answer(id, applied);
+        self.observe_answer(now, id, applied);
         if let Some(view) = self.servers.get_mut(id) {
             view.lacked = Some((floor, now));
         }
@@ -264,7 +282,6 @@
             return;
         };
         view.failures += 1;
-        view.failing_since.get_or_insert(now);
         let avoided_for = (AVOID_STEP * view.failures).min(AVOID_LIMIT);
         view.avoided_until = now + avoided_for;
     }
@@ -405,7 +422,7 @@
             applied: Position::ZERO,
             lacked: None,
             failures: 0,
-            failing_since: None,
+            answered_at: Moment::ZERO,
             avoided_until: Moment::ZERO,
             in_use: 0,
             read_time: Duration::ZERO,
--- /dev/null
+++ b/lib/src/leader_watch.rs
@@ -0,0 +1,306 @@
+//! When an instance doubts the primary of a group, and when it replaces it.
+//!
+//! Nobody else reports that a primary is dead, and replacing one that lives
+//! costs a second without writes. So several signs have to come together: it
+//! does not answer on new connections, and other instances do not reach it
+//! either.
+
+use std::time::Duration;
+
+use crate::group::Group;
+use crate::id::TargetId;
+use crate::moment::Moment;
+
+/// What the watch wants done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum WatchAction {
+    /// Ask a server for its state on a new connection.
+    Probe(TargetId),
+    /// Ask a server for its state on a connection of the pool, to learn the
+    /// position of the log.
+    Sample(TargetId),
+    /// Ask the other instances whether they reach this primary.
+    AskPeers(Option<TargetId>),
+    /// Replace the primary, which is `from`, if any.
+    Replace {
+        /// The primary that is given up.
+        from: Option<TargetId>,
+        /// Why.
+        reason: ReplaceReason,
+    },
+}
+
+/// Why a primary is replaced.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReplaceReason {
+    /// It is about to leave.
+    Leaving,
+    /// Too few instances reach it, or none.
+    Unreachable,
+    /// No server leads.
+    Absent,
+}
+
+/// What other instances say about a primary.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Opinions {
+    /// Those that it answers.
+    pub reached: usize,
+    /// Those that it does not answer.
+    pub failed: usize,
+    /// Those that have not tried, or did not answer themselves.
+    pub unknown: usize,
+    /// Whether one of them is replacing it.
+    pub replacing: bool,
+}
+
+/// A doubt about the primary.
+#[derive(Clone, Debug)]
+struct Doubt {
+    leader: Option<TargetId>,
+    since: Moment,
+    probed_at: Option<Moment>,
+    failed_probes: u32,
+    asked_at: Option<Moment>,
+    rounds: u32,
+    /// When it became certain enough to act.
+    confirmed_at: Option<Moment>,
+}
+
+/// Watches the primary of one group.
+#[derive(Clone, Debug, Default)]
+pub struct LeaderWatch {
+    doubt: Option<Doubt>,
+    /// Since when the primary is seen to be leaving.
+    leaving_since: Option<(TargetId, Moment)>,
+    /// Somebody replaces the primary; nobody else should before this time.
+    quiet_until: Moment,
+    sampled_at: Option<Moment>,
+}
+
+/// Time between two probes. A probe on a new connection takes 12 to 27 ms at
+/// a server that works.
+const PROBE_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Failed probes before other instances are asked. One may be lost to a full
+/// queue of connections.
+const PROBES_BEFORE_ASKING: u32 = 2;
+
+/// Time between two rounds of questions to other instances: those that had
+/// not tried can probe meanwhile.
+const ASK_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Rounds after which instances that know nothing do not count any more.
+const ROUNDS_FOR_UNKNOWN: u32 = 3;
+
+/// Without any leader, this long is left for one to appear: a promotion that
+/// another instance ordered takes up to a second.
+const ABSENCE_LIMIT: Duration = Duration::from_millis(1_200);
+
+/// Each further instance in the succession waits this much longer, so that
+/// the first can act alone.
+const STAGGER: Duration = Duration::from_millis(700);
+
+/// After somebody began to replace the primary, others leave it this long:
+/// longer than the longest promotion (1 s) and a retry.
+pub const REPLACEMENT_TIME: Duration = Duration::from_millis(2_500);
+
+/// A sample of the primary's position older than this is renewed. A fraction
+/// of the smallest staleness that clients allow (1.5 s), so that a replica
+/// behind by a second still qualifies.
+const SAMPLE_AGE: Duration = Duration::from_millis(400);
+
+/// Samples are not asked for more often than this.
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(200);
+
+impl LeaderWatch {
+    /// Decides what to do now. `rank` is this instance's place in the
+    /// succession, `None` if it takes no duties.
+    pub fn tick(&mut self, now: Moment, group: &Group, rank: Option<usize>) -> Vec<WatchAction> {
+        let mut actions = Vec::new();
+        self.sample(now, group, &mut actions);
+        self.watch_leaving(now, group, rank, &mut actions);
+        self.watch_failing(now, group, rank, &mut actions);
+        actions
+    }
+
+    fn sample(&mut self, now: Moment, group: &Group, actions: &mut Vec<WatchAction>) {
+        let Some(leader) = group.leader() else {
+            return;
+        };
+        if group.sample_age(now).is_some_and(|age| age < SAMPLE_AGE) {
+            return;
+        }
+        if self.sampled_at.is_some_and(|at| at + SAMPLE_INTERVAL > now) {
+            return;
+        }
+        self.sampled_at = Some(now);
+        actions.push(WatchAction::Sample(leader.id.clone()));
+    }
+
+    fn watch_leaving(
+        &mut self,
+        now: Moment,
+        group: &Group,
+        rank: Option<usize>,
+        actions: &mut Vec<WatchAction>,
+    ) {
+        let leaving = group
+            .leader()
+            .filter(|leader| group.server(&leader.id).is_some_and(|view| view.info.draining));
+        let Some(leader) = leaving else {
+            self.leaving_since = None;
+            return;
+        };
+        let since = match &self.leaving_since {
+            Some((id, since)) if *id == leader.id => *since,
+            _ => {
+                self.leaving_since = Some((leader.id.clone(), now));
+                now
+            }
+        };
+        if self.may_act(now, since, rank) {
+            let from = Some(leader.id.clone());
+            actions.push(WatchAction::Replace { from, reason: ReplaceReason::Leaving });
+        }
+    }
+
+    fn may_act(&self, now: Moment, confirmed_at: Moment, rank: Option<usize>) -> bool {
+        let Some(rank) = rank.and_then(|rank| u32::try_from(rank).ok()) else {
+            return false;
+        };
+        now >= confirmed_at + STAGGER * rank && now >= self.quiet_until
+    }
+
+    fn watch_failing(
+        &mut self,
+        now: Moment,
+        group: &Group,
+        rank: Option<usize>,
+        actions: &mut Vec<WatchAction>,
+    ) {
+        let leader = group.leader().map(|leader| leader.id.clone());
+        let failing =
+            leader.as_ref().is_none_or(|id| group.server(id).is_some_and(|view| view.failures > 0));
+        // A group without any server has nobody to lead it.
+        if !failing || group.servers().next().is_none() {
+            self.doubt = None;
+            return;
+        }
+        let same = self.doubt.as_ref().is_some_and(|doubt| doubt.leader == leader);
+        if !same {
+            self.doubt = Some(Doubt::new(leader.clone(), now));
+        }
+        let Some(doubt) = &mut self.doubt else {
+            return;
+        };
+        doubt.probe(now, group, actions);
+        doubt.ask(now, actions);
+        let Some(confirmed_at) = doubt.confirmed_at else {
+            return;
+        };
+        if self.may_act(now, confirmed_at, rank) {
+            let reason = match leader {
+                Some(_) => ReplaceReason::Unreachable,
+                None => ReplaceReason::Absent,
+            };
+            actions.push(WatchAction::Replace { from: leader, reason });
+        }
+    }
+
+    /// A probe of the primary on a new connection failed.
+    pub fn probe_failed(&mut self, id: &TargetId) {
+        if let Some(doubt) = &mut self.doubt {
+            if doubt.leader.as_ref() == Some(id) {
+                doubt.failed_probes += 1;
+            }
+        }
+    }
+
+    /// Other instances answered.
+    pub fn heard(&mut self, now: Moment, about: Option<&TargetId>, opinions: Opinions) {
+        if opinions.replacing {
+            self.replacing(now);
+        }
+        let Some(doubt) = &mut self.doubt else {
+            return;
+        };
+        if doubt.leader.as_ref() != about {
+            return;
+        }
+        doubt.rounds += 1;
+        if should_replace(opinions, doubt.rounds) {
+            doubt.confirmed_at.get_or_insert(now);
+        } else {
+            doubt.confirmed_at = None;
+        }
+    }
+
+    /// Somebody, maybe this instance, replaces the primary now.
+    pub fn replacing(&mut self, now: Moment) {
+        self.quiet_until = now + REPLACEMENT_TIME;
+    }
+
+    /// A replacement ended without a new primary; it may be tried again.
+    pub fn replacement_failed(&mut self, now: Moment) {
+        self.quiet_until = now;
+    }
+}
+
+/// Whether a primary that does not answer this instance should be replaced.
+///
+/// A third of the instances is the limit: a replacement costs all of them a
+/// second without writes, a partition costs those behind it all of its time,
+/// which is unknown but usually several seconds.
+#[must_use]
+pub fn should_replace(opinions: Opinions, rounds: u32) -> bool {
+    if opinions.unknown > 0 && rounds < ROUNDS_FOR_UNKNOWN {
+        return false;
+    }
+    let cut_off = opinions.failed + 1;
+    let all = cut_off + opinions.reached;
+    cut_off * 3 > all
+}
+
+impl Doubt {
+    fn new(leader: Option<TargetId>, now: Moment) -> Self {
+        Self {
+            leader,
+            since: now,
+            probed_at: None,
+            failed_probes: 0,
+            asked_at: None,
+            rounds: 0,
+            confirmed_at: None,
+        }
+    }
+
+    /// The primary may have come back, and without one any server may lead.
+    fn probe(&mut self, now: Moment, group: &Group, actions: &mut Vec<WatchAction>) {
+        if self.probed_at.is_some_and(|at| at + PROBE_INTERVAL > now) {
+            return;
+        }
+        self.probed_at = Some(now);
+        if let Some(leader) = &self.leader {
+            actions.push(WatchAction::Probe(leader.clone()));
+            // Another instance may have replaced it already.
+            if self.failed_probes < PROBES_BEFORE_ASKING {
+                return;
+            }
+        }
+        let others = group.servers().filter(|view| Some(&view.info.id) != self.leader.as_ref());
+        actions.extend(others.map(|view| WatchAction::Probe(view.info.id.clone())));
+    }
+
+    fn ask(&mut self, now: Moment, actions: &mut Vec<WatchAction>) {
+        let certain = match self.leader {
+            Some(_) => self.failed_probes >= PROBES_BEFORE_ASKING,
+            None => self.since + ABSENCE_LIMIT <= now,
+        };
+        if !certain || self.asked_at.is_some_and(|at| at + ASK_INTERVAL > now) {
+            return;
+        }
+        self.asked_at = Some(now);
+        actions.push(WatchAction::AskPeers(self.leader.clone()));
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -12,12 +12,15 @@
 pub mod config_check;
 pub mod connection_budget;
 pub mod detector;
+pub mod duty;
 pub mod error_kind;
+pub mod fleet;
 pub mod floors;
 pub mod group;
 pub mod id;
 pub mod instance;
 pub mod layout;
+pub mod leader_watch;
 pub mod ledger;
 pub mod limits;
 pub mod membership;
@@ -31,9 +34,11 @@
 pub mod retry;
 pub mod routing;
 pub mod samples;
+pub mod server_list;
 pub mod server_refusal;
 pub mod settings;
 pub mod statement;
+pub mod stop_plan;
 pub mod succession;
 pub mod verifier;
 pub mod wait_queue;
@@ -45,3 +50,11 @@
 pub mod protos {
     include!("protos/chervilwharf.peer.rs");
 }
+
+/// Messages between instances that run the session engine, generated from
+/// `protos/engine.proto`.
+#[allow(clippy::all, clippy::pedantic, missing_docs, reason = "generated")]
+#[rustfmt::skip]
+pub mod engine_protos {
+    include!("protos/chervilwharf.engine.rs");
+}
