engine: reach a primary through another instance before replacing it

Ruled out: replacing at a third of the instances cut off (loses what the old primary acknowledged and no replica received).

--- a/daemon/src/engine/border.rs
+++ b/daemon/src/engine/border.rs
@@ -11,6 +11,7 @@
 use chervilwharf_lib::statement::Statement;
 use chervilwharf_lib::statement::TransactionState;
 use displaydoc::Display;
+use tokio::net::TcpStream;
 
 /// One statement for a server.
 #[derive(Clone, Debug)]
@@ -88,13 +89,14 @@
     fn is_closed(&mut self) -> bool;
 }
 
-/// Opens connections to servers.
+/// Begins sessions with servers.
 #[async_trait]
 pub trait Connector: Send + Sync {
-    /// Opens a connection to a server of a group. The server refuses when it
-    /// is not the one that `server` names.
-    async fn connect(
+    /// Begins a session with a server of a group over an open stream. The
+    /// server refuses when it is not the one that `server` names.
+    async fn start(
         &self,
+        stream: TcpStream,
         group: &GroupId,
         server: &ServerInfo,
     ) -> Result<Box<dyn ServerConnection>, ConnectError>;
--- a/daemon/src/engine/leader_control.rs
+++ b/daemon/src/engine/leader_control.rs
@@ -21,6 +21,7 @@
 use chervilwharf_lib::leader_watch::ReplaceReason;
 use chervilwharf_lib::leader_watch::WatchAction;
 use futures::future::join_all;
+use rand::seq::IndexedRandom;
 
 use crate::engine::clock::now;
 use crate::engine::directory::Directory;
@@ -124,9 +125,19 @@
     for action in actions {
         perform(replacer, shard, action);
     }
+    for id in shard.detours_to_check() {
+        let shard = shard.clone();
+        tokio::spawn(async move { check_detour(&shard, &id).await });
+    }
     claim_vacant(replacer, shard, rank);
 }
 
+async fn check_detour(shard: &Arc<Shard>, id: &TargetId) {
+    if probe::probe(shard, id).await != Probed::Failed {
+        shard.end_detour(id);
+    }
+}
+
 fn perform(replacer: &Replacer, shard: &Arc<Shard>, action: WatchAction) {
     let (replacer, shard) = (replacer.clone(), shard.clone());
     match action {
@@ -194,29 +205,46 @@
         engine.peers().ask(peer.peer_address, question)
     });
     let mut opinions = Opinions::default();
-    for answer in join_all(asking).await {
+    let mut helpers = Vec::new();
+    let answers = join_all(asking).await;
+    for (peer, answer) in others.iter().zip(answers) {
         let Ok(Body::LeaderReply(reply)) = answer else {
             opinions.unknown += 1;
             continue;
         };
         opinions.replacing |= reply.replacing;
-        let knows_other = !reply.leader.is_empty() && Some(&*reply.leader) != leader.as_deref();
-        if knows_other {
-            // Ask it ourselves whether it leads, and in which term.
-            let id: TargetId = reply.leader.as_str().into();
-            let shard = shard.clone();
-            tokio::spawn(async move { probe::probe(&shard, &id).await });
-        }
-        match reply.contact() {
-            Contact::Answered => opinions.reached += 1,
-            Contact::Failed => opinions.failed += 1,
-            Contact::Unknown => opinions.unknown += 1,
+        hear_of_leader(shard, &reply);
+        match (reply.contact(), &leader) {
+            (Contact::Answered, Some(_)) => helpers.push(peer.peer_address),
+            (Contact::Answered, None) => opinions.unknown += 1,
+            (Contact::Failed, _) => opinions.failed += 1,
+            (Contact::Unknown, _) => opinions.unknown += 1,
         }
     }
+    opinions.reached = helpers.len();
+    // Any of them: all instances that are cut off look for help at once.
+    if let (Some(leader), Some(helper)) = (&leader, helpers.choose(&mut rand::rng())) {
+        shard.set_detour(leader, *helper);
+    }
     log::info!("primary {leader:?} of {} as others see it: {opinions:?}", shard.id());
     engine.watches().with(shard.id(), |watch| watch.heard(now(), leader.as_ref(), opinions));
 }
 
+/// Another instance knows a primary. In a later term than ours it is taken
+/// for true without a question: this instance may be cut off from it, and
+/// would replace it by a server that lacks what it has acknowledged.
+fn hear_of_leader(shard: &Arc<Shard>, reply: &LeaderReply) {
+    if reply.leader.is_empty() {
+        return;
+    }
+    let id: TargetId = reply.leader.as_str().into();
+    let changed = shard.with_group(|group| group.hear_of_leader(now(), &id, reply.term));
+    if changed {
+        log::info!("server {id} leads {} in term {}, as others say", shard.id(), reply.term);
+        shard.pump();
+    }
+}
+
 /// Replaces a primary. Returns whether another server leads now.
 async fn replace(
     replacer: &Replacer,
@@ -304,11 +332,17 @@
     });
     let probes = candidates.iter().map(|id| probe::probe(shard, id));
     let probed = join_all(probes).await;
+    let highest_term = shard.with_group(|group| group.highest_term());
     let mut best: Option<(TargetId, ServerStatus)> = None;
     for (id, probed) in candidates.into_iter().zip(probed) {
         let Probed::Status(status) = probed else {
             continue;
         };
+        // It missed a change of primary, and so all commits since.
+        if status.term < highest_term {
+            log::warn!("server {id} is still in term {} of {highest_term}", status.term);
+            continue;
+        }
         let rank = |status: &ServerStatus| (status.leads, status.received);
         if best.as_ref().is_none_or(|(_, known)| rank(&status) > rank(known)) {
             best = Some((id, status));
@@ -364,9 +398,10 @@
         let group: GroupId = query.group.as_str().into();
         let shard = self.shard(&group);
         let at = now();
+        let detoured = shard.has_detour(&query.server);
         let (contact, leader) = shard.with_group(|group| {
             let contact = match group.server(&query.server) {
-                Some(view) if view.failures > 0 => Contact::Failed,
+                Some(view) if view.failures > 0 || detoured => Contact::Failed,
                 Some(view) if view.answered_at + REACHED_WITHIN > at => Contact::Answered,
                 _ => Contact::Unknown,
             };
--- a/daemon/src/engine/peers.rs
+++ b/daemon/src/engine/peers.rs
@@ -9,6 +9,8 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use chervilwharf_lib::engine_protos::EngineFrame;
+use chervilwharf_lib::engine_protos::Tunnel;
+use chervilwharf_lib::engine_protos::TunnelReply;
 use chervilwharf_lib::engine_protos::engine_frame::Body;
 use displaydoc::Display;
 use futures::SinkExt;
@@ -64,9 +66,7 @@
         let mut frames = match self.frames.take() {
             Some(frames) => frames,
             None => {
-                let stream = TcpStream::connect(address).await.map_err(unreachable)?;
-                socket::configure(&stream).map_err(unreachable)?;
-                frames(stream)
+                frames(connect(address).await?)
             }
         };
         self.last_exchange_id += 1;
@@ -118,6 +118,25 @@
         }
     }
 
+    /// Opens a stream to a server through another instance that reaches it.
+    ///
+    /// # Errors
+    ///
+    /// When the other instance cannot be reached, or does not reach it either.
+    pub async fn tunnel(&self, address: SocketAddr, tunnel: Tunnel) -> Result<TcpStream, PeerError> {
+        let mut frames = frames(connect(address).await?);
+        let frame = EngineFrame { exchange_id: 1, body: Some(Body::Tunnel(tunnel)) };
+        frames.send(Bytes::from(frame.encode_to_vec())).await.map_err(unreachable)?;
+        match read_frame(&mut frames).await?.body {
+            // The server speaks only when spoken to: nothing is buffered yet.
+            Some(Body::TunnelReply(reply)) if reply.connected => Ok(frames.into_inner()),
+            Some(Body::TunnelReply(_)) => {
+                Err(PeerError::Unreachable("the server, from there".to_owned()))
+            }
+            _ => Err(PeerError::Unreadable),
+        }
+    }
+
     /// Closes links to addresses that are not in use any more.
     pub fn keep_only(&self, addresses: &[SocketAddr]) {
         let mut links = self.links.lock().expect("never poisoned");
@@ -129,6 +148,9 @@
 pub trait PeerHandler: Send + Sync {
     /// The answer to a question; `None` if it is none.
     fn answer(&self, question: Body) -> Option<Body>;
+
+    /// Address of a server for a tunnel; `None` if it is not known.
+    fn tunnel_target(&self, tunnel: &Tunnel) -> Option<SocketAddr>;
 }
 
 /// Answers other instances for ever.
@@ -157,6 +179,11 @@
     }
     let mut frames = frames(stream);
     while let Ok(frame) = read_frame(&mut frames).await {
+        if let Some(Body::Tunnel(tunnel)) = &frame.body {
+            let target = handler.tunnel_target(tunnel);
+            carry_tunnel(frames, frame.exchange_id, target).await;
+            return;
+        }
         let body = frame.body.and_then(|question| handler.answer(question));
         let Some(body) = body else {
             log::warn!("an instance sent something that is no question");
@@ -168,3 +195,36 @@
         }
     }
 }
+
+/// Connects a stream of another instance with a server, until either closes.
+async fn carry_tunnel(mut frames: Frames, exchange_id: u64, target: Option<SocketAddr>) {
+    let server = match target {
+        Some(target) => connect(target).await,
+        None => Err(PeerError::Unreachable("not listed".to_owned())),
+    };
+    let reply = TunnelReply { connected: server.is_ok() };
+    let answer = EngineFrame { exchange_id, body: Some(Body::TunnelReply(reply)) };
+    let sent = frames.send(Bytes::from(answer.encode_to_vec())).await;
+    let (Ok(mut server), Ok(())) = (server, sent) else {
+        return;
+    };
+    let mut stream = frames.into_inner();
+    // Either end closing, or failing, is the usual end of a tunnel.
+    let _ended = tokio::io::copy_bidirectional(&mut stream, &mut server).await;
+}
+
+/// Opens a stream within the time for an answer.
+///
+/// # Errors
+///
+/// When it cannot be opened in time.
+pub async fn connect(address: SocketAddr) -> Result<TcpStream, PeerError> {
+    match tokio::time::timeout(ASK_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Ok(stream)) => {
+            socket::configure(&stream).map_err(unreachable)?;
+            Ok(stream)
+        }
+        Ok(Err(error)) => Err(unreachable(error)),
+        Err(_) => Err(PeerError::Silent),
+    }
+}
--- a/daemon/src/engine/probe.rs
+++ b/daemon/src/engine/probe.rs
@@ -6,9 +6,9 @@
 use chervilwharf_lib::group::ServerStatus;
 use chervilwharf_lib::id::TargetId;
 use chervilwharf_lib::layout::SessionValues;
+use chervilwharf_lib::moment::Moment;
 use chervilwharf_lib::pool_share::Need;
 
-use crate::engine::border::ServerConnection;
 use crate::engine::clock::now;
 use crate::engine::shard::Shard;
 use crate::engine::shard::Want;
@@ -40,7 +40,7 @@
     };
     let asked_at = now();
     let asking = async {
-        let connected = shard.connector().connect(shard.id(), &info).await;
+        let connected = shard.connect(&info, None).await;
         let mut connection = connected.map_err(|error| error.to_string())?;
         connection.status().await.map_err(|error| error.to_string())
     };
@@ -58,7 +58,10 @@
             Probed::Busy
         }
         Err(error) => {
-            shard.with_group(|group| group.observe_failure(now(), id));
+            // What goes through another instance may work all the same.
+            if !shard.has_detour(id) {
+                shard.with_group(|group| group.observe_failure(now(), id));
+            }
             log::info!("probe of server {id} of {} failed: {error}", shard.id());
             Probed::Failed
         }
@@ -104,7 +107,7 @@
     /// A server told its state.
     pub fn observe_status(
         self: &Arc<Self>,
-        asked_at: chervilwharf_lib::moment::Moment,
+        asked_at: Moment,
         id: &TargetId,
         status: ServerStatus,
     ) {
@@ -122,21 +125,3 @@
         }
     }
 }
-
-/// A connection for control statements that is not counted in the pool.
-///
-/// # Errors
-///
-/// In words, when none can be opened in time.
-pub async fn control_connection(
-    shard: &Arc<Shard>,
-    id: &TargetId,
-) -> Result<Box<dyn ServerConnection>, String> {
-    let info = shard.with_group(|group| group.server(id).map(|view| view.info.clone()));
-    let info = info.ok_or_else(|| "not listed".to_owned())?;
-    let connecting = shard.connector().connect(shard.id(), &info);
-    match tokio::time::timeout(PROBE_TIMEOUT, connecting).await {
-        Ok(connected) => connected.map_err(|error| error.to_string()),
-        Err(_) => Err("no answer in time".to_owned()),
-    }
-}
--- a/daemon/src/engine/shard.rs
+++ b/daemon/src/engine/shard.rs
@@ -2,12 +2,14 @@
 //! connections, and the requests that wait for one.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::time::Duration;
 
 use chervilwharf_lib::admission::Priority;
+use chervilwharf_lib::engine_protos::Tunnel;
 use chervilwharf_lib::error_kind::ErrorKind;
 use chervilwharf_lib::group::Group;
 use chervilwharf_lib::group::ServerInfo;
@@ -31,6 +33,9 @@
 use crate::engine::clock::now;
 use crate::engine::lease::Lease;
 use crate::engine::lease::PooledConnection;
+use crate::engine::peers;
+use crate::engine::peers::PeerError;
+use crate::engine::peers::Peers;
 use crate::engine::request::Failure;
 
 /// What a request wants of a connection.
@@ -67,12 +72,24 @@
     pools: HashMap<TargetId, Pool>,
     queue: WaitQueue<Waiter>,
     budget: usize,
+    /// Servers that this instance does not reach itself, with another
+    /// instance that does.
+    detours: HashMap<TargetId, Detour>,
+}
+
+/// The way to a server through another instance.
+#[derive(Clone, Copy, Debug)]
+struct Detour {
+    via: SocketAddr,
+    /// When the direct way was last found closed.
+    checked_at: Moment,
 }
 
 /// One group of servers at this instance, under one lock.
 pub struct Shard {
     id: GroupId,
     connector: Arc<dyn Connector>,
+    peers: Arc<Peers>,
     inner: Mutex<Inner>,
     /// Woken when there is something to find out about the primary.
     doubt: Arc<Notify>,
@@ -83,6 +100,10 @@
 /// while the request can still go elsewhere.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Time between two tries of the direct way to a server that is reached
+/// through another instance.
+const DETOUR_CHECK: Duration = Duration::from_secs(2);
+
 /// After a failed opening no other is tried for this long, so that waiting
 /// requests do not turn into a flood of openings.
 const OPEN_PAUSE: Duration = Duration::from_millis(100);
@@ -94,15 +115,14 @@
 impl Shard {
     /// A group of which nothing is known yet.
     #[must_use]
-    pub fn new(id: GroupId, connector: Arc<dyn Connector>, doubt: Arc<Notify>) -> Self {
+    pub fn new(
+        id: GroupId,
+        connector: Arc<dyn Connector>,
+        peers: Arc<Peers>,
+        doubt: Arc<Notify>,
+    ) -> Self {
         let inner = Inner { budget: 1, ..Inner::default() };
-        Self { id, connector, inner: Mutex::new(inner), doubt }
-    }
-
-    /// Opens connections to the servers.
-    #[must_use]
-    pub fn connector(&self) -> &dyn Connector {
-        &*self.connector
+        Self { id, connector, peers, inner: Mutex::new(inner), doubt }
     }
 
     /// There is something to find out about the primary.
@@ -248,16 +268,80 @@
     }
 
     async fn open(self: Arc<Self>, server: ServerInfo) {
-        let connecting = self.connector.connect(&self.id, &server);
-        let connected = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
-        let result = match connected {
+        let via = self.lock().detours.get(&server.id).map(|detour| detour.via);
+        let result = self.connect(&server, via).await;
+        if result.is_err() && via.is_some() {
+            // The helper may be gone, or have lost the server itself.
+            self.lock().detours.remove(&server.id);
+        }
+        self.opened(&server.id, result);
+        self.pump();
+    }
+
+    /// Opens a connection to a server, directly or through another instance.
+    ///
+    /// # Errors
+    ///
+    /// When none can be opened in time, or the server refuses.
+    pub async fn connect(
+        &self,
+        server: &ServerInfo,
+        via: Option<SocketAddr>,
+    ) -> Result<Box<dyn ServerConnection>, ConnectError> {
+        let unreachable = |error: PeerError| ConnectError::Unreachable(error.to_string());
+        let connecting = async {
+            let stream = match via {
+                None => peers::connect(server.address).await.map_err(unreachable)?,
+                Some(via) => {
+                    let (group, server) = (self.id.to_string(), server.id.to_string());
+                    let tunnel = Tunnel { group, server };
+                    self.peers.tunnel(via, tunnel).await.map_err(unreachable)?
+                }
+            };
+            self.connector.start(stream, &self.id, server).await
+        };
+        match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
             Ok(result) => result,
             Err(_) => Err(ConnectError::Unreachable("no answer in time".to_owned())),
-        };
-        self.opened(&server.id, result);
+        }
+    }
+
+    /// Another instance reaches a server that this one does not.
+    pub fn set_detour(self: &Arc<Self>, server: &TargetId, via: SocketAddr) {
+        let detour = Detour { via, checked_at: now() };
+        let before = self.lock().detours.insert(server.clone(), detour);
+        if before.is_none() {
+            log::warn!("server {server} of {} is reached through {via}", self.id);
+        }
+        self.lock().pools.entry(server.clone()).or_default().share.blocked_until = Moment::ZERO;
         self.pump();
     }
 
+    /// Whether a server is reached only through another instance.
+    #[must_use]
+    pub fn has_detour(&self, server: &str) -> bool {
+        self.lock().detours.contains_key(server)
+    }
+
+    /// Detours whose direct way should be tried again. They count as tried.
+    pub fn detours_to_check(&self) -> Vec<TargetId> {
+        let now = now();
+        let mut inner = self.lock();
+        let due = inner.detours.iter_mut().filter(|(_, d)| d.checked_at + DETOUR_CHECK <= now);
+        due.map(|(id, detour)| {
+            detour.checked_at = now;
+            id.clone()
+        })
+        .collect()
+    }
+
+    /// The direct way to a server is open again.
+    pub fn end_detour(&self, server: &TargetId) {
+        if self.lock().detours.remove(server).is_some() {
+            log::info!("server {server} of {} is reached directly again", self.id);
+        }
+    }
+
     fn opened(
         self: &Arc<Self>,
         server: &TargetId,
--- a/daemon/src/engine/shared.rs
+++ b/daemon/src/engine/shared.rs
@@ -1,6 +1,7 @@
 //! What all sessions of an instance share.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::RwLock;
@@ -11,6 +12,7 @@
 use chervilwharf_lib::catalog::Catalog;
 use chervilwharf_lib::catalog::Route;
 use chervilwharf_lib::connection_budget::budget_per_instance;
+use chervilwharf_lib::engine_protos::Tunnel;
 use chervilwharf_lib::engine_protos::engine_frame::Body;
 use chervilwharf_lib::fleet::Fleet;
 use chervilwharf_lib::fleet::InstanceRecord;
@@ -39,7 +41,7 @@
     servers_outage: AtomicBool,
     me: InstanceRecord,
     fleet: Mutex<Fleet>,
-    peers: Peers,
+    peers: Arc<Peers>,
     duties: Mutex<DutyBook>,
     watches: LeaderWatches,
     /// Woken when there is something to find out about a primary.
@@ -64,7 +66,7 @@
             servers_outage: AtomicBool::new(false),
             fleet: Mutex::new(Fleet::new(me.id.clone())),
             me,
-            peers: Peers::default(),
+            peers: Arc::default(),
             duties: Mutex::default(),
             watches: LeaderWatches::default(),
             doubt: Arc::default(),
@@ -182,7 +184,8 @@
         }
         let mut shards = self.shards.write().expect("never poisoned");
         let shard = shards.entry(group.clone()).or_insert_with(|| {
-            Arc::new(Shard::new(group.clone(), self.connector.clone(), self.doubt.clone()))
+            let (connector, peers) = (self.connector.clone(), self.peers.clone());
+            Arc::new(Shard::new(group.clone(), connector, peers, self.doubt.clone()))
         });
         shard.clone()
     }
@@ -296,4 +299,11 @@
             _ => None,
         }
     }
+
+    fn tunnel_target(&self, tunnel: &Tunnel) -> Option<SocketAddr> {
+        let group: GroupId = tunnel.group.as_str().into();
+        let shards = self.shards.read().expect("never poisoned");
+        let shard = shards.get(&group)?;
+        shard.with_group(|group| group.server(&tunnel.server).map(|view| view.info.address))
+    }
 }
--- a/lib/src/group.rs
+++ b/lib/src/group.rs
@@ -188,6 +188,20 @@
         changed
     }
 
+    /// Another instance knows a leader in a term. Returns whether this one
+    /// takes it for its own leader now, since it knew none in such a late term.
+    pub fn hear_of_leader(&mut self, now: Moment, id: &TargetId, term: Term) -> bool {
+        if !self.servers.contains_key(id) || term < self.highest_term || term == 0 {
+            return false;
+        }
+        let known_term = self.leader.as_ref().map(|leader| leader.term);
+        if known_term.is_some_and(|known| known >= term) {
+            return false;
+        }
+        self.highest_term = term;
+        self.set_leader(now, id, term)
+    }
+
     fn set_leader(&mut self, now: Moment, id: &TargetId, term: Term) -> bool {
         let same = self.leader.as_ref().is_some_and(|leader| leader.id == *id);
         if same {
--- a/lib/src/leader_watch.rs
+++ b/lib/src/leader_watch.rs
@@ -35,7 +35,7 @@
 pub enum ReplaceReason {
     /// It is about to leave.
     Leaving,
-    /// Too few instances reach it, or none.
+    /// No instance reaches it.
     Unreachable,
     /// No server leads.
     Absent,
@@ -249,17 +249,15 @@
 
 /// Whether a primary that does not answer this instance should be replaced.
 ///
-/// A third of the instances is the limit: a replacement costs all of them a
-/// second without writes, a partition costs those behind it all of its time,
-/// which is unknown but usually several seconds.
+/// Never while another instance reaches it: it may have acknowledged commits
+/// that no replica has received, and they would be lost. Its clients are
+/// served through that other instance meanwhile.
 #[must_use]
 pub fn should_replace(opinions: Opinions, rounds: u32) -> bool {
-    if opinions.unknown > 0 && rounds < ROUNDS_FOR_UNKNOWN {
+    if opinions.reached > 0 {
         return false;
     }
-    let cut_off = opinions.failed + 1;
-    let all = cut_off + opinions.reached;
-    cut_off * 3 > all
+    opinions.unknown == 0 || rounds >= ROUNDS_FOR_UNKNOWN
 }
 
 impl Doubt {
--- a/lib/src/protos/chervilwharf.engine.rs
+++ b/lib/src/protos/chervilwharf.engine.rs
@@ -5,7 +5,7 @@
     /// Chosen by the side that asks, unique within the connection.
     #[prost(uint64, tag = "1")]
     pub exchange_id: u64,
-    #[prost(oneof = "engine_frame::Body", tags = "2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "engine_frame::Body", tags = "2, 3, 4, 5, 6, 7, 8, 9")]
     pub body: ::core::option::Option<engine_frame::Body>,
 }
 /// Nested message and enum types in `EngineFrame`.
@@ -24,6 +24,10 @@
         DirectoryPull(super::DirectoryPull),
         #[prost(message, tag = "7")]
         DirectoryState(super::DirectoryState),
+        #[prost(message, tag = "8")]
+        Tunnel(super::Tunnel),
+        #[prost(message, tag = "9")]
+        TunnelReply(super::TunnelReply),
     }
 }
 /// Liveness, and what the sender knows of the platform's records.
@@ -62,6 +66,20 @@
     #[prost(bool, tag = "4")]
     pub replacing: bool,
 }
+/// Asks the other instance to connect this connection with a server that the
+/// sender cannot reach. After the reply it carries the server's protocol.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Tunnel {
+    #[prost(string, tag = "1")]
+    pub group: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub server: ::prost::alloc::string::String,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TunnelReply {
+    #[prost(bool, tag = "1")]
+    pub connected: bool,
+}
 /// Asks for the records that the other instance holds.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct DirectoryPull {}
