engine: never put back a primary that missed a change of primary

Ruled out: clamping of floors; the floors were right, the log went back. Conclusion: a candidate must know the latest term and must not go on beyond where it began; a reason to replace is checked again after the duty is taken.

--- a/daemon/src/engine/leader_control.rs
+++ b/daemon/src/engine/leader_control.rs
@@ -252,7 +252,8 @@
     from: Option<TargetId>,
     reason: ReplaceReason,
 ) -> bool {
-    let Some((target, status)) = best_replica(shard, from.as_ref()).await else {
+    let last_resort = reason == ReplaceReason::LastResort;
+    let Some((target, status)) = best_replica(shard, from.as_ref(), last_resort).await else {
         log::warn!("no replica of {} can take over from {from:?}", shard.id());
         return false;
     };
@@ -263,9 +264,8 @@
     let Some(duty) = duty_control::claim(&replacer.engine, directory, shard.id()).await else {
         return false;
     };
-    // The primary may have come back while the duty was taken.
-    if reason == ReplaceReason::Unreachable && has_come_back(shard, from.as_ref()) {
-        log::info!("primary {from:?} of {} answers again and stays", shard.id());
+    if is_outdated(shard, from.as_ref(), reason) {
+        log::info!("the replacement of {from:?} in {} is outdated", shard.id());
         return false;
     }
     log::warn!(
@@ -310,20 +310,28 @@
     false
 }
 
-fn has_come_back(shard: &Arc<Shard>, from: Option<&TargetId>) -> bool {
-    let Some(id) = from else {
-        return false;
-    };
+/// Whether the reason to replace a primary has gone while the duty was taken,
+/// which can last for seconds when the store is slow.
+fn is_outdated(shard: &Arc<Shard>, from: Option<&TargetId>, reason: ReplaceReason) -> bool {
     shard.with_group(|group| {
-        group.leads(id) && group.server(id).is_some_and(|view| view.failures == 0)
+        let leader = group.leader().map(|leader| &leader.id);
+        if leader != from {
+            return true;
+        }
+        let answers = |id: &TargetId| group.server(id).is_some_and(|view| view.failures == 0);
+        reason == ReplaceReason::Unreachable && leader.is_some_and(answers)
     })
 }
 
 /// The reachable replica that received most: it lacks the fewest
 /// acknowledged commits.
+///
+/// As a last resort also one that missed a change of primary: a group whose
+/// later primary is lost for good would otherwise have none for ever.
 async fn best_replica(
     shard: &Arc<Shard>,
     from: Option<&TargetId>,
+    last_resort: bool,
 ) -> Option<(TargetId, ServerStatus)> {
     let candidates: Vec<TargetId> = shard.with_group(|group| {
         let able = group.servers().filter(|view| !view.info.draining);
@@ -332,15 +340,18 @@
     });
     let probes = candidates.iter().map(|id| probe::probe(shard, id));
     let probed = join_all(probes).await;
-    let highest_term = shard.with_group(|group| group.highest_term());
     let mut best: Option<(TargetId, ServerStatus)> = None;
     for (id, probed) in candidates.into_iter().zip(probed) {
         let Probed::Status(status) = probed else {
             continue;
         };
-        // It missed a change of primary, and so all commits since.
-        if status.term < highest_term {
-            log::warn!("server {id} is still in term {} of {highest_term}", status.term);
+        let may_lead = shard.with_group(|group| group.may_lead(&status));
+        if !may_lead && !last_resort {
+            log::warn!(
+                "server {id} at {} in term {} missed a change of primary",
+                status.received,
+                status.term
+            );
             continue;
         }
         let rank = |status: &ServerStatus| (status.leads, status.received);
--- a/daemon/src/engine/peers.rs
+++ b/daemon/src/engine/peers.rs
@@ -65,9 +65,7 @@
         // is closed when this future is dropped.
         let mut frames = match self.frames.take() {
             Some(frames) => frames,
-            None => {
-                frames(connect(address).await?)
-            }
+            None => frames(connect(address).await?),
         };
         self.last_exchange_id += 1;
         let exchange_id = self.last_exchange_id;
@@ -123,7 +121,11 @@
     /// # Errors
     ///
     /// When the other instance cannot be reached, or does not reach it either.
-    pub async fn tunnel(&self, address: SocketAddr, tunnel: Tunnel) -> Result<TcpStream, PeerError> {
+    pub async fn tunnel(
+        &self,
+        address: SocketAddr,
+        tunnel: Tunnel,
+    ) -> Result<TcpStream, PeerError> {
         let mut frames = frames(connect(address).await?);
         let frame = EngineFrame { exchange_id: 1, body: Some(Body::Tunnel(tunnel)) };
         frames.send(Bytes::from(frame.encode_to_vec())).await.map_err(unreachable)?;
--- a/daemon/src/engine/probe.rs
+++ b/daemon/src/engine/probe.rs
@@ -105,12 +105,7 @@
 
 impl Shard {
     /// A server told its state.
-    pub fn observe_status(
-        self: &Arc<Self>,
-        asked_at: Moment,
-        id: &TargetId,
-        status: ServerStatus,
-    ) {
+    pub fn observe_status(self: &Arc<Self>, asked_at: Moment, id: &TargetId, status: ServerStatus) {
         let changed = self.with_group(|group| group.observe_status(asked_at, now(), id, status));
         if changed && status.leads {
             log::info!(
--- a/lib/src/group.rs
+++ b/lib/src/group.rs
@@ -226,11 +226,28 @@
     /// A server is not the primary. Returns whether it was taken for it.
     pub fn observe_not_leading(&mut self, id: &TargetId, term: Term) -> bool {
         self.highest_term = self.highest_term.max(term);
-        let was = self.leader.as_ref().is_some_and(|leader| leader.id == *id);
-        if was {
-            self.leader = None;
+        let lost = self.leader.take_if(|leader| leader.id == *id);
+        if let Some(leader) = &lost {
+            // Only a promotion in a later term takes the lead from a server.
+            // Without this an instance that is cut off from the new primary
+            // would put the old one back, and lose what was written since.
+            if leader.term > 0 {
+                self.highest_term = self.highest_term.max(leader.term + 1);
+            }
+        }
+        lost.is_some()
+    }
+
+    /// Whether a server may take over the lead without losing commits that
+    /// the last primary acknowledged and replicas received.
+    #[must_use]
+    pub fn may_lead(&self, status: &ServerStatus) -> bool {
+        if status.term < self.highest_term {
+            return false;
         }
-        was
+        // A log that goes on beyond the place where a later term began holds
+        // commits that were rolled back, and lacks those of the later term.
+        self.surviving(status.received) == status.received
     }
 
     /// A server answered, with the position that its log had reached.
--- a/lib/src/leader_watch.rs
+++ b/lib/src/leader_watch.rs
@@ -39,6 +39,9 @@
     Unreachable,
     /// No server leads.
     Absent,
+    /// No server has led for so long that one which missed a change of
+    /// primary has to do.
+    LastResort,
 }
 
 /// What other instances say about a primary.
@@ -97,6 +100,10 @@
 /// another instance ordered takes up to a second.
 const ABSENCE_LIMIT: Duration = Duration::from_millis(1_200);
 
+/// Without any leader for this long, a server that missed a change of primary
+/// may lead: longer than partitions usually last.
+const LAST_RESORT_AFTER: Duration = Duration::from_secs(10);
+
 /// Each further instance in the succession waits this much longer, so that
 /// the first can act alone.
 const STAGGER: Duration = Duration::from_millis(700);
@@ -196,12 +203,14 @@
         };
         doubt.probe(now, group, actions);
         doubt.ask(now, actions);
-        let Some(confirmed_at) = doubt.confirmed_at else {
+        let (since, confirmed_at) = (doubt.since, doubt.confirmed_at);
+        let Some(confirmed_at) = confirmed_at else {
             return;
         };
         if self.may_act(now, confirmed_at, rank) {
             let reason = match leader {
                 Some(_) => ReplaceReason::Unreachable,
+                None if since + LAST_RESORT_AFTER <= now => ReplaceReason::LastResort,
                 None => ReplaceReason::Absent,
             };
             actions.push(WatchAction::Replace { from: leader, reason });
