--- a/lib/src/group.rs
+++ b/lib/src/group.rs
@@ -52,8 +52,8 @@
     pub info: ServerInfo,
     /// Last position known to be applied.
     pub applied: Position,
-    /// A floor that the server lacked, and when it said so.
-    lacked: Option<(Position, Moment)>,
+    /// How far the server was behind the primary when it last answered.
+    behind: Duration,
     /// Exchanges that failed since the last one that succeeded.
     pub failures: u32,
     /// When it last answered.
@@ -77,10 +77,20 @@
     pub since: Moment,
 }
 
-/// After a server said that it lacks a position, it is not asked for that
-/// position again for this long. A fraction of the usual replication delay of
-/// 60 ms: long enough to save useless questions, short enough to come back.
-const LACK_REMEMBERED: Duration = Duration::from_millis(25);
+/// A server is asked for a position this much before it is expected to have
+/// it: about the time that a statement takes to get there and begin.
+const ASKED_EARLY: Duration = Duration::from_millis(4);
+
+/// A replica further behind than this is asked for its state now and then.
+const LAGGARD_BEHIND: Duration = Duration::from_millis(300);
+
+/// Time between two questions to a replica that is far behind.
+const LAGGARD_CHECK: Duration = Duration::from_millis(500);
+
+/// How far a server is taken to be behind when it lacks a position of which
+/// it is not known when the primary reached it. A few times less than the
+/// usual replication delay of 60 ms, so that it is soon asked again.
+const BEHIND_AT_LEAST: Duration = Duration::from_millis(20);
 
 /// A server whose exchange failed gets no reads for this long per failure, so
 /// that a dead one costs each instance few requests.
@@ -260,6 +270,8 @@
         view.avoided_until = Moment::ZERO;
         if let Some(applied) = applied {
             view.applied = applied;
+            let lacks_since = self.samples.passed_at(applied);
+            view.behind = lacks_since.map_or(Duration::ZERO, |at| now.saturating_sub(at));
         }
     }
 
@@ -292,8 +304,10 @@
         applied: Option<Position>,
     ) -> bool {
         self.observe_answer(now, id, applied);
+        let reached_at = self.samples.reached_at(floor);
         if let Some(view) = self.servers.get_mut(id) {
-            view.lacked = Some((floor, now));
+            let known = reached_at.map_or(Duration::ZERO, |at| now.saturating_sub(at));
+            view.behind = view.behind.max(known + BEHIND_AT_LEAST);
         }
         let leader_term = match &self.leader {
             Some(leader) if leader.id == *id => leader.term,
@@ -368,9 +382,11 @@
         if view.applied >= floor {
             return true;
         }
-        match view.lacked {
-            Some((lacked, at)) => floor < lacked || at + LACK_REMEMBERED <= now,
-            None => true,
+        // Delays of replication change slowly: what the primary reached this
+        // long ago has been applied by now.
+        match self.samples.reached_at(floor) {
+            Some(reached_at) => reached_at + view.behind <= now + ASKED_EARLY,
+            None => view.behind.is_zero(),
         }
     }
 
@@ -412,6 +428,15 @@
         self.leader.as_ref()
     }
 
+    /// Replicas that are too far behind to get reads, and so do not tell by
+    /// themselves when they have caught up.
+    pub fn laggards(&self, now: Moment) -> impl Iterator<Item = &ServerView> {
+        self.servers.values().filter(move |view| {
+            let silent = view.answered_at + LAGGARD_CHECK <= now;
+            silent && view.behind > LAGGARD_BEHIND && !self.leads(&view.info.id)
+        })
+    }
+
     /// Highest term seen.
     #[must_use]
     pub fn highest_term(&self) -> Term {
@@ -451,7 +476,7 @@
         Self {
             info,
             applied: Position::ZERO,
-            lacked: None,
+            behind: Duration::ZERO,
             failures: 0,
             answered_at: Moment::ZERO,
             avoided_until: Moment::ZERO,
--- a/lib/src/leader_watch.rs
+++ b/lib/src/leader_watch.rs
@@ -126,6 +126,8 @@
     pub fn tick(&mut self, now: Moment, group: &Group, rank: Option<usize>) -> Vec<WatchAction> {
         let mut actions = Vec::new();
         self.sample(now, group, &mut actions);
+        let laggards = group.laggards(now).filter(|view| view.failures == 0);
+        actions.extend(laggards.map(|view| WatchAction::Sample(view.info.id.clone())));
         self.watch_leaving(now, group, rank, &mut actions);
         self.watch_failing(now, group, rank, &mut actions);
         actions
--- a/lib/src/samples.rs
+++ b/lib/src/samples.rs
@@ -54,6 +54,21 @@
         self.samples.get(index).map(|sample| sample.position)
     }
 
+    /// When the primary is known to have reached a position: at the latest
+    /// when it was asked and had it. `None` if no sample goes that far.
+    #[must_use]
+    pub fn reached_at(&self, position: Position) -> Option<Moment> {
+        let index = self.samples.partition_point(|sample| sample.position < position);
+        self.samples.get(index).map(|sample| sample.asked_at)
+    }
+
+    /// When the primary is first known to have gone beyond a position.
+    #[must_use]
+    pub fn passed_at(&self, position: Position) -> Option<Moment> {
+        let index = self.samples.partition_point(|sample| sample.position <= position);
+        self.samples.get(index).map(|sample| sample.asked_at)
+    }
+
     /// Age of the newest sample.
     #[must_use]
     pub fn newest_age(&self, now: Moment) -> Option<Duration> {
