--- a/daemon/src/engine/fleet_control.rs
+++ b/daemon/src/engine/fleet_control.rs
@@ -7,11 +7,13 @@
 use chervilwharf_lib::engine_protos::DirectoryPull;
 use chervilwharf_lib::engine_protos::DirectoryState;
 use chervilwharf_lib::engine_protos::Heartbeat;
+use chervilwharf_lib::engine_protos::PositionSample;
 use chervilwharf_lib::engine_protos::engine_frame::Body;
 use chervilwharf_lib::fleet::HEARTBEAT_INTERVAL;
 use chervilwharf_lib::fleet::InstanceRecord;
 use chervilwharf_lib::id::InstanceId;
 use chervilwharf_lib::moment::Moment;
+use chervilwharf_lib::position::Position;
 
 use crate::engine::clock::now;
 use crate::engine::directory::Change;
@@ -23,6 +25,7 @@
 use crate::engine::directory::WriteError;
 use crate::engine::follow::Follower;
 use crate::engine::records;
+use crate::engine::shard::Shard;
 use crate::engine::shared::Engine;
 
 /// Tells an engine which instances there are.
@@ -151,12 +154,14 @@
 }
 
 async fn heartbeat(engine: &Engine, peer: &InstanceRecord) {
+    let asked_at = now();
     let question = Body::Heartbeat(engine.heartbeat());
     let Ok(Body::HeartbeatReply(reply)) = engine.peers().ask(peer.peer_address, question).await
     else {
         return;
     };
     engine.take_heartbeat(&reply);
+    engine.take_samples(asked_at, &reply.samples);
     if engine.wants_directory_of(&reply) {
         pull_directory(engine, peer).await;
     }
@@ -223,6 +228,40 @@
             leaving: self.is_stopping(),
             configuration_version: self.catalog().version,
             servers_revision: self.servers_revision(),
+            samples: Vec::new(),
+        }
+    }
+
+    /// The reply to a heartbeat.
+    #[must_use]
+    pub fn heartbeat_reply(&self) -> Heartbeat {
+        let at = now();
+        let sample = |shard: Arc<Shard>| {
+            let (asked_at, position) = shard.with_group(|group| group.newest_sample())?;
+            let age = at.saturating_sub(asked_at);
+            let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX).saturating_add(1);
+            let group = shard.id().to_string();
+            Some(PositionSample { group, term: position.term, index: position.index, age_ms })
+        };
+        let samples = self.shards().into_iter().filter_map(sample).collect();
+        Heartbeat { samples, ..self.heartbeat() }
+    }
+
+    /// Another instance told, in reply to something asked at `asked_at`, what
+    /// primaries had reached.
+    ///
+    /// The reply was written after the question was sent, so a sample is at
+    /// most its age older than the question. That errs to the safe side
+    /// whatever the message took.
+    pub fn take_samples(&self, asked_at: Moment, samples: &[PositionSample]) {
+        for sample in samples {
+            let Some(sampled_at) = asked_at.checked_sub(Duration::from_millis(sample.age_ms))
+            else {
+                continue;
+            };
+            let position = Position::new(sample.term, sample.index);
+            let shard = self.shard(&sample.group.as_str().into());
+            shard.with_group(|group| group.hear_of_position(sampled_at, position));
         }
     }
 
--- a/daemon/src/engine/shared.rs
+++ b/daemon/src/engine/shared.rs
@@ -292,7 +292,7 @@
         match question {
             Body::Heartbeat(heartbeat) => {
                 self.take_heartbeat(&heartbeat);
-                Some(Body::HeartbeatReply(self.heartbeat()))
+                Some(Body::HeartbeatReply(self.heartbeat_reply()))
             }
             Body::LeaderQuery(query) => Some(Body::LeaderReply(self.leader_reply(&query))),
             Body::DirectoryPull(_) => Some(Body::DirectoryState(self.directory_state())),
--- a/lib/src/group.rs
+++ b/lib/src/group.rs
@@ -465,6 +465,25 @@
         self.samples.newest_age(now)
     }
 
+    /// The newest sample of the primary's position.
+    #[must_use]
+    pub fn newest_sample(&self) -> Option<(Moment, Position)> {
+        self.samples.newest()
+    }
+
+    /// Another instance asked the primary at `asked_at` or later, and the
+    /// primary had reached `position`.
+    ///
+    /// Without these an instance whose own questions a busy primary refuses
+    /// knows no floor, and sends all its reads to that primary as well.
+    pub fn hear_of_position(&mut self, asked_at: Moment, position: Position) {
+        let leader_term = self.leader.as_ref().map_or(0, |leader| leader.term);
+        // The log may have been cut back since.
+        if position.term >= leader_term || self.term_bases.contains_key(&leader_term) {
+            self.samples.record(asked_at, self.surviving(position));
+        }
+    }
+
     /// Forgets the samples, after the log was cut back.
     pub fn forget_samples(&mut self) {
         self.samples.clear();
--- a/lib/src/protos/chervilwharf.engine.rs
+++ b/lib/src/protos/chervilwharf.engine.rs
@@ -31,7 +31,7 @@
     }
 }
 /// Liveness, and what the sender knows of the platform's records.
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Heartbeat {
     #[prost(string, tag = "1")]
     pub instance: ::prost::alloc::string::String,
@@ -44,6 +44,23 @@
     pub configuration_version: u64,
     #[prost(uint64, tag = "5")]
     pub servers_revision: u64,
+    /// Only in replies: the one who asked knows when it asked, and so how old a
+    /// sample is at most.
+    #[prost(message, repeated, tag = "7")]
+    pub samples: ::prost::alloc::vec::Vec<PositionSample>,
+}
+/// A position that the primary of a group had reached.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PositionSample {
+    #[prost(string, tag = "1")]
+    pub group: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+    #[prost(uint64, tag = "3")]
+    pub index: u64,
+    /// How long before this message the primary was asked, rounded up.
+    #[prost(uint64, tag = "4")]
+    pub age_ms: u64,
 }
 /// Asks whether a primary can be reached from the other instance.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/lib/src/samples.rs
+++ b/lib/src/samples.rs
@@ -69,6 +69,12 @@
         self.samples.get(index).map(|sample| sample.asked_at)
     }
 
+    /// The newest sample: when the primary was asked, and what it had reached.
+    #[must_use]
+    pub fn newest(&self) -> Option<(Moment, Position)> {
+        self.samples.back().map(|sample| (sample.asked_at, sample.position))
+    }
+
     /// Age of the newest sample.
     #[must_use]
     pub fn newest_age(&self, now: Moment) -> Option<Duration> {
