--- a/daemon/src/engine/lease.rs
+++ b/daemon/src/engine/lease.rs
@@ -33,13 +33,15 @@
     shard: Arc<Shard>,
     server: TargetId,
     connection: Option<PooledConnection>,
+    /// Whether a statement is at the server, or about to be.
+    running: bool,
 }
 
 impl Lease {
     /// Lends a connection.
     #[must_use]
     pub(crate) fn new(shard: Arc<Shard>, server: TargetId, connection: PooledConnection) -> Self {
-        Self { shard, server, connection: Some(connection) }
+        Self { shard, server, connection: Some(connection), running: true }
     }
 
     /// The server at the other end.
@@ -57,8 +59,33 @@
         self.connection.as_mut().expect("present until the lease ends")
     }
 
+    /// No statement is at the server until [`Lease::resume`]: the client
+    /// rests in its transaction.
+    pub fn rest(&mut self) {
+        if std::mem::take(&mut self.running) {
+            self.shard.end_running(&self.server);
+            self.shard.pump();
+        }
+    }
+
+    /// The next statement of the transaction goes to the server. It does not
+    /// wait for its turn: others wait for the locks and the connection that
+    /// the transaction holds.
+    pub fn resume(&mut self) {
+        if !std::mem::replace(&mut self.running, true) {
+            self.shard.begin_running(&self.server);
+        }
+    }
+
+    fn stop_running(&mut self) {
+        if std::mem::take(&mut self.running) {
+            self.shard.end_running(&self.server);
+        }
+    }
+
     /// Ends the lease of a connection that is idle and whole.
     pub fn give_back(mut self) {
+        self.stop_running();
         if let Some(connection) = self.connection.take() {
             self.shard.take_back(&self.server, connection);
         }
@@ -67,6 +94,7 @@
 
 impl Drop for Lease {
     fn drop(&mut self) {
+        self.stop_running();
         if let Some(connection) = self.connection.take() {
             drop(connection);
             self.shard.closed(&self.server);
--- a/daemon/src/engine/shard.rs
+++ b/daemon/src/engine/shard.rs
@@ -226,7 +226,6 @@
     /// A connection comes back idle and whole.
     pub(crate) fn take_back(self: &Arc<Self>, server: &TargetId, connection: PooledConnection) {
         let mut inner = self.lock();
-        inner.unuse(server);
         let usable = inner.group.takes_work(server);
         let budget = inner.budget;
         let pool = inner.pools.entry(server.clone()).or_default();
@@ -239,10 +238,36 @@
         self.pump();
     }
 
+    /// A statement is sent to a server, on a connection lent before.
+    pub(crate) fn begin_running(&self, server: &TargetId) {
+        self.lock().group.begin_running(server);
+    }
+
+    /// A server is done with a statement, or was given up.
+    pub(crate) fn end_running(&self, server: &TargetId) {
+        self.lock().group.end_running(server);
+    }
+
+    /// A statement took this long at a server. From `slow_from` on that is a
+    /// sign of a queue there.
+    pub fn observe_time(&self, server: &TargetId, took: Duration, slow_from: Duration) {
+        let mut inner = self.lock();
+        let running = inner.group.server(server).map_or(0, |view| view.running);
+        if let Some(pool) = inner.pools.get_mut(server) {
+            pool.share.limit.answered(now(), running, took, slow_from);
+        }
+    }
+
+    /// A server has too much to do.
+    pub fn observe_busy(&self, server: &TargetId) {
+        if let Some(pool) = self.lock().pools.get_mut(server) {
+            pool.share.limit.refused(now());
+        }
+    }
+
     /// A lent connection was closed.
     pub(crate) fn closed(self: &Arc<Self>, server: &TargetId) {
         let mut inner = self.lock();
-        inner.unuse(server);
         if let Some(pool) = inner.pools.get_mut(server) {
             pool.share.open = pool.share.open.saturating_sub(1);
         }
@@ -383,12 +408,6 @@
 type Grant = (oneshot::Sender<Lease>, TargetId, PooledConnection);
 
 impl Inner {
-    fn unuse(&mut self, server: &TargetId) {
-        if let Some(view) = self.group.server_mut(server) {
-            view.in_use = view.in_use.saturating_sub(1);
-        }
-    }
-
     /// Takes the idle connection that fits best, if nobody waits who should
     /// have it first.
     fn take_idle(&mut self, now: Moment, want: &Want<'_>) -> Option<(TargetId, PooledConnection)> {
@@ -427,9 +446,7 @@
                 pool.share.open = pool.share.open.saturating_sub(1);
                 continue;
             }
-            if let Some(view) = self.group.server_mut(server) {
-                view.in_use += 1;
-            }
+            self.group.begin_running(server);
             return Some(connection);
         }
         None
--- a/daemon/src/engine/single.rs
+++ b/daemon/src/engine/single.rs
@@ -137,6 +137,7 @@
     }
     let server = lease.as_ref().map(|lease| lease.server().clone()).unwrap_or_default();
     let sent_at = now();
+    let slow_from = waits::slow_from(request.route.objective);
     let limit = waits::read_stall_limit(request.route.objective).min(request.time_left(sent_at));
     let replies = match send(session, &mut lease, &steps, limit).await {
         Sent::Replies(replies) => replies,
@@ -165,6 +166,8 @@
                 }
                 group.observe_read_time(&server, now().saturating_sub(sent_at));
             });
+            let took = now().saturating_sub(sent_at);
+            session.shard().observe_time(&server, took, slow_from);
             Try::Done(Served { answer, position: reply.position })
         }
         Err(refusal) => {
@@ -216,7 +219,10 @@
             session.shard().lost_lead(server);
             Duration::ZERO
         }
-        RefusalKind::Busy => waits::BUSY_PAUSE,
+        RefusalKind::Busy => {
+            session.shard().observe_busy(server);
+            waits::BUSY_PAUSE
+        }
         // Reads may run again: nobody can tell the second run from the first.
         RefusalKind::Failed | RefusalKind::TimedOut => Duration::ZERO,
         _ => return Try::Failed(refusal.into()),
@@ -302,6 +308,9 @@
     give_back(lease, &replies);
     match reply.result {
         Ok(answer) => {
+            let took = now().saturating_sub(sent_at);
+            let slow_from = waits::slow_from(request.route.objective);
+            session.shard().observe_time(&server, took, slow_from);
             let position = reply.position;
             if let Some(position) = position {
                 session
@@ -320,7 +329,10 @@
             session.shard().lost_lead(server);
             Try::Again { failure: refusal.into(), pause: Duration::ZERO }
         }
-        RefusalKind::Busy => Try::Again { failure: refusal.into(), pause: waits::BUSY_PAUSE },
+        RefusalKind::Busy => {
+            session.shard().observe_busy(server);
+            Try::Again { failure: refusal.into(), pause: waits::BUSY_PAUSE }
+        }
         _ => Try::Failed(refusal.into()),
     }
 }
--- a/daemon/src/engine/transaction.rs
+++ b/daemon/src/engine/transaction.rs
@@ -142,6 +142,9 @@
 ) -> Result<Served, Failure> {
     let result = run_inner(session, transaction, request, work, writes).await;
     transaction.active_at = now();
+    if let Some(lease) = &mut transaction.lease {
+        lease.rest();
+    }
     if result.is_err() && transaction.lease.is_none() {
         transaction.failed = true;
     }
@@ -158,6 +161,9 @@
     if transaction.lease.is_none() {
         begin(session, transaction, request, work).await?;
     }
+    if let Some(lease) = &mut transaction.lease {
+        lease.resume();
+    }
     let mut last = Failure::new(ErrorKind::Overloaded);
     while now() < request.deadline {
         let server = server_of(transaction);
@@ -180,10 +186,19 @@
         }
         match reply.result {
             Ok(answer) => {
+                let took = now().saturating_sub(sent_at);
+                session.shard().observe_time(
+                    &server,
+                    took,
+                    waits::slow_from(request.route.objective),
+                );
                 observe(session, transaction, sent_at, &server, reply.position);
                 return Ok(Served { answer, position: reply.position });
             }
-            Err(refusal) if may_try_again(&refusal, reply.state) => last = refusal.into(),
+            Err(refusal) if may_try_again(&refusal, reply.state) => {
+                session.shard().observe_busy(&server);
+                last = refusal.into();
+            }
             Err(refusal) => {
                 return Err(refused(session, transaction, &server, refusal, reply.state));
             }
@@ -353,6 +368,9 @@
     if transaction.lease.is_none() {
         begin(session, transaction, request, &work).await?;
     }
+    if let Some(lease) = &mut transaction.lease {
+        lease.resume();
+    }
     let mut last = Failure::new(ErrorKind::Overloaded);
     while now() < request.deadline {
         let server = server_of(transaction);
@@ -381,7 +399,10 @@
                 }
                 return Ok(Served { answer, position: reply.position });
             }
-            Err(refusal) if may_try_again(&refusal, reply.state) => last = refusal.into(),
+            Err(refusal) if may_try_again(&refusal, reply.state) => {
+                session.shard().observe_busy(&server);
+                last = refusal.into();
+            }
             Err(refusal) => {
                 return Err(refused(session, transaction, &server, refusal, reply.state));
             }
--- a/lib/src/group.rs
+++ b/lib/src/group.rs
@@ -60,8 +60,8 @@
     pub answered_at: Moment,
     /// No reads are sent there before this time, if others can serve them.
     avoided_until: Moment,
-    /// Connections in use now by this instance.
-    pub in_use: usize,
+    /// Statements of this instance that are at the server now.
+    pub running: usize,
     /// Smoothed time of a read.
     read_time: Duration,
 }
@@ -409,7 +409,7 @@
                 let avoided = view.avoided_until > now;
                 let leads = self.leads(&view.info.id);
                 let surely = view.applied >= floor;
-                (avoided, leads, view.in_use, !surely, view.read_time, &view.info.id)
+                (avoided, leads, view.running, !surely, view.read_time, &view.info.id)
             })
             .collect();
         able.sort_unstable();
@@ -449,9 +449,18 @@
         self.servers.get(id)
     }
 
-    /// A server, to count its connections.
-    pub fn server_mut(&mut self, id: &str) -> Option<&mut ServerView> {
-        self.servers.get_mut(id)
+    /// A statement goes to a server.
+    pub fn begin_running(&mut self, id: &str) {
+        if let Some(view) = self.servers.get_mut(id) {
+            view.running += 1;
+        }
+    }
+
+    /// A statement at a server is over.
+    pub fn end_running(&mut self, id: &str) {
+        if let Some(view) = self.servers.get_mut(id) {
+            view.running = view.running.saturating_sub(1);
+        }
     }
 
     /// All servers.
@@ -499,7 +508,7 @@
             failures: 0,
             answered_at: Moment::ZERO,
             avoided_until: Moment::ZERO,
-            in_use: 0,
+            running: 0,
             read_time: Duration::ZERO,
         }
     }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod burn;
 pub mod catalog;
 pub mod classify;
+pub mod concurrency;
 pub mod config;
 pub mod config_check;
 pub mod connection_budget;
--- a/lib/src/pool_share.rs
+++ b/lib/src/pool_share.rs
@@ -1,5 +1,6 @@
 //! Which server a request gets a connection to.
 
+use crate::concurrency::ConcurrencyLimit;
 use crate::group::Group;
 use crate::id::TargetId;
 use crate::moment::Moment;
@@ -34,7 +35,7 @@
 }
 
 /// Connections to one server.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct PoolShare {
     /// Open, idle ones included.
     pub open: usize,
@@ -46,6 +47,8 @@
     pub budget: usize,
     /// No connection is opened before this time.
     pub blocked_until: Moment,
+    /// How many statements may be at the server at once.
+    pub limit: ConcurrencyLimit,
 }
 
 /// Connections being opened to one server at the same time. Each takes a slot
@@ -89,10 +92,10 @@
 ) -> Choice {
     match need {
         Need::Leader => match group.leader() {
-            Some(leader) => among(now, std::slice::from_ref(&leader.id), &share_of),
+            Some(leader) => among(group, now, std::slice::from_ref(&leader.id), &share_of),
             None => Choice::Wait,
         },
-        Need::Server(id) => among(now, std::slice::from_ref(id), &share_of),
+        Need::Server(id) => among(group, now, std::slice::from_ref(id), &share_of),
         Need::Reader { floor, shunned } => {
             choose_reader(group, now, *floor, shunned.as_ref(), &share_of)
         }
@@ -113,13 +116,13 @@
     };
     let (sound, doubtful): (Vec<_>, Vec<_>) = able.into_iter().partition(sound);
     let (leader, replicas): (Vec<_>, Vec<_>) = sound.into_iter().partition(|id| group.leads(id));
-    let choice = among(now, &replicas, share_of);
+    let choice = among(group, now, &replicas, share_of);
     if choice != Choice::Wait {
         return choice;
     }
     let spare = |id: &TargetId| replicas.is_empty() || share_of(id).free() > LEADER_RESERVE;
     if leader.iter().all(spare) {
-        let choice = among(now, &leader, share_of);
+        let choice = among(group, now, &leader, share_of);
         if choice != Choice::Wait {
             return choice;
         }
@@ -127,14 +130,23 @@
     if !replicas.is_empty() {
         return Choice::Wait;
     }
-    among(now, &doubtful, share_of)
+    among(group, now, &doubtful, share_of)
 }
 
-fn among(now: Moment, ids: &[TargetId], share_of: &impl Fn(&TargetId) -> PoolShare) -> Choice {
-    if let Some(id) = ids.iter().find(|id| share_of(id).idle > 0) {
+fn among(
+    group: &Group,
+    now: Moment,
+    ids: &[TargetId],
+    share_of: &impl Fn(&TargetId) -> PoolShare,
+) -> Choice {
+    let allowed = |id: &&TargetId| {
+        let running = group.server(id).map_or(0, |view| view.running);
+        share_of(id).limit.allows(running)
+    };
+    if let Some(id) = ids.iter().filter(allowed).find(|id| share_of(id).idle > 0) {
         return Choice::Idle(id.clone());
     }
-    match ids.iter().find(|id| share_of(id).may_open(now)) {
+    match ids.iter().filter(allowed).find(|id| share_of(id).may_open(now)) {
         Some(id) => Choice::Open(id.clone()),
         None => Choice::Wait,
     }
--- a/lib/src/waits.rs
+++ b/lib/src/waits.rs
@@ -19,3 +19,12 @@
 pub fn read_stall_limit(objective: Duration) -> Duration {
     (objective * 4 / 5).max(SHORTEST_READ_STALL)
 }
+
+/// From which time at a server on a statement is a sign of a queue there.
+///
+/// Half of the objective: what is left must cover the way to the server and
+/// the wait for a connection. The usual work of a statement is a tenth.
+#[must_use]
+pub fn slow_from(objective: Duration) -> Duration {
+    objective / 2
+}
