--- a/daemon/src/engine/probe.rs
+++ b/daemon/src/engine/probe.rs
@@ -17,6 +17,18 @@
 /// loaded server takes, since its state takes a slot like any statement.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// A server with a queue has this many times the time of its answers: work
+/// must not make it look dead.
+const QUEUE_FACTOR: u32 = 4;
+
+/// Longest time for an answer of a server with a queue.
+const LONGEST_PROBE: Duration = Duration::from_millis(800);
+
+fn probe_timeout(shard: &Shard, id: &str) -> Duration {
+    let usual_time = shard.with_group(|group| group.read_time(id));
+    (usual_time * QUEUE_FACTOR).clamp(PROBE_TIMEOUT, LONGEST_PROBE)
+}
+
 /// Place of samples among the waiting requests: last.
 const SAMPLE_PRIORITY: u8 = u8::MAX;
 
@@ -44,7 +56,7 @@
         let mut connection = connected.map_err(|error| error.to_string())?;
         connection.status().await.map_err(|error| error.to_string())
     };
-    let result = match tokio::time::timeout(PROBE_TIMEOUT, asking).await {
+    let result = match tokio::time::timeout(probe_timeout(shard, id), asking).await {
         Ok(result) => result,
         Err(_) => Err("no answer in time".to_owned()),
     };
@@ -85,7 +97,7 @@
     };
     let asked_at = now();
     let asking = lease.connection().connection.status();
-    match tokio::time::timeout(PROBE_TIMEOUT, asking).await {
+    match tokio::time::timeout(probe_timeout(shard, id), asking).await {
         Ok(Ok(answer)) => {
             lease.give_back();
             if let Ok(status) = answer {
--- a/daemon/src/engine/session.rs
+++ b/daemon/src/engine/session.rs
@@ -18,6 +18,7 @@
 use chervilwharf_lib::statement::Statement;
 use chervilwharf_lib::statement::TransactionState;
 use chervilwharf_lib::stop_plan::StopPlan;
+use chervilwharf_lib::waits;
 use tokio::sync::watch;
 
 use crate::engine::border::Step;
@@ -185,6 +186,13 @@
         closing && self.state() == TransactionState::Idle
     }
 
+    /// How long an exchange that may be repeated waits for a server.
+    #[must_use]
+    pub fn stall_limit(&self, request: &Request, server: &str) -> Duration {
+        let usual_time = self.shard.with_group(|group| group.read_time(server));
+        waits::read_stall_limit(request.route.objective, usual_time).min(request.time_left(now()))
+    }
+
     /// Lowest position that a read of this session has to see.
     #[must_use]
     pub fn floor_for(&self, arrived_at: Moment, consistency: Consistency) -> Option<Position> {
@@ -219,7 +227,11 @@
 
     /// Runs one statement.
     pub async fn run(&mut self, id: RequestId, statement: Statement) -> Reply {
-        let result = self.dispatch(id, statement).await;
+        let began_at = now();
+        let result = self.dispatch(id.clone(), statement).await;
+        if let Err(failure) = &result {
+            self.log_failure(&id, failure, began_at);
+        }
         let state = self.state();
         match result {
             Ok(Some(served)) => {
@@ -230,6 +242,17 @@
         }
     }
 
+    fn log_failure(&self, id: &str, failure: &Failure, began_at: Moment) {
+        let waited = now().saturating_sub(began_at);
+        let waiting = self.shard.waiting();
+        let kind = failure.kind.name();
+        log::info!(
+            "request {id} on {}: {kind} after {waited:?}, {waiting} waiting for {}",
+            self.database,
+            self.shard.id()
+        );
+    }
+
     async fn dispatch(
         &mut self,
         id: RequestId,
--- a/daemon/src/engine/single.rs
+++ b/daemon/src/engine/single.rs
@@ -138,7 +138,7 @@
     let server = lease.as_ref().map(|lease| lease.server().clone()).unwrap_or_default();
     let sent_at = now();
     let slow_from = waits::slow_from(request.route.objective);
-    let limit = waits::read_stall_limit(request.route.objective).min(request.time_left(sent_at));
+    let limit = session.stall_limit(request, &server);
     let replies = match send(session, &mut lease, &steps, limit).await {
         Sent::Replies(replies) => replies,
         Sent::Lost(_) => {
--- a/daemon/src/engine/transaction.rs
+++ b/daemon/src/engine/transaction.rs
@@ -307,7 +307,7 @@
     // lead, so without a floor a transaction that may write is begun.
     let statement = Statement::Begin { read_only: floor.is_some() };
     steps.push(Step { id: None, floor, statement });
-    let limit = waits::read_stall_limit(request.route.objective).min(request.time_left(now()));
+    let limit = session.stall_limit(request, &server);
     let replies = match send(session, &mut lease, &steps, limit).await {
         Sent::Replies(replies) => replies,
         Sent::Lost(_) => {
--- a/lib/src/group.rs
+++ b/lib/src/group.rs
@@ -331,6 +331,12 @@
         view.avoided_until = now + avoided_for;
     }
 
+    /// How long reads take at a server now.
+    #[must_use]
+    pub fn read_time(&self, id: &str) -> Duration {
+        self.servers.get(id).map_or(Duration::ZERO, |view| view.read_time)
+    }
+
     /// A read took this long at a server.
     pub fn observe_read_time(&mut self, id: &TargetId, took: Duration) {
         if let Some(view) = self.servers.get_mut(id) {
--- a/lib/src/waits.rs
+++ b/lib/src/waits.rs
@@ -11,13 +11,20 @@
 /// slow; statements of 200 ms are fewer than one in a hundred.
 const SHORTEST_READ_STALL: Duration = Duration::from_millis(200);
 
+/// A server that has a queue is given up only after this many times the time
+/// that its answers take now.
+const STALL_FACTOR: u32 = 4;
+
 /// How long a read waits for one server before it goes to another.
 ///
 /// Four fifths of the objective: a lost answer then still leaves a fifth,
-/// about the usual time of a read, for the second server.
+/// about the usual time of a read, for the second server. More where answers
+/// take longer now: an exchange that is given up has been worked on for
+/// nothing, and the new connection takes a slot for as long as two statements.
+/// A primary alone with all reads lost half of its capacity to that.
 #[must_use]
-pub fn read_stall_limit(objective: Duration) -> Duration {
-    (objective * 4 / 5).max(SHORTEST_READ_STALL)
+pub fn read_stall_limit(objective: Duration, usual_time: Duration) -> Duration {
+    (objective * 4 / 5).max(SHORTEST_READ_STALL).max(usual_time * STALL_FACTOR)
 }
 
 /// From which time at a server on a statement is a sign of a queue there.
