engine: refuse at arrival what would miss its objective

Conclusion: an estimate of the wait at arrival, and patience of three quarters of the objective while there is a primary.

--- a/daemon/src/engine/probe.rs
+++ b/daemon/src/engine/probe.rs
@@ -89,6 +89,7 @@
         need: Need::Server(id.clone()),
         priority: SAMPLE_PRIORITY,
         give_up_at: asked_at + PROBE_TIMEOUT,
+        patient_until: asked_at + PROBE_TIMEOUT,
         values: &values,
         prepared: None,
     };
--- a/daemon/src/engine/request.rs
+++ b/daemon/src/engine/request.rs
@@ -10,6 +10,7 @@
 use chervilwharf_lib::position::Position;
 use chervilwharf_lib::server_refusal::ServerRefusal;
 use chervilwharf_lib::statement::Answer;
+use chervilwharf_lib::waits;
 
 /// One statement of a client that needs a server.
 #[derive(Clone, Debug)]
@@ -25,6 +26,13 @@
 }
 
 impl Request {
+    /// Until when a wait for a server leaves time to meet the objective.
+    #[must_use]
+    pub fn patient_until(&self) -> Moment {
+        let patience = waits::patience(self.route.objective);
+        (self.arrived_at + patience).min(self.deadline)
+    }
+
     /// Time left until the deadline.
     #[must_use]
     pub fn time_left(&self, now: Moment) -> Duration {
--- a/daemon/src/engine/shard.rs
+++ b/daemon/src/engine/shard.rs
@@ -47,6 +47,9 @@
     pub priority: Priority,
     /// When the request stops waiting.
     pub give_up_at: Moment,
+    /// Until when the request is worth more than one that comes later: served
+    /// after this it misses its objective.
+    pub patient_until: Moment,
     /// Values of its session, to choose a connection that has them.
     pub values: &'a SessionValues,
     /// What it is about to execute.
@@ -72,6 +75,8 @@
     pools: HashMap<TargetId, Pool>,
     queue: WaitQueue<Waiter>,
     budget: usize,
+    /// Smoothed time between a grant and the end of the statement.
+    service_time: Duration,
     /// Servers that this instance does not reach itself, with another
     /// instance that does.
     detours: HashMap<TargetId, Detour>,
@@ -104,6 +109,9 @@
 /// through another instance.
 const DETOUR_CHECK: Duration = Duration::from_secs(2);
 
+/// Weight of the newest statement in the smoothed time, as one over this.
+const SERVICE_TIME_SMOOTHING: u32 = 16;
+
 /// After a failed opening no other is tried for this long, so that waiting
 /// requests do not turn into a flood of openings.
 const OPEN_PAUSE: Duration = Duration::from_millis(100);
@@ -198,12 +206,15 @@
                 drop(inner);
                 return Ok(Lease::new(self.clone(), server, connection));
             }
+            inner.admit(now(), want)?;
             let (grant, granted) = oneshot::channel();
             let waiter = Waiter { need: want.need.clone(), grant };
             (inner.queue.push(want.priority, want.give_up_at, waiter), granted)
         };
         self.pump();
-        let wait = want.give_up_at.saturating_sub(now());
+        let has_leader = self.with_group(|group| group.leader().is_some());
+        let until = if has_leader { want.patient_until } else { want.give_up_at };
+        let wait = until.saturating_sub(now());
         if let Ok(Ok(lease)) = tokio::time::timeout(wait, &mut granted).await {
             return Ok(lease);
         }
@@ -253,6 +264,8 @@
     pub fn observe_time(&self, server: &TargetId, took: Duration, slow_from: Duration) {
         let mut inner = self.lock();
         let running = inner.group.server(server).map_or(0, |view| view.running);
+        let kept = inner.service_time * (SERVICE_TIME_SMOOTHING - 1);
+        inner.service_time = (kept + took) / SERVICE_TIME_SMOOTHING;
         if let Some(pool) = inner.pools.get_mut(server) {
             pool.share.limit.answered(now(), running, took, slow_from);
         }
@@ -408,6 +421,33 @@
 type Grant = (oneshot::Sender<Lease>, TargetId, PooledConnection);
 
 impl Inner {
+    /// Refuses a request that would wait for too long.
+    ///
+    /// While more comes than the servers can take, a queue served in order
+    /// makes everybody late: the last one waits until its deadline, and so
+    /// does each that follows. Refused at once, some are served in time, and
+    /// the others can use their time elsewhere.
+    fn admit(&self, now: Moment, want: &Want<'_>) -> Result<(), Failure> {
+        let capacity: f64 = self
+            .group
+            .servers()
+            .filter(|view| want.need.accepts(&self.group, now, &view.info.id))
+            .map(|view| self.share_of(&view.info.id).limit.value())
+            .sum();
+        // Nobody can serve it now, but somebody may soon.
+        if capacity <= 0.0 {
+            return Ok(());
+        }
+        let ahead = self.queue.ahead_of(want.priority, want.give_up_at).count() + 1;
+        let ahead = f64::from(u32::try_from(ahead).unwrap_or(u32::MAX));
+        let expected = self.service_time.mul_f64(ahead / capacity);
+        let patience = want.patient_until.saturating_sub(now);
+        if expected <= patience {
+            return Ok(());
+        }
+        Err(Failure::new(ErrorKind::Overloaded).with_retry_after(expected - patience))
+    }
+
     /// Takes the idle connection that fits best, if nobody waits who should
     /// have it first.
     fn take_idle(&mut self, now: Moment, want: &Want<'_>) -> Option<(TargetId, PooledConnection)> {
--- a/daemon/src/engine/single.rs
+++ b/daemon/src/engine/single.rs
@@ -246,6 +246,7 @@
         need,
         priority: request.route.priority,
         give_up_at: request.deadline,
+        patient_until: request.patient_until(),
         values: session.values(),
         prepared: work.prepared.as_ref(),
     };
--- a/lib/src/waits.rs
+++ b/lib/src/waits.rs
@@ -35,3 +35,12 @@
 pub fn slow_from(objective: Duration) -> Duration {
     objective / 2
 }
+
+/// How long a request may wait for a server and still meet its objective.
+///
+/// Three quarters; the rest is about the usual time of a statement with the
+/// ways to the client.
+#[must_use]
+pub fn patience(objective: Duration) -> Duration {
+    objective * 3 / 4
+}
