--- a/daemon/src/engine/fleet_control.rs
+++ b/daemon/src/engine/fleet_control.rs
@@ -6,6 +6,7 @@
 
 use chervilwharf_lib::engine_protos::DirectoryPull;
 use chervilwharf_lib::engine_protos::DirectoryState;
+use chervilwharf_lib::engine_protos::GroupDemand;
 use chervilwharf_lib::engine_protos::Heartbeat;
 use chervilwharf_lib::engine_protos::PositionSample;
 use chervilwharf_lib::engine_protos::engine_frame::Body;
@@ -229,6 +230,7 @@
             configuration_version: self.catalog().version,
             servers_revision: self.servers_revision(),
             samples: Vec::new(),
+            demands: self.demands(),
         }
     }
 
@@ -267,7 +269,21 @@
 
     /// Another instance is alive.
     pub fn take_heartbeat(&self, heartbeat: &Heartbeat) {
-        self.with_fleet(|fleet| fleet.heard(now(), &heartbeat.instance, heartbeat.leaving));
+        let demands = heartbeat.demands.iter();
+        let demands = demands.map(|demand| (demand.group.as_str().into(), demand.wanted)).collect();
+        self.with_fleet(|fleet| {
+            fleet.heard(now(), &heartbeat.instance, heartbeat.leaving);
+            fleet.set_demands(&heartbeat.instance, demands);
+        });
+    }
+
+    fn demands(&self) -> Vec<GroupDemand> {
+        let at = now();
+        let demand = |shard: Arc<Shard>| GroupDemand {
+            group: shard.id().to_string(),
+            wanted: shard.demand(at),
+        };
+        self.shards().into_iter().map(demand).collect()
     }
 
     /// Whether another instance knows records that this one lacks: while the
--- a/daemon/src/engine/shard.rs
+++ b/daemon/src/engine/shard.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use chervilwharf_lib::admission::Priority;
+use chervilwharf_lib::connection_budget::Demand;
 use chervilwharf_lib::engine_protos::Tunnel;
 use chervilwharf_lib::error_kind::ErrorKind;
 use chervilwharf_lib::group::Group;
@@ -77,6 +78,7 @@
     budget: usize,
     /// Smoothed time between a grant and the end of the statement.
     service_time: Duration,
+    demand: Demand,
     /// Servers that this instance does not reach itself, with another
     /// instance that does.
     detours: HashMap<TargetId, Detour>,
@@ -164,8 +166,17 @@
 
     /// Sets how many connections to each server this instance may hold.
     pub fn set_budget(self: &Arc<Self>, budget: usize) {
-        self.lock().budget = budget;
-        self.pump();
+        let before = std::mem::replace(&mut self.lock().budget, budget);
+        if before != budget {
+            log::debug!("{budget} connections to each server of {}", self.id);
+            self.pump();
+        }
+    }
+
+    /// Connections that this instance wants to the busiest server.
+    #[must_use]
+    pub fn demand(&self, now: Moment) -> f64 {
+        self.lock().demand.at(now)
     }
 
     /// Requests that wait for a connection.
@@ -487,11 +498,19 @@
                 continue;
             }
             self.group.begin_running(server);
+            self.observe_demand(now());
             return Some(connection);
         }
         None
     }
 
+    /// Those who wait could all be waiting for the busiest server.
+    fn observe_demand(&mut self, now: Moment) {
+        let lent = |pool: &Pool| pool.share.open.saturating_sub(pool.idle.len());
+        let busiest = self.pools.values().map(lent).max().unwrap_or(0);
+        self.demand.observe(now, busiest + self.queue.len());
+    }
+
     fn choose(&self, now: Moment, need: &Need) -> Choice {
         choose(&self.group, now, need, |id| self.share_of(id))
     }
@@ -510,6 +529,7 @@
         // Openings under way will serve the first of those who wait for them.
         let mut under_way: HashMap<TargetId, usize> =
             self.pools.iter().map(|(id, pool)| (id.clone(), pool.share.opening)).collect();
+        self.observe_demand(now);
         let places: Vec<_> = self.queue.iter().map(|(place, _)| place).collect();
         for place in places {
             let Some(need) = self.queue.iter().find(|(at, _)| *at == place).map(|(_, w)| &w.need)
--- a/daemon/src/engine/shared.rs
+++ b/daemon/src/engine/shared.rs
@@ -6,12 +6,11 @@
 use std::sync::Mutex;
 use std::sync::RwLock;
 use std::sync::atomic::AtomicBool;
-use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 
 use chervilwharf_lib::catalog::Catalog;
 use chervilwharf_lib::catalog::Route;
-use chervilwharf_lib::connection_budget::budget_per_instance;
+use chervilwharf_lib::connection_budget::budget;
 use chervilwharf_lib::engine_protos::Tunnel;
 use chervilwharf_lib::engine_protos::engine_frame::Body;
 use chervilwharf_lib::fleet::Fleet;
@@ -48,7 +47,6 @@
     doubt: Arc<Notify>,
     /// Woken when the record of this instance has to be written.
     wants_record: Notify,
-    sharing_instances: AtomicUsize,
     /// Set once a planned stop has begun.
     stopping: watch::Sender<Option<StopPlan>>,
     sessions: watch::Sender<usize>,
@@ -71,7 +69,6 @@
             watches: LeaderWatches::default(),
             doubt: Arc::default(),
             wants_record: Notify::new(),
-            sharing_instances: AtomicUsize::new(1),
             stopping: watch::Sender::new(None),
             sessions: watch::Sender::new(0),
         }
@@ -153,12 +150,7 @@
 
     /// Divides the connections of each server among the live instances.
     pub fn share_connections(&self) {
-        let sharing = self.with_fleet(|fleet| fleet.sharing(now()));
-        let before = self.sharing_instances.swap(sharing, Ordering::Relaxed);
-        if before != sharing {
-            log::info!("{sharing} instances share the connections of each server");
-            self.apply_budgets();
-        }
+        self.apply_budgets();
     }
 
     fn apply_budgets(&self) {
@@ -171,8 +163,9 @@
             let Some(settings) = catalog.groups.get(group) else {
                 continue;
             };
-            let sharing = self.sharing_instances.load(Ordering::Relaxed);
-            shard.set_budget(budget_per_instance(settings.max_connections, sharing));
+            let at = now();
+            let others = self.with_fleet(|fleet| fleet.demands(at, group));
+            shard.set_budget(budget(settings.max_connections, shard.demand(at), &others));
         }
     }
 
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -6,10 +6,12 @@
 //! silent. The cost does not grow with the number of instances.
 
 use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::id::FailureDomainId;
+use crate::id::GroupId;
 use crate::id::InstanceId;
 use crate::moment::Moment;
 use crate::placement::stable_hash;
@@ -50,6 +52,8 @@
     /// When it last answered; its first sight counts as an answer.
     heard_at: Moment,
     leaving: bool,
+    /// Connections that it wants, by group.
+    demands: HashMap<GroupId, f64>,
 }
 
 /// The instances.
@@ -76,7 +80,8 @@
             return;
         }
         let id = record.id.clone();
-        self.members.insert(id, Member { record, heard_at: now, leaving: false });
+        self.members
+            .insert(id, Member { record, heard_at: now, leaving: false, demands: HashMap::new() });
     }
 
     /// A record is gone.
@@ -100,6 +105,27 @@
         }
     }
 
+    /// What an instance wants of the connections to each group.
+    pub fn set_demands(&mut self, id: &str, demands: HashMap<GroupId, f64>) {
+        if let Some(member) = self.members.get_mut(id) {
+            member.demands = demands;
+        }
+    }
+
+    /// What the other instances want of the connections to a group: one
+    /// number for each that shares them.
+    ///
+    /// While most others are silent, it is more likely that this instance is
+    /// cut off than that they are all gone. They keep their connections then.
+    #[must_use]
+    pub fn demands(&self, now: Moment, group: &GroupId) -> Vec<f64> {
+        let live = self.live(now);
+        let cut_off = self.is_cut_off(now);
+        let sharing =
+            self.members.values().filter(|member| cut_off || live.contains(&member.record.id));
+        sharing.map(|member| member.demands.get(group).copied().unwrap_or(0.0)).collect()
+    }
+
     /// Instances to send heartbeats to: the next ones in the ring of names.
     #[must_use]
     pub fn watched(&self) -> Vec<InstanceRecord> {
@@ -162,16 +188,6 @@
         }
     }
 
-    /// How many instances share the connections of each server.
-    ///
-    /// While most others are silent, it is more likely that this instance is
-    /// cut off than that they are all gone. They keep their connections then.
-    #[must_use]
-    pub fn sharing(&self, now: Moment) -> usize {
-        let live = self.live(now).len();
-        if self.is_cut_off(now) { self.members.len() + 1 } else { live }
-    }
-
     fn is_cut_off(&self, now: Moment) -> bool {
         let watched = self.watched();
         let silent = |record: &&InstanceRecord| {
--- a/lib/src/protos/chervilwharf.engine.rs
+++ b/lib/src/protos/chervilwharf.engine.rs
@@ -48,6 +48,8 @@
     /// sample is at most.
     #[prost(message, repeated, tag = "7")]
     pub samples: ::prost::alloc::vec::Vec<PositionSample>,
+    #[prost(message, repeated, tag = "6")]
+    pub demands: ::prost::alloc::vec::Vec<GroupDemand>,
 }
 /// A position that the primary of a group had reached.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -62,6 +64,14 @@
     #[prost(uint64, tag = "4")]
     pub age_ms: u64,
 }
+/// Connections that the sender wants to the busiest server of a group.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct GroupDemand {
+    #[prost(string, tag = "1")]
+    pub group: ::prost::alloc::string::String,
+    #[prost(double, tag = "2")]
+    pub wanted: f64,
+}
 /// Asks whether a primary can be reached from the other instance.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct LeaderQuery {
