--- a/daemon/src/engine/request.rs
+++ b/daemon/src/engine/request.rs
@@ -26,11 +26,15 @@
 }
 
 impl Request {
-    /// Until when a wait for a server leaves time to meet the objective.
+    /// Until when a wait for a server that begins now is worth its time.
+    ///
+    /// The first wait must leave time to meet the objective. A request whose
+    /// server did not answer is late already when it tries another one; it
+    /// still has to be given time for a new connection there.
     #[must_use]
-    pub fn patient_until(&self) -> Moment {
+    pub fn patient_until(&self, now: Moment) -> Moment {
         let patience = waits::patience(self.route.objective);
-        (self.arrived_at + patience).min(self.deadline)
+        (self.arrived_at + patience).max(now + patience / 2).min(self.deadline)
     }
 
     /// Time left until the deadline.
--- a/daemon/src/engine/transaction.rs
+++ b/daemon/src/engine/transaction.rs
@@ -305,7 +305,7 @@
         need,
         priority: request.route.priority,
         give_up_at: request.deadline,
-        patient_until: request.patient_until(),
+        patient_until: request.patient_until(now()),
         values: session.values(),
         prepared: work.prepared.as_ref(),
     };
