engine: structured events, metrics, and chervilwharf explain

Cause: from a request's id one could not reach its cause: lines were free text, none named the request, and standard output could block. Now one table of event kinds with named fields and a budget of lines a second, one writer behind a bounded queue, counters and histograms on the metrics address, and a tool that tells the story of a request from logs.

--- a/cli/src/command.rs
+++ b/cli/src/command.rs
@@ -11,6 +11,7 @@
 use crate::burn;
 use crate::client::Client;
 use crate::configuration;
+use crate::explain;
 use crate::request;
 use crate::status;
 
@@ -48,6 +49,7 @@
     History(HistoryCommand),
     Status(StatusCommand),
     Request(RequestCommand),
+    Explain(ExplainCommand),
     Report(ReportCommand),
     Verifier(VerifierCommand),
 }
@@ -123,6 +125,21 @@
     pub database: String,
 }
 
+/// Tell from logs of instances why a request failed or was late.
+///
+/// Lines that name the request are marked with a star; the others are what
+/// happened to its group and servers at that time.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub struct ExplainCommand {
+    /// id of the request
+    #[argh(positional)]
+    pub id: String,
+    /// log files, one or more
+    #[argh(positional)]
+    pub files: Vec<PathBuf>,
+}
+
 /// Print a report.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "report")]
@@ -217,6 +234,7 @@
     };
     match arguments.command {
         Command::Check(command) => configuration::check(&output, &command.file),
+        Command::Explain(command) => explain::run(&output, &command),
         Command::Verifier(_) => make_verifier(&output),
         Command::Apply(command) => apply::run(&output, &client()?, &command).await,
         Command::Show(_) => configuration::show(&output, &client()?).await,
--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod client;
 pub mod command;
 pub mod configuration;
+pub mod explain;
 pub mod request;
 pub mod status;
--- a/daemon/src/engine/configuration_control.rs
+++ b/daemon/src/engine/configuration_control.rs
@@ -2,11 +2,15 @@
 
 use std::sync::Arc;
 
+use chervilwharf_lib::event::Event;
+use chervilwharf_lib::event::EventKind;
+
 use crate::engine::directory::Change;
 use crate::engine::directory::Entry;
 use crate::engine::directory::Record;
 use crate::engine::directory::RecordKind;
 use crate::engine::directory::Revision;
+use crate::engine::event_log;
 use crate::engine::follow::Follower;
 use crate::engine::shared::Engine;
 
@@ -28,7 +32,8 @@
         };
         let (version, routes) = (catalog.version, catalog.routes.len());
         if self.engine.set_catalog(&catalog) {
-            log::info!("configuration {version} with {routes} routes is in force");
+            let event = Event::new(EventKind::ConfigurationInForce).with("version", version);
+            event_log::emit(&event.with_count("routes", routes).with("source", "store"));
         }
     }
 }
--- a/daemon/src/engine/duty_control.rs
+++ b/daemon/src/engine/duty_control.rs
@@ -7,6 +7,8 @@
 use chervilwharf_lib::duty::DutyRecord;
 use chervilwharf_lib::duty::DutyToken;
 use chervilwharf_lib::duty::next_record;
+use chervilwharf_lib::event::Event;
+use chervilwharf_lib::event::EventKind;
 use chervilwharf_lib::id::GroupId;
 use chervilwharf_lib::id::InstanceId;
 
@@ -17,6 +19,7 @@
 use crate::engine::directory::RecordKind;
 use crate::engine::directory::Revision;
 use crate::engine::directory::WriteError;
+use crate::engine::event_log;
 use crate::engine::follow::Follower;
 use crate::engine::shared::Engine;
 
@@ -85,7 +88,8 @@
         let (group, holder, token) = (record.group.clone(), record.holder.clone(), record.token);
         let new = self.engine.with_duties(|duties| duties.learn(entry.revision, record));
         if new {
-            log::info!("instance {holder} has the duty of {group} with token {token}");
+            let event = Event::new(EventKind::DutyTaken).with("group", &group);
+            event_log::emit(&event.with("holder", &holder).with("token", token));
             self.engine.duty_moved(&group, &holder);
         }
     }
@@ -124,7 +128,8 @@
             let me = engine.me();
             let kept = engine.with_duties(|duties| duties.usable(group, &me.id, me.life));
             let token = kept.as_ref().map(|record| record.token);
-            log::warn!("no new token for the duty of {group}, old one {token:?}: {error}");
+            let event = Event::new(EventKind::DutyFailed).with("group", group);
+            event_log::emit(&event.with("reason", &error).with_some("kept_token", token));
             // Somebody else's newer record makes an old token useless.
             match error {
                 WriteError::Conflict(_) => None,
@@ -159,6 +164,7 @@
         result => result?,
     };
     engine.with_duties(|duties| duties.learn(written, next.clone()));
-    log::info!("this instance takes the duty of {group} with token {}", next.token);
+    let event = Event::new(EventKind::DutyTaken).with("group", group);
+    event_log::emit(&event.with("holder", &next.holder).with("token", next.token));
     Ok(next)
 }
--- a/daemon/src/engine/fleet_control.rs
+++ b/daemon/src/engine/fleet_control.rs
@@ -10,6 +10,8 @@
 use chervilwharf_lib::engine_protos::Heartbeat;
 use chervilwharf_lib::engine_protos::PositionSample;
 use chervilwharf_lib::engine_protos::engine_frame::Body;
+use chervilwharf_lib::event::Event;
+use chervilwharf_lib::event::EventKind;
 use chervilwharf_lib::fleet::HEARTBEAT_INTERVAL;
 use chervilwharf_lib::fleet::InstanceRecord;
 use chervilwharf_lib::id::InstanceId;
@@ -24,6 +26,7 @@
 use crate::engine::directory::RecordKind;
 use crate::engine::directory::Revision;
 use crate::engine::directory::WriteError;
+use crate::engine::event_log;
 use crate::engine::follow::Follower;
 use crate::engine::records;
 use crate::engine::shard::Shard;
@@ -93,7 +96,8 @@
             match write_record(&engine, &*directory).await {
                 Ok(()) => break,
                 Err(error) => {
-                    log::warn!("the record of this instance is not written: {error}");
+                    let event = Event::new(EventKind::InstanceRecordFailed);
+                    event_log::emit(&event.with("reason", error));
                     tokio::time::sleep(REGISTER_PAUSE).await;
                 }
             }
@@ -111,7 +115,7 @@
     }
     let expected = present.map(|entry| entry.revision);
     directory.write(&me.id, &record, expected).await?;
-    log::info!("this instance is registered as {}, life {}", me.id, me.life);
+    event_log::emit(&Event::new(EventKind::InstanceRegistered).with("life", me.life));
     Ok(())
 }
 
@@ -126,7 +130,7 @@
     };
     if let Err(error) = removed {
         // Others notice the silence instead.
-        log::info!("the record of this instance stays: {error}");
+        event_log::emit(&Event::new(EventKind::InstanceRecordFailed).with("reason", error));
     }
 }
 
@@ -141,7 +145,8 @@
         tokio::time::sleep(HEARTBEAT_INTERVAL).await;
         let at = now();
         if at > last_round + STOOD_STILL {
-            log::warn!("this instance stood still for {:?}", at.saturating_sub(last_round));
+            let still = at.saturating_sub(last_round);
+            event_log::emit(&Event::new(EventKind::StoodStill).with_ms("for_ms", still));
             engine.with_fleet(|fleet| fleet.stood_still(at));
         }
         last_round = at;
@@ -171,11 +176,13 @@
 /// Takes over what another instance knows of the platform's records.
 pub async fn pull_directory(engine: &Engine, peer: &InstanceRecord) {
     let question = Body::DirectoryPull(DirectoryPull {});
-    match engine.peers().ask(peer.peer_address, question).await {
-        Ok(Body::DirectoryState(state)) => take_directory(engine, &peer.id, state),
-        Ok(_) => log::warn!("instance {} answered something else than was asked", peer.id),
-        Err(error) => log::info!("instance {} does not tell its records: {error}", peer.id),
-    }
+    let reason = match engine.peers().ask(peer.peer_address, question).await {
+        Ok(Body::DirectoryState(state)) => return take_directory(engine, &peer.id, state),
+        Ok(_) => "it answered something else than was asked".to_owned(),
+        Err(error) => error.to_string(),
+    };
+    let event = Event::new(EventKind::PeerFailed).with("peer", &peer.id);
+    event_log::emit(&event.with("asked", "records").with("reason", reason));
 }
 
 fn take_directory(engine: &Engine, from: &InstanceId, state: DirectoryState) {
@@ -183,14 +190,16 @@
         let catalog = Arc::new(records::decode_catalog(configuration));
         let version = catalog.version;
         if engine.set_catalog(&catalog) {
-            log::info!("configuration {version} is in force, told by instance {from}");
+            let event = Event::new(EventKind::ConfigurationInForce).with("version", version);
+            event_log::emit(&event.with("source", from));
         }
     }
     let servers: Vec<_> = state.servers.into_iter().filter_map(records::decode_server).collect();
     let revision = state.servers_revision;
     engine.update_servers(|list| {
         if revision > list.revision() {
-            log::info!("servers of revision {revision} told by instance {from}");
+            let event = Event::new(EventKind::PeerRecords).with("peer", from);
+            event_log::emit(&event.with("servers_revision", revision));
             list.replace(now(), servers);
             list.advance(revision);
         }
@@ -213,9 +222,10 @@
     if entry.record != Record::Instance(lost.clone()) {
         return;
     }
+    let event = Event::new(EventKind::InstanceRemoved).with("peer", &lost.id);
     match directory.remove(RecordKind::Instances, &lost.id, entry.revision).await {
-        Ok(()) => log::info!("the record of instance {}, long silent, is removed", lost.id),
-        Err(error) => log::info!("the record of instance {} stays: {error}", lost.id),
+        Ok(()) => event_log::emit(&event.with("outcome", "removed")),
+        Err(error) => event_log::emit(&event.with("outcome", "kept").with("reason", error)),
     }
 }
 
--- a/daemon/src/engine/follow.rs
+++ b/daemon/src/engine/follow.rs
@@ -3,12 +3,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chervilwharf_lib::event::Event;
+use chervilwharf_lib::event::EventKind;
+
 use crate::engine::directory::Change;
 use crate::engine::directory::Directory;
 use crate::engine::directory::DirectoryError;
 use crate::engine::directory::Entry;
 use crate::engine::directory::RecordKind;
 use crate::engine::directory::Revision;
+use crate::engine::event_log;
 
 /// Takes over what a kind of records says.
 pub trait Follower: Send {
@@ -55,19 +59,22 @@
         match result {
             Ok(next) => {
                 if pause != FIRST_PAUSE {
-                    log::info!("the store answers again for {kind}, revision {next}");
+                    let event = Event::new(EventKind::StoreRegained).with("kind", kind);
+                    event_log::emit(&event.with("revision", next));
                     follower.outage(false);
                 }
                 pause = FIRST_PAUSE;
                 revision = Some(next);
             }
             Err(DirectoryError::HistoryGone) => {
-                log::info!("the store forgot the changes of {kind} since {revision:?}: list again");
+                let event = Event::new(EventKind::StoreHistoryGone).with("kind", kind);
+                event_log::emit(&event.with_some("since", revision));
                 revision = None;
             }
             Err(error) => {
                 if pause == FIRST_PAUSE {
-                    log::warn!("the store fails for {kind}: {error}");
+                    let event = Event::new(EventKind::StoreLost).with("kind", kind);
+                    event_log::emit(&event.with("reason", error).with_some("revision", revision));
                     follower.outage(true);
                 }
                 tokio::time::sleep(pause).await;
--- a/daemon/src/engine/leader_control.rs
+++ b/daemon/src/engine/leader_control.rs
@@ -12,6 +12,8 @@
 use chervilwharf_lib::engine_protos::LeaderQuery;
 use chervilwharf_lib::engine_protos::LeaderReply;
 use chervilwharf_lib::engine_protos::engine_frame::Body;
+use chervilwharf_lib::event::Event;
+use chervilwharf_lib::event::EventKind;
 use chervilwharf_lib::fleet::InstanceRecord;
 use chervilwharf_lib::group::ServerStatus;
 use chervilwharf_lib::id::GroupId;
@@ -27,6 +29,7 @@
 use crate::engine::clock::now;
 use crate::engine::directory::Directory;
 use crate::engine::duty_control;
+use crate::engine::event_log;
 use crate::engine::probe;
 use crate::engine::probe::Probed;
 use crate::engine::promoter::Promoted;
@@ -226,7 +229,14 @@
     if let (Some(leader), Some(helper)) = (&leader, helpers.choose(&mut rand::rng())) {
         shard.set_detour(leader, *helper);
     }
-    log::info!("primary {leader:?} of {} as others see it: {opinions:?}", shard.id());
+    let event = Event::new(EventKind::LeaderOpinions)
+        .with("group", shard.id())
+        .with_some("server", leader.as_ref())
+        .with_count("reached", opinions.reached)
+        .with_count("failed", opinions.failed)
+        .with_count("unknown", opinions.unknown)
+        .with("replacing", opinions.replacing);
+    event_log::emit(&event);
     engine.watches().with(shard.id(), |watch| watch.heard(now(), leader.as_ref(), opinions));
 }
 
@@ -240,7 +250,8 @@
     let id: TargetId = reply.leader.as_str().into();
     let changed = shard.with_group(|group| group.hear_of_leader(now(), &id, reply.term));
     if changed {
-        log::info!("server {id} leads {} in term {}, as others say", shard.id(), reply.term);
+        let event = Event::new(EventKind::LeaderFound).with("group", shard.id());
+        event_log::emit(&event.with("server", &id).with("term", reply.term).with("source", "peer"));
         shard.pump();
     }
 }
@@ -254,7 +265,8 @@
 ) -> bool {
     let last_resort = reason == ReplaceReason::LastResort;
     let Some((target, status)) = best_replica(shard, from.as_ref(), last_resort).await else {
-        log::warn!("no replica of {} can take over from {from:?}", shard.id());
+        let event = Event::new(EventKind::ReplacementDropped).with("group", shard.id());
+        event_log::emit(&event.with_some("from", from).with("reason", "no replica can take over"));
         return false;
     };
     if status.leads {
@@ -265,17 +277,22 @@
         return false;
     };
     if is_outdated(shard, from.as_ref(), reason) {
-        log::info!("the replacement of {from:?} in {} is outdated", shard.id());
+        let event = Event::new(EventKind::ReplacementDropped).with("group", shard.id());
+        event_log::emit(&event.with_some("from", from).with("reason", "outdated"));
         return false;
     }
-    log::warn!(
-        "server {target} at {} takes over {} from {from:?} ({reason:?}), token {}",
-        status.received,
-        shard.id(),
-        duty.token
-    );
+    let event = Event::new(EventKind::ReplacementBegun)
+        .with("group", shard.id())
+        .with_some("from", from)
+        .with("server", &target)
+        .with("received", status.received)
+        .with("reason", format_args!("{reason:?}"))
+        .with("token", duty.token);
+    event_log::emit(&event);
     let promoted = replacer.promoter.promote(&duty, &target).await;
-    log::info!("promotion of {target} under token {}: {promoted:?}", duty.token);
+    let event = Event::new(EventKind::PromotionAnswered).with("group", shard.id());
+    let event = event.with("server", &target).with("token", duty.token);
+    event_log::emit(&event.with("outcome", format_args!("{promoted:?}")));
     finish(replacer, shard, &duty, &target, promoted).await
 }
 
@@ -347,11 +364,9 @@
         };
         let may_lead = shard.with_group(|group| group.may_lead(&status));
         if !may_lead && !last_resort {
-            log::warn!(
-                "server {id} at {} in term {} missed a change of primary",
-                status.received,
-                status.term
-            );
+            let event = Event::new(EventKind::CandidateRejected).with("group", shard.id());
+            let event = event.with("server", &id).with("received", status.received);
+            event_log::emit(&event.with("term", status.term).with("reason", "missed a change"));
             continue;
         }
         let rank = |status: &ServerStatus| (status.leads, status.received);
--- a/daemon/src/engine/peers.rs
+++ b/daemon/src/engine/peers.rs
@@ -12,6 +12,8 @@
 use chervilwharf_lib::engine_protos::Tunnel;
 use chervilwharf_lib::engine_protos::TunnelReply;
 use chervilwharf_lib::engine_protos::engine_frame::Body;
+use chervilwharf_lib::event::Event;
+use chervilwharf_lib::event::EventKind;
 use displaydoc::Display;
 use futures::SinkExt;
 use futures::StreamExt;
@@ -21,6 +23,7 @@
 use tokio_util::codec::Framed;
 use tokio_util::codec::LengthDelimitedCodec;
 
+use crate::engine::event_log;
 use crate::engine::socket;
 
 /// Longest frame: a configuration of some thousand routes.
@@ -170,7 +173,7 @@
                 tokio::spawn(async move { answer_all(&*handler, stream).await });
             }
             Err(error) => {
-                log::warn!("another instance could not be accepted: {error}");
+                event_log::emit(&Event::new(EventKind::PeerFailed).with("reason", error));
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
@@ -182,19 +185,22 @@
 
 async fn answer_all(handler: &dyn PeerHandler, stream: TcpStream) {
     if let Err(error) = socket::configure(&stream) {
-        log::debug!("an instance's connection ended at once: {error}");
+        event_log::emit(&Event::new(EventKind::PeerFailed).with("reason", error));
         return;
     }
     let mut frames = frames(stream);
     while let Ok(frame) = read_frame(&mut frames).await {
         if let Some(Body::Tunnel(tunnel)) = &frame.body {
             let target = handler.tunnel_target(tunnel);
+            let event = Event::new(EventKind::TunnelOpened).with("group", &tunnel.group);
+            event_log::emit(&event.with("server", &tunnel.server).with_some("address", target));
             carry_tunnel(frames, frame.exchange_id, target).await;
             return;
         }
         let body = frame.body.and_then(|question| handler.answer(question));
         let Some(body) = body else {
-            log::warn!("an instance sent something that is no question");
+            let event = Event::new(EventKind::PeerFailed);
+            event_log::emit(&event.with("reason", "it sent something that is no question"));
             return;
         };
         let answer = EngineFrame { exchange_id: frame.exchange_id, body: Some(body) };
--- a/daemon/src/engine/probe.rs
+++ b/daemon/src/engine/probe.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chervilwharf_lib::event::Event;
+use chervilwharf_lib::event::EventKind;
 use chervilwharf_lib::group::ServerStatus;
 use chervilwharf_lib::id::TargetId;
 use chervilwharf_lib::layout::SessionValues;
@@ -10,6 +12,7 @@
 use chervilwharf_lib::pool_share::Need;
 
 use crate::engine::clock::now;
+use crate::engine::event_log;
 use crate::engine::shard::Shard;
 use crate::engine::shard::Want;
 
@@ -74,7 +77,7 @@
             if !shard.has_detour(id) {
                 shard.with_group(|group| group.observe_failure(now(), id));
             }
-            log::info!("probe of server {id} of {} failed: {error}", shard.id());
+            report_failure(shard, id, &error);
             Probed::Failed
         }
     }
@@ -106,27 +109,29 @@
             }
         }
         Ok(Err(error)) => {
-            log::info!("sample of server {id} of {} failed: {error}", shard.id());
+            report_failure(shard, id, &error.to_string());
             shard.with_group(|group| group.observe_failure(now(), id));
         }
         Err(_) => {
-            log::info!("sample of server {id} of {} got no answer in time", shard.id());
+            report_failure(shard, id, "no answer in time");
             shard.with_group(|group| group.observe_failure(now(), id));
         }
     }
 }
 
+fn report_failure(shard: &Shard, id: &TargetId, reason: &str) {
+    let event = Event::new(EventKind::ProbeFailed).with("group", shard.id());
+    event_log::emit(&event.with("server", id).with("reason", reason));
+}
+
 impl Shard {
     /// A server told its state.
     pub fn observe_status(self: &Arc<Self>, asked_at: Moment, id: &TargetId, status: ServerStatus) {
         let changed = self.with_group(|group| group.observe_status(asked_at, now(), id, status));
         if changed && status.leads {
-            log::info!(
-                "server {id} leads {} in term {} from position {}",
-                self.id(),
-                status.term,
-                status.received
-            );
+            let event = Event::new(EventKind::LeaderFound).with("group", self.id());
+            let event = event.with("server", id).with("term", status.term);
+            event_log::emit(&event.with("received", status.received).with("source", "server"));
         }
         if changed {
             self.pump();
--- a/daemon/src/engine/session.rs
+++ b/daemon/src/engine/session.rs
@@ -8,9 +8,12 @@
 use chervilwharf_lib::catalog::Consistency;
 use chervilwharf_lib::catalog::Route;
 use chervilwharf_lib::error_kind::ErrorKind;
+use chervilwharf_lib::event::Event;
+use chervilwharf_lib::event::EventKind;
 use chervilwharf_lib::id::RequestId;
 use chervilwharf_lib::layout::SessionValues;
 use chervilwharf_lib::moment::Moment;
+use chervilwharf_lib::pool_share::Need;
 use chervilwharf_lib::position::Position;
 use chervilwharf_lib::statement::Access;
 use chervilwharf_lib::statement::Answer;
@@ -23,15 +26,18 @@
 
 use crate::engine::border::Step;
 use crate::engine::clock::now;
+use crate::engine::event_log;
 use crate::engine::lease::Lease;
 use crate::engine::request::Failure;
 use crate::engine::request::Request;
 use crate::engine::request::Served;
 use crate::engine::shard::Shard;
+use crate::engine::shard::Want;
 use crate::engine::shared::Engine;
 use crate::engine::shared::SessionGuard;
 use crate::engine::single;
 use crate::engine::single::Work;
+use crate::engine::trail::Trail;
 use crate::engine::transaction;
 use crate::engine::transaction::Transaction;
 
@@ -66,6 +72,7 @@
     /// Position of the session's last own commit.
     floor: Option<Position>,
     transaction: Option<Transaction>,
+    trail: Trail,
     /// Place among the sessions that a planned stop closes one by one.
     spread: u32,
     _counted: SessionGuard,
@@ -93,6 +100,7 @@
         Ok(Self {
             spread: rand::random_range(0..SPREAD_STEPS),
             _counted: counted,
+            trail: Trail::default(),
             engine,
             shard,
             database,
@@ -136,7 +144,8 @@
     /// is one of few, and others wait for it.
     pub fn end_rest(&mut self) {
         if let Some(transaction) = &mut self.transaction {
-            log::info!("a transaction on {} rested too long and is rolled back", self.database);
+            let event = Event::new(EventKind::TransactionRested).with("database", &self.database);
+            event_log::emit(&event.with("last_id", &self.trail.id));
             transaction.end_rest();
         }
     }
@@ -228,10 +237,10 @@
     /// Runs one statement.
     pub async fn run(&mut self, id: RequestId, statement: Statement) -> Reply {
         let began_at = now();
-        let result = self.dispatch(id.clone(), statement).await;
-        if let Err(failure) = &result {
-            self.log_failure(&id, failure, began_at);
-        }
+        let database = self.database.clone();
+        self.trail = Trail { id: id.clone(), database, ..Trail::default() };
+        let result = self.dispatch(id, statement).await;
+        self.report(result.as_ref().err(), now().saturating_sub(began_at));
         let state = self.state();
         match result {
             Ok(Some(served)) => {
@@ -242,15 +251,58 @@
         }
     }
 
-    fn log_failure(&self, id: &str, failure: &Failure, began_at: Moment) {
-        let waited = now().saturating_sub(began_at);
-        let waiting = self.shard.waiting();
-        let kind = failure.kind.name();
-        log::info!(
-            "request {id} on {}: {kind} after {waited:?}, {waiting} waiting for {}",
-            self.database,
-            self.shard.id()
-        );
+    fn report(&self, failure: Option<&Failure>, took: Duration) {
+        let group = self.shard.id();
+        let metrics = self.engine.metrics();
+        metrics.ended(group, failure.map(|failure| failure.kind), took);
+        if let Some(failure) = failure {
+            self.trail.failed(group, failure, took, self.shard.waiting());
+            return;
+        }
+        if self.trail.tries == 0 {
+            return;
+        }
+        metrics.tried(group, self.trail.waited, self.trail.at_server);
+        let objective = self.engine.route(&self.database).map(|route| route.objective);
+        if let Some(objective) = objective.filter(|objective| took > *objective) {
+            self.trail.late(group, took, objective);
+        }
+    }
+
+    /// What happened to the present statement so far.
+    pub fn trail_mut(&mut self) -> &mut Trail {
+        &mut self.trail
+    }
+
+    /// A try of the present statement failed, and another one follows.
+    pub fn try_again(&self, failure: &Failure) {
+        self.engine.metrics().moved(failure.kind);
+        self.trail.moved(self.shard.id(), failure);
+    }
+
+    /// Gets a connection for the present statement.
+    ///
+    /// # Errors
+    ///
+    /// When none could be had in time. Nothing was sent then.
+    pub async fn acquire(
+        &mut self,
+        request: &Request,
+        need: Need,
+        prepared: Option<&Prepared>,
+    ) -> Result<Lease, Failure> {
+        let began_at = now();
+        let want = Want {
+            need,
+            priority: request.route.priority,
+            give_up_at: request.deadline,
+            patient_until: request.patient_until(began_at),
+            values: &self.values,
+            prepared,
+        };
+        let acquired = self.shard.acquire(&want).await;
+        self.trail.waited += now().saturating_sub(began_at);
+        acquired
     }
 
     async fn dispatch(
--- a/daemon/src/engine/shard.rs
+++ b/daemon/src/engine/shard.rs
@@ -12,6 +12,8 @@
 use chervilwharf_lib::connection_budget::Demand;
 use chervilwharf_lib::engine_protos::Tunnel;
 use chervilwharf_lib::error_kind::ErrorKind;
+use chervilwharf_lib::event::Event;
+use chervilwharf_lib::event::EventKind;
 use chervilwharf_lib::group::Group;
 use chervilwharf_lib::group::ServerInfo;
 use chervilwharf_lib::id::GroupId;
@@ -32,6 +34,7 @@
 use crate::engine::border::Connector;
 use crate::engine::border::ServerConnection;
 use crate::engine::clock::now;
+use crate::engine::event_log;
 use crate::engine::lease::Lease;
 use crate::engine::lease::PooledConnection;
 use crate::engine::peers;
@@ -159,7 +162,8 @@
     pub fn lost_lead(&self, server: &TargetId) {
         let was = self.with_group(|group| group.observe_not_leading(server, 0));
         if was {
-            log::info!("server {server} does not lead {} any more", self.id);
+            let event = Event::new(EventKind::LeaderLost).with("group", &self.id);
+            event_log::emit(&event.with("server", server));
             self.doubt();
         }
     }
@@ -168,7 +172,8 @@
     pub fn set_budget(self: &Arc<Self>, budget: usize) {
         let before = std::mem::replace(&mut self.lock().budget, budget);
         if before != budget {
-            log::debug!("{budget} connections to each server of {}", self.id);
+            let event = Event::new(EventKind::BudgetChanged).with("group", &self.id);
+            event_log::emit(&event.with_count("from", before).with_count("to", budget));
             self.pump();
         }
     }
@@ -179,6 +184,19 @@
         self.lock().demand.at(now)
     }
 
+    /// Connections to each server, by state.
+    #[must_use]
+    pub fn connection_counts(&self) -> Vec<ConnectionCounts> {
+        let inner = self.lock();
+        let count = |(id, pool): (&TargetId, &Pool)| ConnectionCounts {
+            server: id.clone(),
+            idle: pool.idle.len(),
+            lent: pool.share.open.saturating_sub(pool.idle.len()),
+            opening: pool.share.opening,
+        };
+        inner.pools.iter().map(count).collect()
+    }
+
     /// Requests that wait for a connection.
     #[must_use]
     pub fn waiting(&self) -> usize {
@@ -360,7 +378,8 @@
         let detour = Detour { via, checked_at: now() };
         let before = self.lock().detours.insert(server.clone(), detour);
         if before.is_none() {
-            log::warn!("server {server} of {} is reached through {via}", self.id);
+            let event = Event::new(EventKind::DetourOpened).with("group", &self.id);
+            event_log::emit(&event.with("server", server).with("via", via));
         }
         self.lock().pools.entry(server.clone()).or_default().share.blocked_until = Moment::ZERO;
         self.pump();
@@ -387,10 +406,16 @@
     /// The direct way to a server is open again.
     pub fn end_detour(&self, server: &TargetId) {
         if self.lock().detours.remove(server).is_some() {
-            log::info!("server {server} of {} is reached directly again", self.id);
+            let event = Event::new(EventKind::DetourClosed).with("group", &self.id);
+            event_log::emit(&event.with("server", server));
         }
     }
 
+    fn report_unopened(&self, server: &TargetId, reason: &str) {
+        let event = Event::new(EventKind::ConnectionFailed).with("group", &self.id);
+        event_log::emit(&event.with("server", server).with("reason", reason));
+    }
+
     fn opened(
         self: &Arc<Self>,
         server: &TargetId,
@@ -412,13 +437,13 @@
                 if refusal.kind == RefusalKind::TooManyConnections =>
             {
                 pool.share.blocked_until = now + TOO_MANY_PAUSE;
-                log::debug!("server {server} has too many connections");
+                self.report_unopened(server, "too many connections");
             }
             Err(error) => {
                 pool.share.blocked_until = now + OPEN_PAUSE;
                 inner.group.observe_failure(now, server);
                 drop(inner);
-                log::info!("no connection to server {server} of {}: {error}", self.id);
+                self.report_unopened(server, &error.to_string());
                 let shard = self.clone();
                 tokio::spawn(async move {
                     tokio::time::sleep(OPEN_PAUSE).await;
@@ -429,6 +454,24 @@
     }
 }
 
+/// Connections to one server.
+#[derive(Clone, Debug)]
+pub struct ConnectionCounts {
+    /// The server.
+    pub server: TargetId,
+    idle: usize,
+    lent: usize,
+    opening: usize,
+}
+
+impl ConnectionCounts {
+    /// The counts with the names of their states.
+    #[must_use]
+    pub fn by_state(&self) -> [(&'static str, usize); 3] {
+        [("idle", self.idle), ("lent", self.lent), ("opening", self.opening)]
+    }
+}
+
 type Grant = (oneshot::Sender<Lease>, TargetId, PooledConnection);
 
 impl Inner {
--- a/daemon/src/engine/shared.rs
+++ b/daemon/src/engine/shared.rs
@@ -26,6 +26,7 @@
 use crate::engine::clock::now;
 use crate::engine::duty_control::DutyBook;
 use crate::engine::leader_control::LeaderWatches;
+use crate::engine::metrics::EngineMetrics;
 use crate::engine::peers::PeerHandler;
 use crate::engine::peers::Peers;
 use crate::engine::shard::Shard;
@@ -42,6 +43,7 @@
     fleet: Mutex<Fleet>,
     peers: Arc<Peers>,
     duties: Mutex<DutyBook>,
+    metrics: EngineMetrics,
     watches: LeaderWatches,
     /// Woken when there is something to find out about a primary.
     doubt: Arc<Notify>,
@@ -66,6 +68,7 @@
             me,
             peers: Arc::default(),
             duties: Mutex::default(),
+            metrics: EngineMetrics::default(),
             watches: LeaderWatches::default(),
             doubt: Arc::default(),
             wants_record: Notify::new(),
@@ -97,6 +100,12 @@
         f(&mut self.duties.lock().expect("never poisoned"))
     }
 
+    /// Counters and histograms.
+    #[must_use]
+    pub fn metrics(&self) -> &EngineMetrics {
+        &self.metrics
+    }
+
     /// The watches of all groups.
     #[must_use]
     pub fn watches(&self) -> &LeaderWatches {
@@ -263,6 +272,12 @@
         SessionGuard(self.clone())
     }
 
+    /// Open sessions.
+    #[must_use]
+    pub fn session_count(&self) -> usize {
+        *self.sessions.borrow()
+    }
+
     /// Waits until no session is left.
     pub async fn sessions_ended(&self) {
         let mut sessions = self.sessions.subscribe();
--- a/daemon/src/engine/single.rs
+++ b/daemon/src/engine/single.rs
@@ -4,6 +4,8 @@
 
 use chervilwharf_lib::catalog::Consistency;
 use chervilwharf_lib::error_kind::ErrorKind;
+use chervilwharf_lib::event::Event;
+use chervilwharf_lib::event::EventKind;
 use chervilwharf_lib::moment::Moment;
 use chervilwharf_lib::pool_share::Need;
 use chervilwharf_lib::position::Position;
@@ -17,12 +19,12 @@
 use crate::engine::border::Step;
 use crate::engine::border::StepReply;
 use crate::engine::clock::now;
+use crate::engine::event_log;
 use crate::engine::lease::Lease;
 use crate::engine::request::Failure;
 use crate::engine::request::Request;
 use crate::engine::request::Served;
 use crate::engine::session::Session;
-use crate::engine::shard::Want;
 
 /// A statement as it goes to a server.
 #[derive(Clone, Debug)]
@@ -58,7 +60,7 @@
 
 /// Sends steps within `limit`. On any trouble the connection is closed.
 pub async fn send(
-    session: &Session,
+    session: &mut Session,
     lease: &mut Option<Lease>,
     steps: &[Step],
     limit: Duration,
@@ -66,11 +68,13 @@
     let Some(mut open) = lease.take() else {
         return Sent::Lost(ExchangeError::Ended("no connection".to_owned()));
     };
+    let sent_at = now();
     let running = open.connection().connection.run(steps);
     let result = match tokio::time::timeout(limit, running).await {
         Ok(result) => result,
         Err(_) => Err(ExchangeError::Silent),
     };
+    session.trail_mut().sent(open.server().clone(), now().saturating_sub(sent_at));
     match result {
         Ok(replies) => {
             *lease = Some(open);
@@ -79,7 +83,9 @@
         Err(error) => {
             session.shard().with_group(|group| group.observe_failure(now(), open.server()));
             session.shard().doubt();
-            log::info!("exchange with server {} failed: {error}", open.server());
+            let event = Event::new(EventKind::ConnectionDropped);
+            let event = event.with("group", session.shard().id()).with("server", open.server());
+            event_log::emit(&event.with("reason", &error));
             Sent::Lost(error)
         }
     }
@@ -103,6 +109,7 @@
             Try::Done(served) => return Ok(served),
             Try::Failed(failure) => return Err(failure),
             Try::Again { failure, pause } => {
+                session.try_again(&failure);
                 last = failure;
                 tokio::time::sleep(pause.min(request.time_left(now()))).await;
             }
@@ -119,11 +126,12 @@
 ) -> Try {
     let consistency = request.route.consistency;
     let floor = session.floor_for(request.arrived_at, consistency);
+    session.trail_mut().floor = floor;
     let need = match floor {
         Some(floor) => Need::Reader { floor, shunned: shunned.clone() },
         None => Need::Leader,
     };
-    let mut lease = match acquire(session, request, need, work).await {
+    let mut lease = match session.acquire(request, need, work.prepared.as_ref()).await {
         Ok(lease) => Some(lease),
         Err(failure) => return Try::Failed(failure),
     };
@@ -197,7 +205,8 @@
 /// A step that prepares the connection was refused: the connection is closed
 /// by the caller, since what is set up on it is not known any more.
 fn unprepared(refusal: ServerRefusal) -> Try {
-    log::warn!("a connection could not be set up: {:?} {}", refusal.kind, refusal.text);
+    let event = Event::new(EventKind::ConnectionDropped).with("reason", &refusal.text);
+    event_log::emit(&event.with("refusal", format_args!("{:?}", refusal.kind)));
     Try::Again { failure: refusal.into(), pause: waits::BUSY_PAUSE }
 }
 
@@ -241,23 +250,6 @@
     replies.iter().find_map(|reply| reply.result.as_ref().err().cloned())
 }
 
-async fn acquire(
-    session: &Session,
-    request: &Request,
-    need: Need,
-    work: &Work,
-) -> Result<Lease, Failure> {
-    let want = Want {
-        need,
-        priority: request.route.priority,
-        give_up_at: request.deadline,
-        patient_until: request.patient_until(now()),
-        values: session.values(),
-        prepared: work.prepared.as_ref(),
-    };
-    session.shard().acquire(&want).await
-}
-
 /// Runs a single write. It is sent again only after a server's promise that
 /// it did not run.
 ///
@@ -280,6 +272,7 @@
             }
             Try::Failed(failure) => return Err(failure),
             Try::Again { failure, pause } => {
+                session.try_again(&failure);
                 last = failure;
                 tokio::time::sleep(pause.min(request.time_left(now()))).await;
             }
@@ -289,7 +282,7 @@
 }
 
 async fn try_write(session: &mut Session, request: &Request, work: &Work) -> Try {
-    let mut lease = match acquire(session, request, Need::Leader, work).await {
+    let mut lease = match session.acquire(request, Need::Leader, work.prepared.as_ref()).await {
         Ok(lease) => Some(lease),
         Err(failure) => return Try::Failed(failure),
     };
--- a/daemon/src/engine/stop.rs
+++ b/daemon/src/engine/stop.rs
@@ -2,10 +2,13 @@
 
 use std::time::Duration;
 
+use chervilwharf_lib::event::Event;
+use chervilwharf_lib::event::EventKind;
 use chervilwharf_lib::stop_plan::StopPlan;
 
 use crate::engine::clock::now;
 use crate::engine::directory::Directory;
+use crate::engine::event_log;
 use crate::engine::fleet_control;
 use crate::engine::shared::Engine;
 
@@ -16,18 +19,20 @@
 /// as its operation is over.
 pub async fn run(engine: &Engine, directory: &dyn Directory, grace: Duration) {
     let plan = StopPlan::new(now(), grace);
-    log::info!("stopping within {grace:?}");
+    event_log::emit(&Event::new(EventKind::Stopping).with_ms("grace_ms", grace));
     engine.stop(plan);
     let closing_begins = plan.closing_begins_at().saturating_sub(now());
     tokio::time::sleep(closing_begins).await;
     let left = plan.ends_at().saturating_sub(now());
     if tokio::time::timeout(left, engine.sessions_ended()).await.is_err() {
-        log::warn!("sessions are left at the end of the stop");
+        let event = Event::new(EventKind::ClientFailed);
+        event_log::emit(&event.with("reason", "sessions are left at the end of the stop"));
     }
     let left = plan.ends_at().saturating_sub(now());
     let withdrawn = fleet_control::withdraw_record(engine, directory);
     if tokio::time::timeout(left, withdrawn).await.is_err() {
-        log::info!("the record of this instance stays: no time is left to remove it");
+        let event = Event::new(EventKind::InstanceRecordFailed);
+        event_log::emit(&event.with("reason", "no time is left to remove it"));
     }
-    log::info!("stopped");
+    event_log::emit(&Event::new(EventKind::Stopped));
 }
--- a/daemon/src/engine/transaction.rs
+++ b/daemon/src/engine/transaction.rs
@@ -6,6 +6,8 @@
 use chervilwharf_lib::catalog::Consistency;
 use chervilwharf_lib::catalog::Route;
 use chervilwharf_lib::error_kind::ErrorKind;
+use chervilwharf_lib::event::Event;
+use chervilwharf_lib::event::EventKind;
 use chervilwharf_lib::id::TargetId;
 use chervilwharf_lib::moment::Moment;
 use chervilwharf_lib::pool_share::Need;
@@ -19,12 +21,12 @@
 use crate::engine::border::Step;
 use crate::engine::border::StepReply;
 use crate::engine::clock::now;
+use crate::engine::event_log;
 use crate::engine::lease::Lease;
 use crate::engine::request::Failure;
 use crate::engine::request::Request;
 use crate::engine::request::Served;
 use crate::engine::session::Session;
-use crate::engine::shard::Want;
 use crate::engine::single::Sent;
 use crate::engine::single::Work;
 use crate::engine::single::first_refusal;
@@ -130,7 +132,8 @@
     let steps = [Step::own(Statement::Rollback)];
     let rolling_back = lease.connection().connection.run(&steps);
     let Ok(Ok(replies)) = tokio::time::timeout(ROLLBACK_LIMIT, rolling_back).await else {
-        log::info!("a connection to server {} is closed to roll back", lease.server());
+        let event = Event::new(EventKind::ConnectionDropped).with("server", lease.server());
+        event_log::emit(&event.with("reason", "no answer to ROLLBACK; closing rolls back"));
         return;
     };
     if replies.last().is_some_and(|reply| reply.state == TransactionState::Idle) {
@@ -280,6 +283,7 @@
             Ok(()) => return Ok(()),
             Err((failure, None)) => return Err(failure),
             Err((failure, Some(pause))) => {
+                session.try_again(&failure);
                 last = failure;
                 tokio::time::sleep(pause.min(request.time_left(now()))).await;
             }
@@ -301,15 +305,9 @@
         Some(floor) => Need::Reader { floor, shunned: None },
         None => Need::Leader,
     };
-    let want = Want {
-        need,
-        priority: request.route.priority,
-        give_up_at: request.deadline,
-        patient_until: request.patient_until(now()),
-        values: session.values(),
-        prepared: work.prepared.as_ref(),
-    };
-    let lease = session.shard().acquire(&want).await.map_err(|failure| (failure, None))?;
+    session.trail_mut().floor = floor;
+    let lease = session.acquire(request, need, work.prepared.as_ref()).await;
+    let lease = lease.map_err(|failure| (failure, None))?;
     let server = lease.server().clone();
     let mut lease = Some(lease);
     let mut steps = session.layout_steps(lease.as_mut(), work.prepared.as_ref());
--- a/daemon/src/logging.rs
+++ b/daemon/src/logging.rs
@@ -17,7 +17,6 @@
     fern::Dispatch::new()
         .level(LevelFilter::Warn)
         .level_for("chervilwharf_daemon", level)
-        .level_for("chervilwharf_platform", level)
         .format(move |out, message, record| {
             let at_ms = since_epoch().as_millis();
             if json {
