--- a/daemon/src/engine/leader_control.rs
+++ b/daemon/src/engine/leader_control.rs
@@ -120,7 +120,12 @@
     let engine = &replacer.engine;
     let rank = engine.duty_rank(shard.id());
     let (claimants, actions) = shard.with_group(|group| {
-        let actions = engine.watches().with(shard.id(), |watch| watch.tick(now(), group, rank));
+        let suspected = group.take_suspicion();
+        let actions = engine.watches().with(shard.id(), |watch| {
+            let mut actions = watch.tick(now(), group, rank);
+            actions.extend(suspected.then(|| watch.suspected(now(), group)).flatten());
+            actions
+        });
         (group.take_claimants(), actions)
     });
     for id in claimants {
--- a/daemon/src/engine/probe.rs
+++ b/daemon/src/engine/probe.rs
@@ -18,7 +18,7 @@
 
 /// Longest time for a new connection and an answer on it: a few times what a
 /// loaded server takes, since its state takes a slot like any statement.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// A server with a queue has this many times the time of its answers: work
 /// must not make it look dead.
--- a/daemon/src/engine/shard.rs
+++ b/daemon/src/engine/shard.rs
@@ -168,6 +168,13 @@
         }
     }
 
+    /// A server takes long to answer.
+    pub fn suspect(&self, server: &TargetId) {
+        if self.with_group(|group| group.suspect(server)) {
+            self.doubt();
+        }
+    }
+
     /// Sets how many connections to each server this instance may hold.
     pub fn set_budget(self: &Arc<Self>, budget: usize) {
         let before = std::mem::replace(&mut self.lock().budget, budget);
@@ -241,8 +248,10 @@
             (inner.queue.push(want.priority, want.give_up_at, waiter), granted)
         };
         self.pump();
-        let has_leader = self.with_group(|group| group.leader().is_some());
-        let until = if has_leader { want.patient_until } else { want.give_up_at };
+        // Without a primary that answers there is nobody to be impatient with:
+        // another one will lead soon.
+        let answers = self.with_group(|group| group.leader_answers());
+        let until = if answers { want.patient_until } else { want.give_up_at };
         let wait = until.saturating_sub(now());
         if let Ok(Ok(lease)) = tokio::time::timeout(wait, &mut granted).await {
             return Ok(lease);
--- a/daemon/src/engine/single.rs
+++ b/daemon/src/engine/single.rs
@@ -69,11 +69,7 @@
         return Sent::Lost(ExchangeError::Ended("no connection".to_owned()));
     };
     let sent_at = now();
-    let running = open.connection().connection.run(steps);
-    let result = match tokio::time::timeout(limit, running).await {
-        Ok(result) => result,
-        Err(_) => Err(ExchangeError::Silent),
-    };
+    let result = exchange(session, &mut open, steps, limit).await;
     session.trail_mut().sent(open.server().clone(), now().saturating_sub(sent_at));
     match result {
         Ok(replies) => {
@@ -91,6 +87,26 @@
     }
 }
 
+async fn exchange(
+    session: &Session,
+    lease: &mut Lease,
+    steps: &[Step],
+    limit: Duration,
+) -> Result<Vec<StepReply>, ExchangeError> {
+    let server = lease.server().clone();
+    let usual_time = session.shard().with_group(|group| group.read_time(&server));
+    let running = lease.connection().connection.run(steps);
+    let mut running = std::pin::pin!(tokio::time::timeout(limit, running));
+    let early = tokio::time::timeout(waits::doubt_after(usual_time), &mut running).await;
+    let finished = if let Ok(finished) = early {
+        finished
+    } else {
+        session.shard().suspect(&server);
+        running.await
+    };
+    finished.unwrap_or(Err(ExchangeError::Silent))
+}
+
 /// Runs a single read. It may be sent again, to another server: nobody can
 /// tell a second run of a read from the first.
 ///
--- a/lib/src/group.rs
+++ b/lib/src/group.rs
@@ -115,6 +115,8 @@
     term_bases: BTreeMap<Term, Position>,
     /// Servers that began to call themselves primary in the platform's list.
     claimants: Vec<TargetId>,
+    /// Whether the primary takes long to answer a statement.
+    leader_suspected: bool,
 }
 
 impl Group {
@@ -154,6 +156,25 @@
         std::mem::take(&mut self.claimants)
     }
 
+    /// A server takes long to answer. Returns whether that is to be looked into.
+    pub fn suspect(&mut self, id: &TargetId) -> bool {
+        let news = self.leads(id) && !self.leader_suspected;
+        self.leader_suspected |= news;
+        news
+    }
+
+    /// Whether the primary took long to answer since the last call.
+    pub fn take_suspicion(&mut self) -> bool {
+        std::mem::take(&mut self.leader_suspected)
+    }
+
+    /// Whether there is a primary, and its last exchange did not fail.
+    #[must_use]
+    pub fn leader_answers(&self) -> bool {
+        let leader = self.leader.as_ref().and_then(|leader| self.servers.get(&leader.id));
+        leader.is_some_and(|view| view.failures == 0)
+    }
+
     /// Without a leader of our own knowledge, the platform's list names it.
     fn follow_list(&mut self, now: Moment) {
         let mut leading = self.servers.values().filter(|view| view.info.leads);
--- a/lib/src/leader_watch.rs
+++ b/lib/src/leader_watch.rs
@@ -79,8 +79,13 @@
     /// Somebody replaces the primary; nobody else should before this time.
     quiet_until: Moment,
     sampled_at: Option<Moment>,
+    suspected_at: Option<Moment>,
 }
 
+/// A primary that is slow and alive is asked whether it is alive no more often
+/// than this: each question opens a connection.
+const SUSPICION_INTERVAL: Duration = Duration::from_millis(300);
+
 /// Time between two probes. A probe on a new connection takes 12 to 27 ms at
 /// a server that works.
 const PROBE_INTERVAL: Duration = Duration::from_millis(150);
@@ -219,6 +224,15 @@
         }
     }
 
+    /// The primary takes long to answer a statement.
+    pub fn suspected(&mut self, now: Moment, group: &Group) -> Option<WatchAction> {
+        if self.suspected_at.is_some_and(|at| at + SUSPICION_INTERVAL > now) {
+            return None;
+        }
+        self.suspected_at = Some(now);
+        group.leader().map(|leader| WatchAction::Probe(leader.id.clone()))
+    }
+
     /// A probe of the primary on a new connection failed.
     pub fn probe_failed(&mut self, id: &TargetId) {
         if let Some(doubt) = &mut self.doubt {
--- a/lib/src/waits.rs
+++ b/lib/src/waits.rs
@@ -27,6 +27,20 @@
     (objective * 4 / 5).max(SHORTEST_READ_STALL).max(usual_time * STALL_FACTOR)
 }
 
+/// Shortest time without an answer after which a server is asked, on a new
+/// connection, whether it is alive. Most statements take a fifth of it.
+const SHORTEST_DOUBT: Duration = Duration::from_millis(100);
+
+/// How long a statement may be at a server before the server is asked whether
+/// it is alive. The statement itself goes on.
+///
+/// A server that goes dark closes nothing. Without this question it was missed
+/// only when statements reached their deadline, 0.8 s later.
+#[must_use]
+pub fn doubt_after(usual_time: Duration) -> Duration {
+    SHORTEST_DOUBT.max(usual_time * STALL_FACTOR)
+}
+
 /// From which time at a server on a statement is a sign of a queue there.
 ///
 /// Half of the objective: what is left must cover the way to the server and
