--- a/daemon/src/engine/duty_control.rs
+++ b/daemon/src/engine/duty_control.rs
@@ -149,6 +149,14 @@
         Some(Entry { record: Record::Duty(record), .. }) => Some(record.clone()),
         _ => None,
     };
+    if let (Some(record), Some(entry)) = (&last, &present) {
+        // Somebody took the duty since this instance decided to act, and acts
+        // now. Two that replace a primary at once undo each other's work.
+        let news = engine.with_duties(|duties| duties.learn(entry.revision, record.clone()));
+        if news && record.holder != engine.me().id {
+            return Err(WriteError::Conflict(present));
+        }
+    }
     let next = next_record(group, engine.me(), last.as_ref());
     let record = Record::Duty(next.clone());
     let expected = present.map(|entry| entry.revision);
--- a/daemon/src/engine/leader_control.rs
+++ b/daemon/src/engine/leader_control.rs
@@ -204,7 +204,7 @@
 const CLAIM_PAUSE: Duration = Duration::from_millis(500);
 
 async fn ask_peers(engine: &Arc<Engine>, shard: &Arc<Shard>, leader: Option<TargetId>) {
-    let others: Vec<InstanceRecord> = engine.live_others();
+    let others: Vec<InstanceRecord> = engine.with_fleet(|fleet| fleet.others().cloned().collect());
     let question = LeaderQuery {
         group: shard.id().to_string(),
         server: leader.as_ref().map(ToString::to_string).unwrap_or_default(),
@@ -218,7 +218,7 @@
     let answers = join_all(asking).await;
     for (peer, answer) in others.iter().zip(answers) {
         let Ok(Body::LeaderReply(reply)) = answer else {
-            opinions.unknown += 1;
+            opinions.silent += 1;
             continue;
         };
         opinions.replacing |= reply.replacing;
@@ -240,6 +240,7 @@
         .with_count("reached", opinions.reached)
         .with_count("failed", opinions.failed)
         .with_count("unknown", opinions.unknown)
+        .with_count("silent", opinions.silent)
         .with("replacing", opinions.replacing);
     event_log::emit(&event);
     engine.watches().with(shard.id(), |watch| watch.heard(now(), leader.as_ref(), opinions));
@@ -416,13 +417,6 @@
         }
     }
 
-    fn live_others(&self) -> Vec<InstanceRecord> {
-        self.with_fleet(|fleet| {
-            let live = fleet.live(now());
-            fleet.others().filter(|record| live.contains(&record.id)).cloned().collect()
-        })
-    }
-
     /// What this instance knows of a primary that another one doubts.
     #[must_use]
     pub fn leader_reply(&self, query: &LeaderQuery) -> LeaderReply {
--- a/lib/src/leader_watch.rs
+++ b/lib/src/leader_watch.rs
@@ -51,8 +51,10 @@
     pub reached: usize,
     /// Those that it does not answer.
     pub failed: usize,
-    /// Those that have not tried, or did not answer themselves.
+    /// Those that have not tried.
     pub unknown: usize,
+    /// Those that did not answer the question: dead, or behind a partition.
+    pub silent: usize,
     /// Whether one of them is replacing it.
     pub replacing: bool,
 }
@@ -105,8 +107,8 @@
 /// another instance ordered takes up to a second.
 const ABSENCE_LIMIT: Duration = Duration::from_millis(1_200);
 
-/// Without any leader for this long, a server that missed a change of primary
-/// may lead: longer than partitions usually last.
+/// A doubt that lasts longer than partitions usually do. Then silent instances
+/// are taken for dead, and a server that missed a change of primary may lead.
 const LAST_RESORT_AFTER: Duration = Duration::from_secs(10);
 
 /// Each further instance in the succession waits this much longer, so that
@@ -254,7 +256,8 @@
             return;
         }
         doubt.rounds += 1;
-        if should_replace(opinions, doubt.rounds) {
+        let lasting = doubt.since + LAST_RESORT_AFTER <= now;
+        if should_replace(opinions, doubt.rounds, lasting) {
             doubt.confirmed_at.get_or_insert(now);
         } else {
             doubt.confirmed_at = None;
@@ -277,12 +280,23 @@
 /// Never while another instance reaches it: it may have acknowledged commits
 /// that no replica has received, and they would be lost. Its clients are
 /// served through that other instance meanwhile.
+///
+/// And only with the votes of more than half of all instances, since those
+/// that are silent may be on the other side of a partition together with the
+/// primary. Without that, three of eight instances replaced a primary on which
+/// the other five went on writing, and 45 acknowledged commits were lost. When
+/// the doubt is `lasting`, the silent ones are taken for dead.
 #[must_use]
-pub fn should_replace(opinions: Opinions, rounds: u32) -> bool {
+pub fn should_replace(opinions: Opinions, rounds: u32, lasting: bool) -> bool {
     if opinions.reached > 0 {
         return false;
     }
-    opinions.unknown == 0 || rounds >= ROUNDS_FOR_UNKNOWN
+    if opinions.unknown > 0 && rounds < ROUNDS_FOR_UNKNOWN {
+        return false;
+    }
+    let votes = opinions.failed + opinions.unknown + 1;
+    let all = if lasting { votes } else { votes + opinions.silent };
+    votes * 2 > all
 }
 
 impl Doubt {
--- a/lib/tests/test_replacement.rs
+++ b/lib/tests/test_replacement.rs
@@ -56,7 +56,8 @@
     actions.iter().any(|action| matches!(action, WatchAction::AskPeers(_)))
 }
 
-const NOBODY_REACHES: Opinions = Opinions { reached: 0, failed: 5, unknown: 0, replacing: false };
+const NOBODY_REACHES: Opinions =
+    Opinions { reached: 0, failed: 5, unknown: 0, silent: 0, replacing: false };
 
 /// Lets every probe fail until others are asked; returns the time.
 fn until_asked(watch: &mut LeaderWatch, group: &mut Group, from_ms: u64) -> u64 {
@@ -98,7 +99,7 @@
     let (mut watch, mut group) = (LeaderWatch::default(), group(false));
     group.observe_failure(at(0), &id("p"));
     let asked_ms = until_asked(&mut watch, &mut group, 0);
-    let opinions = Opinions { reached: 1, failed: 4, unknown: 0, replacing: false };
+    let opinions = Opinions { reached: 1, failed: 4, ..Opinions::default() };
     for round in 0..20 {
         let ms = asked_ms + round * 200;
         watch.heard(at(ms), Some(&id("p")), opinions);
@@ -124,9 +125,26 @@
 
 #[test]
 fn test_instances_that_know_nothing_delay_the_decision_only_for_a_while() {
-    let opinions = Opinions { reached: 0, failed: 2, unknown: 3, replacing: false };
-    assert!(!should_replace(opinions, 1));
-    assert!(should_replace(opinions, 3));
+    let opinions = Opinions { failed: 2, unknown: 3, ..Opinions::default() };
+    assert!(!should_replace(opinions, 1, false));
+    assert!(should_replace(opinions, 3, false));
+}
+
+#[test]
+fn test_minority_behind_a_partition_does_not_replace_a_primary() {
+    // Symptom: 45 acknowledged commits are rolled back, and five of eight
+    // instances have no primary for four seconds.
+    // Sequence: a partition leaves the primary with five instances, and its
+    // replicas with the other three.
+    // Cause: the three took the silence of the five for agreement.
+    let minority = Opinions { failed: 2, silent: 5, ..Opinions::default() };
+    assert!(!should_replace(minority, 9, false));
+    let half = Opinions { failed: 2, silent: 3, ..Opinions::default() };
+    assert!(!should_replace(half, 9, false));
+    let majority = Opinions { failed: 4, silent: 3, ..Opinions::default() };
+    assert!(should_replace(majority, 9, false));
+    // Instances that stay silent are taken for dead at last.
+    assert!(should_replace(minority, 9, true));
 }
 
 #[test]
