follow, duty: survive a silent store, and settle orders before new ones

Cause: watches taken by the silent store were waited for until their end, 11.5 s. Cause: four instances had not seen that another server was promoted before a partition; the duty now keeps the last order, and until its term was seen only its server may take over. Ruled out: keep-alive probes (the silent store acknowledges packets).

--- a/daemon/src/engine/duty_control.rs
+++ b/daemon/src/engine/duty_control.rs
@@ -3,7 +3,9 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
+use chervilwharf_lib::duty::DutyOrder;
 use chervilwharf_lib::duty::DutyRecord;
 use chervilwharf_lib::duty::DutyToken;
 use chervilwharf_lib::duty::next_record;
@@ -21,6 +23,7 @@
 use crate::engine::directory::WriteError;
 use crate::engine::event_log;
 use crate::engine::follow::Follower;
+use crate::engine::follow::LONG_WATCH_WAIT;
 use crate::engine::shared::Engine;
 
 /// The duties as far as this instance knows them.
@@ -100,6 +103,10 @@
         RecordKind::Duties
     }
 
+    fn wait_limit(&self) -> Duration {
+        LONG_WATCH_WAIT
+    }
+
     fn replace(&mut self, _revision: Revision, entries: Vec<Entry>) {
         for entry in entries {
             self.take(entry);
@@ -121,8 +128,9 @@
     engine: &Engine,
     directory: &dyn Directory,
     group: &GroupId,
+    order: Option<DutyOrder>,
 ) -> Option<DutyRecord> {
-    match claim_new(engine, directory, group).await {
+    match claim_new(engine, directory, group, order).await {
         Ok(record) => Some(record),
         Err(error) => {
             let me = engine.me();
@@ -143,6 +151,7 @@
     engine: &Engine,
     directory: &dyn Directory,
     group: &GroupId,
+    order: Option<DutyOrder>,
 ) -> Result<DutyRecord, WriteError> {
     let present = directory.get(RecordKind::Duties, group).await.map_err(WriteError::NotDone)?;
     let last = match &present {
@@ -157,7 +166,7 @@
             return Err(WriteError::Conflict(present));
         }
     }
-    let next = next_record(group, engine.me(), last.as_ref());
+    let next = next_record(group, engine.me(), last.as_ref(), order);
     let record = Record::Duty(next.clone());
     let expected = present.map(|entry| entry.revision);
     let written = match directory.write(group, &record, expected).await {
--- a/daemon/src/engine/follow.rs
+++ b/daemon/src/engine/follow.rs
@@ -37,9 +37,18 @@
     }
 }
 
-/// Longest wait of one watch. Each call is paid for; keep-alive probes find
-/// a silent connection earlier than the end of the wait does.
-pub const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// Longest wait of one watch.
+///
+/// A store that goes silent for a while never answers the watches it received
+/// meanwhile, and their connections stay open: only the end of the wait tells.
+/// With 10 s all instances missed a configuration that had to be in force
+/// within 3 s, nine seconds after such an outage. With 4 s they are back
+/// within 5 s of its end, before the first bound holds again.
+pub const WATCH_WAIT: Duration = Duration::from_secs(4);
+
+/// Longest wait where a late answer costs little: instances and duties change
+/// seldom, and heartbeats tell of them as well. Each call is paid for.
+pub const LONG_WATCH_WAIT: Duration = Duration::from_secs(15);
 
 /// First and longest pause after a failed call. The longest leaves five tries
 /// within the 3 s in which a configuration has to be in force.
--- a/daemon/src/engine/leader_control.rs
+++ b/daemon/src/engine/leader_control.rs
@@ -6,6 +6,8 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use chervilwharf_lib::duty;
+use chervilwharf_lib::duty::DutyOrder;
 use chervilwharf_lib::duty::DutyRecord;
 use chervilwharf_lib::duty::succession;
 use chervilwharf_lib::engine_protos::Contact;
@@ -192,7 +194,8 @@
     };
     let (replacer, shard) = (replacer.clone(), shard.clone());
     tokio::spawn(async move {
-        let claimed = duty_control::claim(&replacer.engine, &*replacer.directory, shard.id()).await;
+        let claimed =
+            duty_control::claim(&replacer.engine, &*replacer.directory, shard.id(), None).await;
         if claimed.is_none() {
             tokio::time::sleep(CLAIM_PAUSE).await;
         }
@@ -279,7 +282,18 @@
         return true;
     }
     let directory = &*replacer.directory;
-    let Some(duty) = duty_control::claim(&replacer.engine, directory, shard.id()).await else {
+    let highest_term = shard.with_group(|group| group.highest_term()).max(status.term);
+    let last = replacer.engine.with_duties(|duties| duties.record(shard.id()).cloned());
+    let last_order = last.and_then(|record| record.order);
+    if !last_resort && !duty::order_permits(last_order.as_ref(), &target, highest_term) {
+        let event = Event::new(EventKind::ReplacementDropped).with("group", shard.id());
+        let event = event.with_some("ordered", last_order.map(|order| order.server));
+        event_log::emit(&event.with("server", target).with("reason", "an order is unsettled"));
+        return false;
+    }
+    let order = DutyOrder { server: target.clone(), term: highest_term + 1 };
+    let claimed = duty_control::claim(&replacer.engine, directory, shard.id(), Some(order)).await;
+    let Some(duty) = claimed else {
         return false;
     };
     if is_outdated(shard, from.as_ref(), reason) {
--- a/lib/src/duty.rs
+++ b/lib/src/duty.rs
@@ -3,6 +3,8 @@
 use crate::fleet::InstanceRecord;
 use crate::id::GroupId;
 use crate::id::InstanceId;
+use crate::id::TargetId;
+use crate::id::Term;
 use crate::placement::stable_hash;
 
 /// Fencing token of a duty: the platform refuses a lower one than it has seen.
@@ -20,6 +22,28 @@
     pub life: u64,
     /// The token.
     pub token: DutyToken,
+    /// What was last ordered, by this holder or an earlier one.
+    pub order: Option<DutyOrder>,
+}
+
+/// An order to promote.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DutyOrder {
+    /// The server that was to take over.
+    pub server: TargetId,
+    /// The term in which it would lead.
+    pub term: Term,
+}
+
+/// Whether a server may be promoted in view of the last order.
+///
+/// An order of which this instance has not seen the outcome may have made
+/// another server primary, behind a partition, and commits may have been
+/// acknowledged there. Until that term was seen somewhere, only the server of
+/// the order itself may take over.
+#[must_use]
+pub fn order_permits(order: Option<&DutyOrder>, server: &TargetId, highest_term: Term) -> bool {
+    order.is_none_or(|order| order.term <= highest_term || order.server == *server)
 }
 
 /// The order in which instances take the duty for a group: its holder first,
@@ -39,13 +63,19 @@
 }
 
 /// The record that follows on `last` when an instance takes the duty, or goes
-/// on with it under a new token.
+/// on with it under a new token. Without an order of its own it keeps the last.
 #[must_use]
-pub fn next_record(group: &GroupId, me: &InstanceRecord, last: Option<&DutyRecord>) -> DutyRecord {
+pub fn next_record(
+    group: &GroupId,
+    me: &InstanceRecord,
+    last: Option<&DutyRecord>,
+    order: Option<DutyOrder>,
+) -> DutyRecord {
     DutyRecord {
         group: group.clone(),
         holder: me.id.clone(),
         life: me.life,
         token: last.map_or(1, |record| record.token + 1),
+        order: order.or_else(|| last.and_then(|record| record.order.clone())),
     }
 }
--- a/lib/src/leader_watch.rs
+++ b/lib/src/leader_watch.rs
@@ -39,8 +39,8 @@
     Unreachable,
     /// No server leads.
     Absent,
-    /// No server has led for so long that one which missed a change of
-    /// primary has to do.
+    /// No server has been reached that leads for so long that one which missed
+    /// a change of primary has to do.
     LastResort,
 }
 
@@ -218,8 +218,8 @@
         };
         if self.may_act(now, confirmed_at, rank) {
             let reason = match leader {
+                _ if since + LAST_RESORT_AFTER <= now => ReplaceReason::LastResort,
                 Some(_) => ReplaceReason::Unreachable,
-                None if since + LAST_RESORT_AFTER <= now => ReplaceReason::LastResort,
                 None => ReplaceReason::Absent,
             };
             actions.push(WatchAction::Replace { from: leader, reason });
--- /dev/null
+++ b/lib/tests/test_replacement_exploration.rs
@@ -0,0 +1,372 @@
+//! Random partitions, deaths and writes on a virtual clock: several instances
+//! run the decisions on primaries against one group of servers.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use chervilwharf_lib::duty;
+use chervilwharf_lib::duty::DutyOrder;
+use chervilwharf_lib::duty::DutyRecord;
+use chervilwharf_lib::fleet::InstanceRecord;
+use chervilwharf_lib::group::Group;
+use chervilwharf_lib::group::ServerInfo;
+use chervilwharf_lib::group::ServerStatus;
+use chervilwharf_lib::id::InstanceId;
+use chervilwharf_lib::id::TargetId;
+use chervilwharf_lib::leader_watch::LeaderWatch;
+use chervilwharf_lib::leader_watch::Opinions;
+use chervilwharf_lib::leader_watch::ReplaceReason;
+use chervilwharf_lib::leader_watch::WatchAction;
+use chervilwharf_lib::moment::Moment;
+use chervilwharf_lib::position::Position;
+
+const INSTANCES: usize = 5;
+const SERVERS: usize = 3;
+const TICK_MS: u64 = 50;
+const PROMOTE_MS: u64 = 300;
+/// Longest age of a vote: the time between two rounds of questions, and a tick.
+const VOTE_AGE_MS: u64 = 250;
+
+/// A small generator: the same seed gives the same run.
+struct Random(u64);
+
+impl Random {
+    fn below(&mut self, limit: u64) -> u64 {
+        self.0 =
+            self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (self.0 >> 33) % limit
+    }
+
+    fn chance(&mut self, percent: u64) -> bool {
+        self.below(100) < percent
+    }
+}
+
+#[derive(Clone, Default)]
+struct Server {
+    up: bool,
+    term: u64,
+    log: Vec<Position>,
+}
+
+struct Instance {
+    group: Group,
+    watch: LeaderWatch,
+    duty: Option<DutyRecord>,
+}
+
+struct World {
+    random: Random,
+    now_ms: u64,
+    /// When the partition or a server last changed.
+    changed_ms: u64,
+    servers: Vec<Server>,
+    leader: usize,
+    instances: Vec<Instance>,
+    /// Side of the partition of each instance and server; all 0 without one.
+    instance_side: Vec<usize>,
+    server_side: Vec<usize>,
+    duty: Option<DutyRecord>,
+    highest_token: u64,
+    /// When the promotion of a server takes effect.
+    pending: Option<(u64, usize)>,
+    promotions: usize,
+    /// Whether more than half of the instances reached the primary when a
+    /// promotion of another server was ordered.
+    replaced_in_use: bool,
+    /// Whether a server with a log that had been cut off was promoted.
+    promoted_cut_off: bool,
+}
+
+fn server_id(number: usize) -> TargetId {
+    format!("s{number}").into()
+}
+
+fn instance_id(number: usize) -> InstanceId {
+    format!("i{number}").into()
+}
+
+fn record(number: usize) -> InstanceRecord {
+    InstanceRecord {
+        id: instance_id(number),
+        life: 1,
+        peer_address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        failure_domain: "a".into(),
+    }
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let mut world = Self {
+            random: Random(seed.wrapping_mul(2_654_435_761) + 1),
+            now_ms: 0,
+            changed_ms: 0,
+            servers: vec![Server { up: true, term: 1, log: vec![Position::new(1, 1)] }; SERVERS],
+            leader: 0,
+            instances: Vec::new(),
+            instance_side: vec![0; INSTANCES],
+            server_side: vec![0; SERVERS],
+            duty: None,
+            highest_token: 0,
+            pending: None,
+            promotions: 0,
+            replaced_in_use: false,
+            promoted_cut_off: false,
+        };
+        for _ in 0..INSTANCES {
+            let mut group = Group::default();
+            let listed = (0..SERVERS).map(|number| ServerInfo {
+                id: server_id(number),
+                address: SocketAddr::from(([127, 0, 0, 1], 1)),
+                failure_domain: "a".into(),
+                slots: 3,
+                draining: false,
+                leads: number == 0,
+            });
+            group.set_servers(Moment::ZERO, listed.collect());
+            let watch = LeaderWatch::default();
+            world.instances.push(Instance { group, watch, duty: None });
+        }
+        world
+    }
+
+    fn now(&self) -> Moment {
+        Duration::from_millis(self.now_ms)
+    }
+
+    fn reaches(&self, instance: usize, server: usize) -> bool {
+        self.servers[server].up && self.instance_side[instance] == self.server_side[server]
+    }
+
+    fn disturb(&mut self) {
+        if self.random.chance(3) {
+            self.changed_ms = self.now_ms;
+            for side in self.instance_side.iter_mut().chain(&mut self.server_side) {
+                *side = 0;
+            }
+            if self.random.chance(60) {
+                for number in 0..INSTANCES {
+                    self.instance_side[number] = usize::from(self.random.chance(50));
+                }
+                for number in 0..SERVERS {
+                    self.server_side[number] = usize::from(self.random.chance(50));
+                }
+            }
+        }
+        if self.random.chance(1) {
+            let number = usize::try_from(self.random.below(SERVERS as u64)).unwrap();
+            self.servers[number].up = !self.servers[number].up;
+            self.changed_ms = self.now_ms;
+        }
+    }
+
+    /// The primary commits, and the replicas it reaches receive its log.
+    fn write(&mut self) {
+        let leader = self.leader;
+        if !self.servers[leader].up {
+            return;
+        }
+        let (term, last) = (self.servers[leader].term, self.servers[leader].log.len() as u64);
+        self.servers[leader].log.push(Position::new(term, last + 1));
+        let log = self.servers[leader].log.clone();
+        for number in 0..SERVERS {
+            let joined = self.server_side[number] == self.server_side[leader];
+            if number != leader && joined && self.servers[number].up {
+                self.servers[number].log.clone_from(&log);
+                self.servers[number].term = term;
+            }
+        }
+    }
+
+    fn probe(&mut self, instance: usize, server: usize) {
+        let (now, id) = (self.now(), server_id(server));
+        if !self.reaches(instance, server) {
+            let me = &mut self.instances[instance];
+            me.group.observe_failure(now, &id);
+            me.watch.probe_failed(&id);
+            return;
+        }
+        let state = &self.servers[server];
+        let received = *state.log.last().unwrap();
+        let status = ServerStatus {
+            leads: self.leader == server,
+            term: state.term,
+            received,
+            applied: received,
+            lag: Duration::ZERO,
+        };
+        self.instances[instance].group.observe_status(now, now, &id, status);
+    }
+
+    fn ask(&mut self, instance: usize, leader: Option<&TargetId>) {
+        let mut opinions = Opinions::default();
+        let now = self.now();
+        for other in (0..INSTANCES).filter(|other| *other != instance) {
+            if self.instance_side[other] != self.instance_side[instance] {
+                opinions.silent += 1;
+                continue;
+            }
+            let known = self.instances[other].group.leader().cloned();
+            if let Some(known) = known {
+                self.instances[instance].group.hear_of_leader(now, &known.id, known.term);
+            }
+            let number = (0..SERVERS).find(|number| leader == Some(&server_id(*number)));
+            match number {
+                Some(number) if self.reaches(other, number) => opinions.reached += 1,
+                Some(_) => opinions.failed += 1,
+                None => opinions.unknown += 1,
+            }
+        }
+        self.instances[instance].watch.heard(now, leader, opinions);
+    }
+
+    fn replace(&mut self, instance: usize, from: Option<&TargetId>) {
+        let others: Vec<_> =
+            (0..SERVERS).filter(|number| from != Some(&server_id(*number))).collect();
+        let mut best: Option<usize> = None;
+        for number in others {
+            self.probe(instance, number);
+            let status = ServerStatus {
+                leads: self.leader == number,
+                term: self.servers[number].term,
+                received: *self.servers[number].log.last().unwrap(),
+                applied: Position::ZERO,
+                lag: Duration::ZERO,
+            };
+            let fit =
+                self.reaches(instance, number) && self.instances[instance].group.may_lead(&status);
+            let better = best.is_none_or(|known| {
+                self.servers[number].log.last() > self.servers[known].log.last()
+            });
+            if fit && better {
+                best = Some(number);
+            }
+        }
+        let Some(best) = best else {
+            return;
+        };
+        let term = self.instances[instance].group.highest_term().max(self.servers[best].term);
+        let last_order = self.duty.as_ref().and_then(|duty| duty.order.as_ref());
+        if !duty::order_permits(last_order, &server_id(best), term) {
+            return;
+        }
+        let order = DutyOrder { server: server_id(best), term: term + 1 };
+        let (group, me) = ("db".into(), record(instance));
+        let next = duty::next_record(&group, &me, self.duty.as_ref(), Some(order));
+        assert!(next.token > self.highest_token, "each order has a token of its own");
+        self.highest_token = next.token;
+        self.duty = Some(next.clone());
+        self.instances[instance].duty = Some(next);
+        let now = self.now();
+        self.instances[instance].watch.replacing(now);
+        let reaching = (0..INSTANCES).filter(|other| self.reaches(*other, self.leader)).count();
+        // Votes are up to one round of questions old: a network that changed
+        // since then can make any decision wrong.
+        let stable = self.now_ms >= self.changed_ms + VOTE_AGE_MS;
+        self.replaced_in_use |= stable && reaching * 2 > INSTANCES && best != self.leader;
+        self.pending = Some((self.now_ms + PROMOTE_MS, best));
+    }
+
+    fn promote_due(&mut self) {
+        let Some((due_ms, number)) = self.pending else {
+            return;
+        };
+        if due_ms > self.now_ms || !self.servers[number].up {
+            return;
+        }
+        self.pending = None;
+        if number == self.leader {
+            return;
+        }
+        let old = self.servers[self.leader].log.clone();
+        let new = self.servers[number].log.clone();
+        // A log from before an earlier promotion that goes on where the later
+        // term had begun.
+        let common = old.iter().zip(&new).take_while(|(a, b)| a == b).count();
+        self.promoted_cut_off |= common < new.len();
+        self.promotions += 1;
+        let term = self.servers[self.leader].term + 1;
+        self.leader = number;
+        self.servers[number].term = term;
+    }
+
+    fn step(&mut self) {
+        self.now_ms += TICK_MS;
+        self.disturb();
+        self.promote_due();
+        self.write();
+        for instance in 0..INSTANCES {
+            // Traffic: each instance notices at once that its primary is gone.
+            let leader = self.instances[instance].group.leader().map(|leader| leader.id.clone());
+            if let Some(number) = (0..SERVERS).find(|n| leader == Some(server_id(*n))) {
+                self.probe(instance, number);
+            }
+            let staying: Vec<_> = (0..INSTANCES)
+                .filter(|other| self.instance_side[*other] == self.instance_side[instance])
+                .map(instance_id)
+                .collect();
+            let holder = self.duty.as_ref().map(|duty| duty.holder.clone());
+            let order = duty::succession(&"db".into(), holder.as_ref(), &staying);
+            let rank = order.iter().position(|id| *id == instance_id(instance));
+            let now = self.now();
+            let me = &mut self.instances[instance];
+            for action in me.watch.tick(now, &me.group, rank) {
+                self.perform(instance, &action);
+            }
+        }
+    }
+
+    fn perform(&mut self, instance: usize, action: &WatchAction) {
+        match action {
+            WatchAction::Probe(id) | WatchAction::Sample(id) => {
+                let number = (0..SERVERS).find(|number| server_id(*number) == *id).unwrap();
+                self.probe(instance, number);
+            }
+            WatchAction::AskPeers(leader) => self.ask(instance, leader.as_ref()),
+            // What a last resort loses is lost with the servers that are gone.
+            WatchAction::Replace { reason: ReplaceReason::LastResort, .. } => {}
+            WatchAction::Replace { from, .. } => self.replace(instance, from.as_ref()),
+        }
+    }
+}
+
+#[test]
+fn test_no_run_loses_what_a_majority_could_still_use() {
+    let mut promotions = 0;
+    for seed in 0..400 {
+        let mut world = World::new(seed);
+        for _ in 0..400 {
+            world.step();
+            assert!(
+                !world.replaced_in_use,
+                "seed {seed} at {} ms: a primary that most instances \
+                reach is replaced",
+                world.now_ms
+            );
+            assert!(
+                !world.promoted_cut_off,
+                "seed {seed} at {} ms: a log that was cut off leads",
+                world.now_ms
+            );
+        }
+        promotions += world.promotions;
+    }
+    assert!(promotions > 100, "the runs bring failovers about: {promotions}");
+}
+
+#[test]
+fn test_calm_group_keeps_its_primary() {
+    let mut world = World::new(7);
+    for _ in 0..400 {
+        world.now_ms += TICK_MS;
+        world.write();
+        for instance in 0..INSTANCES {
+            world.probe(instance, 0);
+            let now = world.now();
+            let me = &mut world.instances[instance];
+            let actions = me.watch.tick(now, &me.group, Some(instance));
+            assert!(!actions.iter().any(|action| matches!(action, WatchAction::Replace { .. })));
+        }
+    }
+    assert_eq!(world.promotions, 0);
+}
--- /dev/null
+++ b/lib/tests/test_story.rs
@@ -0,0 +1,107 @@
+//! Log lines, their budgets, and the story of a request made from them.
+
+use std::time::Duration;
+
+use chervilwharf_lib::event::Event;
+use chervilwharf_lib::event::EventKind;
+use chervilwharf_lib::event::LineBudget;
+use chervilwharf_lib::event::LineCounter;
+use chervilwharf_lib::story;
+use chervilwharf_lib::story::LogLine;
+use quickcheck::quickcheck;
+
+fn line(at_ms: u128, instance: &str, event: &Event) -> LogLine {
+    story::parse_line(&event.line(at_ms, instance)).expect("a line that we wrote")
+}
+
+fn request(kind: EventKind, id: &str, reason: &str) -> Event {
+    Event::new(kind)
+        .with("id", id)
+        .with("group", "db")
+        .with("server", "s1")
+        .with("reason", reason)
+        .with_ms("waited_ms", Duration::from_millis(10))
+        .with_ms("at_server_ms", Duration::from_millis(700))
+        .with_ms("took_ms", Duration::from_millis(710))
+        .with_count("waiting", 7)
+}
+
+#[test]
+fn test_names_of_events_differ() {
+    let mut names: Vec<_> = EventKind::ALL.iter().map(|kind| kind.name()).collect();
+    names.sort_unstable();
+    names.dedup();
+    assert_eq!(names.len(), EventKind::ALL.len());
+}
+
+#[test]
+fn test_budget_keeps_lines_of_failed_requests_when_others_are_many() {
+    let mut exchange = LineCounter::default();
+    let written = (0..1_000).filter(|_| exchange.take(5, LineBudget::Exchange).0).count();
+    assert_eq!(written, LineBudget::Exchange.lines_per_s() as usize);
+    let mut request = LineCounter::default();
+    assert!(request.take(5, LineBudget::Request).0);
+    // What was left out is told in the next second.
+    let (allowed, left_out) = exchange.take(6, LineBudget::Exchange);
+    assert!(allowed);
+    assert_eq!(left_out, 1_000 - u64::from(LineBudget::Exchange.lines_per_s()));
+}
+
+#[test]
+fn test_story_of_a_commit_lost_with_its_primary() {
+    // Symptom: a client is told that nobody knows whether its write is kept.
+    // Sequence: the primary goes dark at COMMIT; another instance replaces it.
+    // Cause: told from the lines of two instances.
+    let replaced = Event::new(EventKind::ReplacementBegun)
+        .with("group", "db")
+        .with("from", "s1")
+        .with("server", "s2")
+        .with("reason", "Unreachable");
+    let other = Event::new(EventKind::ReplacementBegun).with("group", "elsewhere");
+    let log = vec![
+        line(10_700, "a", &request(EventKind::RequestUnknown, "r1", "outcome_unknown")),
+        line(10_500, "b", &replaced),
+        line(10_510, "b", &other),
+        line(10_710, "a", &request(EventKind::RequestRefused, "r2", "overloaded")),
+        line(2_000, "b", &replaced),
+    ];
+    let story = story::tell("r1", log);
+    let told: Vec<_> = story.lines.iter().map(|line| (&*line.line.event, line.own)).collect();
+    assert_eq!(told, [("replacement_begun", false), ("request_unknown", true)]);
+    let cause = story.cause.expect("a cause");
+    assert!(cause.contains("s1 did not answer") && cause.contains("replaced by s2"), "{cause}");
+    assert!(story.missing.is_empty());
+}
+
+#[test]
+fn test_story_counts_what_was_said_often_and_names_what_is_missing() {
+    let failed = Event::new(EventKind::ProbeFailed).with("group", "db").with("server", "s1");
+    let left_out = Event::new(EventKind::LinesLeftOut).with("of", "probe_failed").with("count", 12);
+    let mut log: Vec<_> = (0..5).map(|step| line(10_000 + step, "a", &failed)).collect();
+    log.push(line(10_100, "a", &request(EventKind::RequestMoved, "r1", "overloaded")));
+    log.push(line(10_200, "a", &left_out));
+    let story = story::tell("r1", log.clone());
+    assert_eq!(story.lines[0].count, 5);
+    assert_eq!(story.missing.len(), 2, "its end, and 12 lines: {:?}", story.missing);
+    let absent = story::tell("other", log);
+    assert!(absent.lines.is_empty() && absent.cause.is_none());
+    assert!(absent.missing[0].contains("no line names this id"));
+}
+
+#[test]
+fn test_text_before_the_object_is_passed_over() {
+    let text = Event::new(EventKind::Started).line(5, "a");
+    let line = story::parse_line(&format!("  12.5 front-1 {text}")).unwrap();
+    assert_eq!((line.at_ms, &*line.instance, &*line.event), (5, "a", "started"));
+    assert_eq!(story::parse_line("plain words"), None);
+    assert_eq!(story::parse_line("{\"event\":\"x\"}"), None);
+}
+
+quickcheck! {
+    /// Whatever a client sends, a line is one line of valid JSON, and bounded.
+    fn prop_any_text_makes_one_valid_line(text: String, instance: String) -> bool {
+        let line = Event::new(EventKind::RequestRefused).with("text", &text).line(1, &instance);
+        let parsed = story::parse_line(&line);
+        !line.contains('\n') && line.len() < 6_000 && parsed.is_some()
+    }
+}
