--- a/daemon/src/engine/controllers.rs
+++ b/daemon/src/engine/controllers.rs
@@ -63,6 +63,7 @@
                 life: 0,
                 peer_address: *seed,
                 failure_domain: "".into(),
+                capacity_millicores: 0,
             };
             fleet_control::pull_directory(&engine, &record).await;
         }
--- a/daemon/src/engine/fleet_control.rs
+++ b/daemon/src/engine/fleet_control.rs
@@ -62,6 +62,10 @@
         LONG_WATCH_WAIT
     }
 
+    fn pause_after_change(&self) -> Duration {
+        CHANGE_PAUSE
+    }
+
     fn replace(&mut self, _revision: Revision, entries: Vec<Entry>) {
         let records: Vec<_> = entries.into_iter().filter_map(instance_of).collect();
         let me = self.engine.me();
@@ -90,6 +94,11 @@
     }
 }
 
+/// Pause after a change of the instances before the next is waited for. When
+/// all instances start together each record would otherwise end a watch of
+/// each instance, which is a call that is paid for: 5,500 of them with 74.
+const CHANGE_PAUSE: Duration = Duration::from_secs(1);
+
 /// Pause before the record is written again after a failure.
 const REGISTER_PAUSE: Duration = Duration::from_millis(400);
 
@@ -155,7 +164,7 @@
             engine.with_fleet(|fleet| fleet.stood_still(at));
         }
         last_round = at;
-        for record in engine.with_fleet(|fleet| fleet.watched()) {
+        for record in engine.heartbeat_targets() {
             let engine = engine.clone();
             tokio::spawn(async move { heartbeat(&engine, &record).await });
         }
@@ -199,6 +208,13 @@
             event_log::emit(&event.with("source", from));
         }
     }
+    // Only a start without the store needs them; the store's list is newer.
+    let instances = state.instances.into_iter().filter_map(records::decode_instance);
+    engine.with_fleet(|fleet| {
+        if fleet.others().next().is_none() {
+            fleet.replace(now(), instances.collect());
+        }
+    });
     let servers: Vec<_> = state.servers.into_iter().filter_map(records::decode_server).collect();
     let revision = state.servers_revision;
     engine.update_servers(|list| {
@@ -235,6 +251,23 @@
 }
 
 impl Engine {
+    /// Instances to send heartbeats to: those it watches, and those that hold
+    /// connections to the same groups.
+    fn heartbeat_targets(&self) -> Vec<InstanceRecord> {
+        let mut targets = self.with_fleet(|fleet| fleet.watched());
+        for shard in self.shards() {
+            if !self.is_holder(shard.id()) {
+                continue;
+            }
+            for record in self.co_holders(shard.id()) {
+                if !targets.contains(&record) {
+                    targets.push(record);
+                }
+            }
+        }
+        targets
+    }
+
     /// What this instance says of itself.
     #[must_use]
     pub fn heartbeat(&self) -> Heartbeat {
@@ -318,6 +351,10 @@
         let (servers_revision, servers) = self.listed_servers();
         let servers =
             servers.iter().map(|(group, info)| records::encode_server(group, info)).collect();
-        DirectoryState { configuration, servers_revision, servers }
+        let instances = self.with_fleet(|fleet| {
+            let others = fleet.others().map(records::encode_instance);
+            others.chain([records::encode_instance(self.me())]).collect()
+        });
+        DirectoryState { configuration, servers_revision, servers, instances }
     }
 }
--- a/daemon/src/engine/follow.rs
+++ b/daemon/src/engine/follow.rs
@@ -28,6 +28,11 @@
     /// Some time has passed without a change.
     fn tick(&mut self) {}
 
+    /// Pause after a change before the next one is waited for.
+    fn pause_after_change(&self) -> Duration {
+        Duration::ZERO
+    }
+
     /// The store began or ceased to fail.
     fn outage(&mut self, _lasting: bool) {}
 
@@ -112,6 +117,7 @@
     let changes = directory.watch(follower.kind(), after, wait).await?;
     if !changes.changes.is_empty() {
         follower.change(changes.revision, changes.changes);
+        tokio::time::sleep(follower.pause_after_change()).await;
     }
     follower.tick();
     Ok(changes.revision)
--- /dev/null
+++ b/daemon/src/engine/guest.rs
@@ -0,0 +1,166 @@
+//! Statements that come from another instance, whose client's session they
+//! belong to.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use chervilwharf_lib::engine_protos;
+use chervilwharf_lib::engine_protos::StatementReply;
+use chervilwharf_lib::engine_protos::statement::Begin;
+use chervilwharf_lib::engine_protos::statement::Work as WireWork;
+use chervilwharf_lib::error_kind::ErrorKind;
+use chervilwharf_lib::position::Position;
+use chervilwharf_lib::statement::Access;
+use chervilwharf_lib::statement::Prepared;
+use chervilwharf_lib::statement::Statement;
+use chervilwharf_lib::statement::TransactionState;
+
+use crate::engine::clock::now;
+use crate::engine::peers::Guest;
+use crate::engine::records;
+use crate::engine::request::Failure;
+use crate::engine::request::Request;
+use crate::engine::request::Served;
+use crate::engine::session::Session;
+use crate::engine::shared::Engine;
+use crate::engine::single::Work;
+
+/// A session for statements of another instance, one at a time. Its
+/// transaction is rolled back when the link ends.
+pub struct GuestSession {
+    engine: Arc<Engine>,
+    session: Option<Session>,
+}
+
+/// What another instance wants done.
+enum GuestWork {
+    Run(Work, bool),
+    Commit,
+    RollBack,
+}
+
+impl GuestSession {
+    /// A session that has not run anything.
+    #[must_use]
+    pub fn new(engine: Arc<Engine>) -> Self {
+        Self { engine, session: None }
+    }
+
+    async fn run_inner(&mut self, statement: engine_protos::Statement) -> StatementReply {
+        let begin = statement.begin();
+        let Some(work) = decode_work(statement.work) else {
+            return refusal(ErrorKind::BadStatement);
+        };
+        if matches!(work, GuestWork::RollBack) {
+            self.session = None;
+            return StatementReply::default();
+        }
+        let Some(route) = statement.route.map(|route| Arc::new(records::decode_route(route)))
+        else {
+            return refusal(ErrorKind::BadStatement);
+        };
+        let goes_on = statement.in_transaction && begin == Begin::No;
+        let known = self.session.as_ref().is_some_and(Session::is_in_transaction);
+        if goes_on && !known {
+            return refusal(ErrorKind::TransactionLost);
+        }
+        if !goes_on {
+            if !self.engine.is_holder(&route.group) {
+                return refusal(ErrorKind::NotOwner);
+            }
+            if self.engine.is_stopping() {
+                return refusal(ErrorKind::Stopping);
+            }
+        }
+        let arrived_at = now();
+        let deadline = arrived_at + Duration::from_millis(statement.time_left_ms);
+        let request = Request { id: statement.id.into(), route, arrived_at, deadline };
+        let engine = self.engine.clone();
+        let session = self.session.get_or_insert_with(|| Session::guest(engine, &request.route));
+        if !goes_on {
+            // What an earlier user of the link left behind is rolled back: the
+            // statement would run inside that transaction.
+            session.drop_transaction();
+        }
+        session.use_route(&request.route);
+        let values = statement.values.into_iter();
+        session.set_values(values.map(|value| (value.name.into(), value.value.into())).collect());
+        let floor = Position::new(statement.floor_term, statement.floor_index);
+        session.set_floor((floor.term > 0).then_some(floor));
+        if begin != Begin::No {
+            session.begin_guest(&request.route, begin == Begin::ReadOnly);
+        }
+        let result = match work {
+            GuestWork::Run(work, writes) => session.run_work(&request, &work, writes).await,
+            GuestWork::Commit => session.commit_work(&request).await,
+            GuestWork::RollBack => return StatementReply::default(),
+        };
+        let reply = encode_reply(session, result);
+        if !session.is_in_transaction() {
+            session.stop_counting();
+        }
+        reply
+    }
+}
+
+#[async_trait]
+impl Guest for GuestSession {
+    async fn run(&mut self, statement: engine_protos::Statement) -> StatementReply {
+        self.run_inner(statement).await
+    }
+}
+
+fn decode_work(work: Option<WireWork>) -> Option<GuestWork> {
+    let run =
+        |statement, prepared, writes| Some(GuestWork::Run(Work { statement, prepared }, writes));
+    match work? {
+        WireWork::Read(item) => run(Statement::Read { item: item.into() }, None, false),
+        WireWork::Write(text) => run(Statement::Write { item_and_data: text.into() }, None, true),
+        WireWork::Commit(_) => Some(GuestWork::Commit),
+        WireWork::Rollback(_) => Some(GuestWork::RollBack),
+        WireWork::Execute(execution) => {
+            let access = if execution.writes { Access::Write } else { Access::Read };
+            let prepared = Prepared { access, shape: execution.shape.into() };
+            let name = prepared.shared_name();
+            let statement = Statement::Execute { name, arguments: execution.arguments.into() };
+            run(statement, Some(prepared), execution.writes)
+        }
+    }
+}
+
+fn refusal(kind: ErrorKind) -> StatementReply {
+    let failure = Failure::new(kind);
+    StatementReply {
+        error: kind.name().to_owned(),
+        text: failure.text.to_string(),
+        ..StatementReply::default()
+    }
+}
+
+fn encode_reply(session: &Session, result: Result<Served, Failure>) -> StatementReply {
+    let floor = session.floor().unwrap_or(Position::ZERO);
+    let state = session.state();
+    let mut reply = StatementReply {
+        in_transaction: state != TransactionState::Idle,
+        failed: state == TransactionState::Failed,
+        floor_term: floor.term,
+        floor_index: floor.index,
+        ..StatementReply::default()
+    };
+    match result {
+        Ok(served) => {
+            reply.rows = served.answer.rows.iter().map(ToString::to_string).collect();
+            reply.signature = served.answer.signature.to_string();
+            let position = served.position.unwrap_or(Position::ZERO);
+            (reply.term, reply.index) = (position.term, position.index);
+        }
+        Err(failure) => {
+            failure.kind.name().clone_into(&mut reply.error);
+            reply.text = failure.text.to_string();
+            let after = failure.retry_after.unwrap_or_default().as_millis();
+            reply.retry_after_ms = u64::try_from(after).unwrap_or(u64::MAX);
+        }
+    }
+    reply
+}
--- a/daemon/src/engine/leader_control.rs
+++ b/daemon/src/engine/leader_control.rs
@@ -16,7 +16,6 @@
 use chervilwharf_lib::engine_protos::engine_frame::Body;
 use chervilwharf_lib::event::Event;
 use chervilwharf_lib::event::EventKind;
-use chervilwharf_lib::fleet::InstanceRecord;
 use chervilwharf_lib::group::ServerStatus;
 use chervilwharf_lib::id::GroupId;
 use chervilwharf_lib::id::TargetId;
@@ -120,6 +119,11 @@
 
 fn look_at(replacer: &Replacer, shard: &Arc<Shard>) {
     let engine = &replacer.engine;
+    // Who holds no connections cannot tell how a primary is, and leaves it to
+    // those who do.
+    if !engine.is_holder(shard.id()) {
+        return;
+    }
     let rank = engine.duty_rank(shard.id());
     let (claimants, actions) = shard.with_group(|group| {
         let suspected = group.take_suspicion();
@@ -207,7 +211,7 @@
 const CLAIM_PAUSE: Duration = Duration::from_millis(500);
 
 async fn ask_peers(engine: &Arc<Engine>, shard: &Arc<Shard>, leader: Option<TargetId>) {
-    let others: Vec<InstanceRecord> = engine.with_fleet(|fleet| fleet.others().cloned().collect());
+    let others = engine.co_holders(shard.id());
     let question = LeaderQuery {
         group: shard.id().to_string(),
         server: leader.as_ref().map(ToString::to_string).unwrap_or_default(),
@@ -406,7 +410,7 @@
             return None;
         }
         let holder = self.with_duties(|duties| duties.holder(group));
-        let staying = self.with_fleet(|fleet| fleet.staying(now()));
+        let staying: Vec<_> = self.holders(group).iter().map(|record| record.id.clone()).collect();
         let order = succession(group, holder.as_ref(), &staying);
         order.iter().position(|id| *id == self.me().id)
     }
@@ -421,7 +425,7 @@
         if record.holder == self.me().id {
             return record.life != self.me().life;
         }
-        self.with_fleet(|fleet| !fleet.staying(now()).contains(&record.holder))
+        !self.holders(group).iter().any(|holder| holder.id == record.holder)
     }
 
     /// Somebody took the duty of a group, usually to replace its primary.
--- a/daemon/src/engine/peers.rs
+++ b/daemon/src/engine/peers.rs
@@ -6,9 +6,12 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use async_trait::async_trait;
 use bytes::Bytes;
 use bytes::BytesMut;
 use chervilwharf_lib::engine_protos::EngineFrame;
+use chervilwharf_lib::engine_protos::Statement;
+use chervilwharf_lib::engine_protos::StatementReply;
 use chervilwharf_lib::engine_protos::Tunnel;
 use chervilwharf_lib::engine_protos::TunnelReply;
 use chervilwharf_lib::engine_protos::engine_frame::Body;
@@ -56,19 +59,54 @@
     PeerError::Unreachable(error.to_string())
 }
 
+/// Why an exchange on a link gave no answer.
+#[derive(Clone, Debug)]
+#[derive(Display)]
+pub enum LinkError {
+    /// no connection: {0}
+    NotConnected(PeerError),
+    /// no answer: {0}
+    Failed(PeerError),
+}
+
+impl From<PeerError> for LinkError {
+    fn from(error: PeerError) -> Self {
+        Self::Failed(error)
+    }
+}
+
+/// A connection to another instance, opened when it is needed, for one
+/// exchange at a time.
 #[derive(Default)]
-struct PeerLink {
+pub struct PeerLink {
     frames: Option<Frames>,
     last_exchange_id: u64,
 }
 
 impl PeerLink {
-    async fn exchange(&mut self, address: SocketAddr, body: Body) -> Result<Body, PeerError> {
+    /// Whether it is connected and the other side has not closed it, as far as
+    /// can be told without asking.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        let Some(frames) = &self.frames else {
+            return false;
+        };
+        let mut byte = [0_u8; 1];
+        let read = frames.get_ref().try_read(&mut byte);
+        read.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock)
+    }
+
+    /// Asks and waits for the answer. Dropped early it closes the connection.
+    ///
+    /// # Errors
+    ///
+    /// When no connection could be opened, or no answer came.
+    pub async fn exchange(&mut self, address: SocketAddr, body: Body) -> Result<Body, LinkError> {
         // Taken out, so that a connection on which an answer is still to come
         // is closed when this future is dropped.
         let mut frames = match self.frames.take() {
             Some(frames) => frames,
-            None => frames(connect(address).await?),
+            None => frames(connect(address).await.map_err(LinkError::NotConnected)?),
         };
         self.last_exchange_id += 1;
         let exchange_id = self.last_exchange_id;
@@ -76,13 +114,13 @@
         frames
             .send(Bytes::from(frame.encode_to_vec()))
             .await
-            .map_err(|error| unreachable(&error))?;
+            .map_err(|error| LinkError::Failed(unreachable(&error)))?;
         let answer = read_frame(&mut frames).await?;
         if answer.exchange_id != exchange_id {
-            return Err(PeerError::Unreadable);
+            return Err(PeerError::Unreadable.into());
         }
         self.frames = Some(frames);
-        answer.body.ok_or(PeerError::Unreadable)
+        answer.body.ok_or_else(|| PeerError::Unreadable.into())
     }
 }
 
@@ -117,7 +155,8 @@
             link.exchange(address, body).await
         };
         match tokio::time::timeout(ASK_TIMEOUT, exchange).await {
-            Ok(result) => result,
+            Ok(Ok(answer)) => Ok(answer),
+            Ok(Err(LinkError::NotConnected(error) | LinkError::Failed(error))) => Err(error),
             Err(_) => Err(PeerError::Silent),
         }
     }
@@ -155,11 +194,21 @@
     }
 }
 
+/// Serves statements of another instance, one at a time.
+#[async_trait]
+pub trait Guest: Send {
+    /// Runs a statement.
+    async fn run(&mut self, statement: Statement) -> StatementReply;
+}
+
 /// Answers other instances.
 pub trait PeerHandler: Send + Sync {
     /// The answer to a question; `None` if it is none.
     fn answer(&self, question: Body) -> Option<Body>;
 
+    /// Serves statements of another instance's clients on one link.
+    fn guest(self: Arc<Self>) -> Box<dyn Guest>;
+
     /// Address of a server for a tunnel; `None` if it is not known.
     fn tunnel_target(&self, tunnel: &Tunnel) -> Option<SocketAddr>;
 }
@@ -170,7 +219,7 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 let handler = handler.clone();
-                tokio::spawn(async move { answer_all(&*handler, stream).await });
+                tokio::spawn(async move { answer_all(handler, stream).await });
             }
             Err(error) => {
                 event_log::emit(&Event::new(EventKind::PeerFailed).with("reason", error));
@@ -183,12 +232,13 @@
 /// Pause after the system refused to accept a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-async fn answer_all(handler: &dyn PeerHandler, stream: TcpStream) {
+async fn answer_all(handler: Arc<dyn PeerHandler>, stream: TcpStream) {
     if let Err(error) = socket::configure(&stream) {
         event_log::emit(&Event::new(EventKind::PeerFailed).with("reason", error));
         return;
     }
     let mut frames = frames(stream);
+    let mut guest: Option<Box<dyn Guest>> = None;
     while let Ok(frame) = read_frame(&mut frames).await {
         if let Some(Body::Tunnel(tunnel)) = &frame.body {
             let target = handler.tunnel_target(tunnel);
@@ -197,7 +247,14 @@
             carry_tunnel(frames, frame.exchange_id, target).await;
             return;
         }
-        let body = frame.body.and_then(|question| handler.answer(question));
+        let body = match frame.body {
+            Some(Body::Statement(statement)) => {
+                let guest = guest.get_or_insert_with(|| handler.clone().guest());
+                Some(Body::StatementReply(guest.run(statement).await))
+            }
+            Some(question) => handler.answer(question),
+            None => None,
+        };
         let Some(body) = body else {
             let event = Event::new(EventKind::PeerFailed);
             event_log::emit(&event.with("reason", "it sent something that is no question"));
--- a/daemon/src/engine/records.rs
+++ b/daemon/src/engine/records.rs
@@ -11,6 +11,7 @@
 use chervilwharf_lib::catalog::Route;
 use chervilwharf_lib::engine_protos;
 use chervilwharf_lib::engine_protos::route::Consistency as WireConsistency;
+use chervilwharf_lib::fleet::InstanceRecord;
 use chervilwharf_lib::group::ServerInfo;
 use chervilwharf_lib::id::GroupId;
 
@@ -38,7 +39,9 @@
     }
 }
 
-fn encode_route(route: &Route) -> engine_protos::Route {
+/// Encodes a route.
+#[must_use]
+pub fn encode_route(route: &Route) -> engine_protos::Route {
     let (consistency, max_staleness) = match route.consistency {
         Consistency::Latest => (WireConsistency::Latest, Duration::ZERO),
         Consistency::Bounded(age) => (WireConsistency::Bounded, age),
@@ -80,7 +83,9 @@
     }
 }
 
-fn decode_route(route: engine_protos::Route) -> Route {
+/// Decodes a route.
+#[must_use]
+pub fn decode_route(route: engine_protos::Route) -> Route {
     let age = Duration::from_millis(route.max_staleness_ms);
     let consistency = match route.consistency() {
         WireConsistency::Latest => Consistency::Latest,
@@ -111,6 +116,30 @@
     }
 }
 
+/// Encodes an instance.
+#[must_use]
+pub fn encode_instance(record: &InstanceRecord) -> engine_protos::Instance {
+    engine_protos::Instance {
+        id: record.id.to_string(),
+        life: record.life,
+        peer_address: record.peer_address.to_string(),
+        failure_domain: record.failure_domain.to_string(),
+        capacity_millicores: record.capacity_millicores,
+    }
+}
+
+/// Decodes an instance; `None` if its address is none.
+#[must_use]
+pub fn decode_instance(instance: engine_protos::Instance) -> Option<InstanceRecord> {
+    Some(InstanceRecord {
+        peer_address: instance.peer_address.parse().ok()?,
+        id: text(instance.id),
+        life: instance.life,
+        failure_domain: text(instance.failure_domain),
+        capacity_millicores: instance.capacity_millicores,
+    })
+}
+
 /// Decodes a server; `None` if its address is none.
 #[must_use]
 pub fn decode_server(server: engine_protos::Server) -> Option<(GroupId, ServerInfo)> {
--- /dev/null
+++ b/daemon/src/engine/remote.rs
@@ -0,0 +1,317 @@
+//! Statements that go through another instance, which holds the connections to
+//! their group.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use chervilwharf_lib::engine_protos;
+use chervilwharf_lib::engine_protos::Execution;
+use chervilwharf_lib::engine_protos::SessionValue;
+use chervilwharf_lib::engine_protos::StatementReply;
+use chervilwharf_lib::engine_protos::engine_frame::Body;
+use chervilwharf_lib::engine_protos::statement::Begin;
+use chervilwharf_lib::engine_protos::statement::Work as WireWork;
+use chervilwharf_lib::error_kind::ErrorKind;
+use chervilwharf_lib::fleet::InstanceRecord;
+use chervilwharf_lib::id::InstanceId;
+use chervilwharf_lib::position::Position;
+use chervilwharf_lib::statement::Access;
+use chervilwharf_lib::statement::Answer;
+use chervilwharf_lib::statement::Statement;
+
+use crate::engine::clock::now;
+use crate::engine::peers::LinkError;
+use crate::engine::peers::PeerLink;
+use crate::engine::records;
+use crate::engine::request::Failure;
+use crate::engine::request::Request;
+use crate::engine::request::Served;
+use crate::engine::session::Session;
+use crate::engine::single::Work;
+use crate::engine::transaction::Transaction;
+
+/// Part of the time that is kept back for the way to the other instance and
+/// back.
+const WAY_RESERVE: Duration = Duration::from_millis(10);
+
+/// Links kept open to one instance. More are opened when more statements are
+/// under way, and closed afterwards.
+const KEPT_LINKS: usize = 4;
+
+/// Idle links for statements, by address.
+#[derive(Default)]
+pub struct StatementLinks {
+    idle: Mutex<HashMap<SocketAddr, Vec<PeerLink>>>,
+}
+
+impl StatementLinks {
+    fn take(&self, address: SocketAddr) -> PeerLink {
+        let mut idle = self.idle.lock().expect("never poisoned");
+        let links = idle.entry(address).or_default();
+        while let Some(link) = links.pop() {
+            if link.is_open() {
+                return link;
+            }
+        }
+        PeerLink::default()
+    }
+
+    fn give_back(&self, address: SocketAddr, link: PeerLink) {
+        let mut idle = self.idle.lock().expect("never poisoned");
+        let links = idle.entry(address).or_default();
+        if links.len() < KEPT_LINKS {
+            links.push(link);
+        }
+    }
+}
+
+/// A transaction at another instance.
+pub struct RemoteTransaction {
+    links: Arc<StatementLinks>,
+    holder: InstanceRecord,
+    link: PeerLink,
+}
+
+impl RemoteTransaction {
+    /// Rolls back. A link that cannot carry that is closed, which rolls back
+    /// as well.
+    pub async fn roll_back(mut self) {
+        let statement = engine_protos::Statement {
+            work: Some(WireWork::Rollback(true)),
+            ..engine_protos::Statement::default()
+        };
+        let sent = self.link.exchange(self.holder.peer_address, Body::Statement(statement));
+        if let Ok(Ok(_)) = tokio::time::timeout(ROLLBACK_LIMIT, sent).await {
+            self.links.give_back(self.holder.peer_address, self.link);
+        }
+    }
+}
+
+/// Longest time for a rollback.
+const ROLLBACK_LIMIT: Duration = Duration::from_millis(500);
+
+/// Runs a single statement through a holder.
+///
+/// # Errors
+///
+/// When it did not run, or nobody can tell whether it did.
+pub async fn single(
+    session: &mut Session,
+    request: &Request,
+    work: &Work,
+    writes: bool,
+) -> Result<Served, Failure> {
+    let mut tried = Vec::new();
+    while now() < request.deadline {
+        let Some(holder) = next_holder(session, request, &tried) else {
+            break;
+        };
+        let statement = encode(session, request, work, Begin::No);
+        let mut link = session.engine().statement_links().take(holder.peer_address);
+        match send(session, request, &holder, &mut link, statement).await {
+            Ok(reply) if is_elsewhere(&reply) => pass_over(session, &holder, &mut tried),
+            Ok(reply) => {
+                session.engine().statement_links().give_back(holder.peer_address, link);
+                return decode(session, reply);
+            }
+            Err(SendError::NotSent) => pass_over(session, &holder, &mut tried),
+            // Reads may run twice: nobody can tell.
+            Err(SendError::Lost) if !writes => pass_over(session, &holder, &mut tried),
+            Err(SendError::Lost) => return Err(Failure::new(ErrorKind::OutcomeUnknown)),
+        }
+    }
+    Err(Failure::new(ErrorKind::NoPrimary))
+}
+
+/// Runs a statement of a transaction through its holder; the first one picks
+/// it.
+///
+/// # Errors
+///
+/// When the statement, or the whole transaction, failed.
+pub async fn in_transaction(
+    session: &mut Session,
+    transaction: &mut Transaction,
+    request: &Request,
+    work: &Work,
+) -> Result<Served, Failure> {
+    let result = match transaction.take_remote() {
+        Some(remote) => go_on(session, transaction, request, work, remote).await,
+        None => begin(session, transaction, request, work).await,
+    };
+    transaction.active_at = now();
+    result
+}
+
+async fn begin(
+    session: &mut Session,
+    transaction: &mut Transaction,
+    request: &Request,
+    work: &Work,
+) -> Result<Served, Failure> {
+    let mode = if transaction.is_read_only() { Begin::ReadOnly } else { Begin::ReadWrite };
+    let mut tried = Vec::new();
+    while now() < request.deadline {
+        let Some(holder) = next_holder(session, request, &tried) else {
+            break;
+        };
+        let statement = encode(session, request, work, mode);
+        let links = session.engine().statement_links().clone();
+        let mut link = links.take(holder.peer_address);
+        match send(session, request, &holder, &mut link, statement).await {
+            Ok(reply) if is_elsewhere(&reply) => pass_over(session, &holder, &mut tried),
+            Ok(reply) => {
+                let remote = RemoteTransaction { links, holder, link };
+                return settle(session, transaction, reply, remote);
+            }
+            Err(SendError::NotSent) => pass_over(session, &holder, &mut tried),
+            // The other instance rolls back when the link ends.
+            Err(SendError::Lost) => return Err(lost(transaction, work)),
+        }
+    }
+    transaction.fail();
+    Err(Failure::new(ErrorKind::NoPrimary))
+}
+
+async fn go_on(
+    session: &mut Session,
+    transaction: &mut Transaction,
+    request: &Request,
+    work: &Work,
+    mut remote: RemoteTransaction,
+) -> Result<Served, Failure> {
+    let statement = encode(session, request, work, Begin::No);
+    let holder = remote.holder.clone();
+    match send(session, request, &holder, &mut remote.link, statement).await {
+        Ok(reply) => settle(session, transaction, reply, remote),
+        Err(_) => Err(lost(transaction, work)),
+    }
+}
+
+/// The link of a transaction ended. Only a COMMIT that wrote may be kept.
+fn lost(transaction: &mut Transaction, work: &Work) -> Failure {
+    let commits = work.statement == Statement::Commit;
+    let unknown = commits && transaction.may_have_written();
+    transaction.fail();
+    Failure::new(if unknown { ErrorKind::OutcomeUnknown } else { ErrorKind::TransactionLost })
+}
+
+fn settle(
+    session: &mut Session,
+    transaction: &mut Transaction,
+    reply: StatementReply,
+    remote: RemoteTransaction,
+) -> Result<Served, Failure> {
+    if reply.in_transaction && !reply.failed {
+        transaction.set_remote(remote);
+    } else if reply.failed || !reply.error.is_empty() {
+        // The link is closed, and with it what is left of the transaction.
+        transaction.fail();
+    } else {
+        remote.links.give_back(remote.holder.peer_address, remote.link);
+    }
+    decode(session, reply)
+}
+
+fn next_holder(
+    session: &Session,
+    request: &Request,
+    tried: &[InstanceId],
+) -> Option<InstanceRecord> {
+    session.engine().choose_holder(&request.route.group, session.key(), tried)
+}
+
+fn pass_over(session: &Session, holder: &InstanceRecord, tried: &mut Vec<InstanceId>) {
+    session.engine().holder_lists().avoid(&holder.id);
+    session.try_again(&Failure::new(ErrorKind::NotOwner));
+    tried.push(holder.id.clone());
+}
+
+/// Whether another instance has to be asked; nothing ran.
+fn is_elsewhere(reply: &StatementReply) -> bool {
+    let kind = ErrorKind::from_name(&reply.error);
+    !reply.error.is_empty() && matches!(kind, ErrorKind::NotOwner | ErrorKind::Stopping)
+}
+
+enum SendError {
+    /// The statement cannot have reached the other instance.
+    NotSent,
+    /// It may have.
+    Lost,
+}
+
+async fn send(
+    session: &mut Session,
+    request: &Request,
+    holder: &InstanceRecord,
+    link: &mut PeerLink,
+    statement: engine_protos::Statement,
+) -> Result<StatementReply, SendError> {
+    let sent_at = now();
+    let exchange = link.exchange(holder.peer_address, Body::Statement(statement));
+    let result = tokio::time::timeout(request.time_left(sent_at), exchange).await;
+    session.trail_mut().sent(holder.id.clone(), now().saturating_sub(sent_at));
+    match result {
+        Ok(Ok(Body::StatementReply(reply))) => Ok(reply),
+        Ok(Err(LinkError::NotConnected(_))) => Err(SendError::NotSent),
+        Ok(Ok(_) | Err(_)) | Err(_) => Err(SendError::Lost),
+    }
+}
+
+fn encode(
+    session: &Session,
+    request: &Request,
+    work: &Work,
+    begin: Begin,
+) -> engine_protos::Statement {
+    let values = session
+        .values()
+        .iter()
+        .map(|(name, value)| SessionValue { name: name.to_string(), value: value.to_string() });
+    let floor = session.floor().unwrap_or(Position::ZERO);
+    let time_left = request.time_left(now()).saturating_sub(WAY_RESERVE);
+    engine_protos::Statement {
+        id: request.id.to_string(),
+        route: Some(records::encode_route(&request.route)),
+        time_left_ms: u64::try_from(time_left.as_millis()).unwrap_or(u64::MAX),
+        values: values.collect(),
+        floor_term: floor.term,
+        floor_index: floor.index,
+        begin: begin.into(),
+        in_transaction: session.is_in_transaction(),
+        work: encode_work(work),
+    }
+}
+
+fn encode_work(work: &Work) -> Option<WireWork> {
+    match &work.statement {
+        Statement::Read { item } => Some(WireWork::Read(item.to_string())),
+        Statement::Write { item_and_data } => Some(WireWork::Write(item_and_data.to_string())),
+        Statement::Commit => Some(WireWork::Commit(true)),
+        Statement::Execute { arguments, .. } => {
+            let prepared = work.prepared.as_ref()?;
+            Some(WireWork::Execute(Execution {
+                writes: prepared.access == Access::Write,
+                shape: prepared.shape.to_string(),
+                arguments: arguments.to_string(),
+            }))
+        }
+        _ => None,
+    }
+}
+
+fn decode(session: &mut Session, reply: StatementReply) -> Result<Served, Failure> {
+    let position = |term, index| (term > 0).then(|| Position::new(term, index));
+    session.set_floor(position(reply.floor_term, reply.floor_index));
+    if reply.error.is_empty() {
+        let rows = reply.rows.into_iter().map(Into::into).collect();
+        let answer = Answer { rows, signature: reply.signature.into() };
+        return Ok(Served { answer, position: position(reply.term, reply.index) });
+    }
+    let kind = ErrorKind::from_name(&reply.error);
+    let retry_after = Some(Duration::from_millis(reply.retry_after_ms)).filter(|t| !t.is_zero());
+    Err(Failure { kind, text: reply.text.into(), retry_after })
+}
--- a/daemon/src/engine/session.rs
+++ b/daemon/src/engine/session.rs
@@ -28,6 +28,7 @@
 use crate::engine::clock::now;
 use crate::engine::event_log;
 use crate::engine::lease::Lease;
+use crate::engine::remote;
 use crate::engine::request::Failure;
 use crate::engine::request::Request;
 use crate::engine::request::Served;
@@ -72,10 +73,12 @@
     /// Position of the session's last own commit.
     floor: Option<Position>,
     transaction: Option<Transaction>,
+    /// Whether a statement of the transaction is under way.
+    in_transaction: bool,
     trail: Trail,
     /// Place among the sessions that a planned stop closes one by one.
     spread: u32,
-    _counted: SessionGuard,
+    counted: Option<SessionGuard>,
 }
 
 /// Sessions are closed in this many steps at a planned stop.
@@ -99,7 +102,8 @@
         let counted = engine.count_session();
         Ok(Self {
             spread: rand::random_range(0..SPREAD_STEPS),
-            _counted: counted,
+            counted: Some(counted),
+            in_transaction: false,
             trail: Trail::default(),
             engine,
             shard,
@@ -111,6 +115,85 @@
         })
     }
 
+    /// A session for statements that come from another instance.
+    #[must_use]
+    pub fn guest(engine: Arc<Engine>, route: &Route) -> Self {
+        let shard = engine.shard(&route.group);
+        Self {
+            spread: 0,
+            counted: Some(engine.count_session()),
+            engine,
+            shard,
+            database: route.database.clone(),
+            values: SessionValues::new(),
+            prepared: HashMap::new(),
+            floor: None,
+            transaction: None,
+            in_transaction: false,
+            trail: Trail::default(),
+        }
+    }
+
+    /// Serves the next statement of another instance by this route.
+    pub fn use_route(&mut self, route: &Route) {
+        if self.counted.is_none() {
+            self.counted = Some(self.engine.count_session());
+        }
+        if *self.shard.id() != route.group {
+            self.shard = self.engine.shard(&route.group);
+        }
+        self.trail = Trail::default();
+    }
+
+    /// Nothing is in progress here: a planned stop need not wait for it.
+    pub fn stop_counting(&mut self) {
+        self.counted = None;
+    }
+
+    /// Takes over the values of the session at the other instance.
+    pub fn set_values(&mut self, values: SessionValues) {
+        self.values = values;
+    }
+
+    /// Position of the session's last own commit.
+    #[must_use]
+    pub fn floor(&self) -> Option<Position> {
+        self.floor
+    }
+
+    /// Takes over the position of the session's last own commit.
+    pub fn set_floor(&mut self, floor: Option<Position>) {
+        self.floor = floor;
+    }
+
+    /// Begins a transaction for another instance.
+    pub fn begin_guest(&mut self, route: &Arc<Route>, read_only: bool) {
+        self.transaction = Some(Transaction::new(route.clone(), read_only));
+    }
+
+    /// Rolls back what is open.
+    pub fn drop_transaction(&mut self) {
+        self.transaction = None;
+    }
+
+    /// Whether the present statement belongs to a transaction.
+    #[must_use]
+    pub fn is_in_transaction(&self) -> bool {
+        self.in_transaction || self.transaction.is_some()
+    }
+
+    /// The engine that serves it.
+    #[must_use]
+    pub fn engine(&self) -> &Arc<Engine> {
+        &self.engine
+    }
+
+    /// A number that stays the same for the session, to choose among equals.
+    #[must_use]
+    pub fn key(&self) -> u32 {
+        self.spread
+    }
+
     /// The group that serves the session's present operation.
     #[must_use]
     pub fn shard(&self) -> &Arc<Shard> {
@@ -378,29 +461,75 @@
     }
 
     async fn work(&mut self, id: RequestId, work: Work, writes: bool) -> Result<Served, Failure> {
+        let route = match &self.transaction {
+            Some(transaction) => transaction.route.clone(),
+            None => self.resolve()?,
+        };
+        let request = Self::request(id, route);
+        self.run_work(&request, &work, writes).await
+    }
+
+    /// Runs work for a request, in the transaction if there is one.
+    ///
+    /// # Errors
+    ///
+    /// When it did not run, failed, or nobody can tell.
+    pub async fn run_work(
+        &mut self,
+        request: &Request,
+        work: &Work,
+        writes: bool,
+    ) -> Result<Served, Failure> {
         let Some(mut transaction) = self.transaction.take() else {
-            let request = Self::request(id, self.resolve()?);
+            if !self.engine.is_holder(&request.route.group) {
+                return remote::single(self, request, work, writes).await;
+            }
             return if writes {
-                single::write(self, &request, &work).await
+                single::write(self, request, work).await
             } else {
-                single::read(self, &request, &work).await
+                single::read(self, request, work).await
             };
         };
-        let request = Self::request(id, transaction.route.clone());
-        let result = transaction::run(self, &mut transaction, &request, &work, writes).await;
+        self.in_transaction = true;
+        let result = if transaction.goes_remote(&self.engine) {
+            transaction.note_write(writes);
+            remote::in_transaction(self, &mut transaction, request, work).await
+        } else {
+            transaction::run(self, &mut transaction, request, work, writes).await
+        };
+        self.in_transaction = false;
         self.transaction = Some(transaction);
         result
     }
 
     async fn commit(&mut self, id: RequestId) -> Result<Served, Failure> {
+        let Some(transaction) = &self.transaction else {
+            return Err(Failure::new(ErrorKind::BadStatement));
+        };
+        let request = Self::request(id, transaction.route.clone());
+        self.commit_work(&request).await
+    }
+
+    /// Commits the session's transaction.
+    ///
+    /// # Errors
+    ///
+    /// When it was rolled back, or nobody can tell whether it was kept.
+    pub async fn commit_work(&mut self, request: &Request) -> Result<Served, Failure> {
         let Some(mut transaction) = self.transaction.take() else {
             return Err(Failure::new(ErrorKind::BadStatement));
         };
         if transaction.has_failed() {
             return Err(Failure::new(ErrorKind::TransactionLost));
         }
-        let request = Self::request(id, transaction.route.clone());
-        transaction::commit(self, &mut transaction, &request).await
+        if !transaction.goes_remote(&self.engine) {
+            return transaction::commit(self, &mut transaction, request).await;
+        }
+        let work = Work { statement: Statement::Commit, prepared: None };
+        self.in_transaction = true;
+        let result = remote::in_transaction(self, &mut transaction, request, &work).await;
+        self.in_transaction = false;
+        result
     }
 
     fn roll_back(&mut self) -> Result<(), Failure> {
--- a/daemon/src/engine/shard.rs
+++ b/daemon/src/engine/shard.rs
@@ -177,7 +177,11 @@
 
     /// Sets how many connections to each server this instance may hold.
     pub fn set_budget(self: &Arc<Self>, budget: usize) {
-        let before = std::mem::replace(&mut self.lock().budget, budget);
+        let (before, closing) = {
+            let mut inner = self.lock();
+            (std::mem::replace(&mut inner.budget, budget), inner.idle_over_budget())
+        };
+        drop(closing);
         if before != budget {
             let event = Event::new(EventKind::BudgetChanged).with("group", &self.id);
             event_log::emit(&event.with_count("from", before).with_count("to", budget));
@@ -484,6 +488,21 @@
 type Grant = (oneshot::Sender<Lease>, TargetId, PooledConnection);
 
 impl Inner {
+    /// Takes the idle connections that are over the budget, to close them.
+    fn idle_over_budget(&mut self) -> Vec<PooledConnection> {
+        let mut closing = Vec::new();
+        for pool in self.pools.values_mut() {
+            while pool.share.open > self.budget {
+                let Some(connection) = pool.idle.pop() else {
+                    break;
+                };
+                pool.share.open -= 1;
+                closing.push(connection);
+            }
+        }
+        closing
+    }
+
     /// Refuses a request that would wait for too long.
     ///
     /// While more comes than the servers can take, a queue served in order
--- a/daemon/src/engine/shared.rs
+++ b/daemon/src/engine/shared.rs
@@ -25,10 +25,14 @@
 use crate::engine::border::Connector;
 use crate::engine::clock::now;
 use crate::engine::duty_control::DutyBook;
+use crate::engine::guest::GuestSession;
+use crate::engine::holders::Holders;
 use crate::engine::leader_control::LeaderWatches;
 use crate::engine::metrics::EngineMetrics;
+use crate::engine::peers::Guest;
 use crate::engine::peers::PeerHandler;
 use crate::engine::peers::Peers;
+use crate::engine::remote::StatementLinks;
 use crate::engine::shard::Shard;
 
 /// What all sessions of an instance share.
@@ -44,6 +48,8 @@
     peers: Arc<Peers>,
     duties: Mutex<DutyBook>,
     metrics: EngineMetrics,
+    holders: Holders,
+    statement_links: Arc<StatementLinks>,
     watches: LeaderWatches,
     /// Woken when there is something to find out about a primary.
     doubt: Arc<Notify>,
@@ -69,6 +75,8 @@
             peers: Arc::default(),
             duties: Mutex::default(),
             metrics: EngineMetrics::default(),
+            holders: Holders::default(),
+            statement_links: Arc::default(),
             watches: LeaderWatches::default(),
             doubt: Arc::default(),
             wants_record: Notify::new(),
@@ -100,6 +108,18 @@
         f(&mut self.duties.lock().expect("never poisoned"))
     }
 
+    /// Lists of holders, by group.
+    #[must_use]
+    pub fn holder_lists(&self) -> &Holders {
+        &self.holders
+    }
+
+    /// Idle links for statements that go through other instances.
+    #[must_use]
+    pub fn statement_links(&self) -> &Arc<StatementLinks> {
+        &self.statement_links
+    }
+
     /// Counters and histograms.
     #[must_use]
     pub fn metrics(&self) -> &EngineMetrics {
@@ -159,6 +179,7 @@
 
     /// Divides the connections of each server among the live instances.
     pub fn share_connections(&self) {
+        self.holders.forget();
         self.apply_budgets();
     }
 
@@ -173,7 +194,13 @@
                 continue;
             };
             let at = now();
-            let others = self.with_fleet(|fleet| fleet.demands(at, group));
+            if !self.is_holder(group) {
+                shard.set_budget(0);
+                continue;
+            }
+            let holders: Vec<_> =
+                self.co_holders(group).into_iter().map(|record| record.id).collect();
+            let others = self.with_fleet(|fleet| fleet.demands(group, &holders));
             shard.set_budget(budget(settings.max_connections, shard.demand(at), &others));
         }
     }
@@ -308,6 +335,10 @@
         }
     }
 
+    fn guest(self: Arc<Self>) -> Box<dyn Guest> {
+        Box::new(GuestSession::new(self))
+    }
+
     fn tunnel_target(&self, tunnel: &Tunnel) -> Option<SocketAddr> {
         let group: GroupId = tunnel.group.as_str().into();
         let shards = self.shards.read().expect("never poisoned");
--- a/daemon/src/engine/transaction.rs
+++ b/daemon/src/engine/transaction.rs
@@ -23,10 +23,12 @@
 use crate::engine::clock::now;
 use crate::engine::event_log;
 use crate::engine::lease::Lease;
+use crate::engine::remote::RemoteTransaction;
 use crate::engine::request::Failure;
 use crate::engine::request::Request;
 use crate::engine::request::Served;
 use crate::engine::session::Session;
+use crate::engine::shared::Engine;
 use crate::engine::single::Sent;
 use crate::engine::single::Work;
 use crate::engine::single::first_refusal;
@@ -52,6 +54,8 @@
     pub route: Arc<Route>,
     read_only: bool,
     lease: Option<Lease>,
+    /// The transaction at another instance, which holds the connection.
+    remote: Option<RemoteTransaction>,
     /// Whether a statement that writes was sent.
     wrote: bool,
     fate: Fate,
@@ -63,7 +67,15 @@
     /// A transaction that has not run anything yet.
     #[must_use]
     pub fn new(route: Arc<Route>, read_only: bool) -> Self {
-        Self { route, read_only, lease: None, wrote: false, fate: Fate::Alive, active_at: now() }
+        Self {
+            route,
+            read_only,
+            lease: None,
+            remote: None,
+            wrote: false,
+            fate: Fate::Alive,
+            active_at: now(),
+        }
     }
 
     /// Its state as the client sees it.
@@ -81,7 +93,41 @@
     /// Whether it keeps a connection that others could use.
     #[must_use]
     pub fn holds_connection(&self) -> bool {
-        self.lease.is_some()
+        self.lease.is_some() || self.remote.is_some()
+    }
+
+    /// Whether its statements go through another instance.
+    #[must_use]
+    pub fn goes_remote(&self, engine: &Engine) -> bool {
+        let here = self.lease.is_some() || engine.is_holder(&self.route.group);
+        self.remote.is_some() || !here
+    }
+
+    /// Whether it may only read.
+    #[must_use]
+    pub fn is_read_only(&self) -> bool {
+        self.read_only
+    }
+
+    /// A statement of it is sent.
+    pub fn note_write(&mut self, writes: bool) {
+        self.wrote |= writes;
+    }
+
+    /// Whether a statement that writes was sent.
+    #[must_use]
+    pub fn may_have_written(&self) -> bool {
+        self.wrote
+    }
+
+    /// Takes the transaction at the other instance, for a statement.
+    pub fn take_remote(&mut self) -> Option<RemoteTransaction> {
+        self.remote.take()
+    }
+
+    /// The transaction at the other instance goes on.
+    pub fn set_remote(&mut self, remote: RemoteTransaction) {
+        self.remote = Some(remote);
     }
 
     /// Rolls it back while the client rests. The client learns of it from the
@@ -111,10 +157,12 @@
     /// Rolls back at the server, behind the client's back, and gives the
     /// connection back.
     pub fn release(&mut self) {
-        let Some(lease) = self.lease.take() else {
-            return;
-        };
-        tokio::spawn(roll_back(lease));
+        if let Some(remote) = self.remote.take() {
+            tokio::spawn(remote.roll_back());
+        }
+        if let Some(lease) = self.lease.take() {
+            tokio::spawn(roll_back(lease));
+        }
     }
 }
 
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -27,6 +27,8 @@
     pub peer_address: SocketAddr,
     /// Where it runs.
     pub failure_domain: FailureDomainId,
+    /// Its share of a processor, in thousandths of a core.
+    pub capacity_millicores: u32,
 }
 
 /// Instances that each one sends heartbeats to. Three would bear the loss of
@@ -112,18 +114,14 @@
         }
     }
 
-    /// What the other instances want of the connections to a group: one
-    /// number for each that shares them.
-    ///
-    /// While most others are silent, it is more likely that this instance is
-    /// cut off than that they are all gone. They keep their connections then.
+    /// What other instances that hold connections to a group want of them.
     #[must_use]
-    pub fn demands(&self, now: Moment, group: &GroupId) -> Vec<f64> {
-        let live = self.live(now);
-        let cut_off = self.is_cut_off(now);
-        let sharing =
-            self.members.values().filter(|member| cut_off || live.contains(&member.record.id));
-        sharing.map(|member| member.demands.get(group).copied().unwrap_or(0.0)).collect()
+    pub fn demands(&self, group: &GroupId, holders: &[InstanceId]) -> Vec<f64> {
+        let demand = |id: &InstanceId| {
+            let member = self.members.get(id)?;
+            member.demands.get(group).copied()
+        };
+        holders.iter().map(|id| demand(id).unwrap_or(0.0)).collect()
     }
 
     /// Instances to send heartbeats to: the next ones in the ring of names.
@@ -150,9 +148,13 @@
 
     /// All instances that count as alive, this one included, in the order of
     /// their names.
+    ///
+    /// While most others are silent, it is more likely that this instance is
+    /// cut off than that they are all gone. They all count then, and keep their
+    /// connections.
     #[must_use]
     pub fn live(&self, now: Moment) -> Vec<InstanceId> {
-        let watched = self.watched();
+        let watched = if self.is_cut_off(now) { Vec::new() } else { self.watched() };
         let silent = |member: &Member| {
             member.heard_at + SILENT_AFTER <= now
                 && watched.iter().any(|record| record.id == member.record.id)
@@ -175,6 +177,12 @@
         self.live(now).into_iter().filter(|id| !leaving(id)).collect()
     }
 
+    /// Record of another instance.
+    #[must_use]
+    pub fn record(&self, id: &str) -> Option<&InstanceRecord> {
+        self.members.get(id).map(|member| &member.record)
+    }
+
     /// Records of all other instances.
     pub fn others(&self) -> impl Iterator<Item = &InstanceRecord> {
         self.members.values().map(|member| &member.record)
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod fleet;
 pub mod floors;
 pub mod group;
+pub mod holders;
 pub mod id;
 pub mod instance;
 pub mod layout;
--- a/lib/src/protos/chervilwharf.engine.rs
+++ b/lib/src/protos/chervilwharf.engine.rs
@@ -5,7 +5,7 @@
     /// Chosen by the side that asks, unique within the connection.
     #[prost(uint64, tag = "1")]
     pub exchange_id: u64,
-    #[prost(oneof = "engine_frame::Body", tags = "2, 3, 4, 5, 6, 7, 8, 9")]
+    #[prost(oneof = "engine_frame::Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
     pub body: ::core::option::Option<engine_frame::Body>,
 }
 /// Nested message and enum types in `EngineFrame`.
@@ -28,6 +28,10 @@
         Tunnel(super::Tunnel),
         #[prost(message, tag = "9")]
         TunnelReply(super::TunnelReply),
+        #[prost(message, tag = "10")]
+        Statement(super::Statement),
+        #[prost(message, tag = "11")]
+        StatementReply(super::StatementReply),
     }
 }
 /// Liveness, and what the sender knows of the platform's records.
@@ -107,6 +111,134 @@
     #[prost(bool, tag = "1")]
     pub connected: bool,
 }
+/// A statement for an instance that holds the connections to its group.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Statement {
+    #[prost(string, tag = "1")]
+    pub id: ::prost::alloc::string::String,
+    #[prost(message, optional, tag = "2")]
+    pub route: ::core::option::Option<Route>,
+    /// Time until the answer is due.
+    #[prost(uint64, tag = "3")]
+    pub time_left_ms: u64,
+    #[prost(message, repeated, tag = "4")]
+    pub values: ::prost::alloc::vec::Vec<SessionValue>,
+    /// The session's last own commit; a term of 0 for none.
+    #[prost(uint64, tag = "5")]
+    pub floor_term: u64,
+    #[prost(uint64, tag = "6")]
+    pub floor_index: u64,
+    /// A transaction goes on with the next statement on the same connection.
+    #[prost(enumeration = "statement::Begin", tag = "7")]
+    pub begin: i32,
+    #[prost(bool, tag = "8")]
+    pub in_transaction: bool,
+    #[prost(oneof = "statement::Work", tags = "9, 10, 11, 12, 13")]
+    pub work: ::core::option::Option<statement::Work>,
+}
+/// Nested message and enum types in `Statement`.
+pub mod statement {
+    #[derive(
+        Clone,
+        Copy,
+        Debug,
+        PartialEq,
+        Eq,
+        Hash,
+        PartialOrd,
+        Ord,
+        ::prost::Enumeration
+    )]
+    #[repr(i32)]
+    pub enum Begin {
+        /// Not the first of a transaction.
+        No = 0,
+        ReadWrite = 1,
+        ReadOnly = 2,
+    }
+    impl Begin {
+        /// String value of the enum field names used in the ProtoBuf definition.
+        ///
+        /// The values are not transformed in any way and thus are considered stable
+        /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+        pub fn as_str_name(&self) -> &'static str {
+            match self {
+                Self::No => "NO",
+                Self::ReadWrite => "READ_WRITE",
+                Self::ReadOnly => "READ_ONLY",
+            }
+        }
+        /// Creates an enum from field names used in the ProtoBuf definition.
+        pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+            match value {
+                "NO" => Some(Self::No),
+                "READ_WRITE" => Some(Self::ReadWrite),
+                "READ_ONLY" => Some(Self::ReadOnly),
+                _ => None,
+            }
+        }
+    }
+    #[derive(Clone, PartialEq, Eq, Hash, ::prost::Oneof)]
+    pub enum Work {
+        #[prost(string, tag = "9")]
+        Read(::prost::alloc::string::String),
+        #[prost(string, tag = "10")]
+        Write(::prost::alloc::string::String),
+        #[prost(message, tag = "11")]
+        Execute(super::Execution),
+        #[prost(bool, tag = "12")]
+        Commit(bool),
+        #[prost(bool, tag = "13")]
+        Rollback(bool),
+    }
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct SessionValue {
+    #[prost(string, tag = "1")]
+    pub name: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub value: ::prost::alloc::string::String,
+}
+/// A prepared statement, by its shape.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Execution {
+    #[prost(bool, tag = "1")]
+    pub writes: bool,
+    #[prost(string, tag = "2")]
+    pub shape: ::prost::alloc::string::String,
+    #[prost(string, tag = "3")]
+    pub arguments: ::prost::alloc::string::String,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StatementReply {
+    /// Name of the error kind; empty for success.
+    #[prost(string, tag = "1")]
+    pub error: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub text: ::prost::alloc::string::String,
+    /// 0 for none.
+    #[prost(uint64, tag = "3")]
+    pub retry_after_ms: u64,
+    #[prost(string, repeated, tag = "4")]
+    pub rows: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    #[prost(string, tag = "5")]
+    pub signature: ::prost::alloc::string::String,
+    /// Whether a transaction goes on, and whether it has failed.
+    #[prost(bool, tag = "6")]
+    pub in_transaction: bool,
+    #[prost(bool, tag = "7")]
+    pub failed: bool,
+    /// The server's position; a term of 0 for none.
+    #[prost(uint64, tag = "8")]
+    pub term: u64,
+    #[prost(uint64, tag = "9")]
+    pub index: u64,
+    /// The session's floor after the statement; a term of 0 for none.
+    #[prost(uint64, tag = "10")]
+    pub floor_term: u64,
+    #[prost(uint64, tag = "11")]
+    pub floor_index: u64,
+}
 /// Asks for the records that the other instance holds.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct DirectoryPull {}
@@ -118,6 +250,21 @@
     pub servers_revision: u64,
     #[prost(message, repeated, tag = "3")]
     pub servers: ::prost::alloc::vec::Vec<Server>,
+    #[prost(message, repeated, tag = "4")]
+    pub instances: ::prost::alloc::vec::Vec<Instance>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Instance {
+    #[prost(string, tag = "1")]
+    pub id: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub life: u64,
+    #[prost(string, tag = "3")]
+    pub peer_address: ::prost::alloc::string::String,
+    #[prost(string, tag = "4")]
+    pub failure_domain: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "5")]
+    pub capacity_millicores: u32,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Configuration {
--- a/lib/tests/test_replacement.rs
+++ b/lib/tests/test_replacement.rs
@@ -203,6 +203,7 @@
         life,
         peer_address: SocketAddr::from(([127, 0, 0, 1], 1)),
         failure_domain: "a".into(),
+        capacity_millicores: 250,
     }
 }
 
--- a/lib/tests/test_replacement_exploration.rs
+++ b/lib/tests/test_replacement_exploration.rs
@@ -92,6 +92,7 @@
         life: 1,
         peer_address: SocketAddr::from(([127, 0, 0, 1], 1)),
         failure_domain: "a".into(),
+        capacity_millicores: 250,
     }
 }
 
--- a/lib/tests/test_sharing.rs
+++ b/lib/tests/test_sharing.rs
@@ -32,6 +32,7 @@
         life: 1,
         peer_address: SocketAddr::from(([127, 0, 0, 1], 1)),
         failure_domain: "a".into(),
+        capacity_millicores: 250,
     }
 }
 
@@ -155,7 +156,9 @@
     let mut fleet = fleet(&["a", "b", "c"]);
     let demands = HashMap::from([("db".into(), 4.0)]);
     fleet.set_demands("a", demands);
-    assert_eq!(fleet.demands(at(60_000), &"db".into()), [4.0, 0.0, 0.0]);
+    let others: Vec<_> = ["a", "b", "c"].map(Into::into).to_vec();
+    assert_eq!(fleet.demands(&"db".into(), &others), [4.0, 0.0, 0.0]);
+    assert_eq!(fleet.live(at(60_000)).len(), 4);
     assert!(fleet.removable(at(60_000)).is_empty());
 }
 
