--- a/daemon/src/engine/configuration_control.rs
+++ b/daemon/src/engine/configuration_control.rs
@@ -6,6 +6,7 @@
 use chervilwharf_lib::event::EventKind;
 
 use crate::engine::directory::Change;
+use crate::engine::directory::Currency;
 use crate::engine::directory::Entry;
 use crate::engine::directory::Record;
 use crate::engine::directory::RecordKind;
@@ -43,6 +44,10 @@
         RecordKind::Configuration
     }
 
+    fn currency(&self) -> Currency {
+        self.engine.record_currency()
+    }
+
     fn replace(&mut self, _revision: Revision, entries: Vec<Entry>) {
         for entry in entries {
             self.take(entry.record);
--- a/daemon/src/engine/directory.rs
+++ b/daemon/src/engine/directory.rs
@@ -119,11 +119,21 @@
     Unanswered(DirectoryError),
 }
 
+/// How current an answer of the store has to be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Currency {
+    /// As it is now.
+    Fresh,
+    /// It may be seconds old. Such a call costs a tenth and counts toward no
+    /// rate.
+    MayBeOld,
+}
+
 /// What the platform keeps.
 #[async_trait]
 pub trait Directory: Send + Sync {
-    /// Lists all records of a kind, as they are now.
-    async fn list(&self, kind: RecordKind) -> Result<Listing, DirectoryError>;
+    /// Lists all records of a kind.
+    async fn list(&self, kind: RecordKind, currency: Currency) -> Result<Listing, DirectoryError>;
 
     /// Waits for changes after a revision, at most for `wait`.
     async fn watch(
@@ -131,6 +141,7 @@
         kind: RecordKind,
         after: Revision,
         wait: Duration,
+        currency: Currency,
     ) -> Result<Changes, DirectoryError>;
 
     /// Reads one record as it is now.
--- a/daemon/src/engine/duty_control.rs
+++ b/daemon/src/engine/duty_control.rs
@@ -15,6 +15,7 @@
 use chervilwharf_lib::id::InstanceId;
 
 use crate::engine::directory::Change;
+use crate::engine::directory::Currency;
 use crate::engine::directory::Directory;
 use crate::engine::directory::Entry;
 use crate::engine::directory::Record;
@@ -107,6 +108,10 @@
         LONG_WATCH_WAIT
     }
 
+    fn currency(&self) -> Currency {
+        Currency::MayBeOld
+    }
+
     fn replace(&mut self, _revision: Revision, entries: Vec<Entry>) {
         for entry in entries {
             self.take(entry);
--- a/daemon/src/engine/fleet_control.rs
+++ b/daemon/src/engine/fleet_control.rs
@@ -20,6 +20,7 @@
 
 use crate::engine::clock::now;
 use crate::engine::directory::Change;
+use crate::engine::directory::Currency;
 use crate::engine::directory::Directory;
 use crate::engine::directory::Entry;
 use crate::engine::directory::Record;
@@ -62,6 +63,10 @@
         LONG_WATCH_WAIT
     }
 
+    fn currency(&self) -> Currency {
+        Currency::MayBeOld
+    }
+
     fn pause_after_change(&self) -> Duration {
         CHANGE_PAUSE
     }
@@ -169,6 +174,7 @@
             tokio::spawn(async move { heartbeat(&engine, &record).await });
         }
         engine.share_connections();
+        engine.close_unused_links();
         remove_lost(&engine, &directory, at);
     }
 }
@@ -251,6 +257,14 @@
 }
 
 impl Engine {
+    /// Closes links to instances whose record is gone.
+    fn close_unused_links(&self) {
+        let addresses: Vec<_> =
+            self.with_fleet(|fleet| fleet.others().map(|record| record.peer_address).collect());
+        self.peers().keep_only(&addresses);
+        self.statement_links().keep_only(&addresses);
+    }
+
     /// Instances to send heartbeats to: those it watches, and those that hold
     /// connections to the same groups.
     fn heartbeat_targets(&self) -> Vec<InstanceRecord> {
@@ -339,8 +353,15 @@
     #[must_use]
     pub fn wants_directory_of(&self, heartbeat: &Heartbeat) -> bool {
         let newer_servers = heartbeat.servers_revision > self.servers_revision();
-        heartbeat.configuration_version > self.catalog().version
-            || (newer_servers && self.has_servers_outage())
+        let late = self.has_servers_outage() || self.record_currency() == Currency::MayBeOld;
+        heartbeat.configuration_version > self.catalog().version || (newer_servers && late)
+    }
+
+    /// How current this instance's own view of configuration and servers is.
+    #[must_use]
+    pub fn record_currency(&self) -> Currency {
+        let relays = self.with_fleet(|fleet| fleet.is_relay(now(), &self.me().failure_domain));
+        if relays { Currency::Fresh } else { Currency::MayBeOld }
     }
 
     /// What this instance knows of the platform's records.
--- a/daemon/src/engine/follow.rs
+++ b/daemon/src/engine/follow.rs
@@ -7,6 +7,7 @@
 use chervilwharf_lib::event::EventKind;
 
 use crate::engine::directory::Change;
+use crate::engine::directory::Currency;
 use crate::engine::directory::Directory;
 use crate::engine::directory::DirectoryError;
 use crate::engine::directory::Entry;
@@ -36,6 +37,11 @@
     /// The store began or ceased to fail.
     fn outage(&mut self, _lasting: bool) {}
 
+    /// How current the records have to be.
+    fn currency(&self) -> Currency {
+        Currency::Fresh
+    }
+
     /// Longest time until the next tick is due.
     fn wait_limit(&self) -> Duration {
         WATCH_WAIT
@@ -103,7 +109,7 @@
     directory: &dyn Directory,
     follower: &mut impl Follower,
 ) -> Result<Revision, DirectoryError> {
-    let listing = directory.list(follower.kind()).await?;
+    let listing = directory.list(follower.kind(), follower.currency()).await?;
     follower.replace(listing.revision, listing.entries);
     Ok(listing.revision)
 }
@@ -114,7 +120,7 @@
     after: Revision,
 ) -> Result<Revision, DirectoryError> {
     let wait = follower.wait_limit();
-    let changes = directory.watch(follower.kind(), after, wait).await?;
+    let changes = directory.watch(follower.kind(), after, wait, follower.currency()).await?;
     if !changes.changes.is_empty() {
         follower.change(changes.revision, changes.changes);
         tokio::time::sleep(follower.pause_after_change()).await;
--- a/daemon/src/engine/guest.rs
+++ b/daemon/src/engine/guest.rs
@@ -83,7 +83,7 @@
             // statement would run inside that transaction.
             session.drop_transaction();
         }
-        session.use_route(&request.route);
+        session.use_route(&request.id, &request.route);
         let values = statement.values.into_iter();
         session.set_values(values.map(|value| (value.name.into(), value.value.into())).collect());
         let floor = Position::new(statement.floor_term, statement.floor_index);
--- a/daemon/src/engine/remote.rs
+++ b/daemon/src/engine/remote.rs
@@ -59,6 +59,12 @@
         PeerLink::default()
     }
 
+    /// Closes links to addresses that are not in use any more.
+    pub fn keep_only(&self, addresses: &[SocketAddr]) {
+        let mut idle = self.idle.lock().expect("never poisoned");
+        idle.retain(|address, _| addresses.contains(address));
+    }
+
     fn give_back(&self, address: SocketAddr, link: PeerLink) {
         let mut idle = self.idle.lock().expect("never poisoned");
         let links = idle.entry(address).or_default();
--- a/daemon/src/engine/server_control.rs
+++ b/daemon/src/engine/server_control.rs
@@ -8,6 +8,7 @@
 
 use crate::engine::clock::now;
 use crate::engine::directory::Change;
+use crate::engine::directory::Currency;
 use crate::engine::directory::Entry;
 use crate::engine::directory::Record;
 use crate::engine::directory::RecordKind;
@@ -46,11 +47,18 @@
         RecordKind::Servers
     }
 
+    fn currency(&self) -> Currency {
+        self.engine.record_currency()
+    }
+
     fn replace(&mut self, revision: Revision, entries: Vec<Entry>) {
         let servers = entries.into_iter().filter_map(server_of).collect();
         self.missing = self.engine.update_servers(|list| {
-            list.replace(now(), servers);
-            list.advance(revision);
+            // An answer that is seconds old must not undo what is known.
+            if revision >= list.revision() {
+                list.replace(now(), servers);
+                list.advance(revision);
+            }
         });
     }
 
--- a/daemon/src/engine/session.rs
+++ b/daemon/src/engine/session.rs
@@ -135,14 +135,15 @@
     }
 
     /// Serves the next statement of another instance by this route.
-    pub fn use_route(&mut self, route: &Route) {
+    pub fn use_route(&mut self, id: &RequestId, route: &Route) {
         if self.counted.is_none() {
             self.counted = Some(self.engine.count_session());
         }
         if *self.shard.id() != route.group {
             self.shard = self.engine.shard(&route.group);
         }
-        self.trail = Trail::default();
+        let database = route.database.clone();
+        self.trail = Trail { id: id.clone(), database, ..Trail::default() };
     }
 
     /// Nothing is in progress here: a planned stop need not wait for it.
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -45,6 +45,13 @@
 /// instance usually wakes up before and finds its record in place.
 const REMOVED_AFTER: Duration = Duration::from_secs(8);
 
+/// Relays of a failure domain, so that one can be lost.
+const RELAYS_PER_DOMAIN: usize = 2;
+
+/// Smaller fleets read the present state everywhere: a few calls cost little,
+/// and nothing is learned a heartbeat later.
+const RELAYS_FROM: usize = 15;
+
 /// Time between two heartbeats to the same instance.
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -177,6 +184,27 @@
         self.live(now).into_iter().filter(|id| !leaving(id)).collect()
     }
 
+    /// Whether this instance reads configuration and servers from the store as
+    /// they are now. The others read what may be seconds old, at a tenth of the
+    /// price, and learn what is newer from the relays with heartbeats.
+    ///
+    /// With 74 instances that all read the present state, calls to the store
+    /// cost 0.08 of the worth of a day.
+    #[must_use]
+    pub fn is_relay(&self, now: Moment, failure_domain: &FailureDomainId) -> bool {
+        if self.members.len() < RELAYS_FROM {
+            return true;
+        }
+        let score = |id: &str| stable_hash(&["relay", id]);
+        let mine = score(&self.me);
+        let before = self.staying(now).into_iter().filter(|id| {
+            let near = self.members.get(id);
+            let near = near.is_some_and(|member| member.record.failure_domain == *failure_domain);
+            near && score(id) > mine
+        });
+        before.count() < RELAYS_PER_DOMAIN
+    }
+
     /// Record of another instance.
     #[must_use]
     pub fn record(&self, id: &str) -> Option<&InstanceRecord> {
--- a/lib/tests/test_sharing.rs
+++ b/lib/tests/test_sharing.rs
@@ -13,6 +13,7 @@
 use chervilwharf_lib::group::Group;
 use chervilwharf_lib::group::ServerInfo;
 use chervilwharf_lib::group::ServerStatus;
+use chervilwharf_lib::holders::holders;
 use chervilwharf_lib::moment::Moment;
 use chervilwharf_lib::pool_share::Choice;
 use chervilwharf_lib::pool_share::Need;
@@ -169,6 +170,43 @@
     assert_eq!(fleet.live(at(20_001)).len(), 4);
 }
 
+#[test]
+fn test_two_instances_of_a_failure_domain_read_the_present_state() {
+    let names: Vec<String> = (0..20).map(|number| format!("n{number:02}")).collect();
+    let fleet_of = |me: &String| {
+        let mut fleet = Fleet::new(me.as_str().into());
+        let others = names.iter().filter(|name| *name != me);
+        fleet.replace(at(0), others.map(|name| record(name)).collect());
+        fleet
+    };
+    let relays = names.iter().filter(|me| fleet_of(me).is_relay(at(10), &"a".into())).count();
+    assert_eq!(relays, 2);
+    assert!(fleet(&["a", "b", "c"]).is_relay(at(10), &"a".into()), "a small fleet needs none");
+}
+
+#[test]
+fn test_holders_are_the_same_everywhere_and_follow_capacity() {
+    let all: Vec<InstanceRecord> = (0..74)
+        .map(|number| InstanceRecord {
+            capacity_millicores: if number % 2 == 0 { 500 } else { 125 },
+            ..record(&format!("n{number:02}"))
+        })
+        .collect();
+    let mut reversed = all.clone();
+    reversed.reverse();
+    let (mut strong, mut total) = (0, 0);
+    for group in 0..40 {
+        let group = format!("g{group}").into();
+        let chosen = holders(&group, 35, &all);
+        assert_eq!(chosen, holders(&group, 35, &reversed));
+        assert_eq!(chosen.len(), 8);
+        total += chosen.len();
+        strong += chosen.iter().filter(|record| record.capacity_millicores == 500).count();
+    }
+    assert!(strong * 10 > total * 7, "{strong} of {total} are strong ones");
+    assert_eq!(holders(&"g".into(), 35, &all[..11]).len(), 11, "all, where all can");
+}
+
 #[test]
 fn test_leaving_instance_takes_no_duty() {
     let mut fleet = fleet(&["a", "b"]);
