follow: no flood of lists after the store forgot its history

Cause: an old answer of a list showed a revision whose changes were forgotten already; the watch failed at once, and so on without a pause. The test counts 51 lists before and 2 after. Also longer pauses between failed calls of instances that are no relays. Ruled out: the pauses alone (10,996 calls with them).

--- a/daemon/src/engine/follow.rs
+++ b/daemon/src/engine/follow.rs
@@ -66,14 +66,24 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_millis(600);
 
+/// Longest pause of those who learn what is newer from others: refused calls
+/// are paid for as well, and 74 instances would make 500 a second.
+const LONGEST_PAUSE_OLD: Duration = Duration::from_millis(2_500);
+
 /// Follows a kind of records for ever.
 pub async fn follow(directory: Arc<dyn Directory>, mut follower: impl Follower) {
     let kind = follower.kind();
     let mut pause = FIRST_PAUSE;
     let mut revision: Option<Revision> = None;
+    // What an old answer shows may be forgotten already: a list of it would
+    // end in the same error, thousands of times a second.
+    let mut forgotten = false;
     loop {
         let result = match revision {
-            None => list(&*directory, &mut follower).await,
+            None => {
+                let currency = if forgotten { Currency::Fresh } else { follower.currency() };
+                list(&*directory, &mut follower, currency).await
+            }
             Some(after) => watch(&*directory, &mut follower, after).await,
         };
         match result {
@@ -84,11 +94,16 @@
                     follower.outage(false);
                 }
                 pause = FIRST_PAUSE;
+                forgotten &= revision.is_none();
                 revision = Some(next);
             }
             Err(DirectoryError::HistoryGone) => {
                 let event = Event::new(EventKind::StoreHistoryGone).with("kind", kind);
                 event_log::emit(&event.with_some("since", revision));
+                if forgotten {
+                    tokio::time::sleep(FIRST_PAUSE).await;
+                }
+                forgotten = true;
                 revision = None;
             }
             Err(error) => {
@@ -98,7 +113,11 @@
                     follower.outage(true);
                 }
                 tokio::time::sleep(pause).await;
-                pause = (pause * 2).min(LONGEST_PAUSE);
+                let longest = match follower.currency() {
+                    Currency::Fresh => LONGEST_PAUSE,
+                    Currency::MayBeOld => LONGEST_PAUSE_OLD,
+                };
+                pause = (pause * 2).min(longest);
                 follower.tick();
             }
         }
@@ -108,8 +127,9 @@
 async fn list(
     directory: &dyn Directory,
     follower: &mut impl Follower,
+    currency: Currency,
 ) -> Result<Revision, DirectoryError> {
-    let listing = directory.list(follower.kind(), follower.currency()).await?;
+    let listing = directory.list(follower.kind(), currency).await?;
     follower.replace(listing.revision, listing.entries);
     Ok(listing.revision)
 }
