--- a/daemon/src/engine/records.rs
+++ b/daemon/src/engine/records.rs
@@ -42,7 +42,7 @@
 /// Encodes a route.
 #[must_use]
 pub fn encode_route(route: &Route) -> engine_protos::Route {
-    let (consistency, max_staleness) = match route.consistency {
+    let (consistency, staleness) = match route.consistency {
         Consistency::Latest => (WireConsistency::Latest, Duration::ZERO),
         Consistency::Bounded(age) => (WireConsistency::Bounded, age),
         Consistency::ReadYourWrites(age) => (WireConsistency::ReadYourWrites, age),
@@ -51,7 +51,7 @@
         database: route.database.to_string(),
         group: route.group.to_string(),
         consistency: consistency.into(),
-        max_staleness_ms: milliseconds(max_staleness),
+        staleness_ms: milliseconds(staleness),
         timeout_ms: milliseconds(route.timeout),
         objective_ms: milliseconds(route.objective),
         priority: route.priority.into(),
@@ -86,7 +86,7 @@
 /// Decodes a route.
 #[must_use]
 pub fn decode_route(route: engine_protos::Route) -> Route {
-    let age = Duration::from_millis(route.max_staleness_ms);
+    let age = Duration::from_millis(route.staleness_ms);
     let consistency = match route.consistency() {
         WireConsistency::Latest => Consistency::Latest,
         WireConsistency::Bounded => Consistency::Bounded(age),
--- a/daemon/src/engine/shared.rs
+++ b/daemon/src/engine/shared.rs
@@ -149,12 +149,6 @@
         self.catalog.borrow().clone()
     }
 
-    /// Announces each configuration that comes into force.
-    #[must_use]
-    pub fn catalog_changes(&self) -> watch::Receiver<Arc<Catalog>> {
-        self.catalog.subscribe()
-    }
-
     /// The route of a database name.
     #[must_use]
     pub fn route(&self, database: &str) -> Option<Arc<Route>> {
--- a/daemon/src/engine/single.rs
+++ b/daemon/src/engine/single.rs
@@ -2,17 +2,17 @@
 
 use std::time::Duration;
 
-use chervilwharf_lib::catalog::Consistency;
 use chervilwharf_lib::error_kind::ErrorKind;
 use chervilwharf_lib::event::Event;
 use chervilwharf_lib::event::EventKind;
-use chervilwharf_lib::moment::Moment;
+use chervilwharf_lib::id::TargetId;
 use chervilwharf_lib::pool_share::Need;
 use chervilwharf_lib::position::Position;
 use chervilwharf_lib::server_refusal::RefusalKind;
 use chervilwharf_lib::server_refusal::ServerRefusal;
 use chervilwharf_lib::statement::Prepared;
 use chervilwharf_lib::statement::Statement;
+use chervilwharf_lib::statement::TransactionState;
 use chervilwharf_lib::waits;
 
 use crate::engine::border::ExchangeError;
@@ -138,7 +138,7 @@
     session: &mut Session,
     request: &Request,
     work: &Work,
-    shunned: &mut Option<std::sync::Arc<str>>,
+    shunned: &mut Option<TargetId>,
 ) -> Try {
     let consistency = request.route.consistency;
     let floor = session.floor_for(request.arrived_at, consistency);
@@ -210,9 +210,7 @@
 
 /// Gives a connection back if all is over on it.
 fn give_back(lease: Option<Lease>, replies: &[StepReply]) {
-    let idle = replies
-        .last()
-        .is_some_and(|reply| reply.state == chervilwharf_lib::statement::TransactionState::Idle);
+    let idle = replies.last().is_some_and(|reply| reply.state == TransactionState::Idle);
     if let (Some(lease), true) = (lease, idle) {
         lease.give_back();
     }
@@ -228,7 +226,7 @@
 
 fn refused_read(
     session: &mut Session,
-    server: &std::sync::Arc<str>,
+    server: &TargetId,
     refusal: ServerRefusal,
     floor: Option<Position>,
     position: Option<Position>,
@@ -343,7 +341,7 @@
     }
 }
 
-fn refused_write(session: &Session, server: &std::sync::Arc<str>, refusal: ServerRefusal) -> Try {
+fn refused_write(session: &Session, server: &TargetId, refusal: ServerRefusal) -> Try {
     match refusal.kind {
         RefusalKind::NotLeading => {
             session.shard().lost_lead(server);
@@ -356,15 +354,3 @@
         _ => Try::Failed(refusal.into()),
     }
 }
-
-/// Whether a read of this consistency may be answered by a replica.
-#[must_use]
-pub fn replicas_may_serve(consistency: Consistency) -> bool {
-    consistency != Consistency::Latest
-}
-
-/// Time between the arrival of a request and now.
-#[must_use]
-pub fn waited(arrived_at: Moment) -> Duration {
-    now().saturating_sub(arrived_at)
-}
--- a/daemon/src/engine/trail.rs
+++ b/daemon/src/engine/trail.rs
@@ -1,5 +1,6 @@
 //! What happened to one statement on its way, for logs and metrics.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use chervilwharf_lib::error_kind::ErrorKind;
@@ -18,7 +19,7 @@
     /// The statement's id.
     pub id: RequestId,
     /// Database name of its session.
-    pub database: std::sync::Arc<str>,
+    pub database: Arc<str>,
     /// Tries that reached a server.
     pub tries: usize,
     /// The last server.
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -139,22 +139,9 @@
         after.chain(before).take(WATCHED).map(|member| member.record.clone()).collect()
     }
 
-    /// Whether an instance counts as alive. Those that nobody here sends
-    /// heartbeats to are taken for alive as long as they have a record.
-    #[must_use]
-    pub fn is_live(&self, now: Moment, id: &str) -> bool {
-        if id == &*self.me {
-            return true;
-        }
-        let Some(member) = self.members.get(id) else {
-            return false;
-        };
-        let watched = self.watched().iter().any(|record| &*record.id == id);
-        !watched || member.heard_at + SILENT_AFTER > now
-    }
-
     /// All instances that count as alive, this one included, in the order of
-    /// their names.
+    /// their names. Those that nobody here sends heartbeats to are taken for alive
+    /// as long as they have a record.
     ///
     /// While most others are silent, it is more likely that this instance is
     /// cut off than that they are all gone. They all count then, and keep their
--- a/lib/src/group.rs
+++ b/lib/src/group.rs
@@ -519,11 +519,6 @@
             self.samples.record(asked_at, self.surviving(position));
         }
     }
-
-    /// Forgets the samples, after the log was cut back.
-    pub fn forget_samples(&mut self) {
-        self.samples.clear();
-    }
 }
 
 impl ServerView {
--- a/lib/src/protos/chervilwharf.engine.rs
+++ b/lib/src/protos/chervilwharf.engine.rs
@@ -287,7 +287,7 @@
     #[prost(enumeration = "route::Consistency", tag = "3")]
     pub consistency: i32,
     #[prost(uint64, tag = "4")]
-    pub max_staleness_ms: u64,
+    pub staleness_ms: u64,
     #[prost(uint64, tag = "5")]
     pub timeout_ms: u64,
     #[prost(uint64, tag = "6")]
--- a/lib/tests/test_sharing.rs
+++ b/lib/tests/test_sharing.rs
@@ -142,7 +142,7 @@
         fleets[1].heard(at(ms), "a", false);
     }
     for fleet in &fleets {
-        assert!(!fleet.is_live(SILENT_AFTER + at(500), "c"));
+        assert!(!fleet.live(SILENT_AFTER + at(500)).contains(&"c".into()));
         assert_eq!(fleet.live(at(9_000)).len(), 2);
     }
     let removing: usize = fleets.iter().map(|fleet| fleet.removable(at(9_000)).len()).sum();
