--- a/daemon/src/confirm.rs
+++ b/daemon/src/confirm.rs
@@ -65,13 +65,6 @@
 /// Pause between two probes when the first brought nothing new.
 const PROBE_PAUSE: Duration = Duration::from_micros(200);
 
-/// Pause after a replica did not answer.
-///
-/// A replica that refuses at once would otherwise be asked again every 0.2 ms,
-/// by yielding: an instance that is cut off from its servers was seen at 97 %
-/// of a core as long as anyone waited there.
-const FAILURE_PAUSE: Duration = Duration::from_millis(10);
-
 /// Waits until what was committed at `position` survives the loss of the
 /// primary. Holds neither a slot nor a connection.
 ///
@@ -149,10 +142,9 @@
                 return;
             }
         }
-        match ask_once(&context, &database, &replica).await {
-            Some(confirmed) if hub.announce(confirmed) => {}
-            Some(_) => pause().await,
-            None => tokio::time::sleep(FAILURE_PAUSE).await,
+        let confirmed = ask_once(&context, &database, &replica).await;
+        if !hub.announce(confirmed) {
+            pause().await;
         }
     }
 }
@@ -165,14 +157,18 @@
     }
 }
 
-/// Asks a replica once and returns what is confirmed after its answer; `None`
-/// if it did not answer.
-async fn ask_once(context: &Shared, database: &DatabaseId, replica: &TargetId) -> Option<Position> {
-    let server = context.server(replica)?;
-    let state = server.confirm.state().await.ok()?;
+/// Asks a replica once and returns what is confirmed after its answer.
+async fn ask_once(context: &Shared, database: &DatabaseId, replica: &TargetId) -> Position {
+    let Some(server) = context.server(replica) else {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        return Position::ZERO;
+    };
+    let Ok(state) = server.confirm.state().await else {
+        return Position::ZERO;
+    };
     let confirmed = context.with_database(database, |database| {
         database.ownership.received(replica, state.term, state.received);
         database.ownership.confirmed()
     });
-    Some(confirmed.unwrap_or(Position::ZERO))
+    confirmed.unwrap_or(Position::ZERO)
 }
--- a/daemon/src/context.rs
+++ b/daemon/src/context.rs
@@ -89,7 +89,7 @@
     /// Waits for confirmation, by database.
     pub confirmations: Mutex<HashMap<DatabaseId, Arc<ConfirmHub>>>,
     /// Term in which each database is served here; 0 while it is not.
-    pub served_terms: RwLock<HashMap<DatabaseId, watch::Sender<Term>>>,
+    pub served_terms: Mutex<HashMap<DatabaseId, watch::Sender<Term>>>,
     /// Limits of accounts.
     pub limits: Mutex<HashMap<Arc<str>, AccountLimits>>,
     /// Woken when an owner phase, a gate or a known owner changed.
@@ -156,18 +156,13 @@
     /// Term in which a database is served here, to be told when it ends.
     #[must_use]
     pub fn served_term(&self, database: &DatabaseId) -> watch::Receiver<Term> {
-        // Every statement comes here: a lock for all of them would make the
-        // databases wait for each other.
-        if let Some(term) = self.served_terms.read().expect("never poisoned").get(database) {
-            return term.subscribe();
-        }
-        let mut terms = self.served_terms.write().expect("never poisoned");
+        let mut terms = self.served_terms.lock().expect("never poisoned");
         terms.entry(database.clone()).or_default().subscribe()
     }
 
     /// Announces the term in which a database is served here from now on.
     pub fn set_served_term(&self, database: &DatabaseId, term: Term) {
-        let mut terms = self.served_terms.write().expect("never poisoned");
+        let mut terms = self.served_terms.lock().expect("never poisoned");
         terms.entry(database.clone()).or_default().send_replace(term);
         drop(terms);
         self.changed.notify_waiters();
