--- a/daemon/src/engine/remote.rs
+++ b/daemon/src/engine/remote.rs
@@ -31,6 +31,7 @@
 use crate::engine::request::Served;
 use crate::engine::session::Session;
 use crate::engine::single::Work;
+use crate::engine::transaction::ROLLBACK_LIMIT;
 use crate::engine::transaction::Transaction;
 
 /// Part of the time that is kept back for the way to the other instance and
@@ -96,9 +97,6 @@
     }
 }
 
-/// Longest time for a rollback.
-const ROLLBACK_LIMIT: Duration = Duration::from_millis(500);
-
 /// Runs a single statement through a holder.
 ///
 /// # Errors
--- a/daemon/src/engine/session.rs
+++ b/daemon/src/engine/session.rs
@@ -11,6 +11,7 @@
 use chervilwharf_lib::event::Event;
 use chervilwharf_lib::event::EventKind;
 use chervilwharf_lib::id::RequestId;
+use chervilwharf_lib::id::TargetId;
 use chervilwharf_lib::layout::SessionValues;
 use chervilwharf_lib::moment::Moment;
 use chervilwharf_lib::pool_share::Need;
@@ -94,36 +95,22 @@
     /// # Errors
     ///
     /// When the configuration has no such name.
-    pub fn begin(engine: Arc<Engine>, database: Arc<str>) -> Result<Self, Failure> {
-        let Some(route) = engine.route(&database) else {
+    pub fn begin(engine: Arc<Engine>, database: &str) -> Result<Self, Failure> {
+        let Some(route) = engine.route(database) else {
             return Err(Failure::new(ErrorKind::UnknownDatabase));
         };
-        let shard = engine.shard(&route.group);
-        let counted = engine.count_session();
-        Ok(Self {
-            spread: rand::random_range(0..SPREAD_STEPS),
-            counted: Some(counted),
-            in_transaction: false,
-            trail: Trail::default(),
-            engine,
-            shard,
-            database,
-            values: SessionValues::new(),
-            prepared: HashMap::new(),
-            floor: None,
-            transaction: None,
-        })
+        Ok(Self::new(engine, &route, rand::random_range(0..SPREAD_STEPS)))
     }
 
     /// A session for statements that come from another instance.
     #[must_use]
     pub fn guest(engine: Arc<Engine>, route: &Route) -> Self {
-        let shard = engine.shard(&route.group);
+        Self::new(engine, route, 0)
+    }
+
+    fn new(engine: Arc<Engine>, route: &Route, spread: u32) -> Self {
         Self {
-            spread: 0,
-            counted: Some(engine.count_session()),
-            engine,
-            shard,
+            shard: engine.shard(&route.group),
             database: route.database.clone(),
             values: SessionValues::new(),
             prepared: HashMap::new(),
@@ -131,6 +118,9 @@
             transaction: None,
             in_transaction: false,
             trail: Trail::default(),
+            spread,
+            counted: Some(engine.count_session()),
+            engine,
         }
     }
 
@@ -297,10 +287,18 @@
         self.floor = Some(self.floor.map_or(position, |floor| floor.max(position)));
     }
 
-    /// What the session committed up to `floor` was rolled back by a change
-    /// of primary.
-    pub fn forget_floor(&mut self, floor: Position) {
-        if self.floor.is_some_and(|own| own <= floor) {
+    /// A server lacks `floor`. If that proves that a change of primary rolled
+    /// it back, what the session committed up to there is gone as well.
+    pub fn observe_lagging(
+        &mut self,
+        server: &TargetId,
+        floor: Option<Position>,
+        applied: Option<Position>,
+    ) {
+        let floor = floor.unwrap_or_default();
+        let rolled_back =
+            self.shard.with_group(|group| group.observe_lagging(now(), server, floor, applied));
+        if rolled_back && self.floor.is_some_and(|own| own <= floor) {
             self.floor = None;
         }
     }
--- a/daemon/src/engine/single.rs
+++ b/daemon/src/engine/single.rs
@@ -231,16 +231,9 @@
     floor: Option<Position>,
     position: Option<Position>,
 ) -> Try {
-    let at = now();
     let pause = match refusal.kind {
         RefusalKind::Lagging => {
-            let floor = floor.unwrap_or_default();
-            let rolled_back = session
-                .shard()
-                .with_group(|group| group.observe_lagging(at, server, floor, position));
-            if rolled_back {
-                session.forget_floor(floor);
-            }
+            session.observe_lagging(server, floor, position);
             Duration::ZERO
         }
         RefusalKind::NotLeading => {
--- a/daemon/src/engine/transaction.rs
+++ b/daemon/src/engine/transaction.rs
@@ -174,7 +174,7 @@
 
 /// Longest time for a rollback, which a server does at once. A connection on
 /// which it takes longer is closed, which rolls back as well.
-const ROLLBACK_LIMIT: Duration = Duration::from_millis(500);
+pub const ROLLBACK_LIMIT: Duration = Duration::from_millis(500);
 
 async fn roll_back(mut lease: Lease) {
     let steps = [Step::own(Statement::Rollback)];
@@ -392,17 +392,9 @@
     floor: Option<Position>,
     reply: &StepReply,
 ) -> (Failure, Option<Duration>) {
-    let at = now();
     let pause = match refusal.kind {
         RefusalKind::Lagging => {
-            let floor = floor.unwrap_or_default();
-            let position = reply.position;
-            let rolled_back = session
-                .shard()
-                .with_group(|group| group.observe_lagging(at, server, floor, position));
-            if rolled_back {
-                session.forget_floor(floor);
-            }
+            session.observe_lagging(server, floor, reply.position);
             Some(Duration::ZERO)
         }
         RefusalKind::NotLeading => {
--- a/lib/src/connection_budget.rs
+++ b/lib/src/connection_budget.rs
@@ -6,7 +6,7 @@
 
 /// Connections of each server that no instance counts as its own: room for
 /// probes, and for instances whose last numbers are not known everywhere yet.
-const RESERVE: usize = 2;
+pub const RESERVE: usize = 2;
 
 /// Least demand that an instance is counted with, so that one which was idle
 /// can begin without waiting for the others to hear of it.
--- a/lib/src/holders.rs
+++ b/lib/src/holders.rs
@@ -1,5 +1,6 @@
 //! Which instances hold the connections to the servers of a group.
 
+use crate::connection_budget::RESERVE;
 use crate::fleet::InstanceRecord;
 use crate::id::GroupId;
 use crate::placement::stable_hash;
@@ -19,9 +20,6 @@
 /// Fewest holders, so that one can be lost.
 const FEWEST_HOLDERS: usize = 2;
 
-/// Connections that are left for probes.
-const RESERVE: usize = 2;
-
 /// The instances that hold the connections to a group: all of them where the
 /// servers take enough connections, else a few that the others go through.
 ///
