--- a/daemon/src/engine/peers.rs
+++ b/daemon/src/engine/peers.rs
@@ -173,11 +173,13 @@
     ) -> Result<TcpStream, PeerError> {
         let mut frames = frames(connect(address).await?);
         let frame = EngineFrame { exchange_id: 1, body: Some(Body::Tunnel(tunnel)) };
-        frames
-            .send(Bytes::from(frame.encode_to_vec()))
-            .await
-            .map_err(|error| unreachable(&error))?;
-        match read_frame(&mut frames).await?.body {
+        let asking = async {
+            let sent = frames.send(Bytes::from(frame.encode_to_vec())).await;
+            sent.map_err(|error| unreachable(&error))?;
+            read_frame(&mut frames).await
+        };
+        let reply = tokio::time::timeout(ASK_TIMEOUT, asking).await;
+        match reply.unwrap_or(Err(PeerError::Silent))?.body {
             // The server speaks only when spoken to: nothing is buffered yet.
             Some(Body::TunnelReply(reply)) if reply.connected => Ok(frames.into_inner()),
             Some(Body::TunnelReply(_)) => {
--- a/daemon/src/engine/probe.rs
+++ b/daemon/src/engine/probe.rs
@@ -72,6 +72,10 @@
             shard.with_group(|group| group.observe_answer(now(), id, None));
             Probed::Busy
         }
+        // Under load a new connection can wait longer than this for its slot.
+        // Counted as a failure that made a primary look dead that was serving,
+        // and might have replaced it.
+        Err(_) if shard.with_group(|group| group.has_answered_since(id, asked_at)) => Probed::Busy,
         Err(error) => {
             // What goes through another instance may work all the same.
             if !shard.has_detour(id) {
@@ -84,7 +88,7 @@
 }
 
 /// Asks a server on a connection of the pool. Nothing follows from it when no
-/// connection is free: then statements tell enough of the server.
+/// connection is free.
 pub async fn sample(shard: &Arc<Shard>, id: &TargetId) {
     let values = SessionValues::new();
     let asked_at = now();
@@ -96,8 +100,12 @@
         values: &values,
         prepared: None,
     };
-    let Ok(mut lease) = shard.acquire(&want).await else {
-        return;
+    let mut lease = match shard.acquire(&want).await {
+        Ok(lease) => lease,
+        Err(failure) => {
+            report_failure(shard, id, &failure.text);
+            return;
+        }
     };
     let asked_at = now();
     let asking = lease.connection().connection.status();
--- a/daemon/src/engine/shard.rs
+++ b/daemon/src/engine/shard.rs
@@ -105,10 +105,13 @@
     doubt: Arc<Notify>,
 }
 
-/// Longest time to open a connection: a few times the most that a server
-/// takes for it (27 ms) plus a round trip, so that a silent server is noticed
-/// while the request can still go elsewhere.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Longest time for a server's greeting, once it can be reached.
+///
+/// A greeting takes a slot of the server for up to 27 ms and waits for one
+/// like any statement. After all instances had lost power, openings that were
+/// given up after 300 ms, and begun again, kept the slots busy for a second:
+/// 161 of them in 0.2 s made servers look unreachable that were only greeting.
+const GREETING_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Time between two tries of the direct way to a server that is reached
 /// through another instance.
@@ -170,7 +173,7 @@
 
     /// A server takes long to answer.
     pub fn suspect(&self, server: &TargetId) {
-        if self.with_group(|group| group.suspect(server)) {
+        if self.with_group(|group| group.suspect(now(), server)) {
             self.doubt();
         }
     }
@@ -348,13 +351,14 @@
     }
 
     async fn open(self: Arc<Self>, server: ServerInfo) {
+        let began_at = now();
         let via = self.lock().detours.get(&server.id).map(|detour| detour.via);
         let result = self.connect(&server, via).await;
         if result.is_err() && via.is_some() {
             // The helper may be gone, or have lost the server itself.
             self.lock().detours.remove(&server.id);
         }
-        self.opened(&server.id, result);
+        self.opened(&server.id, began_at, result);
         self.pump();
     }
 
@@ -369,20 +373,18 @@
         via: Option<SocketAddr>,
     ) -> Result<Box<dyn ServerConnection>, ConnectError> {
         let unreachable = |error: PeerError| ConnectError::Unreachable(error.to_string());
-        let connecting = async {
-            let stream = match via {
-                None => peers::connect(server.address).await.map_err(unreachable)?,
-                Some(via) => {
-                    let (group, server) = (self.id.to_string(), server.id.to_string());
-                    let tunnel = Tunnel { group, server };
-                    self.peers.tunnel(via, tunnel).await.map_err(unreachable)?
-                }
-            };
-            self.connector.start(stream, &self.id, server).await
+        let stream = match via {
+            None => peers::connect(server.address).await.map_err(unreachable)?,
+            Some(via) => {
+                let (group, server) = (self.id.to_string(), server.id.to_string());
+                let tunnel = Tunnel { group, server };
+                self.peers.tunnel(via, tunnel).await.map_err(unreachable)?
+            }
         };
-        match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
+        let greeting = self.connector.start(stream, &self.id, server);
+        match tokio::time::timeout(GREETING_TIMEOUT, greeting).await {
             Ok(result) => result,
-            Err(_) => Err(ConnectError::Unreachable("no answer in time".to_owned())),
+            Err(_) => Err(ConnectError::Unreachable("no greeting in time".to_owned())),
         }
     }
 
@@ -432,6 +434,7 @@
     fn opened(
         self: &Arc<Self>,
         server: &TargetId,
+        began_at: Moment,
         result: Result<Box<dyn ServerConnection>, ConnectError>,
     ) {
         let now = now();
@@ -454,7 +457,11 @@
             }
             Err(error) => {
                 pool.share.blocked_until = now + OPEN_PAUSE;
-                inner.group.observe_failure(now, server);
+                // A server that answered on another connection meanwhile has
+                // a queue; it is not dead.
+                if !inner.group.has_answered_since(server, began_at) {
+                    inner.group.observe_failure(now, server);
+                }
                 drop(inner);
                 self.report_unopened(server, &error.to_string());
                 let shard = self.clone();
--- a/lib/src/group.rs
+++ b/lib/src/group.rs
@@ -99,6 +99,10 @@
 /// Longest time that a server is avoided.
 const AVOID_LIMIT: Duration = Duration::from_secs(3);
 
+/// A server that answered a statement within this time is alive, whatever
+/// other statements take: as long as a statement may take undoubted.
+const PROOF_OF_LIFE: Duration = Duration::from_millis(100);
+
 /// Weight of the newest sample in the smoothed read time, as one over this.
 const READ_TIME_SMOOTHING: u32 = 8;
 
@@ -156,13 +160,26 @@
         std::mem::take(&mut self.claimants)
     }
 
-    /// A server takes long to answer. Returns whether that is to be looked into.
-    pub fn suspect(&mut self, id: &TargetId) -> bool {
+    /// A server takes long to answer a statement. Returns whether that is to be
+    /// looked into.
+    ///
+    /// Not while it answers others: it has a queue then, and each question
+    /// takes a slot for as long as one or two of the statements that wait.
+    pub fn suspect(&mut self, now: Moment, id: &TargetId) -> bool {
+        if self.has_answered_since(id, now.checked_sub(PROOF_OF_LIFE).unwrap_or_default()) {
+            return false;
+        }
         let news = self.leads(id) && !self.leader_suspected;
         self.leader_suspected |= news;
         news
     }
 
+    /// Whether a server answered anything at `since` or later.
+    #[must_use]
+    pub fn has_answered_since(&self, id: &str, since: Moment) -> bool {
+        self.servers.get(id).is_some_and(|view| view.answered_at > since)
+    }
+
     /// Whether the primary took long to answer since the last call.
     pub fn take_suspicion(&mut self) -> bool {
         std::mem::take(&mut self.leader_suspected)
--- a/lib/tests/test_group.rs
+++ b/lib/tests/test_group.rs
@@ -230,3 +230,17 @@
             .all(|(_, index)| *index <= floor.index)
     }
 }
+
+#[test]
+fn test_slow_statement_is_no_doubt_while_the_primary_answers_others() {
+    // Symptom: questions to a loaded primary take the slots that statements
+    // wait for.
+    // Sequence: a statement waits in the primary's queue; others are answered.
+    // Cause: each slow statement led to a question on a new connection.
+    let mut group = group();
+    group.observe_answer(at(950), &id("p"), None);
+    assert!(!group.suspect(at(1_000), &id("p")));
+    assert!(!group.take_suspicion());
+    assert!(group.suspect(at(1_100), &id("p")));
+    assert!(group.take_suspicion());
+}
