engine: fewer calls to the store when instances start

Change: no claims in the first 3 s; the first watch a second after the first list; a record is created first and read by the refusal.

--- a/daemon/src/engine/configuration_control.rs
+++ b/daemon/src/engine/configuration_control.rs
@@ -1,6 +1,7 @@
 //! Puts the configurations that the platform's store announces in force.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use chervilwharf_lib::event::Event;
 use chervilwharf_lib::event::EventKind;
@@ -13,6 +14,7 @@
 use crate::engine::directory::Revision;
 use crate::engine::event_log;
 use crate::engine::follow::Follower;
+use crate::engine::follow::OTHERS_LISTED;
 use crate::engine::shared::Engine;
 
 /// Puts configurations in force.
@@ -48,6 +50,10 @@
         self.engine.record_currency()
     }
 
+    fn pause_after_first_list(&self) -> Duration {
+        OTHERS_LISTED
+    }
+
     fn replace(&mut self, _revision: Revision, entries: Vec<Entry>) {
         for entry in entries {
             self.take(entry.record);
--- a/daemon/src/engine/fleet_control.rs
+++ b/daemon/src/engine/fleet_control.rs
@@ -127,13 +127,17 @@
 async fn write_record(engine: &Engine, directory: &dyn Directory) -> Result<(), WriteError> {
     let me = engine.me();
     let record = Record::Instance(me.clone());
-    let present = directory.get(RecordKind::Instances, &me.id).await;
-    let present = present.map_err(WriteError::NotDone)?;
-    if present.as_ref().is_some_and(|entry| entry.record == record) {
-        return Ok(());
+    // Most often there is none yet, and each call is paid for: it is read
+    // only by the refusal to create it.
+    match directory.write(&me.id, &record, None).await {
+        Err(WriteError::Conflict(Some(present))) if present.record == record => return Ok(()),
+        Err(WriteError::Conflict(Some(present))) => {
+            directory.write(&me.id, &record, Some(present.revision)).await?;
+        }
+        written => {
+            written?;
+        }
     }
-    let expected = present.map(|entry| entry.revision);
-    directory.write(&me.id, &record, expected).await?;
     event_log::emit(&Event::new(EventKind::InstanceRegistered).with("life", me.life));
     Ok(())
 }
--- a/daemon/src/engine/follow.rs
+++ b/daemon/src/engine/follow.rs
@@ -34,6 +34,11 @@
         Duration::ZERO
     }
 
+    /// Pause between the first list of all and the first watch.
+    fn pause_after_first_list(&self) -> Duration {
+        Duration::ZERO
+    }
+
     /// The store began or ceased to fail.
     fn outage(&mut self, _lasting: bool) {}
 
@@ -61,6 +66,11 @@
 /// seldom, and heartbeats tell of them as well. Each call is paid for.
 pub const LONG_WATCH_WAIT: Duration = Duration::from_secs(15);
 
+/// By then a starting instance has listed the others (4 ms, 100 ms from a slow
+/// store) and knows whether it is a relay. Without this pause all of them
+/// began with a watch of the present state, at ten times the price.
+pub const OTHERS_LISTED: Duration = Duration::from_secs(1);
+
 /// First and longest pause after a failed call. The longest leaves five tries
 /// within the 3 s in which a configuration has to be in force.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
@@ -78,6 +88,7 @@
     // What an old answer shows may be forgotten already: a list of it would
     // end in the same error, thousands of times a second.
     let mut forgotten = false;
+    let mut listed = false;
     loop {
         let result = match revision {
             None => {
@@ -96,6 +107,10 @@
                 pause = FIRST_PAUSE;
                 forgotten &= revision.is_none();
                 revision = Some(next);
+                if !listed {
+                    listed = true;
+                    tokio::time::sleep(follower.pause_after_first_list()).await;
+                }
             }
             Err(DirectoryError::HistoryGone) => {
                 let event = Event::new(EventKind::StoreHistoryGone).with("kind", kind);
--- a/daemon/src/engine/leader_control.rs
+++ b/daemon/src/engine/leader_control.rs
@@ -24,6 +24,7 @@
 use chervilwharf_lib::leader_watch::REPLACEMENT_TIME;
 use chervilwharf_lib::leader_watch::ReplaceReason;
 use chervilwharf_lib::leader_watch::WatchAction;
+use chervilwharf_lib::moment::Moment;
 use futures::future::join_all;
 use rand::seq::IndexedRandom;
 
@@ -108,16 +109,17 @@
 
 /// Watches all groups for ever.
 pub async fn run(replacer: Replacer) {
+    let claims_from = now() + CLAIM_AFTER;
     loop {
         // Either wakes the loop.
         let _timeout = tokio::time::timeout(TICK, replacer.engine.doubt().notified()).await;
         for shard in replacer.engine.shards() {
-            look_at(&replacer, &shard);
+            look_at(&replacer, &shard, claims_from);
         }
     }
 }
 
-fn look_at(replacer: &Replacer, shard: &Arc<Shard>) {
+fn look_at(replacer: &Replacer, shard: &Arc<Shard>, claims_from: Moment) {
     let engine = &replacer.engine;
     // Who holds no connections cannot tell how a primary is, and leaves it to
     // those who do.
@@ -144,7 +146,9 @@
         let shard = shard.clone();
         tokio::spawn(async move { check_detour(&shard, &id).await });
     }
-    claim_vacant(replacer, shard, rank);
+    if now() >= claims_from {
+        claim_vacant(replacer, shard, rank);
+    }
 }
 
 async fn check_detour(shard: &Arc<Shard>, id: &TargetId) {
@@ -207,6 +211,11 @@
     });
 }
 
+/// An instance that has just started does not claim vacant duties yet. It
+/// knows few others at first and takes itself for the one who should: with 74
+/// starting together, 140 of 170 claims were refused and all had to be read.
+const CLAIM_AFTER: Duration = Duration::from_secs(3);
+
 /// Pause after a duty could not be taken.
 const CLAIM_PAUSE: Duration = Duration::from_millis(500);
 
--- a/daemon/src/engine/server_control.rs
+++ b/daemon/src/engine/server_control.rs
@@ -14,6 +14,7 @@
 use crate::engine::directory::RecordKind;
 use crate::engine::directory::Revision;
 use crate::engine::follow::Follower;
+use crate::engine::follow::OTHERS_LISTED;
 use crate::engine::follow::WATCH_WAIT;
 use crate::engine::shared::Engine;
 
@@ -51,6 +52,10 @@
         self.engine.record_currency()
     }
 
+    fn pause_after_first_list(&self) -> Duration {
+        OTHERS_LISTED
+    }
+
     fn replace(&mut self, revision: Revision, entries: Vec<Entry>) {
         let servers = entries.into_iter().filter_map(server_of).collect();
         self.missing = self.engine.update_servers(|list| {
