engine: instances that are no relays watch longer and pause after changes

Cause: all instances watched configuration and servers for 4 s at a time, and each of the servers that register at the start ended a watch of each instance (1,700 of them), though those that read old answers hear of news by heartbeat within a second.

--- a/daemon/src/engine/follow.rs
+++ b/daemon/src/engine/follow.rs
@@ -60,12 +60,36 @@
 /// With 10 s all instances missed a configuration that had to be in force
 /// within 3 s, nine seconds after such an outage. With 4 s they are back
 /// within 5 s of its end, before the first bound holds again.
-pub const WATCH_WAIT: Duration = Duration::from_secs(4);
+const WATCH_WAIT: Duration = Duration::from_secs(4);
 
 /// Longest wait where a late answer costs little: instances and duties change
-/// seldom, and heartbeats tell of them as well. Each call is paid for.
+/// seldom, and heartbeats tell of what is newer. Each call is paid for.
 pub const LONG_WATCH_WAIT: Duration = Duration::from_secs(15);
 
+/// Longest wait of a watch, by how current the records have to be. Who reads
+/// old answers hears from the relays, not from the watch, what matters soon.
+#[must_use]
+pub fn watch_wait(currency: Currency) -> Duration {
+    match currency {
+        Currency::Fresh => WATCH_WAIT,
+        Currency::MayBeOld => LONG_WATCH_WAIT,
+    }
+}
+
+/// Pause after a change before the next one is waited for, by how current the
+/// records have to be. When many servers register or leave, each change would
+/// otherwise end a watch of every instance: 1,700 calls with 74 of them.
+#[must_use]
+pub fn change_pause(currency: Currency) -> Duration {
+    match currency {
+        Currency::Fresh => Duration::ZERO,
+        Currency::MayBeOld => OLD_CHANGE_PAUSE,
+    }
+}
+
+/// Two heartbeats: what matters sooner has come from others by then.
+const OLD_CHANGE_PAUSE: Duration = Duration::from_secs(1);
+
 /// By then a starting instance has listed the others (4 ms, 100 ms from a slow
 /// store) and knows whether it is a relay. Without this pause all of them
 /// began with a watch of the present state, at ten times the price.
--- a/daemon/src/engine/server_control.rs
+++ b/daemon/src/engine/server_control.rs
@@ -15,7 +15,8 @@
 use crate::engine::directory::Revision;
 use crate::engine::follow::Follower;
 use crate::engine::follow::OTHERS_LISTED;
-use crate::engine::follow::WATCH_WAIT;
+use crate::engine::follow::change_pause;
+use crate::engine::follow::watch_wait;
 use crate::engine::shared::Engine;
 
 /// Tells an engine which servers the platform lists.
@@ -52,6 +53,10 @@
         self.engine.record_currency()
     }
 
+    fn pause_after_change(&self) -> Duration {
+        change_pause(self.currency())
+    }
+
     fn pause_after_first_list(&self) -> Duration {
         OTHERS_LISTED
     }
@@ -90,7 +95,7 @@
     }
 
     fn wait_limit(&self) -> Duration {
-        if self.missing { MISSING_CHECK } else { WATCH_WAIT }
+        if self.missing { MISSING_CHECK } else { watch_wait(self.currency()) }
     }
 
     fn outage(&mut self, lasting: bool) {
