--- a/daemon/src/engine/follow.rs
+++ b/daemon/src/engine/follow.rs
@@ -60,7 +60,7 @@
 /// With 10 s all instances missed a configuration that had to be in force
 /// within 3 s, nine seconds after such an outage. With 4 s they are back
 /// within 5 s of its end, before the first bound holds again.
-const WATCH_WAIT: Duration = Duration::from_secs(4);
+pub const WATCH_WAIT: Duration = Duration::from_secs(4);
 
 /// Longest wait where a late answer costs little: instances and duties change
 /// seldom, and heartbeats tell of what is newer. Each call is paid for.
