group: reads go to the replica of the own failure domain first

Cause: of two replicas with equally much to do the one that answered last was taken, in whichever failure domain; bytes between failure domains are paid for and slower.

--- a/daemon/src/engine/shard.rs
+++ b/daemon/src/engine/shard.rs
@@ -16,6 +16,7 @@
 use chervilwharf_lib::event::EventKind;
 use chervilwharf_lib::group::Group;
 use chervilwharf_lib::group::ServerInfo;
+use chervilwharf_lib::id::FailureDomainId;
 use chervilwharf_lib::id::GroupId;
 use chervilwharf_lib::id::TargetId;
 use chervilwharf_lib::layout::SessionValues;
@@ -129,15 +130,17 @@
 const TOO_MANY_PAUSE: Duration = Duration::from_millis(300);
 
 impl Shard {
-    /// A group of which nothing is known yet.
+    /// A group of which nothing is known yet, at an instance in a failure
+    /// domain.
     #[must_use]
     pub fn new(
         id: GroupId,
+        home: FailureDomainId,
         connector: Arc<dyn Connector>,
         peers: Arc<Peers>,
         doubt: Arc<Notify>,
     ) -> Self {
-        let inner = Inner { budget: 1, ..Inner::default() };
+        let inner = Inner { budget: 1, group: Group::with_home(home), ..Inner::default() };
         Self { id, connector, peers, inner: Mutex::new(inner), doubt }
     }
 
--- a/daemon/src/engine/shared.rs
+++ b/daemon/src/engine/shared.rs
@@ -207,8 +207,9 @@
         }
         let mut shards = self.shards.write().expect("never poisoned");
         let shard = shards.entry(group.clone()).or_insert_with(|| {
+            let home = self.me.failure_domain.clone();
             let (connector, peers) = (self.connector.clone(), self.peers.clone());
-            Arc::new(Shard::new(group.clone(), connector, peers, self.doubt.clone()))
+            Arc::new(Shard::new(group.clone(), home, connector, peers, self.doubt.clone()))
         });
         shard.clone()
     }
--- a/daemon/tests/test_probe.rs
+++ b/daemon/tests/test_probe.rs
@@ -40,6 +40,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let shard = Shard::new(
         "group".into(),
+        "a".into(),
         Arc::new(NeverGreeted),
         Arc::new(Peers::default()),
         Arc::new(Notify::new()),
--- a/lib/src/group.rs
+++ b/lib/src/group.rs
@@ -109,6 +109,8 @@
 /// One group of servers.
 #[derive(Clone, Debug, Default)]
 pub struct Group {
+    /// Where this instance runs.
+    home: FailureDomainId,
     servers: BTreeMap<TargetId, ServerView>,
     leader: Option<Leader>,
     /// Highest term that any server was seen in.
@@ -124,6 +126,13 @@
 }
 
 impl Group {
+    /// A group of which nothing is known yet, at an instance in a failure
+    /// domain.
+    #[must_use]
+    pub fn with_home(home: FailureDomainId) -> Self {
+        Self { home, ..Self::default() }
+    }
+
     /// Takes the platform's list of servers over. Returns whether it changed
     /// which server is taken for the primary.
     pub fn set_servers(&mut self, now: Moment, listed: Vec<ServerInfo>) -> bool {
@@ -452,8 +461,9 @@
             .map(|view| {
                 let avoided = view.avoided_until > now;
                 let leads = self.leads(&view.info.id);
+                let far = view.info.failure_domain != self.home;
                 let surely = view.applied >= floor;
-                (avoided, leads, view.running, !surely, view.read_time, &view.info.id)
+                (avoided, leads, view.running, far, !surely, view.read_time, &view.info.id)
             })
             .collect();
         able.sort_unstable();
--- a/lib/tests/test_group.rs
+++ b/lib/tests/test_group.rs
@@ -244,3 +244,19 @@
     assert!(group.suspect(at(1_100), &id("p")));
     assert!(group.take_suspicion());
 }
+
+#[test]
+fn test_read_goes_to_the_replica_of_its_own_failure_domain() {
+    let mut group = Group::with_home("b".into());
+    let mut near = listed("r2", false);
+    near.failure_domain = "b".into();
+    group.set_servers(at(0), vec![listed("p", true), listed("r1", false), near]);
+    let position = Position::new(1, 100);
+    for name in ["r1", "r2"] {
+        group.observe_status(at(0), at(1), &id(name), status(false, 1, position));
+    }
+    assert_eq!(group.readers(at(2), position)[0], id("r2"));
+    // Not when it has more to do than the other.
+    group.begin_running("r2");
+    assert_eq!(group.readers(at(2), position)[0], id("r1"));
+}
