holders: spread over failure domains, and three where groups are many

Where groups are more than instances, eight holders a group make each instance talk to nearly every other. Ruled out: weights by capacity (kept within a domain).

--- a/daemon/src/engine/holders.rs
+++ b/daemon/src/engine/holders.rs
@@ -95,7 +95,8 @@
         let catalog = self.catalog();
         let max_connections =
             catalog.groups.get(group).map_or(0, |settings| settings.max_connections);
-        let computed = Arc::new(holders(group, max_connections, &inner.staying));
+        let computed =
+            Arc::new(holders(group, max_connections, catalog.groups.len(), &inner.staying));
         inner.kept.insert(group.clone(), computed.clone());
         computed
     }
--- a/lib/src/holders.rs
+++ b/lib/src/holders.rs
@@ -1,7 +1,10 @@
 //! Which instances hold the connections to the servers of a group.
 
+use std::collections::HashMap;
+
 use crate::connection_budget::RESERVE;
 use crate::fleet::InstanceRecord;
+use crate::id::FailureDomainId;
 use crate::id::GroupId;
 use crate::placement::stable_hash;
 
@@ -20,26 +23,48 @@
 /// Fewest holders, so that one can be lost.
 const FEWEST_HOLDERS: usize = 2;
 
-/// The instances that hold the connections to a group: all of them where the
-/// servers take enough connections, else a few that the others go through.
+/// Holders of a group where there are more groups than instances: three bear
+/// the loss of two. Each pair of holders tells each other of the group twice a
+/// second, so that more would cost each instance a link to nearly every other.
+const HOLDERS_OF_MANY: usize = 3;
+
+/// The instances that hold the connections to one of `groups` groups: all of
+/// them where they are few and the servers take enough connections, else some
+/// that the others go through.
 ///
 /// Weighted rendezvous hashing: all instances compute the same few from the
 /// same list, each with a chance by its capacity, and when one goes only its
-/// place is taken by another.
+/// place is taken by another. The failure domains take turns: clients go
+/// through a holder of their own domain, and one that was alone in its domain
+/// had 40 % of the requests of a group.
 #[must_use]
 pub fn holders(
     group: &GroupId,
     max_connections: usize,
+    groups: usize,
     staying: &[InstanceRecord],
 ) -> Vec<InstanceRecord> {
     let shared = max_connections.saturating_sub(RESERVE);
-    if staying.len() * LEAST_CONNECTIONS <= shared {
+    if staying.len() <= MOST_HOLDERS && staying.len() * LEAST_CONNECTIONS <= shared {
         return staying.to_vec();
     }
-    let count = (shared / HOLDER_CONNECTIONS).clamp(FEWEST_HOLDERS, MOST_HOLDERS);
+    let by_connections = (shared / HOLDER_CONNECTIONS).clamp(FEWEST_HOLDERS, MOST_HOLDERS);
+    let by_groups = (staying.len() / groups.max(1)).max(HOLDERS_OF_MANY);
     let mut scored: Vec<_> = staying.iter().map(|record| (score(group, record), record)).collect();
     scored.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.id.cmp(&b.1.id)));
-    scored.into_iter().take(count).map(|(_, record)| record.clone()).collect()
+    let mut turns: HashMap<&FailureDomainId, usize> = HashMap::new();
+    let mut ordered: Vec<_> = scored
+        .into_iter()
+        .map(|(_, record)| {
+            let turn = turns.entry(&record.failure_domain).or_default();
+            *turn += 1;
+            (*turn, record)
+        })
+        .collect();
+    // Stable: within a turn the best score goes first.
+    ordered.sort_by_key(|(turn, _)| *turn);
+    let chosen = ordered.into_iter().take(by_connections.min(by_groups));
+    chosen.map(|(_, record)| record.clone()).collect()
 }
 
 /// A score whose order picks instances in proportion to their capacity.
