shard: who misses the objective waits behind all who can still meet it

Cause: refused at arrival by the objective, a request was refused three times within half a second of a moderate overload, while connections became free a little later. Ruled out: one line for all until the deadline (then everybody is late). Change: a second tier of the queue that gets what the first leaves over; entered only if its measured wait ends before the deadline, by two at most while nothing is measured. A client that leaves while it waits gives its place up.

--- a/daemon/src/engine/shard.rs
+++ b/daemon/src/engine/shard.rs
@@ -9,6 +9,8 @@
 use std::time::Duration;
 
 use chervilwharf_lib::admission::Priority;
+use chervilwharf_lib::arrival::Arrival;
+use chervilwharf_lib::arrival::Prospect;
 use chervilwharf_lib::connection_budget::Demand;
 use chervilwharf_lib::engine_protos::Tunnel;
 use chervilwharf_lib::error_kind::ErrorKind;
@@ -27,7 +29,11 @@
 use chervilwharf_lib::pool_share::choose;
 use chervilwharf_lib::server_refusal::RefusalKind;
 use chervilwharf_lib::statement::Prepared;
+use chervilwharf_lib::wait_pace::WaitLine;
 use chervilwharf_lib::wait_pace::WaitPace;
+use chervilwharf_lib::wait_queue::Place;
+use chervilwharf_lib::wait_queue::Rank;
+use chervilwharf_lib::wait_queue::Tier;
 use chervilwharf_lib::wait_queue::WaitQueue;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
@@ -62,6 +68,38 @@
     pub prepared: Option<&'a Prepared>,
 }
 
+impl Want<'_> {
+    fn rank(&self, tier: Tier) -> Rank {
+        Rank { tier, priority: self.priority, deadline: self.give_up_at }
+    }
+
+    fn line(&self, tier: Tier) -> WaitLine {
+        WaitLine { class: self.need.class(), tier, priority: self.priority }
+    }
+}
+
+/// Part of a request's time that a late wait leaves for the statement itself:
+/// what one takes at a server with a queue.
+const LATE_RESERVE: Duration = Duration::from_millis(100);
+
+/// Until when a request waits that cannot meet its objective any more.
+fn late_until(want: &Want<'_>) -> Moment {
+    want.give_up_at.saturating_sub(LATE_RESERVE)
+}
+
+/// A place in the queue, given up when it is dropped: a client that leaves
+/// while it waits must not stay in the way of others.
+struct WaitingPlace {
+    shard: Arc<Shard>,
+    place: Place,
+}
+
+impl Drop for WaitingPlace {
+    fn drop(&mut self) {
+        self.shard.lock().queue.remove(self.place);
+    }
+}
+
 /// A request that waits for a connection.
 struct Waiter {
     need: Need,
@@ -249,40 +287,54 @@
     /// When none could be had in time. Nothing was sent then.
     pub async fn acquire(self: &Arc<Self>, want: &Want<'_>) -> Result<Lease, Failure> {
         let began_at = now();
-        let (place, ahead, mut granted) = {
+        let tier = {
             let mut inner = self.lock();
             if let Some((server, connection)) = inner.take_idle(began_at, want) {
                 drop(inner);
                 return Ok(Lease::new(self.clone(), server, connection));
             }
-            let ahead = inner.competitors(began_at, want);
-            inner.admit(began_at, want, ahead)?;
-            let (grant, granted) = oneshot::channel();
+            inner.admit(began_at, want, want.patient_until.saturating_sub(began_at))?
+        };
+        if tier == Tier::InTime {
+            // Without a primary that answers there is nobody to be impatient
+            // with: another one will lead soon.
+            let answers = self.with_group(|group| group.leader_answers());
+            let until = if answers { want.patient_until } else { want.give_up_at };
+            if let Some(lease) = self.wait(want, Tier::InTime, until).await {
+                return Ok(lease);
+            }
+            let shortage = Failure::new(self.shortage(&want.need));
+            if !answers || self.lock().admit(now(), want, Duration::ZERO).is_err() {
+                return Err(shortage);
+            }
+        }
+        let late = self.wait(want, Tier::Late, late_until(want)).await;
+        late.ok_or_else(|| Failure::new(self.shortage(&want.need)))
+    }
+
+    /// Waits for a connection in the queue.
+    async fn wait(self: &Arc<Self>, want: &Want<'_>, tier: Tier, until: Moment) -> Option<Lease> {
+        let began_at = now();
+        let (grant, mut granted) = oneshot::channel();
+        let (place, ahead) = {
+            let mut inner = self.lock();
+            let ahead = inner.competitors(began_at, want, tier);
             let waiter = Waiter { need: want.need.clone(), grant };
-            (inner.queue.push(want.priority, want.give_up_at, waiter), ahead, granted)
+            let place = inner.queue.push(want.rank(tier), waiter);
+            (WaitingPlace { shard: self.clone(), place }, ahead)
         };
         self.pump();
-        // Without a primary that answers there is nobody to be impatient with:
-        // another one will lead soon.
-        let answers = self.with_group(|group| group.leader_answers());
-        let until = if answers { want.patient_until } else { want.give_up_at };
         let wait = until.saturating_sub(began_at);
         let in_time = tokio::time::timeout(wait, &mut granted).await;
-        let ended_at = now();
-        {
-            let mut inner = self.lock();
-            let waited = ended_at.saturating_sub(began_at);
-            inner.pace.observe(ended_at, want.need.class(), want.priority, ahead, waited);
-            inner.queue.remove(place);
-        }
-        if let Ok(Ok(lease)) = in_time {
-            return Ok(lease);
-        }
+        drop(place);
         // It may have been granted at the last moment.
-        if let Ok(lease) = granted.try_recv() {
-            return Ok(lease);
-        }
-        Err(Failure::new(self.shortage(&want.need)))
+        let lease = in_time.ok().and_then(Result::ok).or_else(|| granted.try_recv().ok());
+        let ended_at = now();
+        // Who is left over at the end of a late wait was not served at all.
+        let ahead = if lease.is_none() && tier == Tier::Late { 0 } else { ahead };
+        let waited = ended_at.saturating_sub(began_at);
+        self.lock().pace.observe(ended_at, want.line(tier), ahead, waited);
+        lease
     }
 
     fn shortage(&self, need: &Need) -> ErrorKind {
@@ -524,30 +576,35 @@
         closing
     }
 
-    /// Refuses a request that would wait for too long.
-    ///
-    /// While more comes than the servers can take, a queue served in order
-    /// makes everybody late: the last one waits until its deadline, and so
-    /// does each that follows. Refused at once, some are served in time, and
-    /// the others can use their time elsewhere.
-    fn admit(&self, now: Moment, want: &Want<'_>, ahead: usize) -> Result<(), Failure> {
-        let measured = self.pace.expected_wait(now, want.need.class(), want.priority, ahead);
-        let Some(expected) = measured.or_else(|| self.computed_wait(now, want, ahead)) else {
-            return Ok(());
+    /// Decides whether a request waits, and in which line, or is refused.
+    /// `patience` is how long it can wait and still meet its objective.
+    fn admit(&self, now: Moment, want: &Want<'_>, patience: Duration) -> Result<Tier, Failure> {
+        let ahead = self.competitors(now, want, Tier::InTime);
+        let late_waiting = self.competitors(now, want, Tier::Late);
+        let measured = |tier, ahead| self.pace.expected_wait(now, want.line(tier), ahead);
+        let in_time = measured(Tier::InTime, ahead);
+        let prospect = Prospect {
+            in_time: in_time.or_else(|| self.computed_wait(now, want, ahead)),
+            late: measured(Tier::Late, late_waiting),
+            late_waiting,
+            patience,
+            time_left: late_until(want).saturating_sub(now),
         };
-        let patience = want.patient_until.saturating_sub(now);
-        if expected <= patience {
-            return Ok(());
+        match prospect.decide() {
+            Arrival::Wait(tier) => Ok(tier),
+            Arrival::Refuse(after) => {
+                Err(Failure::new(ErrorKind::Overloaded).with_retry_after(after))
+            }
         }
-        Err(Failure::new(ErrorKind::Overloaded).with_retry_after(expected.saturating_sub(patience)))
     }
 
-    /// Requests that go before this one and could take its connection.
-    fn competitors(&self, now: Moment, want: &Want<'_>) -> usize {
+    /// Requests that go before this one in a tier, and want the same servers.
+    fn competitors(&self, now: Moment, want: &Want<'_>, tier: Tier) -> usize {
         let servers = self.servers_for(now, &want.need);
-        let competes =
-            |waiter: &&Waiter| servers.iter().any(|id| waiter.need.accepts(&self.group, now, id));
-        self.queue.ahead_of(want.priority, want.give_up_at).filter(competes).count()
+        let competes = |(rank, waiter): &(Rank, &Waiter)| {
+            rank.tier == tier && servers.iter().any(|id| waiter.need.accepts(&self.group, now, id))
+        };
+        self.queue.ahead_of(want.rank(tier)).filter(competes).count()
     }
 
     /// Servers whose connections would serve a request.
@@ -575,8 +632,8 @@
             };
             let contested = self
                 .queue
-                .ahead_of(want.priority, want.give_up_at)
-                .any(|waiter: &Waiter| waiter.need.accepts(&self.group, now, &server));
+                .ahead_of(want.rank(Tier::InTime))
+                .any(|(_, waiter)| waiter.need.accepts(&self.group, now, &server));
             if contested {
                 return None;
             }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -5,6 +5,7 @@
 //! actions; the tests drive the same values on a virtual clock.
 
 pub mod admission;
+pub mod arrival;
 pub mod burn;
 pub mod catalog;
 pub mod classify;
--- a/lib/src/wait_pace.rs
+++ b/lib/src/wait_pace.rs
@@ -5,6 +5,7 @@
 
 use crate::admission::Priority;
 use crate::moment::Moment;
+use crate::wait_queue::Tier;
 
 /// What a request waits for. Those of different classes are served by
 /// different connections.
@@ -18,6 +19,17 @@
     Server,
 }
 
+/// Requests that wait for the same and are served in turn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct WaitLine {
+    /// What they wait for.
+    pub class: WaitClass,
+    /// Whether they can meet their objective.
+    pub tier: Tier,
+    /// The priority of their service.
+    pub priority: Priority,
+}
+
 /// Measured waits for connections to one group.
 ///
 /// What a request will wait cannot be computed from the statements that run:
@@ -27,7 +39,7 @@
 /// objective first. So the wait for each place in the queue is measured.
 #[derive(Clone, Debug, Default)]
 pub struct WaitPace {
-    paces: HashMap<(WaitClass, Priority), Pace>,
+    paces: HashMap<WaitLine, Pace>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -47,19 +59,9 @@
 impl WaitPace {
     /// A request that had `ahead` others before it waited so long until it got
     /// a connection, or gave up.
-    pub fn observe(
-        &mut self,
-        now: Moment,
-        class: WaitClass,
-        priority: Priority,
-        ahead: usize,
-        waited: Duration,
-    ) {
+    pub fn observe(&mut self, now: Moment, line: WaitLine, ahead: usize, waited: Duration) {
         let wait_per_place = waited / places(ahead);
-        let pace = self
-            .paces
-            .entry((class, priority))
-            .or_insert(Pace { wait_per_place, observed_at: now });
+        let pace = self.paces.entry(line).or_insert(Pace { wait_per_place, observed_at: now });
         if pace.observed_at + FRESH_FOR < now {
             pace.wait_per_place = wait_per_place;
         }
@@ -74,14 +76,8 @@
     /// Whoever is next is never told a wait: only those that are let in
     /// measure how it changes.
     #[must_use]
-    pub fn expected_wait(
-        &self,
-        now: Moment,
-        class: WaitClass,
-        priority: Priority,
-        ahead: usize,
-    ) -> Option<Duration> {
-        let pace = self.paces.get(&(class, priority))?;
+    pub fn expected_wait(&self, now: Moment, line: WaitLine, ahead: usize) -> Option<Duration> {
+        let pace = self.paces.get(&line)?;
         let fresh = pace.observed_at + FRESH_FOR >= now;
         (fresh && ahead > 0).then(|| pace.wait_per_place * places(ahead))
     }
--- a/lib/src/wait_queue.rs
+++ b/lib/src/wait_queue.rs
@@ -6,11 +6,32 @@
 use crate::admission::Ticket;
 use crate::moment::Moment;
 
+/// Whether a waiting request can still meet its objective.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Tier {
+    /// It can.
+    InTime,
+    /// It cannot, but can be answered before its deadline. It gets only what
+    /// those who can leave over: served in one line with them, it would make
+    /// them late as well, and after it everybody.
+    Late,
+}
+
+/// What decides when a waiting request is served; lower goes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Rank {
+    /// Whether it can meet its objective.
+    pub tier: Tier,
+    /// The priority of its service.
+    pub priority: Priority,
+    /// When its answer is due.
+    pub deadline: Moment,
+}
+
 /// Place of a request in the queue; lower goes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Place {
-    priority: Priority,
-    deadline: Moment,
+    rank: Rank,
     ticket: Ticket,
 }
 
@@ -29,8 +50,8 @@
 
 impl<T> WaitQueue<T> {
     /// Adds a request.
-    pub fn push(&mut self, priority: Priority, deadline: Moment, item: T) -> Place {
-        let place = Place { priority, deadline, ticket: self.next_ticket };
+    pub fn push(&mut self, rank: Rank, item: T) -> Place {
+        let place = Place { rank, ticket: self.next_ticket };
         self.next_ticket += 1;
         self.waiting.insert(place, item);
         place
@@ -47,9 +68,9 @@
     }
 
     /// Requests that would be served before a new one.
-    pub fn ahead_of(&self, priority: Priority, deadline: Moment) -> impl Iterator<Item = &T> {
-        let place = Place { priority, deadline, ticket: Ticket::MAX };
-        self.waiting.range(..place).map(|(_, item)| item)
+    pub fn ahead_of(&self, rank: Rank) -> impl Iterator<Item = (Rank, &T)> {
+        let place = Place { rank, ticket: Ticket::MAX };
+        self.waiting.range(..place).map(|(place, item)| (place.rank, item))
     }
 
     /// Number of requests that wait.
--- a/lib/tests/test_sharing.rs
+++ b/lib/tests/test_sharing.rs
@@ -20,6 +20,8 @@
 use chervilwharf_lib::pool_share::PoolShare;
 use chervilwharf_lib::pool_share::choose;
 use chervilwharf_lib::position::Position;
+use chervilwharf_lib::wait_queue::Rank;
+use chervilwharf_lib::wait_queue::Tier;
 use chervilwharf_lib::wait_queue::WaitQueue;
 use quickcheck::quickcheck;
 
@@ -116,12 +118,16 @@
 #[test]
 fn test_more_urgent_requests_go_first_then_earlier_deadlines() {
     let mut queue = WaitQueue::default();
-    queue.push(2, at(10), "late class, early deadline");
-    let place = queue.push(1, at(50), "urgent, late deadline");
-    queue.push(1, at(40), "urgent");
+    let rank = |priority, deadline| Rank { tier: Tier::InTime, priority, deadline };
+    queue.push(rank(2, at(10)), "late class, early deadline");
+    let place = queue.push(rank(1, at(50)), "urgent, late deadline");
+    queue.push(rank(1, at(40)), "urgent");
     let order: Vec<_> = queue.iter().map(|(_, item)| *item).collect();
     assert_eq!(order, ["urgent", "urgent, late deadline", "late class, early deadline"]);
-    assert_eq!(queue.ahead_of(1, at(45)).count(), 1);
+    assert_eq!(queue.ahead_of(rank(1, at(45))).count(), 1);
+    // Whoever misses the objective anyway goes last, however urgent.
+    queue.push(Rank { tier: Tier::Late, ..rank(0, at(1)) }, "late");
+    assert_eq!(queue.iter().last().map(|(_, item)| *item), Some("late"));
     assert_eq!(queue.remove(place), Some("urgent, late deadline"));
     assert_eq!(queue.remove(place), None);
 }
--- a/lib/tests/test_wait_pace.rs
+++ b/lib/tests/test_wait_pace.rs
@@ -5,10 +5,11 @@
 
 use chervilwharf_lib::moment::Moment;
 use chervilwharf_lib::wait_pace::WaitClass;
+use chervilwharf_lib::wait_pace::WaitLine;
 use chervilwharf_lib::wait_pace::WaitPace;
+use chervilwharf_lib::wait_queue::Tier;
 
-const CLASS: WaitClass = WaitClass::Reader;
-const PRIORITY: u8 = 2;
+const LINE: WaitLine = WaitLine { class: WaitClass::Reader, tier: Tier::InTime, priority: 2 };
 const PATIENCE: Duration = Duration::from_millis(300);
 
 /// An arrival every 25 ms, a free connection every 40 ms.
@@ -44,13 +45,13 @@
         let now = at(ms);
         while queue.front().is_some_and(|first| first.came_at + PATIENCE <= now) {
             let Some(waiter) = queue.pop_front() else { break };
-            pace.observe(now, CLASS, PRIORITY, waiter.ahead, PATIENCE);
+            pace.observe(now, LINE, waiter.ahead, PATIENCE);
             outcome.refused_late += 1;
         }
         if ms % GRANTS_EVERY_MS == 0 {
             if let Some(waiter) = queue.pop_front() {
                 let waited = now.saturating_sub(waiter.came_at);
-                pace.observe(now, CLASS, PRIORITY, waiter.ahead, waited);
+                pace.observe(now, LINE, waiter.ahead, waited);
                 outcome.served += 1;
             }
         }
@@ -73,9 +74,8 @@
     // Cause: the wait was computed from the statements under way; more urgent
     // requests and resting transactions make it longer.
     let computed = play(|_, _, ahead| COMPUTED_PER_PLACE * u32::try_from(ahead + 1).unwrap());
-    let measured = play(|pace, now, ahead| {
-        pace.expected_wait(now, CLASS, PRIORITY, ahead).unwrap_or_default()
-    });
+    let measured =
+        play(|pace, now, ahead| pace.expected_wait(now, LINE, ahead).unwrap_or_default());
     // Computed: 499 served, 117 refused at arrival, 174 late.
     assert!(computed.refused_late > 150, "{computed:?}");
     // Measured: 499 served, 235 refused at arrival, 58 late.
@@ -89,9 +89,10 @@
     // Sequence: an overload ends, and with it the waits that measure it.
     // Cause: a pace that is kept for ever.
     let mut pace = WaitPace::default();
-    pace.observe(at(1_000), CLASS, PRIORITY, 0, PATIENCE);
-    assert!(pace.expected_wait(at(1_100), CLASS, PRIORITY, 1) > Some(PATIENCE));
-    assert_eq!(pace.expected_wait(at(1_100), CLASS, PRIORITY, 0), None, "the next one measures");
-    assert_eq!(pace.expected_wait(at(1_600), CLASS, PRIORITY, 1), None, "too old");
-    assert_eq!(pace.expected_wait(at(1_100), WaitClass::Leader, PRIORITY, 1), None);
+    pace.observe(at(1_000), LINE, 0, PATIENCE);
+    assert!(pace.expected_wait(at(1_100), LINE, 1) > Some(PATIENCE));
+    assert_eq!(pace.expected_wait(at(1_100), LINE, 0), None, "the next one measures");
+    assert_eq!(pace.expected_wait(at(1_600), LINE, 1), None, "too old");
+    let other = WaitLine { class: WaitClass::Leader, ..LINE };
+    assert_eq!(pace.expected_wait(at(1_100), other, 1), None);
 }
