engine: waiting requests in a file of their own, one rule for all followers

Followers of the store take their waits and pauses from how current their records have to be, instead of four copies of the same two methods. No change of behaviour.

--- a/daemon/src/engine/configuration_control.rs
+++ b/daemon/src/engine/configuration_control.rs
@@ -15,8 +15,6 @@
 use crate::engine::event_log;
 use crate::engine::follow::Follower;
 use crate::engine::follow::OTHERS_LISTED;
-use crate::engine::follow::change_pause;
-use crate::engine::follow::watch_wait;
 use crate::engine::shared::Engine;
 
 /// Puts configurations in force.
@@ -52,14 +50,6 @@
         self.engine.record_currency()
     }
 
-    fn wait_limit(&self) -> Duration {
-        watch_wait(self.currency())
-    }
-
-    fn pause_after_change(&self) -> Duration {
-        change_pause(self.currency())
-    }
-
     fn pause_after_first_list(&self) -> Duration {
         OTHERS_LISTED
     }
--- a/daemon/src/engine/duty_control.rs
+++ b/daemon/src/engine/duty_control.rs
@@ -3,7 +3,6 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::Duration;
 
 use chervilwharf_lib::duty::DutyOrder;
 use chervilwharf_lib::duty::DutyRecord;
@@ -24,8 +23,6 @@
 use crate::engine::directory::WriteError;
 use crate::engine::event_log;
 use crate::engine::follow::Follower;
-use crate::engine::follow::LONG_WATCH_WAIT;
-use crate::engine::follow::change_pause;
 use crate::engine::shared::Engine;
 
 /// The duties as far as this instance knows them.
@@ -105,18 +102,10 @@
         RecordKind::Duties
     }
 
-    fn wait_limit(&self) -> Duration {
-        LONG_WATCH_WAIT
-    }
-
     fn currency(&self) -> Currency {
         Currency::MayBeOld
     }
 
-    fn pause_after_change(&self) -> Duration {
-        change_pause(self.currency())
-    }
-
     fn replace(&mut self, _revision: Revision, entries: Vec<Entry>) {
         for entry in entries {
             self.take(entry);
--- a/daemon/src/engine/fleet_control.rs
+++ b/daemon/src/engine/fleet_control.rs
@@ -31,8 +31,6 @@
 use crate::engine::directory::WriteError;
 use crate::engine::event_log;
 use crate::engine::follow::Follower;
-use crate::engine::follow::LONG_WATCH_WAIT;
-use crate::engine::follow::change_pause;
 use crate::engine::records;
 use crate::engine::shard::Shard;
 use crate::engine::shared::Engine;
@@ -62,18 +60,10 @@
         RecordKind::Instances
     }
 
-    fn wait_limit(&self) -> Duration {
-        LONG_WATCH_WAIT
-    }
-
     fn currency(&self) -> Currency {
         Currency::MayBeOld
     }
 
-    fn pause_after_change(&self) -> Duration {
-        change_pause(self.currency())
-    }
-
     fn replace(&mut self, _revision: Revision, entries: Vec<Entry>) {
         let records: Vec<_> = entries.into_iter().filter_map(instance_of).collect();
         let me = self.engine.me();
--- a/daemon/src/engine/follow.rs
+++ b/daemon/src/engine/follow.rs
@@ -31,7 +31,7 @@
 
     /// Pause after a change before the next one is waited for.
     fn pause_after_change(&self) -> Duration {
-        Duration::ZERO
+        change_pause(self.currency())
     }
 
     /// Pause between the first list of all and the first watch.
@@ -49,7 +49,7 @@
 
     /// Longest time until the next tick is due.
     fn wait_limit(&self) -> Duration {
-        WATCH_WAIT
+        watch_wait(self.currency())
     }
 }
 
@@ -64,7 +64,7 @@
 
 /// Longest wait where a late answer costs little: instances and duties change
 /// seldom, and heartbeats tell of what is newer. Each call is paid for.
-pub const LONG_WATCH_WAIT: Duration = Duration::from_secs(15);
+const LONG_WATCH_WAIT: Duration = Duration::from_secs(15);
 
 /// Longest wait of a watch, by how current the records have to be. Who reads
 /// old answers hears from the relays, not from the watch, what matters soon.
@@ -80,8 +80,7 @@
 /// records have to be. When many servers or instances register, each change
 /// would otherwise end a watch of every instance: with 74 of them 1,700 calls
 /// for servers and 5,500 for instances.
-#[must_use]
-pub fn change_pause(currency: Currency) -> Duration {
+fn change_pause(currency: Currency) -> Duration {
     match currency {
         Currency::Fresh => Duration::ZERO,
         Currency::MayBeOld => OLD_CHANGE_PAUSE,
--- a/daemon/src/engine/mod.rs
+++ b/daemon/src/engine/mod.rs
@@ -34,3 +34,4 @@
 pub mod stop;
 pub mod trail;
 pub mod transaction;
+pub mod waiting;
--- a/daemon/src/engine/probe.rs
+++ b/daemon/src/engine/probe.rs
@@ -14,7 +14,7 @@
 use crate::engine::clock::now;
 use crate::engine::event_log;
 use crate::engine::shard::Shard;
-use crate::engine::shard::Want;
+use crate::engine::waiting::Want;
 
 /// Longest time for a new connection and an answer on it: a few times what a
 /// loaded server takes, since its state takes a slot like any statement.
--- a/daemon/src/engine/server_control.rs
+++ b/daemon/src/engine/server_control.rs
@@ -15,7 +15,6 @@
 use crate::engine::directory::Revision;
 use crate::engine::follow::Follower;
 use crate::engine::follow::OTHERS_LISTED;
-use crate::engine::follow::change_pause;
 use crate::engine::follow::watch_wait;
 use crate::engine::shared::Engine;
 
@@ -53,10 +52,6 @@
         self.engine.record_currency()
     }
 
-    fn pause_after_change(&self) -> Duration {
-        change_pause(self.currency())
-    }
-
     fn pause_after_first_list(&self) -> Duration {
         OTHERS_LISTED
     }
--- a/daemon/src/engine/session.rs
+++ b/daemon/src/engine/session.rs
@@ -34,7 +34,6 @@
 use crate::engine::request::Request;
 use crate::engine::request::Served;
 use crate::engine::shard::Shard;
-use crate::engine::shard::Want;
 use crate::engine::shared::Engine;
 use crate::engine::shared::SessionGuard;
 use crate::engine::single;
@@ -42,6 +41,7 @@
 use crate::engine::trail::Trail;
 use crate::engine::transaction;
 use crate::engine::transaction::Transaction;
+use crate::engine::waiting::Want;
 
 /// What a client is told about one statement.
 #[derive(Clone, Debug)]
--- a/daemon/src/engine/shard.rs
+++ b/daemon/src/engine/shard.rs
@@ -1,5 +1,5 @@
-//! One group of servers at this instance: what is known of them, the
-//! connections, and the requests that wait for one.
+//! One group of servers at this instance: what is known of them and the
+//! connections to them.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -8,12 +8,8 @@
 use std::sync::MutexGuard;
 use std::time::Duration;
 
-use chervilwharf_lib::admission::Priority;
-use chervilwharf_lib::arrival::Arrival;
-use chervilwharf_lib::arrival::Prospect;
 use chervilwharf_lib::connection_budget::Demand;
 use chervilwharf_lib::engine_protos::Tunnel;
-use chervilwharf_lib::error_kind::ErrorKind;
 use chervilwharf_lib::event::Event;
 use chervilwharf_lib::event::EventKind;
 use chervilwharf_lib::group::Group;
@@ -21,18 +17,13 @@
 use chervilwharf_lib::id::FailureDomainId;
 use chervilwharf_lib::id::GroupId;
 use chervilwharf_lib::id::TargetId;
-use chervilwharf_lib::layout::SessionValues;
 use chervilwharf_lib::moment::Moment;
 use chervilwharf_lib::pool_share::Choice;
 use chervilwharf_lib::pool_share::Need;
 use chervilwharf_lib::pool_share::PoolShare;
 use chervilwharf_lib::pool_share::choose;
 use chervilwharf_lib::server_refusal::RefusalKind;
-use chervilwharf_lib::statement::Prepared;
-use chervilwharf_lib::wait_pace::WaitLine;
 use chervilwharf_lib::wait_pace::WaitPace;
-use chervilwharf_lib::wait_queue::Place;
-use chervilwharf_lib::wait_queue::Rank;
 use chervilwharf_lib::wait_queue::Tier;
 use chervilwharf_lib::wait_queue::WaitQueue;
 use tokio::sync::Notify;
@@ -48,63 +39,8 @@
 use crate::engine::peers;
 use crate::engine::peers::PeerError;
 use crate::engine::peers::Peers;
-use crate::engine::request::Failure;
-
-/// What a request wants of a connection.
-#[derive(Clone, Debug)]
-pub struct Want<'a> {
-    /// Which servers will do.
-    pub need: Need,
-    /// Order of service.
-    pub priority: Priority,
-    /// When the request stops waiting.
-    pub give_up_at: Moment,
-    /// Until when the request is worth more than one that comes later: served
-    /// after this it misses its objective.
-    pub patient_until: Moment,
-    /// Values of its session, to choose a connection that has them.
-    pub values: &'a SessionValues,
-    /// What it is about to execute.
-    pub prepared: Option<&'a Prepared>,
-}
-
-impl Want<'_> {
-    fn rank(&self, tier: Tier) -> Rank {
-        Rank { tier, priority: self.priority, deadline: self.give_up_at }
-    }
-
-    fn line(&self, tier: Tier) -> WaitLine {
-        WaitLine { class: self.need.class(), tier, priority: self.priority }
-    }
-}
-
-/// Part of a request's time that a late wait leaves for the statement itself:
-/// what one takes at a server with a queue.
-const LATE_RESERVE: Duration = Duration::from_millis(100);
-
-/// Until when a request waits that cannot meet its objective any more.
-fn late_until(want: &Want<'_>) -> Moment {
-    want.give_up_at.saturating_sub(LATE_RESERVE)
-}
-
-/// A place in the queue, given up when it is dropped: a client that leaves
-/// while it waits must not stay in the way of others.
-struct WaitingPlace {
-    shard: Arc<Shard>,
-    place: Place,
-}
-
-impl Drop for WaitingPlace {
-    fn drop(&mut self) {
-        self.shard.lock().queue.remove(self.place);
-    }
-}
-
-/// A request that waits for a connection.
-struct Waiter {
-    need: Need,
-    grant: oneshot::Sender<Lease>,
-}
+use crate::engine::waiting::Waiter;
+use crate::engine::waiting::Want;
 
 /// Connections to one server.
 #[derive(Default)]
@@ -114,14 +50,14 @@
 }
 
 #[derive(Default)]
-struct Inner {
-    group: Group,
+pub(super) struct Inner {
+    pub(super) group: Group,
     pools: HashMap<TargetId, Pool>,
-    queue: WaitQueue<Waiter>,
-    pace: WaitPace,
+    pub(super) queue: WaitQueue<Waiter>,
+    pub(super) pace: WaitPace,
     budget: usize,
     /// Smoothed time between a grant and the end of the statement.
-    service_time: Duration,
+    pub(super) service_time: Duration,
     demand: Demand,
     /// Servers that this instance does not reach itself, with another
     /// instance that does.
@@ -195,7 +131,7 @@
         &self.id
     }
 
-    fn lock(&self) -> MutexGuard<'_, Inner> {
+    pub(super) fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().expect("never poisoned")
     }
 
@@ -280,71 +216,6 @@
         self.pump();
     }
 
-    /// Gets a connection, waiting for its turn if need be.
-    ///
-    /// # Errors
-    ///
-    /// When none could be had in time. Nothing was sent then.
-    pub async fn acquire(self: &Arc<Self>, want: &Want<'_>) -> Result<Lease, Failure> {
-        let began_at = now();
-        let tier = {
-            let mut inner = self.lock();
-            if let Some((server, connection)) = inner.take_idle(began_at, want) {
-                drop(inner);
-                return Ok(Lease::new(self.clone(), server, connection));
-            }
-            inner.admit(began_at, want, want.patient_until.saturating_sub(began_at))?
-        };
-        if tier == Tier::InTime {
-            // Without a primary that answers there is nobody to be impatient
-            // with: another one will lead soon.
-            let answers = self.with_group(|group| group.leader_answers());
-            let until = if answers { want.patient_until } else { want.give_up_at };
-            if let Some(lease) = self.wait(want, Tier::InTime, until).await {
-                return Ok(lease);
-            }
-            let shortage = Failure::new(self.shortage(&want.need));
-            if !answers || self.lock().admit(now(), want, Duration::ZERO).is_err() {
-                return Err(shortage);
-            }
-        }
-        let late = self.wait(want, Tier::Late, late_until(want)).await;
-        late.ok_or_else(|| Failure::new(self.shortage(&want.need)))
-    }
-
-    /// Waits for a connection in the queue.
-    async fn wait(self: &Arc<Self>, want: &Want<'_>, tier: Tier, until: Moment) -> Option<Lease> {
-        let began_at = now();
-        let (grant, mut granted) = oneshot::channel();
-        let (place, ahead) = {
-            let mut inner = self.lock();
-            let ahead = inner.competitors(began_at, want, tier);
-            let waiter = Waiter { need: want.need.clone(), grant };
-            let place = inner.queue.push(want.rank(tier), waiter);
-            (WaitingPlace { shard: self.clone(), place }, ahead)
-        };
-        self.pump();
-        let wait = until.saturating_sub(began_at);
-        let in_time = tokio::time::timeout(wait, &mut granted).await;
-        drop(place);
-        // It may have been granted at the last moment.
-        let lease = in_time.ok().and_then(Result::ok).or_else(|| granted.try_recv().ok());
-        let ended_at = now();
-        // Who is left over at the end of a late wait was not served at all.
-        let ahead = if lease.is_none() && tier == Tier::Late { 0 } else { ahead };
-        let waited = ended_at.saturating_sub(began_at);
-        self.lock().pace.observe(ended_at, want.line(tier), ahead, waited);
-        lease
-    }
-
-    fn shortage(&self, need: &Need) -> ErrorKind {
-        let inner = self.lock();
-        match need {
-            Need::Leader if inner.group.leader().is_none() => ErrorKind::NoPrimary,
-            _ => ErrorKind::Overloaded,
-        }
-    }
-
     /// A connection comes back idle and whole.
     pub(crate) fn take_back(self: &Arc<Self>, server: &TargetId, connection: PooledConnection) {
         let mut inner = self.lock();
@@ -576,56 +447,13 @@
         closing
     }
 
-    /// Decides whether a request waits, and in which line, or is refused.
-    /// `patience` is how long it can wait and still meet its objective.
-    fn admit(&self, now: Moment, want: &Want<'_>, patience: Duration) -> Result<Tier, Failure> {
-        let ahead = self.competitors(now, want, Tier::InTime);
-        let late_waiting = self.competitors(now, want, Tier::Late);
-        let measured = |tier, ahead| self.pace.expected_wait(now, want.line(tier), ahead);
-        let in_time = measured(Tier::InTime, ahead);
-        let prospect = Prospect {
-            in_time: in_time.or_else(|| self.computed_wait(now, want, ahead)),
-            late: measured(Tier::Late, late_waiting),
-            late_waiting,
-            patience,
-            time_left: late_until(want).saturating_sub(now),
-        };
-        match prospect.decide() {
-            Arrival::Wait(tier) => Ok(tier),
-            Arrival::Refuse(after) => {
-                Err(Failure::new(ErrorKind::Overloaded).with_retry_after(after))
-            }
-        }
-    }
-
-    /// Requests that go before this one in a tier, and want the same servers.
-    fn competitors(&self, now: Moment, want: &Want<'_>, tier: Tier) -> usize {
-        let servers = self.servers_for(now, &want.need);
-        let competes = |(rank, waiter): &(Rank, &Waiter)| {
-            rank.tier == tier && servers.iter().any(|id| waiter.need.accepts(&self.group, now, id))
-        };
-        self.queue.ahead_of(want.rank(tier)).filter(competes).count()
-    }
-
-    /// Servers whose connections would serve a request.
-    fn servers_for(&self, now: Moment, need: &Need) -> Vec<TargetId> {
-        let accepted =
-            self.group.servers().filter(|view| need.accepts(&self.group, now, &view.info.id));
-        accepted.map(|view| view.info.id.clone()).collect()
-    }
-
-    /// How long a request would wait by what runs now; `None` if nobody can
-    /// serve it now, but somebody may soon.
-    fn computed_wait(&self, now: Moment, want: &Want<'_>, ahead: usize) -> Option<Duration> {
-        let servers = self.servers_for(now, &want.need);
-        let capacity: f64 = servers.iter().map(|id| self.share_of(id).limit.value()).sum();
-        let places = f64::from(u32::try_from(ahead + 1).unwrap_or(u32::MAX));
-        (capacity > 0.0).then(|| self.service_time.mul_f64(places / capacity))
-    }
-
     /// Takes the idle connection that fits best, if nobody waits who should
     /// have it first.
-    fn take_idle(&mut self, now: Moment, want: &Want<'_>) -> Option<(TargetId, PooledConnection)> {
+    pub(super) fn take_idle(
+        &mut self,
+        now: Moment,
+        want: &Want<'_>,
+    ) -> Option<(TargetId, PooledConnection)> {
         loop {
             let Choice::Idle(server) = self.choose(now, &want.need) else {
                 return None;
@@ -679,7 +507,7 @@
         choose(&self.group, now, need, |id| self.share_of(id))
     }
 
-    fn share_of(&self, id: &TargetId) -> PoolShare {
+    pub(super) fn share_of(&self, id: &TargetId) -> PoolShare {
         let pool = self.pools.get(id);
         let mut share = pool.map(|pool| pool.share.clone()).unwrap_or_default();
         share.idle = pool.map_or(0, |pool| pool.idle.len());
