--- a/lib/src/event.rs
+++ b/lib/src/event.rs
@@ -22,8 +22,9 @@
 impl LineBudget {
     /// Lines of one kind a second.
     ///
-    /// A line costs about 5 µs and 250 bytes. Requests that fail come first:
-    /// 200 a second is what an instance answers at most on a full day.
+    /// A line costs 2 to 3 µs (docs/MEASUREMENTS.md) and 250 bytes. Requests
+    /// that fail come first: 200 a second is what an instance answers at most
+    /// on a full day.
     #[must_use]
     pub fn lines_per_s(self) -> u32 {
         match self {
--- a/testing/testutils/src/bin/experiment.rs
+++ b/testing/testutils/src/bin/experiment.rs
@@ -7,6 +7,7 @@
 use chervilwharf_testutils::experiments::capacity;
 use chervilwharf_testutils::experiments::gap;
 use chervilwharf_testutils::experiments::latency;
+use chervilwharf_testutils::experiments::log_line;
 use chervilwharf_testutils::experiments::share;
 use chervilwharf_testutils::experiments::share::Mode;
 
@@ -25,6 +26,7 @@
     Throughput(ThroughputCommand),
     Share(ShareCommand),
     Capacity(CapacityCommand),
+    LogLine(LogLineCommand),
 }
 
 /// How long writes cannot land after a fault.
@@ -77,6 +79,11 @@
     page: Option<PathBuf>,
 }
 
+/// What a log line costs the one who logs it.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "log-line")]
+struct LogLineCommand {}
+
 /// Lines of the page between which the tables stand.
 const TABLES_BEGIN: &str = "<!-- measured tables begin -->";
 const TABLES_END: &str = "<!-- measured tables end -->";
@@ -111,6 +118,7 @@
         }
         Command::Latency(command) => latency::run(&command.deployment).await,
         Command::Throughput(_) => latency::throughput().await,
+        Command::LogLine(_) => log_line::run(),
         Command::Capacity(command) => capacity(&command).await?,
         Command::Share(command) => {
             let lags = command.lag_ms.map_or(LAGS_MS.to_vec(), |lag| vec![lag]);
--- a/testing/testutils/src/experiments/mod.rs
+++ b/testing/testutils/src/experiments/mod.rs
@@ -4,6 +4,7 @@
 pub mod capacity;
 pub mod gap;
 pub mod latency;
+pub mod log_line;
 pub mod share;
 pub mod stats;
 pub mod usage;
