waiting: the wait for a primary that does not answer is not the pace of the queue

Cause: waits were measured during a change of primary as well, and a request that came then was refused at arrival by what others had waited, though the next primary leads before its deadline. Ruled out: groups without a known primary (nobody competes there). Change: while the primary does not answer, who needs it waits, unmeasured. Test: failed before (three of six refused at arrival).

--- a/daemon/src/engine/waiting.rs
+++ b/daemon/src/engine/waiting.rs
@@ -117,12 +117,13 @@
     async fn wait(self: &Arc<Self>, want: &Want<'_>, tier: Tier, until: Moment) -> Option<Lease> {
         let began_at = now();
         let (grant, mut granted) = oneshot::channel();
-        let (place, ahead) = {
+        let (place, ahead, measures) = {
             let mut inner = self.lock();
+            let measures = !inner.awaits_primary(&want.need);
             let ahead = inner.competitors(began_at, want, tier);
             let waiter = Waiter { need: want.need.clone(), grant };
             let place = inner.queue.push(want.rank(tier), waiter);
-            (WaitingPlace { shard: self.clone(), place }, ahead)
+            (WaitingPlace { shard: self.clone(), place }, ahead, measures)
         };
         self.pump();
         let wait = until.saturating_sub(began_at);
@@ -134,7 +135,11 @@
         // Who is left over at the end of a late wait was not served at all.
         let ahead = if lease.is_none() && tier == Tier::Late { 0 } else { ahead };
         let waited = ended_at.saturating_sub(began_at);
-        self.lock().pace.observe(ended_at, want.line(tier), ahead, waited);
+        let mut inner = self.lock();
+        if measures && !inner.awaits_primary(&want.need) {
+            inner.pace.observe(ended_at, want.line(tier), ahead, waited);
+        }
+        drop(inner);
         lease
     }
 
@@ -151,6 +156,9 @@
     /// Decides whether a request waits, and in which line, or is refused.
     /// `patience` is how long it can wait and still meet its objective.
     fn admit(&self, now: Moment, want: &Want<'_>, patience: Duration) -> Result<Tier, Failure> {
+        if self.awaits_primary(&want.need) {
+            return Ok(Tier::InTime);
+        }
         let ahead = self.competitors(now, want, Tier::InTime);
         let late_waiting = self.competitors(now, want, Tier::Late);
         let measured = |tier, ahead| self.pace.expected_wait(now, want.line(tier), ahead);
@@ -170,6 +178,13 @@
         }
     }
 
+    /// Whether a request waits for a primary that does not answer. How long
+    /// that takes is no matter of the queue: it is neither measured nor
+    /// expected, or requests would be refused that the next primary serves.
+    fn awaits_primary(&self, need: &Need) -> bool {
+        *need == Need::Leader && !self.group.leader_answers()
+    }
+
     /// Requests that go before this one in a tier, and want the same servers.
     fn competitors(&self, now: Moment, want: &Want<'_>, tier: Tier) -> usize {
         let servers = self.servers_for(now, &want.need);
--- /dev/null
+++ b/daemon/tests/test_waiting.rs
@@ -0,0 +1,93 @@
+//! Requests that wait for a connection.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use chervilwharf_daemon::engine::border::ConnectError;
+use chervilwharf_daemon::engine::border::Connector;
+use chervilwharf_daemon::engine::border::ServerConnection;
+use chervilwharf_daemon::engine::clock::now;
+use chervilwharf_daemon::engine::peers::Peers;
+use chervilwharf_daemon::engine::request::Failure;
+use chervilwharf_daemon::engine::shard::Shard;
+use chervilwharf_daemon::engine::waiting::Want;
+use chervilwharf_lib::error_kind::ErrorKind;
+use chervilwharf_lib::group::ServerInfo;
+use chervilwharf_lib::id::GroupId;
+use chervilwharf_lib::layout::SessionValues;
+use chervilwharf_lib::pool_share::Need;
+use futures::future::join_all;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+
+/// Opens no connection.
+struct NoServer;
+
+#[async_trait]
+impl Connector for NoServer {
+    async fn start(
+        &self,
+        _stream: TcpStream,
+        _group: &GroupId,
+        _server: &ServerInfo,
+    ) -> Result<Box<dyn ServerConnection>, ConnectError> {
+        Err(ConnectError::Unreachable("there is none".to_owned()))
+    }
+}
+
+/// A group whose primary does not answer.
+fn shard_with_silent_primary() -> Arc<Shard> {
+    let shard = Arc::new(Shard::new(
+        "group".into(),
+        "a".into(),
+        Arc::new(NoServer),
+        Arc::new(Peers::default()),
+        Arc::new(Notify::new()),
+    ));
+    shard.set_servers(vec![ServerInfo {
+        id: "primary".into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        failure_domain: "a".into(),
+        slots: 3,
+        draining: false,
+        leads: true,
+    }]);
+    shard.with_group(|group| group.observe_failure(now(), &"primary".into()));
+    shard
+}
+
+/// Waits for the primary, and tells why it was not had.
+async fn failure(shard: &Arc<Shard>, patience: Duration) -> Failure {
+    let values = SessionValues::new();
+    let want = Want {
+        need: Need::Leader,
+        priority: 1,
+        give_up_at: now() + patience,
+        patient_until: now() + patience,
+        values: &values,
+        prepared: None,
+    };
+    let Err(failure) = shard.acquire(&want).await else {
+        panic!("the primary answers nobody");
+    };
+    failure
+}
+
+#[tokio::test]
+async fn test_requests_wait_for_the_next_primary_however_long_others_waited() {
+    // Symptom: during a change of primary most requests are refused at once,
+    // though the next primary leads before their deadline.
+    // Sequence: a primary is lost; some requests wait until their deadline,
+    // more arrive.
+    // Cause: the wait for a primary was taken for the pace of the queue.
+    let shard = shard_with_silent_primary();
+    let waited_for_nothing = Failure::new(ErrorKind::Overloaded);
+    for (requests, patience_ms) in [(3, 300), (6, 150)] {
+        let patience = Duration::from_millis(patience_ms);
+        let failures = join_all((0..requests).map(|_| failure(&shard, patience))).await;
+        // Refused at arrival they would be told how long the queue is.
+        assert_eq!(failures, vec![waited_for_nothing.clone(); requests]);
+    }
+}
