write: a request in doubt is settled by the next owner, never called not run

Cause: two faults of the owner path. An owner that was succeeded while a COMMIT was under way ended the request with 40003, though its successor's ledger has the answer: the entry was not told to ask there. And a request that an entry sent again after it lost the owner was treated by the successor like a new one: 'no primary' after three seconds came back as 'not run', though the first copy had committed.

Ruled out: the budget of retries (5,000 saved up, four writers), the link that ends (all its exchanges are told).

Now an owner marks 'not the owner' with 'may have run', and the entry goes on to the next one; a resent write is in doubt until the ledger was looked at. Before: test_requests_in_doubt 2 of 3 failed (40003; NotRun where a row is there). After: 3 of 3 pass, test_failover 15 of 15.

--- a/daemon/src/forward.rs
+++ b/daemon/src/forward.rs
@@ -138,6 +138,7 @@
                     return Err(failure);
                 }
                 learn_owner(context, &submit.database, &failure);
+                maybe_running |= failure.maybe_ran;
                 failure
             }
             Sent::Unsent => failure(ErrorKind::NoPrimary),
--- a/daemon/src/transaction.rs
+++ b/daemon/src/transaction.rs
@@ -283,7 +283,7 @@
     loop {
         let entered =
             owner::enter(context, &request.database, request.deadline, false, false).await;
-        let (serving, _work) = entered.map_err(|_| failure(ErrorKind::OutcomeUnknown))?;
+        let (serving, _work) = entered.map_err(write::in_doubt)?;
         if let Ok(row) = write::settle_row(context, request, &serving).await {
             let position = row.position_in(&serving);
             match write::finish(context, request, &serving, position).await {
--- a/daemon/src/write.rs
+++ b/daemon/src/write.rs
@@ -124,22 +124,52 @@
 /// on another connection, which may take all the time that is left.
 const STALL_LIMIT: Duration = Duration::from_secs(1);
 
+/// What is known of an earlier run of the same write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Doubt {
+    /// None can have committed.
+    None,
+    /// COMMIT was sent in this term and its answer is missing.
+    CommitSent(Term),
+    /// The entry lost sight of a copy that it sent before, perhaps to an owner
+    /// that is gone.
+    SentBefore,
+}
+
 /// A write on its way, over as many tries as its deadline allows.
 struct Progress {
     digest: Vec<u8>,
-    /// Term in which COMMIT was sent without an answer.
-    unknown_since: Option<Term>,
+    doubt: Doubt,
     /// A first try stalled.
     stalled: bool,
 }
 
 impl Progress {
+    fn new(digest: Vec<u8>, is_resent: bool) -> Self {
+        let doubt = if is_resent { Doubt::SentBefore } else { Doubt::None };
+        Self { digest, doubt, stalled: false }
+    }
+
     /// The failure to give up with: never "not run" while that is not known.
     fn give_up(&self, failure: Failure) -> Failure {
-        if self.unknown_since.is_some() {
-            return crate::answer::failure(ErrorKind::OutcomeUnknown);
+        if self.doubt == Doubt::None {
+            return failure;
         }
-        failure
+        in_doubt(failure)
+    }
+}
+
+/// The failure of a request that may have run.
+///
+/// An owner that was succeeded cannot look into the ledger any more, but its
+/// successor can: the entry is to ask there. Without that, callers would hear
+/// "unknown" of each write that was at its COMMIT when its owner was replaced,
+/// though the answer is one question away.
+#[must_use]
+pub fn in_doubt(failure: Failure) -> Failure {
+    match kind_of(&failure) {
+        ErrorKind::NotOwner => Failure { maybe_ran: true, ..failure },
+        _ => crate::answer::failure(ErrorKind::OutcomeUnknown),
     }
 }
 
@@ -148,7 +178,7 @@
     request: &Request,
     digest: Vec<u8>,
 ) -> Result<StatementResult, Failure> {
-    let mut progress = Progress { digest, unknown_since: None, stalled: false };
+    let mut progress = Progress::new(digest, request.submit.resend);
     loop {
         let entered =
             owner::enter(context, &request.database, request.deadline, false, false).await;
@@ -158,7 +188,7 @@
                 match finish(context, request, &serving, position).await {
                     Ok(()) => return Ok(placed(result, position)),
                     Err(NotConfirmed::Late) => return Err(failure(ErrorKind::OutcomeUnknown)),
-                    Err(NotConfirmed::TermOver) => progress.unknown_since = Some(serving.term),
+                    Err(NotConfirmed::TermOver) => progress.doubt = Doubt::CommitSent(serving.term),
                 }
                 failure(ErrorKind::OutcomeUnknown)
             }
@@ -166,13 +196,13 @@
                 match finish(context, request, &serving, row.position_in(&serving)).await {
                     Ok(()) => return recorded(&row, &progress.digest),
                     Err(NotConfirmed::Late) => return Err(failure(ErrorKind::OutcomeUnknown)),
-                    Err(NotConfirmed::TermOver) => progress.unknown_since = Some(serving.term),
+                    Err(NotConfirmed::TermOver) => progress.doubt = Doubt::CommitSent(serving.term),
                 }
                 failure(ErrorKind::OutcomeUnknown)
             }
             Tried::Refused(failure) => return Err(progress.give_up(failure)),
             Tried::Unknown => {
-                progress.unknown_since = Some(serving.term);
+                progress.doubt = Doubt::CommitSent(serving.term);
                 failure(ErrorKind::OutcomeUnknown)
             }
             Tried::Stalled => {
@@ -194,26 +224,30 @@
 /// A COMMIT that got no answer in this very term may still be on its way: it
 /// is settled by a tombstone. One of an earlier term can only have succeeded
 /// if the new primary has it; its old session is fenced off for good, so a
-/// look at the ledger settles it, and the write may run if it did not.
+/// look at the ledger settles it, and the write may run if it did not. A copy
+/// that was sent before either joined this one, or ended here, or was at an
+/// owner of an earlier term.
 async fn try_in(
     context: &Shared,
     request: &Request,
     serving: &Serving,
     progress: &mut Progress,
 ) -> Tried {
-    match progress.unknown_since {
-        None => {}
-        Some(term) if term == serving.term => {
+    match progress.doubt {
+        Doubt::None => {}
+        Doubt::CommitSent(term) if term == serving.term => {
             return match settle_row(context, request, serving).await {
                 Ok(row) => Tried::Known(row),
                 Err(failure) => Tried::NotRun(failure),
             };
         }
-        Some(_) => match look_up(context, request, serving).await {
-            Ok(Some(row)) => return Tried::Known(row),
-            Ok(None) => progress.unknown_since = None,
-            Err(failure) => return Tried::NotRun(failure),
-        },
+        Doubt::CommitSent(_) | Doubt::SentBefore => {
+            match look_up(context, request, serving).await {
+                Ok(Some(row)) => return Tried::Known(row),
+                Ok(None) => progress.doubt = Doubt::None,
+                Err(failure) => return Tried::NotRun(failure),
+            }
+        }
     }
     try_once(context, request, serving, progress).await
 }
--- a/lib/src/protos/chervilwharf.peer.rs
+++ b/lib/src/protos/chervilwharf.peer.rs
@@ -273,6 +273,10 @@
     pub owner: ::prost::alloc::string::String,
     #[prost(uint64, tag = "6")]
     pub owner_term: u64,
+    /// The request may have run; only the present owner's ledger can tell. Set
+    /// with the kinds after which the entry asks another owner.
+    #[prost(bool, tag = "7")]
+    pub maybe_ran: bool,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Answer {
