session: an instance without a configuration does not call databases unknown

Cause: an instance listens for clients before it has the configuration, and answered START with 'unknown database' until it came. Clients take that for final.

Ruled out: an old configuration (the name had been there from the first one).

Now a session waits 300 ms for the first configuration and is refused with 'come back' after that. Each refused session leaves a log line.

--- a/daemon/src/engine/session.rs
+++ b/daemon/src/engine/session.rs
@@ -82,6 +82,12 @@
     counted: Option<SessionGuard>,
 }
 
+fn report_refused(engine: &Engine, database: &str, kind: ErrorKind) {
+    let version = engine.catalog().version;
+    let event = Event::new(EventKind::SessionRefused).with("database", database);
+    event_log::emit(&event.with("reason", kind.name()).with("configuration", version));
+}
+
 /// Sessions are closed in this many steps at a planned stop.
 const SPREAD_STEPS: u32 = 1000;
 
@@ -89,17 +95,34 @@
 /// trips of 3 ms and the time to write.
 const ANSWER_RESERVE: Duration = Duration::from_millis(15);
 
+/// How long a new session waits for the first configuration. An instance has
+/// it some 30 ms after its start; without one for longer the store is down, and
+/// another instance may know more.
+const FIRST_CONFIGURATION_LIMIT: Duration = Duration::from_millis(300);
+
 impl Session {
     /// Begins a session on a database name.
     ///
+    /// An instance that has just started knows no name yet. It must not answer
+    /// that there is none: clients take that for final, and after all instances
+    /// had been killed together those who came first gave up.
+    ///
     /// # Errors
     ///
-    /// When the configuration has no such name.
-    pub fn begin(engine: Arc<Engine>, database: &str) -> Result<Self, Failure> {
-        let Some(route) = engine.route(database) else {
-            return Err(Failure::new(ErrorKind::UnknownDatabase));
+    /// When the configuration has no such name, or there is none yet.
+    pub async fn begin(engine: Arc<Engine>, database: &str) -> Result<Self, Failure> {
+        let route = if engine.wait_for_configuration(FIRST_CONFIGURATION_LIMIT).await {
+            engine.route(database).ok_or(ErrorKind::UnknownDatabase)
+        } else {
+            Err(ErrorKind::NotConfigured)
         };
-        Ok(Self::new(engine, &route, rand::random_range(0..SPREAD_STEPS)))
+        match route {
+            Ok(route) => Ok(Self::new(engine, &route, rand::random_range(0..SPREAD_STEPS))),
+            Err(kind) => {
+                report_refused(&engine, database, kind);
+                Err(Failure::new(kind))
+            }
+        }
     }
 
     /// A session for statements that come from another instance.
--- a/daemon/src/engine/shared.rs
+++ b/daemon/src/engine/shared.rs
@@ -7,6 +7,7 @@
 use std::sync::RwLock;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use chervilwharf_lib::catalog::Catalog;
 use chervilwharf_lib::catalog::Route;
@@ -152,6 +153,14 @@
         self.catalog.borrow().clone()
     }
 
+    /// Waits for the first configuration, at most this long. Returns whether
+    /// there is one.
+    pub async fn wait_for_configuration(&self, limit: Duration) -> bool {
+        let mut catalog = self.catalog.subscribe();
+        let first = catalog.wait_for(|catalog| catalog.version > 0);
+        tokio::time::timeout(limit, first).await.is_ok()
+    }
+
     /// The route of a database name.
     #[must_use]
     pub fn route(&self, database: &str) -> Option<Arc<Route>> {
--- a/lib/src/error_kind.rs
+++ b/lib/src/error_kind.rs
@@ -69,6 +69,8 @@
     UnknownPreparedName,
     /// no server has applied what the read has to see
     ReplicasBehind,
+    /// this instance has no configuration yet
+    NotConfigured,
 }
 
 /// One row of the table from kind to answer.
@@ -91,7 +93,7 @@
 
 impl ErrorKind {
     /// Every kind, in the order of the table in the documentation.
-    pub const ALL: [Self; 26] = [
+    pub const ALL: [Self; 27] = [
         Self::ServerRefused,
         Self::NotOwner,
         Self::NoPrimary,
@@ -118,6 +120,7 @@
         Self::ServerTimedOut,
         Self::UnknownPreparedName,
         Self::ReplicasBehind,
+        Self::NotConfigured,
     ];
 
     /// The table from kind to answer.
@@ -153,6 +156,7 @@
             Self::ServerTimedOut => ("57014", Unknown, None, true),
             Self::UnknownPreparedName => ("26000", NotRun, None, false),
             Self::ReplicasBehind => ("57P03", NotRun, SOON, true),
+            Self::NotConfigured => ("57P03", NotRun, SOON, true),
         };
         AnswerRule { sqlstate, outcome, retry_after, burns_budget }
     }
@@ -187,6 +191,7 @@
             Self::ServerTimedOut => "server_timed_out",
             Self::UnknownPreparedName => "unknown_prepared_name",
             Self::ReplicasBehind => "replicas_behind",
+            Self::NotConfigured => "not_configured",
         }
     }
 
--- a/lib/src/event.rs
+++ b/lib/src/event.rs
@@ -131,6 +131,8 @@
     ConnectionDropped, "connection_dropped", Exchange;
     /// A question to a server for its state failed.
     ProbeFailed, "probe_failed", Exchange;
+    /// A client's session was not begun.
+    SessionRefused, "session_refused", Exchange;
     /// A client's connection could not be served.
     ClientFailed, "client_failed", Exchange;
     /// A try to serve a request failed, and it is tried again.
