--- a/daemon/src/admin.rs
+++ b/daemon/src/admin.rs
@@ -51,12 +51,12 @@
 
 async fn status(State(context): State<Shared>) -> Json<Value> {
     let mut databases = serde_json::Map::new();
-    for id in context.instance.database_ids() {
+    for id in context.databases.instance.database_ids() {
         if let Some(value) = database_status(&context, &id) {
             databases.insert(id.to_string(), value);
         }
     }
-    let membership = context.instance.membership();
+    let membership = context.databases.instance.membership();
     let peers: Vec<_> = membership
         .peers()
         .map(|(peer, alive)| {
@@ -83,10 +83,10 @@
 
 fn database_status(context: &Shared, id: &Arc<str>) -> Option<Value> {
     let known = {
-        let membership = context.instance.membership();
+        let membership = context.databases.instance.membership();
         membership.owner(id).map(|record| (record.owner.clone(), record.term))
     };
-    let own = context.with_database(id, |state| {
+    let own = context.databases.with_database(id, |state| {
         let (term, primary) = state.ownership.serving()?;
         let servers: Vec<_> = state
             .ownership
--- a/daemon/src/checkout.rs
+++ b/daemon/src/checkout.rs
@@ -1,7 +1,6 @@
 //! Slots and connections of the servers, as guards.
 
-use std::collections::HashMap;
-use std::sync::Mutex;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -17,51 +16,14 @@
 
 use crate::answer::failure;
 use crate::answer::failure_after;
-use crate::context::Shared;
+use crate::connection_store::Turn;
+use crate::databases::Databases;
 use crate::postgres::ServerConnection;
-
-/// Open connections of one server that nobody uses, and those who wait for a
-/// slot on it.
-#[derive(Default)]
-pub struct ConnectionStore {
-    idle: Mutex<HashMap<u64, ServerConnection>>,
-    waiting: Mutex<HashMap<Ticket, oneshot::Sender<Turn>>>,
-}
-
-/// What becomes of a request that waited for a slot.
-enum Turn {
-    Granted,
-    Refused(Duration),
-}
-
-impl ConnectionStore {
-    /// Wakes those who have a slot now.
-    fn grant(&self, tickets: Vec<Ticket>) -> Vec<Ticket> {
-        let mut waiting = self.waiting.lock().expect("never poisoned");
-        let mut gone = Vec::new();
-        for ticket in tickets {
-            let receiver = waiting.remove(&ticket);
-            if receiver.is_none_or(|sender| sender.send(Turn::Granted).is_err()) {
-                gone.push(ticket);
-            }
-        }
-        gone
-    }
-
-    fn refuse(&self, tickets: Vec<(Ticket, Duration)>) {
-        let mut waiting = self.waiting.lock().expect("never poisoned");
-        for (ticket, retry_after) in tickets {
-            if let Some(sender) = waiting.remove(&ticket) {
-                // A waiter that left in the meantime needs no answer.
-                let _ = sender.send(Turn::Refused(retry_after));
-            }
-        }
-    }
-}
+use crate::postgres::Step;
 
 /// The right to run one statement at a server. Gives it back when dropped.
 pub struct SlotGuard {
-    context: Shared,
+    databases: Arc<Databases>,
     database: DatabaseId,
     server: TargetId,
     since: Instant,
@@ -70,27 +32,32 @@
 impl Drop for SlotGuard {
     fn drop(&mut self) {
         let took = self.since.elapsed();
-        release(&self.context, &self.database, &self.server, took);
+        release(&self.databases, &self.database, &self.server, took);
     }
 }
 
-fn release(context: &Shared, database: &DatabaseId, server: &TargetId, took: Duration) {
+fn release(databases: &Arc<Databases>, database: &DatabaseId, server: &TargetId, took: Duration) {
     let now = Instant::now();
-    let granted = context.with_database(database, |state| {
+    let granted = databases.with_database(database, |state| {
         let slots = state.slots.get_mut(server)?;
         Some(slots.release(now, took))
     });
-    wake(context, database, server, granted.flatten().unwrap_or_default());
+    wake(databases, database, server, granted.flatten().unwrap_or_default());
 }
 
 /// Wakes those with a slot; the slot of one who has left goes to the next.
-fn wake(context: &Shared, database: &DatabaseId, server: &TargetId, granted: Vec<Ticket>) {
-    let Some(known) = context.server(server) else {
+fn wake(
+    databases: &Arc<Databases>,
+    database: &DatabaseId,
+    server: &TargetId,
+    granted: Vec<Ticket>,
+) {
+    let Some(known) = databases.server(server) else {
         return;
     };
     let mut gone = known.connections.grant(granted);
     while !gone.is_empty() {
-        let next = context.with_database(database, |state| {
+        let next = databases.with_database(database, |state| {
             let slots = state.slots.get_mut(server)?;
             let now = Instant::now();
             let freed = gone.iter().flat_map(|_| slots.release(now, Duration::ZERO));
@@ -102,9 +69,9 @@
 
 /// Refuses those who cannot make their deadline any more, and widens the
 /// slots of a new primary. Called by the control loop.
-pub fn maintain(context: &Shared, database: &DatabaseId) {
+pub fn maintain(databases: &Arc<Databases>, database: &DatabaseId) {
     let now = Instant::now();
-    let servers = context.with_database(database, |state| {
+    let servers = databases.with_database(database, |state| {
         let expire = |(id, slots): (&TargetId, &mut chervilwharf_lib::admission::SlotQueue)| {
             let expired = slots.expire(now);
             let granted = slots.allow_more(now);
@@ -113,10 +80,10 @@
         state.slots.iter_mut().map(expire).collect::<Vec<_>>()
     });
     for (server, expired, granted) in servers.unwrap_or_default() {
-        if let Some(known) = context.server(&server) {
+        if let Some(known) = databases.server(&server) {
             known.connections.refuse(expired);
         }
-        wake(context, database, &server, granted);
+        wake(databases, database, &server, granted);
     }
 }
 
@@ -126,15 +93,15 @@
 ///
 /// Refused at once when the deadline cannot be made.
 pub async fn acquire_slot(
-    context: &Shared,
+    databases: &Arc<Databases>,
     database: &DatabaseId,
     server: &TargetId,
     priority: Priority,
     deadline: Instant,
 ) -> Result<SlotGuard, Failure> {
-    let known = context.server(server).ok_or_else(|| failure(ErrorKind::NoPrimary))?;
+    let known = databases.server(server).ok_or_else(|| failure(ErrorKind::NoPrimary))?;
     let (sender, receiver) = oneshot::channel();
-    let (admission, displaced) = context
+    let (admission, displaced) = databases
         .with_database(database, |state| {
             let slots = state.slots.get_mut(server)?;
             let admission = slots.request(Instant::now(), priority, deadline);
@@ -149,7 +116,7 @@
         .ok_or_else(|| failure(ErrorKind::UnknownDatabase))?;
     known.connections.refuse(displaced);
     let guard = |since| SlotGuard {
-        context: context.clone(),
+        databases: databases.clone(),
         database: database.clone(),
         server: server.clone(),
         since,
@@ -160,7 +127,7 @@
             Err(failure_after(ErrorKind::Overloaded, retry_after))
         }
         Admission::Queued(ticket) => {
-            let mut waiter = Waiter { context, database, server, ticket, receiver };
+            let mut waiter = Waiter { databases, database, server, ticket, receiver };
             match (&mut waiter.receiver).await {
                 Ok(Turn::Granted) => Ok(guard(Instant::now())),
                 Ok(Turn::Refused(retry_after)) => {
@@ -173,14 +140,18 @@
 }
 
 /// Takes a slot for a statement of an open transaction, without waiting.
-pub fn overdraw_slot(context: &Shared, database: &DatabaseId, server: &TargetId) -> SlotGuard {
-    context.with_database(database, |state| {
+pub fn overdraw_slot(
+    databases: &Arc<Databases>,
+    database: &DatabaseId,
+    server: &TargetId,
+) -> SlotGuard {
+    databases.with_database(database, |state| {
         if let Some(slots) = state.slots.get_mut(server) {
             slots.overdraw();
         }
     });
     SlotGuard {
-        context: context.clone(),
+        databases: databases.clone(),
         database: database.clone(),
         server: server.clone(),
         since: Instant::now(),
@@ -190,7 +161,7 @@
 /// One who waits for a slot. Leaves the queue when its request is dropped;
 /// otherwise the slot would be granted to nobody and lost.
 struct Waiter<'a> {
-    context: &'a Shared,
+    databases: &'a Arc<Databases>,
     database: &'a DatabaseId,
     server: &'a TargetId,
     ticket: Ticket,
@@ -204,21 +175,24 @@
         // slot is released exactly once in either case.
         self.receiver.close();
         if matches!(self.receiver.try_recv(), Ok(Turn::Granted)) {
-            release(self.context, self.database, self.server, Duration::ZERO);
+            release(self.databases, self.database, self.server, Duration::ZERO);
             return;
         }
-        if let Some(known) = self.context.server(self.server) {
+        if let Some(known) = self.databases.server(self.server) {
             known.connections.waiting.lock().expect("never poisoned").remove(&self.ticket);
         }
-        self.context.with_database(self.database, |state| {
+        self.databases.with_database(self.database, |state| {
             state.slots.get_mut(self.server).is_some_and(|slots| slots.abandon(self.ticket))
         });
     }
 }
 
+/// Longest wait for the answer to a rollback.
+const ROLLBACK_LIMIT: Duration = Duration::from_secs(1);
+
 /// A connection in use. Goes back to the pool when dropped, if it is whole.
 pub struct ConnectionGuard {
-    context: Shared,
+    databases: Arc<Databases>,
     database: DatabaseId,
     server: TargetId,
     id: u64,
@@ -234,14 +208,28 @@
     pub fn get(&mut self) -> &mut ServerConnection {
         self.connection.as_mut().expect("a guard holds its connection until it is dropped")
     }
+
+    /// Ends a failed transaction in the background, so that the connection can
+    /// be used again.
+    pub fn end_transaction(mut self) {
+        if !self.get().is_whole() {
+            return;
+        }
+        tokio::spawn(async move {
+            let rollback = [Step::own("ROLLBACK")];
+            let run = self.get().run(&rollback);
+            // A connection that does not answer in this time is closed instead.
+            let _ = tokio::time::timeout(ROLLBACK_LIMIT, run).await;
+        });
+    }
 }
 
 impl Drop for ConnectionGuard {
     fn drop(&mut self) {
         let connection = self.connection.take().filter(ServerConnection::is_reusable);
-        let known = self.context.server(&self.server);
+        let known = self.databases.server(&self.server);
         let id = self.id;
-        self.context.with_database(&self.database, |state| {
+        self.databases.with_database(&self.database, |state| {
             let Some(pool) = state.pools.get_mut(&self.server) else {
                 return;
             };
@@ -261,7 +249,7 @@
 
 /// An opening that was started; counts as failed unless it is completed.
 struct Opening<'a> {
-    context: &'a Shared,
+    databases: &'a Arc<Databases>,
     database: &'a DatabaseId,
     server: &'a TargetId,
     completed: bool,
@@ -270,7 +258,7 @@
 impl Opening<'_> {
     fn complete(mut self) -> u64 {
         self.completed = true;
-        let id = self.context.with_database(self.database, |state| {
+        let id = self.databases.with_database(self.database, |state| {
             state.pools.get_mut(self.server).map(chervilwharf_lib::pool::ServerPool::opened)
         });
         id.flatten().unwrap_or(0)
@@ -282,7 +270,7 @@
         if self.completed {
             return;
         }
-        self.context.with_database(self.database, |state| {
+        self.databases.with_database(self.database, |state| {
             if let Some(pool) = state.pools.get_mut(self.server) {
                 pool.open_failed();
             }
@@ -299,14 +287,14 @@
 ///
 /// When none can be had before the deadline, or the server cannot be reached.
 pub async fn checkout(
-    context: &Shared,
+    databases: &Arc<Databases>,
     database: &DatabaseId,
     server: &TargetId,
     deadline: Instant,
 ) -> Result<ConnectionGuard, Failure> {
-    let known = context.server(server).ok_or_else(|| failure(ErrorKind::NoPrimary))?;
+    let known = databases.server(server).ok_or_else(|| failure(ErrorKind::NoPrimary))?;
     loop {
-        let decision = context
+        let decision = databases
             .with_database(database, |state| {
                 let pool = state.pools.get_mut(server)?;
                 let decision = pool.checkout(Instant::now());
@@ -325,7 +313,7 @@
             .flatten()
             .ok_or_else(|| failure(ErrorKind::UnknownDatabase))?;
         let guard = |id, connection| ConnectionGuard {
-            context: context.clone(),
+            databases: databases.clone(),
             database: database.clone(),
             server: server.clone(),
             id,
@@ -341,7 +329,7 @@
                 tokio::time::sleep(pause).await;
             }
             (Checkout::Open, _) => {
-                let opening = Opening { context, database, server, completed: false };
+                let opening = Opening { databases, database, server, completed: false };
                 let opened = ServerConnection::open(&known.address, OPEN_TIMEOUT).await;
                 let connection = opened.map_err(|_| failure(ErrorKind::NoPrimary))?;
                 return Ok(guard(opening.complete(), connection));
@@ -351,25 +339,30 @@
 }
 
 /// Opens a connection ahead of need, if one is missing.
-pub async fn warm_up(context: Shared, database: DatabaseId, server: TargetId, warm: usize) {
-    let wanted = context.with_database(&database, |state| {
+pub async fn warm_up(
+    databases: Arc<Databases>,
+    database: DatabaseId,
+    server: TargetId,
+    warm: usize,
+) {
+    let wanted = databases.with_database(&database, |state| {
         let pool = state.pools.get_mut(&server)?;
         Some(pool.wants_warm(Instant::now(), warm))
     });
     if wanted.flatten() != Some(true) {
         return;
     }
-    let Some(known) = context.server(&server) else {
+    let Some(known) = databases.server(&server) else {
         return;
     };
     let opening =
-        Opening { context: &context, database: &database, server: &server, completed: false };
+        Opening { databases: &databases, database: &database, server: &server, completed: false };
     let Ok(connection) = ServerConnection::open(&known.address, OPEN_TIMEOUT).await else {
         return;
     };
     let id = opening.complete();
     drop(ConnectionGuard {
-        context: context.clone(),
+        databases: databases.clone(),
         database: database.clone(),
         server: server.clone(),
         id,
@@ -378,11 +371,16 @@
 }
 
 /// Closes connections that nobody has used for a while, but for a few.
-pub fn close_expired(context: &Shared, database: &DatabaseId, server: &TargetId, warm: usize) {
-    let Some(known) = context.server(server) else {
+pub fn close_expired(
+    databases: &Arc<Databases>,
+    database: &DatabaseId,
+    server: &TargetId,
+    warm: usize,
+) {
+    let Some(known) = databases.server(server) else {
         return;
     };
-    context.with_database(database, |state| {
+    databases.with_database(database, |state| {
         let Some(pool) = state.pools.get_mut(server) else {
             return;
         };
@@ -394,11 +392,11 @@
 }
 
 /// Closes connections to a server that has failed or that nobody needs.
-pub fn close_idle(context: &Shared, database: &DatabaseId, server: &TargetId) {
-    let Some(known) = context.server(server) else {
+pub fn close_idle(databases: &Arc<Databases>, database: &DatabaseId, server: &TargetId) {
+    let Some(known) = databases.server(server) else {
         return;
     };
-    context.with_database(database, |state| {
+    databases.with_database(database, |state| {
         let Some(pool) = state.pools.get_mut(server) else {
             return;
         };
--- a/daemon/src/confirm.rs
+++ b/daemon/src/confirm.rs
@@ -1,5 +1,6 @@
 //! Waits until a replica has received a write.
 
+use std::collections::HashMap;
 use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -13,10 +14,8 @@
 use chervilwharf_lib::position::Position;
 use tokio::sync::Notify;
 
-use crate::context::Context;
-use crate::context::Shared;
-use crate::owner;
-use crate::owner::Interruption;
+use crate::databases::Databases;
+use crate::databases::Interruption;
 
 /// Waiters of one database. They share one position probe.
 #[derive(Default)]
@@ -65,47 +64,61 @@
 /// Pause between two probes when the first brought nothing new.
 const PROBE_PAUSE: Duration = Duration::from_micros(200);
 
-/// Waits until what was committed at `position` survives the loss of the
-/// primary. Holds neither a slot nor a connection.
-///
-/// # Errors
-///
-/// When the deadline passes or the term ends first.
-pub async fn wait_confirmed(
-    context: &Shared,
-    database: &DatabaseId,
-    position: Position,
-    deadline: Instant,
-) -> Result<(), NotConfirmed> {
-    let hub = context.confirm_hub(database);
-    if is_confirmed(context, database, position)? {
-        return Ok(());
+/// Waits for confirmation, by database.
+#[derive(Default)]
+pub struct Confirmations {
+    hubs: Mutex<HashMap<DatabaseId, Arc<ConfirmHub>>>,
+}
+
+impl Confirmations {
+    fn hub(&self, database: &DatabaseId) -> Arc<ConfirmHub> {
+        let mut hubs = self.hubs.lock().expect("never poisoned");
+        hubs.entry(database.clone()).or_default().clone()
     }
-    hub.waiting.fetch_add(1, Ordering::SeqCst);
-    let _waiting = Waiting(&hub);
-    ask_replicas(context, database, &hub);
-    let confirmed = async {
-        loop {
-            let advanced = hub.advanced.notified();
-            if is_confirmed(context, database, position)? {
-                return Ok(());
+
+    /// Waits until what was committed at `position` survives the loss of the
+    /// primary. Holds neither a slot nor a connection.
+    ///
+    /// # Errors
+    ///
+    /// When the deadline passes or the term ends first.
+    pub async fn wait(
+        &self,
+        databases: &Arc<Databases>,
+        database: &DatabaseId,
+        position: Position,
+        deadline: Instant,
+    ) -> Result<(), NotConfirmed> {
+        if is_confirmed(databases, database, position)? {
+            return Ok(());
+        }
+        let hub = self.hub(database);
+        hub.waiting.fetch_add(1, Ordering::SeqCst);
+        let _waiting = Waiting(&hub);
+        ask_replicas(databases, database, &hub);
+        let confirmed = async {
+            loop {
+                let advanced = hub.advanced.notified();
+                if is_confirmed(databases, database, position)? {
+                    return Ok(());
+                }
+                advanced.await;
             }
-            advanced.await;
+        };
+        match databases.within_term(database, position.term, deadline, confirmed).await {
+            Ok(result) => result,
+            Err(Interruption::TermOver) => Err(NotConfirmed::TermOver),
+            Err(Interruption::Late) => Err(NotConfirmed::Late),
         }
-    };
-    match owner::within_term(context, database, position.term, deadline, confirmed).await {
-        Ok(result) => result,
-        Err(Interruption::TermOver) => Err(NotConfirmed::TermOver),
-        Err(Interruption::Late) => Err(NotConfirmed::Late),
     }
 }
 
 fn is_confirmed(
-    context: &Context,
+    databases: &Databases,
     database: &DatabaseId,
     position: Position,
 ) -> Result<bool, NotConfirmed> {
-    let confirmed = context.with_database(database, |state| {
+    let confirmed = databases.with_database(database, |state| {
         let (term, _) = state.ownership.serving()?;
         (term == position.term).then(|| state.ownership.confirmed() >= position)
     });
@@ -116,8 +129,8 @@
 ///
 /// Each is asked by a task of its own: one that does not answer must not
 /// delay what the others have to say.
-fn ask_replicas(context: &Shared, database: &DatabaseId, hub: &Arc<ConfirmHub>) {
-    let replicas = context.with_database(database, |state| {
+fn ask_replicas(databases: &Arc<Databases>, database: &DatabaseId, hub: &Arc<ConfirmHub>) {
+    let replicas = databases.with_database(database, |state| {
         let primary = state.ownership.serving().map(|(_, primary)| primary);
         let others =
             state.ownership.servers().filter(|server| Some(&server.id) != primary.as_ref());
@@ -125,13 +138,18 @@
     });
     for replica in replicas.unwrap_or_default() {
         if hub.asking.lock().expect("never poisoned").insert(replica.clone()) {
-            tokio::spawn(ask(context.clone(), database.clone(), replica, hub.clone()));
+            tokio::spawn(ask(databases.clone(), database.clone(), replica, hub.clone()));
         }
     }
 }
 
 /// Asks one replica for its position again and again while anyone waits.
-async fn ask(context: Shared, database: DatabaseId, replica: TargetId, hub: Arc<ConfirmHub>) {
+async fn ask(
+    databases: Arc<Databases>,
+    database: DatabaseId,
+    replica: TargetId,
+    hub: Arc<ConfirmHub>,
+) {
     loop {
         {
             // Checked and left under one lock, so that a waiter that comes
@@ -142,7 +160,7 @@
                 return;
             }
         }
-        let confirmed = ask_once(&context, &database, &replica).await;
+        let confirmed = ask_once(&databases, &database, &replica).await;
         if !hub.announce(confirmed) {
             pause().await;
         }
@@ -158,17 +176,21 @@
 }
 
 /// Asks a replica once and returns what is confirmed after its answer.
-async fn ask_once(context: &Shared, database: &DatabaseId, replica: &TargetId) -> Position {
-    let Some(server) = context.server(replica) else {
+async fn ask_once(
+    databases: &Arc<Databases>,
+    database: &DatabaseId,
+    replica: &TargetId,
+) -> Position {
+    let Some(server) = databases.server(replica) else {
         tokio::time::sleep(Duration::from_millis(10)).await;
         return Position::ZERO;
     };
     let Ok(state) = server.confirm.state().await else {
         return Position::ZERO;
     };
-    let confirmed = context.with_database(database, |database| {
-        database.ownership.received(replica, state.term, state.received);
-        database.ownership.confirmed()
+    let confirmed = databases.with_database(database, |known| {
+        known.ownership.received(replica, state.term, state.received);
+        known.ownership.confirmed()
     });
     confirmed.unwrap_or(Position::ZERO)
 }
--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -27,8 +27,8 @@
 use crate::context::Shared;
 use crate::link;
 use crate::metrics::CauseLabels;
-use crate::owner::Serving;
 use crate::platform_sync;
+use crate::serving::Serving;
 use crate::write;
 
 /// Pace of the ticks.
@@ -76,7 +76,7 @@
     loop {
         tokio::select! {
             _ = ticks.tick() => {
-                context.handle(InstanceEvent::Tick);
+                context.databases.handle(InstanceEvent::Tick);
                 count += 1;
                 if count % MAINTENANCE_TICKS == 0 {
                     maintain(&context);
@@ -95,11 +95,11 @@
 
 fn maintain(context: &Shared) {
     context.transactions.expire(Instant::now());
-    let owned = context.instance.owned();
+    let owned = context.databases.instance.owned();
     context.metrics.owned.set(i64::try_from(owned.len()).unwrap_or(i64::MAX));
     for (database, _) in owned {
-        checkout::maintain(context, &database);
-        let view = context.with_database(&database, |state| {
+        checkout::maintain(&context.databases, &database);
+        let view = context.databases.with_database(&database, |state| {
             let primary = state.ownership.serving().map(|(_, primary)| primary);
             let now = Instant::now();
             let position = primary.as_ref().and_then(|id| state.ownership.server_state(id));
@@ -116,7 +116,12 @@
         };
         for server in servers {
             let warm = if server == primary { WARM_PRIMARY } else { WARM_REPLICA };
-            tokio::spawn(checkout::warm_up(context.clone(), database.clone(), server, warm));
+            tokio::spawn(checkout::warm_up(
+                context.databases.clone(),
+                database.clone(),
+                server,
+                warm,
+            ));
         }
     }
 }
@@ -124,8 +129,8 @@
 /// Forgets floors that every server has passed, idle connections, and old
 /// ledger rows.
 fn clean_up(context: &Shared) {
-    for (database, term) in context.instance.owned() {
-        let view = context.with_database(&database, |state| {
+    for (database, term) in context.databases.instance.owned() {
+        let view = context.databases.with_database(&database, |state| {
             let everywhere = state.ownership.applied_everywhere();
             state.floors.forget_below(everywhere, term);
             let servers: Vec<_> = state.ownership.servers().map(|s| s.id.clone()).collect();
@@ -136,7 +141,7 @@
             continue;
         };
         for server in servers {
-            checkout::close_expired(context, &database, &server, WARM_PRIMARY);
+            checkout::close_expired(&context.databases, &database, &server, WARM_PRIMARY);
         }
         let context = context.clone();
         tokio::spawn(async move {
@@ -203,13 +208,13 @@
                  cause={cause:?} took_ms={}",
                 took.as_millis()
             );
-            context.set_served_term(&database, term);
+            context.databases.set_served_term(&database, term);
             tokio::spawn(prepare_database(context.clone(), database, term, primary));
         }
         OwnershipAction::Pause { cause } => {
             let now = Instant::now();
             starts.lock().expect("never poisoned").insert(database.clone(), now);
-            context.set_served_term(&database, 0);
+            context.databases.set_served_term(&database, 0);
             warn!("replacing primary database={database} cause={cause:?}");
         }
         OwnershipAction::Lost { term, reason } => {
@@ -220,55 +225,58 @@
                 LossReason::Released => info!("released database={database} term={term}"),
                 _ => warn!("lost database={database} term={term} reason={reason:?}"),
             }
-            context.set_served_term(&database, 0);
+            context.databases.set_served_term(&database, 0);
         }
     }
 }
 
 async fn fence(context: Shared, database: DatabaseId, server: TargetId, term: Term) {
-    let Some(known) = context.server(&server) else {
+    let Some(known) = context.databases.server(&server) else {
         return;
     };
-    let result = known.control.fence(term, context.instance.holder()).await;
+    let result = known.control.fence(term, context.databases.instance.holder()).await;
     let event = OwnershipEvent::Fenced { server, term, result };
-    context.handle_ownership(&database, event);
+    context.databases.handle_ownership(&database, event);
 }
 
 async fn promote(context: Shared, database: DatabaseId, server: TargetId, term: Term) {
-    let Some(known) = context.server(&server) else {
+    let Some(known) = context.databases.server(&server) else {
         return;
     };
-    let result = known.control.promote(term, context.instance.holder()).await;
+    let result = known.control.promote(term, context.databases.instance.holder()).await;
     let event = OwnershipEvent::Promoted { server, term, result };
-    context.handle_ownership(&database, event);
+    context.databases.handle_ownership(&database, event);
 }
 
 async fn follow(context: Shared, server: TargetId, term: Term, primary: TargetId) {
-    let (Some(known), Some(upstream)) = (context.server(&server), context.server(&primary)) else {
+    let (Some(known), Some(upstream)) =
+        (context.databases.server(&server), context.databases.server(&primary))
+    else {
         return;
     };
     let address = upstream.replication_address.clone();
     // A failed call is repeated by the decisions after the next probe.
-    let _ = known.control.follow(term, context.instance.holder(), &primary, &address).await;
+    let _ =
+        known.control.follow(term, context.databases.instance.holder(), &primary, &address).await;
 }
 
 async fn probe(context: Shared, database: DatabaseId, server: TargetId, sequence: u64) {
-    let Some(known) = context.server(&server) else {
+    let Some(known) = context.databases.server(&server) else {
         return;
     };
     let state = known.control.state().await.ok();
     let event = OwnershipEvent::Probed { server, sequence, state };
-    context.handle_ownership(&database, event);
+    context.databases.handle_ownership(&database, event);
 }
 
 /// Opens control connections and some for statements, ahead of a handover.
 pub async fn prepare_connections(context: &Shared, database: &DatabaseId) {
-    let servers = context.with_database(database, |state| {
+    let servers = context.databases.with_database(database, |state| {
         state.ownership.servers().map(|server| server.id.clone()).collect::<Vec<_>>()
     });
     let mut openings = tokio::task::JoinSet::new();
     for server in servers.unwrap_or_default() {
-        if let Some(known) = context.server(&server) {
+        if let Some(known) = context.databases.server(&server) {
             let other = known.clone();
             openings.spawn(async move { known.control.state().await.is_ok() });
             openings.spawn(async move { other.confirm.state().await.is_ok() });
@@ -279,7 +287,7 @@
             let turn = OPENING_TURN * u32::try_from(number).unwrap_or(0);
             openings.spawn(async move {
                 tokio::time::sleep(turn).await;
-                checkout::warm_up(context, database, server, WARM_PRIMARY).await;
+                checkout::warm_up(context.databases.clone(), database, server, WARM_PRIMARY).await;
                 true
             });
         }
@@ -289,12 +297,12 @@
 
 /// Closes connections of servers that may not answer, and makes the ledger.
 async fn prepare_database(context: Shared, database: DatabaseId, term: Term, primary: TargetId) {
-    let others = context.with_database(&database, |state| {
+    let others = context.databases.with_database(&database, |state| {
         let ids = state.ownership.servers().map(|server| server.id.clone());
         ids.filter(|id| *id != primary).collect::<Vec<_>>()
     });
     for server in others.unwrap_or_default() {
-        checkout::close_idle(&context, &database, &server);
+        checkout::close_idle(&context.databases, &database, &server);
     }
     make_ledger(&context, &database, term, primary).await;
 }
@@ -304,7 +312,7 @@
 async fn make_ledger(context: &Shared, database: &DatabaseId, term: Term, primary: TargetId) {
     let serving = Serving { term, primary };
     loop {
-        let missing = context.with_database(database, |state| {
+        let missing = context.databases.with_database(database, |state| {
             let serves = state.ownership.serving().is_some_and(|(own, _)| own == term);
             serves && !state.ledger_ready
         });
@@ -314,8 +322,8 @@
         let deadline = Instant::now() + WORK_GRACE;
         match write::create_ledger(context, database, &serving, deadline).await {
             Ok(()) => {
-                context.with_database(database, |state| state.ledger_ready = true);
-                context.changed.notify_waiters();
+                context.databases.with_database(database, |state| state.ledger_ready = true);
+                context.databases.changed.notify_waiters();
             }
             Err(failure) => {
                 warn!("ledger not created database={database}: {}", failure.message);
@@ -328,7 +336,7 @@
 async fn send_heartbeat(context: Shared, peer: PeerInfo, sequence: u64, body: HeartbeatBody) {
     let heartbeat = Body::Heartbeat(link::heartbeat_to_wire(&body, sequence));
     let timeout = Duration::from_secs(2);
-    let answer = context.links.call(&context, &peer.id, heartbeat, timeout).await;
+    let answer = context.links.call(&peer.id, heartbeat, timeout).await;
     let event = match answer {
         Ok(Body::HeartbeatReply(reply)) => {
             let body = link::heartbeat_from_wire(&reply);
@@ -336,14 +344,14 @@
         }
         _ => InstanceEvent::HeartbeatFailed { peer: peer.id.clone(), sequence },
     };
-    context.handle(event);
+    context.databases.handle(event);
 }
 
 /// Waits until `done` holds, at most `limit`.
 async fn wait_until(context: &Shared, limit: Duration, done: impl Fn() -> bool) -> bool {
     let deadline = Instant::now() + limit;
     loop {
-        let changed = context.changed.notified();
+        let changed = context.databases.changed.notified();
         if done() {
             return true;
         }
@@ -358,25 +366,26 @@
 /// Returns whether it ended. If not, the database is open again.
 async fn quiesce(context: &Shared, database: &DatabaseId) -> bool {
     let no_transactions = wait_until(context, TRANSACTION_GRACE, || {
-        context.with_database(database, |state| state.open_transactions == 0) != Some(false)
+        context.databases.with_database(database, |state| state.open_transactions == 0)
+            != Some(false)
     });
     if !no_transactions.await {
-        context.with_database(database, |state| state.gate = Gate::Open);
+        context.databases.with_database(database, |state| state.gate = Gate::Open);
         return false;
     }
-    context.with_database(database, |state| state.gate = Gate::Closed);
+    context.databases.with_database(database, |state| state.gate = Gate::Closed);
     let ended = wait_until(context, WORK_GRACE, || {
-        context.with_database(database, |state| state.in_progress == 0) != Some(false)
+        context.databases.with_database(database, |state| state.in_progress == 0) != Some(false)
     });
     if !ended.await {
-        context.with_database(database, |state| state.gate = Gate::Open);
+        context.databases.with_database(database, |state| state.gate = Gate::Open);
         return false;
     }
     true
 }
 
 async fn send_handover(context: &Shared, to: &InstanceId, offer: Handover) -> bool {
-    let answer = context.links.call(context, to, Body::Handover(offer), HANDOVER_TIMEOUT).await;
+    let answer = context.links.call(to, Body::Handover(offer), HANDOVER_TIMEOUT).await;
     matches!(answer, Ok(Body::HandoverReply(reply)) if reply.accepted)
 }
 
@@ -398,24 +407,27 @@
     }
     info!("handover database={database} to={to} accepted={accepted}");
     let event = InstanceEvent::HandoverEnded { database, accepted };
-    context.handle(event);
-    context.changed.notify_waiters();
+    context.databases.handle(event);
+    context.databases.changed.notify_waiters();
 }
 
 /// Replaces a leaving primary without losing or refusing a write.
 async fn drain_primary(context: Shared, database: DatabaseId) {
     if quiesce(&context, &database).await {
         // Any replica that has the last entry can be promoted without loss.
-        let last = context.with_database(&database, |state| {
+        let last = context.databases.with_database(&database, |state| {
             let (_, primary) = state.ownership.serving()?;
             state.ownership.server_state(&primary).map(|state| state.received)
         });
         if let Some(last) = last.flatten() {
             let deadline = Instant::now() + WORK_GRACE;
-            let _ = crate::confirm::wait_confirmed(&context, &database, last, deadline).await;
+            let waiting = context.confirmations.wait(&context.databases, &database, last, deadline);
+            if waiting.await.is_err() {
+                info!("leaving primary not drained database={database} position={last}");
+            }
         }
-        let actions = context.instance.primary_drained(Instant::now(), &database);
-        context.queue(actions);
+        let actions = context.databases.instance.primary_drained(Instant::now(), &database);
+        context.databases.queue(actions);
     }
-    context.changed.notify_waiters();
+    context.databases.changed.notify_waiters();
 }
--- a/daemon/src/forward.rs
+++ b/daemon/src/forward.rs
@@ -26,9 +26,9 @@
 use crate::answer::from_answer;
 use crate::answer::kind_of;
 use crate::context::Shared;
+use crate::dispatch;
 use crate::inquiry;
 use crate::link::LinkError;
-use crate::owner;
 use crate::owner::EXPECTED_GAP;
 
 /// Pause before another look for the owner.
@@ -61,12 +61,14 @@
 }
 
 fn find_owner(context: &Shared, database: &str) -> Owner {
-    let here =
-        context.with_database(database, |state| state.ownership.is_engaged()).unwrap_or(false);
+    let here = context
+        .databases
+        .with_database(database, |state| state.ownership.is_engaged())
+        .unwrap_or(false);
     if here {
         return Owner::Here;
     }
-    let membership = context.instance.membership();
+    let membership = context.databases.instance.membership();
     match membership.owner(database) {
         Some(record) if record.owner == membership.me().id => Owner::Unknown,
         Some(record) => Owner::At(record.owner.clone()),
@@ -88,14 +90,14 @@
     match owner {
         Owner::Here => {
             // On the heap: idle callers would hold its space otherwise.
-            let answer = Box::pin(owner::serve(context.clone(), submit.clone())).await;
+            let answer = Box::pin(dispatch::serve(context.clone(), submit.clone())).await;
             Sent::Answered(from_answer(answer))
         }
         Owner::Unknown => Sent::Unsent,
         Owner::At(instance) => {
             let wait = deadline.saturating_duration_since(Instant::now()) + ANSWER_MARGIN;
             let body = Body::Submit(submit.clone());
-            match context.links.call(context, &instance, body, wait).await {
+            match context.links.call(&instance, body, wait).await {
                 Ok(Body::Answer(answer)) => Sent::Answered(from_answer(answer)),
                 Err(LinkError::NotSent) => Sent::Unsent,
                 Ok(_) | Err(LinkError::Broken | LinkError::TimedOut) => Sent::Lost,
@@ -112,7 +114,7 @@
     let owner = failure.owner.as_str().into();
     let record = OwnerRecord { owner, term: failure.owner_term };
     let database = database.into();
-    context.handle(InstanceEvent::OwnerKnown { database, record });
+    context.databases.handle(InstanceEvent::OwnerKnown { database, record });
 }
 
 /// Sends a request to its owner and returns the answer for the caller.
@@ -162,7 +164,7 @@
             return Err(give_up(&submit, last, maybe_running));
         }
         context.metrics.retries.inc();
-        let changed = context.changed.notified();
+        let changed = context.databases.changed.notified();
         let _ = tokio::time::timeout(PAUSE, changed).await;
     }
 }
@@ -192,12 +194,14 @@
     let deadline = Instant::now() + Duration::from_millis(describe.deadline_ms);
     loop {
         let answer = match find_owner(context, &describe.database) {
-            Owner::Here => Some(Box::pin(owner::describe(context.clone(), describe.clone())).await),
+            Owner::Here => {
+                Some(Box::pin(dispatch::describe(context.clone(), describe.clone())).await)
+            }
             Owner::Unknown => None,
             Owner::At(instance) => {
                 let body = Body::Describe(describe.clone());
                 let wait = deadline.saturating_duration_since(Instant::now());
-                match context.links.call(context, &instance, body, wait).await {
+                match context.links.call(&instance, body, wait).await {
                     Ok(Body::Answer(answer)) => Some(answer),
                     _ => None,
                 }
@@ -228,7 +232,7 @@
                 database: database.to_owned(),
                 transaction_id: transaction_id.to_owned(),
             };
-            context.links.send(context, &instance, Body::Rollback(rollback)).await;
+            context.links.send(&instance, Body::Rollback(rollback)).await;
         }
         // Its owner is gone, and the transaction with it.
         Owner::Unknown => {}
@@ -245,7 +249,7 @@
             Owner::At(instance) => {
                 let body = Body::Inquiry(inquiry.clone());
                 let wait = deadline.saturating_duration_since(Instant::now());
-                match context.links.call(context, &instance, body, wait).await {
+                match context.links.call(&instance, body, wait).await {
                     Ok(Body::InquiryReply(reply)) => Some(reply),
                     _ => None,
                 }
--- a/daemon/src/in_flight.rs
+++ b/daemon/src/in_flight.rs
@@ -1,6 +1,7 @@
 //! Writes in progress at this owner, so that copies of one run only once.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Instant;
 
@@ -18,9 +19,7 @@
 use crate::answer::failure_with;
 use crate::answer::from_answer;
 use crate::answer::to_answer;
-use crate::context::Shared;
 use crate::metrics::since_epoch;
-use crate::owner::Request;
 
 /// Names a request: its account and its id.
 pub type InFlightKey = (AccountId, RequestId);
@@ -44,14 +43,14 @@
 
 /// A place in [`InFlight`], given up when dropped.
 struct InFlightGuard {
-    context: Shared,
+    in_flight: Arc<InFlight>,
     key: InFlightKey,
     sender: watch::Sender<Option<Answer>>,
 }
 
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
-        self.context.in_flight.running.lock().expect("never poisoned").remove(&self.key);
+        self.in_flight.running.lock().expect("never poisoned").remove(&self.key);
     }
 }
 
@@ -70,8 +69,8 @@
         self.running.lock().expect("never poisoned").contains_key(key)
     }
 
-    fn start(context: &Shared, key: InFlightKey, digest: &[u8]) -> Started {
-        let mut running = context.in_flight.running.lock().expect("never poisoned");
+    fn start(self: &Arc<Self>, key: InFlightKey, digest: &[u8]) -> Started {
+        let mut running = self.running.lock().expect("never poisoned");
         match running.get(&key) {
             Some(other) if other.digest == digest => return Started::Join(other.answer.clone()),
             Some(_) => return Started::Reused,
@@ -79,41 +78,41 @@
         }
         let (sender, answer) = watch::channel(None);
         running.insert(key.clone(), Running { digest: digest.to_vec(), answer });
-        Started::Run(InFlightGuard { context: context.clone(), key, sender })
+        Started::Run(InFlightGuard { in_flight: self.clone(), key, sender })
     }
-}
 
-/// Runs `work` for a request, or joins the copy of it that is in progress.
-///
-/// The work gets a task of its own: the entry may go away in the middle, and
-/// the write must still come to a known end.
-///
-/// # Errors
-///
-/// The failure for the caller.
-pub async fn run_once(
-    context: &Shared,
-    request: &Request,
-    digest: &[u8],
-    work: BoxFuture<'static, Result<StatementResult, Failure>>,
-) -> Result<StatementResult, Failure> {
-    if ledger::is_expired(&request.submit.request_id, since_epoch()) {
-        return Err(failure(ErrorKind::RequestIdExpired));
-    }
-    let key = (request.account.clone(), request.id());
-    let guard = match InFlight::start(context, key, digest) {
-        Started::Run(guard) => guard,
-        Started::Join(other) => return from_answer(join(other, request.deadline).await),
-        Started::Reused => return Err(failure(ErrorKind::RequestIdReused)),
-    };
-    let task = tokio::spawn(async move {
-        let answer = to_answer(work.await);
-        guard.sender.send_replace(Some(answer.clone()));
-        answer
-    });
-    match task.await {
-        Ok(answer) => from_answer(answer),
-        Err(_) => Err(failure(ErrorKind::OutcomeUnknown)),
+    /// Runs `work` for a request, or joins the copy of it that is in progress.
+    ///
+    /// The work gets a task of its own: the entry may go away in the middle, and
+    /// the write must still come to a known end.
+    ///
+    /// # Errors
+    ///
+    /// The failure for the caller.
+    pub async fn run_once(
+        self: &Arc<Self>,
+        key: InFlightKey,
+        digest: &[u8],
+        deadline: Instant,
+        work: BoxFuture<'static, Result<StatementResult, Failure>>,
+    ) -> Result<StatementResult, Failure> {
+        if ledger::is_expired(&key.1, since_epoch()) {
+            return Err(failure(ErrorKind::RequestIdExpired));
+        }
+        let guard = match self.start(key, digest) {
+            Started::Run(guard) => guard,
+            Started::Join(other) => return from_answer(join(other, deadline).await),
+            Started::Reused => return Err(failure(ErrorKind::RequestIdReused)),
+        };
+        let task = tokio::spawn(async move {
+            let answer = to_answer(work.await);
+            guard.sender.send_replace(Some(answer.clone()));
+            answer
+        });
+        match task.await {
+            Ok(answer) => from_answer(answer),
+            Err(_) => Err(failure(ErrorKind::OutcomeUnknown)),
+        }
     }
 }
 
--- a/daemon/src/link.rs
+++ b/daemon/src/link.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -30,8 +31,9 @@
 use tokio_util::codec::Framed;
 use tokio_util::codec::LengthDelimitedCodec;
 
-use crate::context::Context;
-use crate::context::Shared;
+use crate::databases::Databases;
+use crate::metrics::LinkCounters;
+use crate::metrics::since_epoch;
 
 /// Largest frame: the largest result with room for its envelope.
 pub const FRAME_LIMIT_BYTES: usize = 20 * 1024 * 1024;
@@ -71,10 +73,31 @@
     }
 }
 
+/// How this instance shows others who it is.
+#[derive(Clone, Debug)]
+pub struct LinkIdentity {
+    /// Its name.
+    pub instance: InstanceId,
+    /// The key shared by all instances.
+    pub peer_key: Arc<str>,
+    /// When it started.
+    pub started_at: Instant,
+}
+
+impl LinkIdentity {
+    /// Link numbers grow over restarts too: they start from the clock.
+    fn first_link_number(&self) -> u64 {
+        let started = since_epoch().saturating_sub(self.started_at.elapsed());
+        u64::try_from(started.as_millis()).unwrap_or(0) << 16
+    }
+}
+
 /// Links to all instances spoken to, opened on demand.
-#[derive(Default)]
 pub struct Links {
-    links: tokio::sync::Mutex<HashMap<InstanceId, Arc<Link>>>,
+    identity: LinkIdentity,
+    databases: Arc<Databases>,
+    counters: LinkCounters,
+    open: tokio::sync::Mutex<HashMap<InstanceId, Arc<Link>>>,
     next_number: AtomicU64,
 }
 
@@ -106,6 +129,24 @@
 }
 
 impl Links {
+    /// No links yet. Addresses of instances are those that `databases` knows.
+    #[must_use]
+    pub fn new(identity: LinkIdentity, databases: Arc<Databases>, counters: LinkCounters) -> Self {
+        Self {
+            identity,
+            databases,
+            counters,
+            open: tokio::sync::Mutex::default(),
+            next_number: AtomicU64::new(0),
+        }
+    }
+
+    /// Counts bytes sent to other instances.
+    #[must_use]
+    pub fn counters(&self) -> &LinkCounters {
+        &self.counters
+    }
+
     /// Sends a message to an instance and waits for the answer.
     ///
     /// # Errors
@@ -113,23 +154,18 @@
     /// Tells whether the message can have arrived.
     pub async fn call(
         &self,
-        context: &Shared,
         peer: &InstanceId,
         body: Body,
         timeout: Duration,
     ) -> Result<Body, LinkError> {
         let is_control = matches!(body, Body::Heartbeat(_));
-        let link = self.link(context, peer).await.ok_or(LinkError::NotSent)?;
+        let link = self.link(peer).await.ok_or(LinkError::NotSent)?;
         let exchange_id = link.next_exchange.fetch_add(1, Ordering::Relaxed);
         let (sender, receiver) = oneshot::channel();
         link.pending.lock().expect("never poisoned").insert(exchange_id, sender);
         let _forget = Forget { pending: &link.pending, exchange_id };
         let bytes = encode(exchange_id, body);
-        let size = bytes.len() as u64;
-        context.metrics.peer_bytes.inc_by(size);
-        if is_control {
-            context.metrics.control_bytes.inc_by(size);
-        }
+        self.counters.count(&bytes, is_control);
         if link.outgoing.send(bytes).is_err() {
             return Err(LinkError::NotSent);
         }
@@ -147,15 +183,15 @@
     }
 
     /// Sends a message that has no answer, if a link is open or can be.
-    pub async fn send(&self, context: &Shared, peer: &InstanceId, body: Body) {
-        if let Some(link) = self.link(context, peer).await {
+    pub async fn send(&self, peer: &InstanceId, body: Body) {
+        if let Some(link) = self.link(peer).await {
             // Lost with the link; whoever sends this does not rely on it.
             let _ = link.outgoing.send(encode(0, body));
         }
     }
 
     async fn drop_link(&self, peer: &InstanceId, link: &Arc<Link>) {
-        let mut links = self.links.lock().await;
+        let mut links = self.open.lock().await;
         if links.get(peer).is_some_and(|current| Arc::ptr_eq(current, link)) {
             links.remove(peer);
         }
@@ -163,16 +199,17 @@
         link.pending.lock().expect("never poisoned").clear();
     }
 
-    async fn link(&self, context: &Shared, peer: &InstanceId) -> Option<Arc<Link>> {
-        let address = context.instance.membership().peer(peer)?.address.clone();
+    async fn link(&self, peer: &InstanceId) -> Option<Arc<Link>> {
+        let address = self.databases.instance.membership().peer(peer)?.address.clone();
         if let Some(link) = self.open_link(peer, &address).await {
             return Some(link);
         }
         // Connected without the lock, so that one dead instance does not
         // hold up the links to all others.
-        let number = self.next_number.fetch_add(1, Ordering::Relaxed) + start_number(context);
-        let link = connect(context, address, number).await?;
-        let mut links = self.links.lock().await;
+        let number =
+            self.next_number.fetch_add(1, Ordering::Relaxed) + self.identity.first_link_number();
+        let link = connect(&self.identity, address, number).await?;
+        let mut links = self.open.lock().await;
         if let Some(other) = links.get(peer).filter(|other| other.is_open()) {
             return Some(other.clone());
         }
@@ -181,18 +218,11 @@
     }
 
     async fn open_link(&self, peer: &InstanceId, address: &str) -> Option<Arc<Link>> {
-        let links = self.links.lock().await;
+        let links = self.open.lock().await;
         links.get(peer).filter(|link| link.is_open() && *link.address == *address).cloned()
     }
 }
 
-/// Link numbers grow over restarts too: they start from the clock.
-fn start_number(context: &Context) -> u64 {
-    let up = context.started_at.elapsed();
-    let started = crate::metrics::since_epoch().saturating_sub(up);
-    u64::try_from(started.as_millis()).unwrap_or(0) << 16
-}
-
 struct Forget<'a> {
     pending: &'a Pending,
     exchange_id: u64,
@@ -204,16 +234,15 @@
     }
 }
 
-async fn connect(context: &Shared, address: Arc<str>, number: u64) -> Option<Arc<Link>> {
+async fn connect(identity: &LinkIdentity, address: Arc<str>, number: u64) -> Option<Arc<Link>> {
     let connecting = TcpStream::connect(&*address);
     let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await.ok()?.ok()?;
     stream.set_nodelay(true).ok()?;
     let mut framed = Framed::new(stream, codec());
-    let settings = &context.settings;
     let hello = Hello {
-        instance: settings.instance.to_string(),
+        instance: identity.instance.to_string(),
         link_number: number,
-        proof: proof(&settings.peer_key, &settings.instance, number),
+        proof: proof(&identity.peer_key, &identity.instance, number),
     };
     framed.send(encode(0, Body::Hello(hello))).await.ok()?;
     let (outgoing, queue) = mpsc::unbounded_channel();
--- a/daemon/src/link_server.rs
+++ b/daemon/src/link_server.rs
@@ -27,9 +27,9 @@
 
 use crate::context::Shared;
 use crate::control;
+use crate::dispatch;
 use crate::inquiry;
 use crate::link;
-use crate::owner;
 use crate::transaction::LINK;
 
 /// A new link has to say who it is within this time.
@@ -131,9 +131,9 @@
 ) {
     let answer = match body {
         Body::Heartbeat(heartbeat) => Some(answer_heartbeat(&context, &heartbeat)),
-        Body::Submit(submit) => Some(Body::Answer(owner::serve(context.clone(), submit).await)),
+        Body::Submit(submit) => Some(Body::Answer(dispatch::serve(context.clone(), submit).await)),
         Body::Describe(describe) => {
-            Some(Body::Answer(owner::describe(context.clone(), describe).await))
+            Some(Body::Answer(dispatch::describe(context.clone(), describe).await))
         }
         Body::Inquiry(inquiry) => {
             Some(Body::InquiryReply(inquiry::answer(context.clone(), inquiry).await))
@@ -156,19 +156,15 @@
     };
     let is_control = matches!(answer, Body::HeartbeatReply(_));
     let bytes = link::encode(exchange_id, answer);
-    let size = bytes.len() as u64;
-    context.metrics.peer_bytes.inc_by(size);
-    if is_control {
-        context.metrics.control_bytes.inc_by(size);
-    }
+    context.links.counters().count(&bytes, is_control);
     // The link is gone: its sender will ask again.
     let _ = answers.send(bytes);
 }
 
 fn answer_heartbeat(context: &Shared, heartbeat: &Heartbeat) -> Body {
     let body = link::heartbeat_from_wire(heartbeat);
-    context.handle(InstanceEvent::Heartbeat(body));
-    let reply = context.instance.heartbeat_body();
+    context.databases.handle(InstanceEvent::Heartbeat(body));
+    let reply = context.databases.instance.heartbeat_body();
     Body::HeartbeatReply(link::heartbeat_to_wire(&reply, heartbeat.sequence))
 }
 
@@ -181,12 +177,12 @@
         let accepted = tokio::time::timeout(HANDOVER_TIME, prepare).await.is_ok();
         return Body::HandoverReply(HandoverReply { accepted });
     }
-    context.handle(InstanceEvent::HandoverOffered { database, term: offer.term });
+    context.databases.handle(InstanceEvent::HandoverOffered { database, term: offer.term });
     let deadline = tokio::time::Instant::now() + HANDOVER_TIME;
     let mut accepted = false;
     while tokio::time::Instant::now() < deadline {
-        let changed = context.changed.notified();
-        let serving = context.with_database(&offer.database, |state| {
+        let changed = context.databases.changed.notified();
+        let serving = context.databases.with_database(&offer.database, |state| {
             (state.ownership.serving().is_some(), state.ownership.is_engaged())
         });
         match serving {
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -45,6 +45,26 @@
     pub cause: String,
 }
 
+/// Bytes sent to other instances.
+#[derive(Clone, Debug, Default)]
+pub struct LinkCounters {
+    /// All of them.
+    pub all_bytes: Counter,
+    /// Those of heartbeats.
+    pub control_bytes: Counter,
+}
+
+impl LinkCounters {
+    /// Counts a frame that is sent.
+    pub fn count(&self, frame: &[u8], is_control: bool) {
+        let size = frame.len() as u64;
+        self.all_bytes.inc_by(size);
+        if is_control {
+            self.control_bytes.inc_by(size);
+        }
+    }
+}
+
 /// All counters of an instance.
 pub struct Metrics {
     registry: Registry,
@@ -66,10 +86,8 @@
     pub owned: Gauge,
     /// Connections of callers open now.
     pub client_connections: Gauge,
-    /// Bytes sent to other instances for control.
-    pub control_bytes: Counter,
-    /// Bytes sent to and from other instances in all.
-    pub peer_bytes: Counter,
+    /// Bytes sent to other instances.
+    pub links: LinkCounters,
     /// Calls to the platform's store.
     pub store_calls: Counter,
     /// Time from the start of a take to serving.
@@ -100,8 +118,7 @@
             losses: Family::default(),
             owned: Gauge::default(),
             client_connections: Gauge::default(),
-            control_bytes: Counter::default(),
-            peer_bytes: Counter::default(),
+            links: LinkCounters::default(),
             store_calls: Counter::default(),
             take_duration: Histogram::new(exponential_buckets(TAKE_BUCKET_START_S, 2.0, 14)),
             burn: Mutex::default(),
@@ -136,9 +153,10 @@
         registry.register(
             "control_bytes",
             "Bytes sent to other instances for control",
-            self.control_bytes.clone(),
+            self.links.control_bytes.clone(),
         );
-        registry.register("peer_bytes", "Bytes sent to other instances", self.peer_bytes.clone());
+        let all_bytes = self.links.all_bytes.clone();
+        registry.register("peer_bytes", "Bytes sent to other instances", all_bytes);
         registry.register("store_calls", "Calls to the platform's store", self.store_calls.clone());
         registry.register(
             "take_duration_seconds",
--- a/daemon/src/owner.rs
+++ b/daemon/src/owner.rs
@@ -1,5 +1,5 @@
-//! The owner's side of a request: finds out whether it can be served here
-//! and passes it to the path for its kind.
+//! The owner's side of a request: finds out whether it can be served here, and
+//! gets at the servers.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -16,31 +16,26 @@
 use chervilwharf_lib::instance::Gate;
 use chervilwharf_lib::ownership_types::OwnershipEvent;
 use chervilwharf_lib::position::Position;
-use chervilwharf_lib::protos::Answer;
-use chervilwharf_lib::protos::Describe;
 use chervilwharf_lib::protos::Failure;
-use chervilwharf_lib::protos::Result as StatementResult;
-use chervilwharf_lib::protos::StatementKind;
 use chervilwharf_lib::protos::Submit;
 use chervilwharf_lib::protos::freshness;
 
 use crate::answer::failure;
 use crate::answer::failure_after;
 use crate::answer::kind_of;
-use crate::answer::to_answer;
 use crate::checkout;
 use crate::checkout::ConnectionGuard;
 use crate::checkout::SlotGuard;
-use crate::confirm;
 use crate::confirm::NotConfirmed;
 use crate::context::Context;
 use crate::context::Shared;
+use crate::databases::Interruption;
+use crate::in_flight::InFlightKey;
 use crate::postgres::BatchError;
-use crate::read;
+use crate::serving::Serving;
+use crate::serving::WorkGuard;
 use crate::target::WRONG_TERM;
 use crate::target::held_term;
-use crate::transaction;
-use crate::write;
 
 /// A request as the owner works on it.
 #[derive(Clone, Debug)]
@@ -60,7 +55,9 @@
 }
 
 impl Request {
-    fn new(context: &Context, submit: Submit) -> Self {
+    /// A request that has arrived now.
+    #[must_use]
+    pub fn new(context: &Context, submit: Submit) -> Self {
         let active = context.config();
         let service = active.config.services.get(submit.service.as_str());
         Self {
@@ -79,6 +76,12 @@
         self.submit.request_id.as_str().into()
     }
 
+    /// Names it among the writes in progress.
+    #[must_use]
+    pub fn key(&self) -> InFlightKey {
+        (self.account.clone(), self.id())
+    }
+
     /// How current its read must be.
     #[must_use]
     pub fn freshness(&self) -> Freshness {
@@ -93,69 +96,6 @@
     }
 }
 
-/// Term and primary by which a request is served.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Serving {
-    /// Our term.
-    pub term: Term,
-    /// The primary.
-    pub primary: TargetId,
-}
-
-/// Counts a request in progress, so that a handover can wait for it.
-pub struct WorkGuard {
-    context: Shared,
-    database: DatabaseId,
-}
-
-impl Drop for WorkGuard {
-    fn drop(&mut self) {
-        let awaited = self.context.with_database(&self.database, |state| {
-            state.in_progress = state.in_progress.saturating_sub(1);
-            state.gate == Gate::Closed && state.in_progress == 0
-        });
-        // Only a handover waits for the last request in progress.
-        if awaited == Some(true) {
-            self.context.changed.notify_waiters();
-        }
-    }
-}
-
-/// Why work at a server was given up.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Interruption {
-    /// The primary is being replaced, or the database is not ours any more.
-    TermOver,
-    /// The time for it is up.
-    Late,
-}
-
-/// Does work at a server while the database is served in `term`, at most
-/// until `limit`.
-///
-/// Packets to a dead server can vanish without an error. Without the end of
-/// the term as a signal, whoever had a statement on its way there would wait
-/// until the deadline, long after another primary serves.
-///
-/// # Errors
-///
-/// Why it was given up. The work itself is dropped then.
-pub async fn within_term<T>(
-    context: &Context,
-    database: &DatabaseId,
-    term: Term,
-    limit: Instant,
-    work: impl Future<Output = T>,
-) -> Result<T, Interruption> {
-    let mut served = context.served_term(database);
-    tokio::select! {
-        biased;
-        done = work => Ok(done),
-        _ = served.wait_for(|served| *served != term) => Err(Interruption::TermOver),
-        () = tokio::time::sleep_until(limit.into()) => Err(Interruption::Late),
-    }
-}
-
 /// A request waits this long for a primary. Beyond the expected length of a
 /// failover it is refused at once, with a hint when to come back.
 pub const EXPECTED_GAP: Duration = Duration::from_secs(3);
@@ -185,7 +125,7 @@
 ) -> Result<(Serving, WorkGuard), Failure> {
     let began = Instant::now();
     loop {
-        let changed = context.changed.notified();
+        let changed = context.databases.changed.notified();
         match try_enter(context, database, begins_transaction, in_transaction) {
             Entrance::Go(serving, guard) => return Ok((serving, guard)),
             Entrance::NotOurs => return Err(not_owner(context, database)),
@@ -206,7 +146,7 @@
     begins_transaction: bool,
     in_transaction: bool,
 ) -> Entrance {
-    let entrance = context.with_database(database, |state| {
+    let entrance = context.databases.with_database(database, |state| {
         state.ownership.requested(Instant::now());
         if !state.ownership.is_engaged() {
             return Entrance::NotOurs;
@@ -220,8 +160,7 @@
         let Some((term, primary)) = state.ownership.serving().filter(|_| ready) else {
             return Entrance::Wait;
         };
-        state.in_progress += 1;
-        let guard = WorkGuard { context: context.clone(), database: database.clone() };
+        let guard = WorkGuard::new(&context.databases, database, state);
         Entrance::Go(Serving { term, primary }, guard)
     });
     entrance.unwrap_or(Entrance::Unknown)
@@ -230,7 +169,7 @@
 /// Names the owner as far as we know it.
 #[must_use]
 pub fn not_owner(context: &Context, database: &str) -> Failure {
-    let membership = context.instance.membership();
+    let membership = context.databases.instance.membership();
     let known = membership.owner(database).filter(|known| known.owner != membership.me().id);
     let mut failure = failure(ErrorKind::NotOwner);
     if let Some(known) = known {
@@ -240,36 +179,6 @@
     failure
 }
 
-/// Serves a request.
-pub async fn serve(context: Shared, submit: Submit) -> Answer {
-    let request = Request::new(&context, submit);
-    let result = match request.submit.kind() {
-        StatementKind::Read => read::run(&context, &request).await,
-        StatementKind::Write => write::run(&context, &request).await,
-        StatementKind::InTransaction => transaction::run(&context, &request).await,
-        StatementKind::Commit => transaction::commit(&context, &request).await,
-    };
-    to_answer(result)
-}
-
-/// Describes a statement at any server of the database.
-pub async fn describe(context: Shared, describe: Describe) -> Answer {
-    to_answer(describe_inner(&context, &describe).await)
-}
-
-async fn describe_inner(context: &Shared, describe: &Describe) -> Result<StatementResult, Failure> {
-    let database: DatabaseId = describe.database.as_str().into();
-    let deadline = Instant::now() + Duration::from_millis(describe.deadline_ms);
-    let (serving, _work) = enter(context, &database, deadline, false, false).await?;
-    let mut guard = connect(context, &database, &serving, &serving.primary, deadline).await?;
-    let described = guard.get().describe(&describe.sql, &describe.parameter_type_oids);
-    match tokio::time::timeout_at(deadline.into(), described).await {
-        Ok(Ok(described)) => Ok(described),
-        Ok(Err(error)) => Err(batch_failure(context, &database, &serving, &error)),
-        Err(_) => Err(failure(ErrorKind::DeadlineBeforeStart)),
-    }
-}
-
 /// Gets a slot and a connection at a server, for as long as the term lasts.
 ///
 /// # Errors
@@ -285,11 +194,12 @@
     let (database, deadline) = (&request.database, request.deadline);
     let both = async {
         let priority = request.priority;
-        let slot = checkout::acquire_slot(context, database, server, priority, deadline).await?;
+        let slot = checkout::acquire_slot(&context.databases, database, server, priority, deadline)
+            .await?;
         let guard = connect_now(context, database, serving, server, deadline).await?;
         Ok((slot, guard))
     };
-    or_interrupted(within_term(context, database, serving.term, deadline, both).await)
+    or_interrupted(context.databases.within_term(database, serving.term, deadline, both).await)
 }
 
 fn or_interrupted<T>(done: Result<Result<T, Failure>, Interruption>) -> Result<T, Failure> {
@@ -314,7 +224,7 @@
     deadline: Instant,
 ) -> Result<ConnectionGuard, Failure> {
     let connected = connect_now(context, database, serving, server, deadline);
-    or_interrupted(within_term(context, database, serving.term, deadline, connected).await)
+    or_interrupted(context.databases.within_term(database, serving.term, deadline, connected).await)
 }
 
 async fn connect_now(
@@ -325,7 +235,7 @@
     deadline: Instant,
 ) -> Result<ConnectionGuard, Failure> {
     loop {
-        let mut guard = checkout::checkout(context, database, server, deadline).await?;
+        let mut guard = checkout::checkout(&context.databases, database, server, deadline).await?;
         if guard.get().term == serving.term {
             return Ok(guard);
         }
@@ -358,7 +268,7 @@
         BatchError::Refused { sqlstate, message, .. } if sqlstate == WRONG_TERM => {
             let held = held_term(message).map_or(0, |(term, _)| term);
             if held > serving.term {
-                context.handle_ownership(database, OwnershipEvent::HigherTerm(held));
+                context.databases.handle_ownership(database, OwnershipEvent::HigherTerm(held));
                 return not_owner(context, database);
             }
             failure(ErrorKind::NoPrimary)
@@ -386,7 +296,8 @@
 ) -> Result<(), NotConfirmed> {
     let (database, deadline) = (&request.database, request.deadline);
     if needs_confirmation && request.acknowledge == Acknowledge::Replica {
-        confirm::wait_confirmed(context, database, position, deadline).await?;
+        let databases = &context.databases;
+        context.confirmations.wait(databases, database, position, deadline).await?;
     }
     let current = wait_until_current(context, database, serving.term, deadline).await;
     current.map_err(|error| match kind_of(&error) {
@@ -410,7 +321,7 @@
     let mut waited = false;
     loop {
         let now = Instant::now();
-        let state = context.with_database(database, |state| {
+        let state = context.databases.with_database(database, |state| {
             let (own, _) = state.ownership.serving()?;
             (own == term).then(|| state.ownership.is_current(now))
         });
@@ -423,7 +334,7 @@
             waited = true;
             context.metrics.currency_waits.inc();
             // An idle database is probed seldom; ask now instead of waiting.
-            context.handle_ownership(database, OwnershipEvent::Tick);
+            context.databases.handle_ownership(database, OwnershipEvent::Tick);
         }
         if now >= deadline {
             return Err(failure_after(ErrorKind::NoPrimary, EXPECTED_GAP));
--- a/daemon/src/platform_sync.rs
+++ b/daemon/src/platform_sync.rs
@@ -139,7 +139,7 @@
 
 /// Whether this instance watches the store for its failure domain.
 fn is_relay(context: &Shared) -> bool {
-    let membership = context.instance.membership();
+    let membership = context.databases.instance.membership();
     let me = membership.me();
     let mut candidates =
         vec![Candidate { id: me.id.clone(), failure_domain: me.failure_domain.clone() }];
@@ -191,7 +191,7 @@
     }
     let pull = ConfigurationPull { have_version: context.config().version };
     let timeout = Duration::from_secs(2);
-    let answer = context.links.call(&context, &peer, Body::ConfigurationPull(pull), timeout).await;
+    let answer = context.links.call(&peer, Body::ConfigurationPull(pull), timeout).await;
     if let Ok(Body::Configuration(configuration)) = answer {
         if configuration.version > context.config().version {
             take_text(&context, configuration.version, &configuration.text);
@@ -210,7 +210,7 @@
                 match serde_json::from_str::<Vec<ListedInstance>>(&stored.value) {
                     Ok(listed) => {
                         let peers = listed.into_iter().map(peer_info).collect();
-                        context.handle(InstanceEvent::Listed(peers));
+                        context.databases.handle(InstanceEvent::Listed(peers));
                     }
                     Err(error) => warn!("instance list {version} cannot be read: {error}"),
                 }
@@ -234,12 +234,12 @@
 
 /// Reads the last known owners once, at the start.
 pub async fn read_owners(context: Shared) {
-    for database in context.instance.database_ids() {
+    for database in context.databases.instance.database_ids() {
         context.metrics.store_calls.inc();
         if let Ok(Some(stored)) = context.platform.get(&owner_key(&database)).await {
             if let Ok(owner) = serde_json::from_str::<StoredOwner>(&stored.value) {
                 let record = OwnerRecord { owner: owner.owner, term: owner.term };
-                context.handle(InstanceEvent::OwnerKnown { database, record });
+                context.databases.handle(InstanceEvent::OwnerKnown { database, record });
             }
         }
     }
--- a/daemon/src/read.rs
+++ b/daemon/src/read.rs
@@ -14,15 +14,14 @@
 
 use crate::answer::failure;
 use crate::answer::kind_of;
-use crate::checkout;
 use crate::confirm::NotConfirmed;
 use crate::context::Shared;
+use crate::databases::Interruption;
 use crate::owner;
-use crate::owner::Interruption;
 use crate::owner::Request;
-use crate::owner::Serving;
 use crate::postgres::BatchError;
 use crate::postgres::Step;
+use crate::serving::Serving;
 use crate::target::NOT_APPLIED;
 use crate::target::READ_ONLY;
 use crate::target::WRONG_TERM;
@@ -109,7 +108,7 @@
 ) -> (TargetId, Option<Position>) {
     let near = context.settings.failure_domain.clone();
     let freshness = request.freshness();
-    let chosen = context.with_database(&request.database, |state| {
+    let chosen = context.databases.with_database(&request.database, |state| {
         let floor = state.floors.floor(Instant::now(), &request.account, freshness);
         let replicas: Vec<_> = state
             .ownership
@@ -172,12 +171,12 @@
     let limit = if is_first { deadline.min(stall) } else { deadline };
     let sent_at = Instant::now();
     let run = guard.get().run(&steps);
-    let run = owner::within_term(context, database, serving.term, limit, run).await;
+    let run = context.databases.within_term(database, serving.term, limit, run).await;
     let error = match run {
         Ok(Ok(mut results)) => {
             let position = results.get(POSITION_STEP).and_then(read_position);
             let position = position.unwrap_or(Position::ZERO);
-            context.with_database(database, |state| {
+            context.databases.with_database(database, |state| {
                 state.ownership.answered(server, serving.term, sent_at, position);
             });
             return Tried::Done(results.swap_remove(STATEMENT_STEP), position);
@@ -189,7 +188,7 @@
             return Tried::Failed(failure(ErrorKind::DeadlineBeforeStart));
         }
     };
-    end_transaction(guard);
+    guard.end_transaction();
     match &error {
         BatchError::Refused { sqlstate, .. } if sqlstate == NOT_APPLIED => {
             context.metrics.floors_missed.inc();
@@ -206,20 +205,6 @@
     }
 }
 
-/// Ends a failed transaction in the background, so that its connection can
-/// be used again.
-pub fn end_transaction(mut guard: checkout::ConnectionGuard) {
-    if !guard.get().is_whole() {
-        return;
-    }
-    tokio::spawn(async move {
-        let rollback = [Step::own("ROLLBACK")];
-        let run = guard.get().run(&rollback);
-        // A connection that does not answer in this time is closed instead.
-        let _ = tokio::time::timeout(Duration::from_secs(1), run).await;
-    });
-}
-
 /// Checks after the server's reply that we still own the database, so that a
 /// pause of this process cannot let a stale answer slip through.
 async fn finish(
@@ -236,7 +221,7 @@
         // Replicas differ; the account must not go back from one to the
         // other. After a read at the primary the same rule would keep it
         // there for as long as it reads more often than replicas lag.
-        context.with_database(&request.database, |state| {
+        context.databases.with_database(&request.database, |state| {
             state.floors.raise(&request.account, position);
         });
     }
--- a/daemon/src/start.rs
+++ b/daemon/src/start.rs
@@ -17,23 +17,24 @@
 use displaydoc::Display;
 use log::info;
 use tokio::net::TcpListener;
-use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 
 use crate::admin;
+use crate::confirm::Confirmations;
 use crate::context::ActiveConfig;
 use crate::context::Context;
 use crate::context::Shared;
 use crate::control;
+use crate::databases::Databases;
 use crate::entry_handlers;
-use crate::in_flight::InFlight;
+use crate::link::LinkIdentity;
 use crate::link::Links;
 use crate::link_server;
 use crate::metrics::Metrics;
 use crate::platform::HttpPlatform;
 use crate::platform_sync;
-use crate::transaction::Transactions;
+use crate::transactions::Transactions;
 
 /// Why an instance could not be started.
 #[derive(Debug)]
@@ -122,7 +123,7 @@
         let context = &self.context;
         info!("stopping instance={}", context.settings.instance);
         context.stopping.send_replace(true);
-        context.handle(InstanceEvent::Leave);
+        context.databases.handle(InstanceEvent::Leave);
         let deadline = Instant::now() + STOP_LIMIT;
         while Instant::now() < deadline && !is_idle(context) {
             tokio::time::sleep(Duration::from_millis(10)).await;
@@ -140,8 +141,9 @@
 
 /// Whether nothing is owned and no request of a caller is in progress.
 fn is_idle(context: &Shared) -> bool {
-    let alone = context.instance.membership().peers().all(|(peer, alive)| !alive || peer.leaving);
-    let owns = !context.instance.owned().is_empty();
+    let alone =
+        context.databases.instance.membership().peers().all(|(peer, alive)| !alive || peer.leaving);
+    let owns = !context.databases.instance.owned().is_empty();
     let busy = context.active_requests.load(Ordering::SeqCst) > 0;
     (!owns || alone) && !busy
 }
@@ -163,25 +165,29 @@
     let life = uuid::Uuid::now_v7().to_string();
     let (actions, queue) = mpsc::unbounded_channel();
     let platform = HttpPlatform::new(settings.store_url.clone());
+    let instance =
+        Instance::new(me, &life, MembershipTiming::default(), OwnershipTiming::default());
+    let databases = Arc::new(Databases::new(instance, actions));
+    let metrics = Metrics::new();
+    let identity = LinkIdentity {
+        instance: settings.instance.clone(),
+        peer_key: settings.peer_key.clone(),
+        started_at: Instant::now(),
+    };
     let context = Context {
-        instance: Instance::new(me, &life, MembershipTiming::default(), OwnershipTiming::default()),
+        links: Links::new(identity, databases.clone(), metrics.links.clone()),
+        databases,
         active: watch::Sender::new(Arc::new(ActiveConfig::default())),
-        servers: HashMap::new().into(),
-        links: Links::default(),
         platform: Arc::new(platform),
-        metrics: Metrics::new(),
-        in_flight: InFlight::default(),
+        metrics,
+        in_flight: Arc::default(),
         transactions: Transactions::default(),
-        confirmations: HashMap::new().into(),
-        served_terms: HashMap::new().into(),
+        confirmations: Confirmations::default(),
         limits: HashMap::new().into(),
-        changed: Notify::new(),
-        actions,
         stopping: watch::Sender::new(false),
         retries: RetryBudget::new(RETRY_SHARE_PERCENT, RETRY_BURST).into(),
         refusing: false.into(),
         active_requests: 0.into(),
-        started_at: Instant::now(),
         settings,
     };
     (Arc::new(context), queue)
@@ -197,7 +203,7 @@
         leaving: false,
         configuration_version: 0,
     });
-    context.instance.membership().learn(Instant::now(), seeds);
+    context.databases.instance.membership().learn(Instant::now(), seeds);
 }
 
 async fn read_owners_once_configured(context: Shared) {
--- a/daemon/src/transaction.rs
+++ b/daemon/src/transaction.rs
@@ -1,13 +1,10 @@
-//! Interactive transactions: each holds one connection to the primary.
+//! Statements and the end of interactive transactions, each on one connection
+//! to the primary.
 
-use std::collections::HashMap;
-use std::sync::Arc;
-use std::sync::Mutex;
 use std::time::Duration;
 use std::time::Instant;
 
 use chervilwharf_lib::error_kind::ErrorKind;
-use chervilwharf_lib::id::DatabaseId;
 use chervilwharf_lib::ledger::LedgerOutcome;
 use chervilwharf_lib::protos::Failure;
 use chervilwharf_lib::protos::Result as StatementResult;
@@ -16,112 +13,18 @@
 use crate::answer::failure_with;
 use crate::answer::kind_of;
 use crate::checkout;
-use crate::checkout::ConnectionGuard;
 use crate::confirm::NotConfirmed;
 use crate::context::Shared;
-use crate::in_flight;
 use crate::owner;
 use crate::owner::Request;
-use crate::owner::Serving;
-use crate::owner::WorkGuard;
 use crate::postgres::BatchError;
 use crate::postgres::Step;
-use crate::read::end_transaction;
 use crate::target::UNIQUE_VIOLATION;
 use crate::target::read_position;
+use crate::transactions::OpenTransaction;
+use crate::transactions::TransactionCount;
 use crate::write;
 
-/// A transaction without a statement for this long is rolled back: it holds
-/// a scarce connection, and locks that block others.
-pub const IDLE_LIMIT: Duration = Duration::from_secs(10);
-
-/// An open transaction. Dropping it rolls back.
-struct OpenTransaction {
-    guard: Option<ConnectionGuard>,
-    serving: Serving,
-    _work: WorkGuard,
-    _count: TransactionCount,
-}
-
-impl Drop for OpenTransaction {
-    fn drop(&mut self) {
-        if let Some(guard) = self.guard.take() {
-            end_transaction(guard);
-        }
-    }
-}
-
-/// Counts an open transaction, so that a handover can wait for it.
-struct TransactionCount {
-    context: Shared,
-    database: DatabaseId,
-}
-
-impl TransactionCount {
-    fn new(context: &Shared, database: &DatabaseId) -> Self {
-        context.with_database(database, |state| state.open_transactions += 1);
-        Self { context: context.clone(), database: database.clone() }
-    }
-}
-
-impl Drop for TransactionCount {
-    fn drop(&mut self) {
-        self.context.with_database(&self.database, |state| {
-            state.open_transactions = state.open_transactions.saturating_sub(1);
-        });
-        self.context.changed.notify_waiters();
-    }
-}
-
-struct Held {
-    transaction: Arc<tokio::sync::Mutex<Option<OpenTransaction>>>,
-    last_used_at: Instant,
-    /// Link it came over; 0 for callers of this instance.
-    link: u64,
-}
-
-/// Interactive transactions held by this owner, by the id their entry chose.
-#[derive(Default)]
-pub struct Transactions {
-    held: Mutex<HashMap<String, Held>>,
-}
-
-type Slot = Arc<tokio::sync::Mutex<Option<OpenTransaction>>>;
-
-impl Transactions {
-    fn slot(&self, id: &str, link: u64) -> (Slot, bool) {
-        let mut held = self.held.lock().expect("never poisoned");
-        let is_new = !held.contains_key(id);
-        let entry = held.entry(id.to_owned()).or_insert_with(|| Held {
-            transaction: Arc::default(),
-            last_used_at: Instant::now(),
-            link,
-        });
-        entry.last_used_at = Instant::now();
-        (entry.transaction.clone(), is_new)
-    }
-
-    /// Ends a transaction without a trace.
-    pub fn roll_back(&self, id: &str) {
-        self.held.lock().expect("never poisoned").remove(id);
-    }
-
-    /// Ends the transactions that came over a link that is gone: their
-    /// callers cannot reach them any more.
-    pub fn roll_back_link(&self, link: u64) {
-        self.held.lock().expect("never poisoned").retain(|_, held| held.link != link);
-    }
-
-    /// Ends the transactions that were idle for too long.
-    pub fn expire(&self, now: Instant) {
-        let mut held = self.held.lock().expect("never poisoned");
-        held.retain(|_, held| {
-            let busy = held.transaction.try_lock().is_err();
-            busy || now.saturating_duration_since(held.last_used_at) < IDLE_LIMIT
-        });
-    }
-}
-
 tokio::task_local! {
     /// Link over which the present request came.
     pub static LINK: u64;
@@ -167,17 +70,17 @@
 async fn open(context: &Shared, request: &Request) -> Result<OpenTransaction, Failure> {
     let (database, deadline) = (&request.database, request.deadline);
     let (serving, work) = owner::enter(context, database, deadline, true, false).await?;
-    let count = TransactionCount::new(context, database);
+    let count = TransactionCount::new(&context.databases, database);
     let server = serving.primary.clone();
     let (_slot, mut guard) = owner::reach(context, request, &serving, &server).await?;
     let begin = [Step::own("BEGIN")];
     let run = guard.get().run(&begin);
-    match owner::within_term(context, database, serving.term, deadline, run).await {
+    match context.databases.within_term(database, serving.term, deadline, run).await {
         Ok(Ok(_)) => {}
         Ok(Err(error)) => return Err(owner::batch_failure(context, database, &serving, &error)),
         Err(_) => return Err(failure(ErrorKind::DeadlineBeforeStart)),
     }
-    Ok(OpenTransaction { guard: Some(guard), serving, _work: work, _count: count })
+    Ok(OpenTransaction::new(guard, serving, work, count))
 }
 
 async fn run_in(
@@ -189,11 +92,11 @@
     let transaction = held.ok_or_else(lost)?;
     let serving = transaction.serving.clone();
     let (database, deadline) = (&request.database, request.deadline);
-    let _slot = checkout::overdraw_slot(context, database, &serving.primary);
+    let _slot = checkout::overdraw_slot(&context.databases, database, &serving.primary);
     let guard = transaction.guard.as_mut().ok_or_else(lost)?;
     let step = [write::statement_step(&request.submit)];
     let run = guard.get().run(&step);
-    match owner::within_term(context, database, serving.term, deadline, run).await {
+    match context.databases.within_term(database, serving.term, deadline, run).await {
         Ok(Ok(mut results)) => Ok(results.swap_remove(0)),
         Ok(Err(BatchError::Broken(_))) | Err(_) => Err(lost()),
         Ok(Err(error)) => {
@@ -217,7 +120,8 @@
         let committing = async move { commit_once(&context, &request).await };
         Box::pin(LINK.scope(present_link(), committing))
     };
-    in_flight::run_once(context, request, &request.submit.digest, work).await
+    let digest = &request.submit.digest;
+    context.in_flight.run_once(request.key(), digest, request.deadline, work).await
 }
 
 async fn commit_once(context: &Shared, request: &Request) -> Result<StatementResult, Failure> {
@@ -240,7 +144,7 @@
     };
     let run = guard.get().run(&steps);
     let limit = request.deadline;
-    let run = owner::within_term(context, &request.database, serving.term, limit, run).await;
+    let run = context.databases.within_term(&request.database, serving.term, limit, run).await;
     let position = match run {
         Ok(Ok(results)) => results.get(2).and_then(read_position),
         Ok(Err(BatchError::Refused { step, sqlstate, message, .. })) if step < 2 => {
--- a/daemon/src/write.rs
+++ b/daemon/src/write.rs
@@ -21,17 +21,15 @@
 use crate::checkout::ConnectionGuard;
 use crate::confirm::NotConfirmed;
 use crate::context::Shared;
-use crate::in_flight;
+use crate::databases::Interruption;
 use crate::metrics::since_epoch;
 use crate::owner;
-use crate::owner::Interruption;
 use crate::owner::Request;
-use crate::owner::Serving;
 use crate::postgres::BatchError;
 use crate::postgres::Step;
 use crate::postgres::number_value;
 use crate::postgres::row_values;
-use crate::read::end_transaction;
+use crate::serving::Serving;
 use crate::target::UNIQUE_VIOLATION;
 use crate::target::WRONG_TERM;
 use crate::target::read_position;
@@ -100,7 +98,7 @@
         let digest = digest.clone();
         Box::pin(async move { run_to_end(&context, &request, digest).await })
     };
-    in_flight::run_once(context, request, &digest, work).await
+    context.in_flight.run_once(request.key(), &digest, request.deadline, work).await
 }
 
 /// What one try of a write gave.
@@ -315,17 +313,17 @@
     let stall = Instant::now() + STALL_LIMIT;
     let limit = if progress.stalled { deadline } else { deadline.min(stall) };
     let run = guard.get().run(&steps);
-    let run = owner::within_term(context, database, serving.term, limit, run).await;
+    let run = context.databases.within_term(database, serving.term, limit, run).await;
     let result = match run {
         Ok(Ok(mut results)) => {
             if let Some(row) = results.get(1).and_then(read_row) {
-                end_transaction(guard);
+                guard.end_transaction();
                 return Tried::Known(row);
             }
             results.swap_remove(2)
         }
         Ok(Err(error)) => {
-            end_transaction(guard);
+            guard.end_transaction();
             return refused(context, request, serving, &error);
         }
         Err(Interruption::TermOver) => return Tried::NotRun(failure(ErrorKind::NoPrimary)),
@@ -372,11 +370,11 @@
     let sent_at = Instant::now();
     let limit = request.deadline.min(sent_at + STALL_LIMIT);
     let run = guard.get().run(&steps);
-    let run = owner::within_term(context, &request.database, serving.term, limit, run).await;
+    let run = context.databases.within_term(&request.database, serving.term, limit, run).await;
     match run {
         Ok(Ok(results)) => match results.get(2).and_then(read_position) {
             Some(position) => {
-                context.with_database(&request.database, |state| {
+                context.databases.with_database(&request.database, |state| {
                     let server = &serving.primary;
                     state.ownership.answered(server, serving.term, sent_at, position);
                 });
@@ -385,7 +383,7 @@
             None => Tried::Unknown,
         },
         Ok(Err(BatchError::Refused { step, sqlstate, message, .. })) => {
-            end_transaction(guard);
+            guard.end_transaction();
             match (step, sqlstate.as_str()) {
                 // Another copy, or a tombstone, came first: ask the ledger.
                 (0, UNIQUE_VIOLATION) => Tried::Unknown,
@@ -420,7 +418,7 @@
     let select = [select_step(&request.account, &request.submit.request_id)];
     let limit = deadline.min(Instant::now() + STALL_LIMIT);
     let run = guard.get().run(&select);
-    match owner::within_term(context, database, serving.term, limit, run).await {
+    match context.databases.within_term(database, serving.term, limit, run).await {
         Ok(Ok(results)) => Ok(results.first().and_then(read_row)),
         Ok(Err(error)) => Err(owner::batch_failure(context, database, serving, &error)),
         Err(_) => Err(failure(ErrorKind::NoPrimary)),
@@ -447,7 +445,7 @@
     let mut steps = vec![Step::own("BEGIN")];
     steps.extend(commit_batch(tombstone));
     let run = guard.get().run(&steps);
-    let written = owner::within_term(context, database, serving.term, deadline, run).await;
+    let written = context.databases.within_term(database, serving.term, deadline, run).await;
     match written {
         Ok(Ok(results)) => {
             let position = results.get(3).and_then(read_position);
@@ -462,7 +460,7 @@
         // The request committed just now, or the answer is missing: ask again.
         Ok(Err(error)) => {
             let failure = owner::batch_failure(context, database, serving, &error);
-            end_transaction(guard);
+            guard.end_transaction();
             Err(failure)
         }
         Err(_) => Err(failure(ErrorKind::NoPrimary)),
@@ -481,7 +479,7 @@
     position: Position,
 ) -> Result<(), NotConfirmed> {
     owner::wait_answerable(context, request, serving, position, true).await?;
-    context.with_database(&request.database, |state| {
+    context.databases.with_database(&request.database, |state| {
         state.floors.acknowledged(position);
         state.floors.raise(&request.account, position);
     });
@@ -579,7 +577,7 @@
     let mut guard = owner::connect(context, database, serving, &serving.primary, deadline).await?;
     let steps = [step];
     let run = guard.get().run(&steps);
-    match owner::within_term(context, database, serving.term, deadline, run).await {
+    match context.databases.within_term(database, serving.term, deadline, run).await {
         Ok(Ok(_)) => Ok(()),
         Ok(Err(error)) => Err(owner::batch_failure(context, database, serving, &error)),
         Err(_) => Err(failure(ErrorKind::NoPrimary)),
--- a/demo/src/main.rs
+++ b/demo/src/main.rs
@@ -52,7 +52,7 @@
     let wanted = deployment.config.databases.len();
     loop {
         let owned = deployment.daemons.iter().map(|daemon| {
-            let owned = daemon.context().instance.owned();
+            let owned = daemon.context().databases.instance.owned();
             owned.iter().filter(|(_, term)| *term > 0).count()
         });
         if owned.sum::<usize>() == wanted {
