soak: series of faults against instances as processes, checked by what is seen

A crate of its own: instances as separate processes, loopback proxies before servers and store, signals, the stand-ins of the users' platform (moved from the tests to the stand-ins' crate, so that there is one copy). Callers write, read and run transactions all the time; afterwards what they were told is compared with what servers ran: at most once, 'not kept' is true, own writes, age bounds, every commit where a route asks for it, whole transactions on one connection, session values, configurations never backwards, everybody gets on.

--- /dev/null
+++ b/soak/tests/test_soak.rs
@@ -0,0 +1,26 @@
+//! A short soak; the long one is run by hand with `cargo run --release -p
+//! chervilwharf-soak`.
+
+use chervilwharf_soak::series::Shape;
+use chervilwharf_soak::series::series;
+use chervilwharf_soak::soak;
+
+/// Seeds of the short soak.
+const SEEDS: [u64; 3] = [1, 2, 3];
+
+#[tokio::test(flavor = "multi_thread")]
+async fn test_promises_hold_under_series_of_faults() {
+    for seed in SEEDS {
+        let report = soak::run(seed, Shape::default(), false).await;
+        println!("{report:?}");
+        assert!(report.broken.is_empty(), "seed {seed}: {:#?}", report.broken);
+        assert!(report.kept > 0 && report.reads > 0, "seed {seed}: nothing was served");
+    }
+}
+
+#[test]
+fn test_a_seed_gives_the_same_series_each_time() {
+    let shape = Shape::default();
+    assert_eq!(series(7, shape), series(7, shape));
+    assert_ne!(series(7, shape), series(8, shape));
+}
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod command;
 pub mod fault_proxy;
 pub mod load;
+pub mod platform;
 pub mod store;
 pub mod target;
 mod target_contract;
--- a/platform/tests/standin/client.rs
+++ b/standin/src/platform/client.rs
@@ -14,18 +14,27 @@
 /// Longest wait for an answer before a test fails instead of hanging.
 const PATIENCE: Duration = Duration::from_secs(20);
 
+/// Longest wait for a connection.
+const CONNECT_PATIENCE: Duration = Duration::from_secs(2);
+
 /// A whole answer.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Answer {
+    /// Its rows.
     pub rows: Vec<String>,
+    /// Signature of the server; `-` for an answer of the proxy.
     pub signature: Option<String>,
+    /// Code and text of the error.
     pub error: Option<String>,
+    /// State of the session.
     pub state: String,
+    /// Position of the server's log.
     pub position: String,
 }
 
 impl Answer {
     /// The code of the error, or "DONE".
+    #[must_use]
     pub fn code(&self) -> &str {
         match &self.error {
             Some(error) => error.split(' ').next().unwrap(),
@@ -34,6 +43,7 @@
     }
 }
 
+/// A client's session.
 pub struct Client {
     lines: Lines<BufReader<OwnedReadHalf>>,
     write: OwnedWriteHalf,
@@ -50,20 +60,39 @@
         client
     }
 
+    /// Connects without beginning a session.
     pub async fn connect(address: SocketAddr, name: &str) -> Self {
-        let stream = TcpStream::connect(address).await.unwrap();
+        Self::try_connect(address, name).await.expect("it can be reached")
+    }
+
+    /// As [`Self::connect`]; `None` if nobody listens there.
+    pub async fn try_connect(address: SocketAddr, name: &str) -> Option<Self> {
+        let connecting = tokio::time::timeout(CONNECT_PATIENCE, TcpStream::connect(address));
+        let stream = connecting.await.ok()?.ok()?;
         let (read, write) = stream.into_split();
         let lines = BufReader::new(read).lines();
-        Self { lines, write, next_id: 0, name: format!("{name}-{:08x}", rand::random::<u32>()) }
+        let client = Self {
+            lines,
+            write,
+            next_id: 0,
+            name: format!("{name}-{:08x}", rand::random::<u32>()),
+        };
+        Some(client)
     }
 
+    /// Begins a session; `None` if the connection ended.
     pub async fn start_session(&mut self, database: &str) -> Option<Answer> {
-        self.send(&format!("START {database} me\r\n")).await;
+        self.try_send(&format!("START {database} me\r\n")).await?;
         self.read_answer().await
     }
 
+    /// Sends bytes as they are.
     pub async fn send(&mut self, text: &str) {
-        self.write.write_all(text.as_bytes()).await.unwrap();
+        self.try_send(text).await.expect("the connection is open");
+    }
+
+    async fn try_send(&mut self, text: &str) -> Option<()> {
+        self.write.write_all(text.as_bytes()).await.ok()
     }
 
     /// Sends a statement under a new id and waits for its answer.
@@ -71,14 +100,16 @@
         self.try_query(text).await.expect("the connection is open")
     }
 
+    /// As [`Self::query`]; `None` if the connection ended.
     pub async fn try_query(&mut self, text: &str) -> Option<Answer> {
         self.next_id += 1;
         let id = format!("{}-{}", self.name, self.next_id);
-        self.send(&format!("QUERY {id} {text}\r\n")).await;
+        self.try_send(&format!("QUERY {id} {text}\r\n")).await?;
         self.read_answer().await
     }
 
     /// The id of the last statement.
+    #[must_use]
     pub fn last_id(&self) -> String {
         format!("{}-{}", self.name, self.next_id)
     }
--- a/platform/tests/standin/servers.rs
+++ b/standin/src/platform/servers.rs
@@ -6,6 +6,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::time::Duration;
+use std::time::Instant;
 
 use tokio::io::AsyncBufReadExt;
 use tokio::io::AsyncWriteExt;
@@ -17,22 +18,35 @@
 /// A committed write.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Entry {
+    /// Term in which it was committed.
     pub term: u64,
+    /// Number in the log.
     pub index: u64,
+    /// Id of the statement that wrote it.
     pub request: String,
+    /// What it writes.
     pub item: String,
+    /// The new value.
     pub data: String,
 }
 
 /// A statement of a client that a server ran.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Run {
+    /// Number of the server.
     pub server: usize,
+    /// Connection it came on.
     pub connection: u64,
+    /// Its id.
     pub request: String,
+    /// Its text, a prepared name replaced by the shape.
     pub text: String,
+    /// Session values of the connection.
     pub values: BTreeMap<String, String>,
+    /// Whether it ran inside a transaction.
     pub in_transaction: bool,
+    /// When.
+    pub at: Instant,
 }
 
 struct Server {
@@ -50,6 +64,8 @@
     busy_left: usize,
     connections: usize,
     started: usize,
+    /// It says that it is about to leave.
+    leaving: bool,
 }
 
 struct State {
@@ -86,6 +102,7 @@
                 busy_left: 0,
                 connections: 0,
                 started: 0,
+                leaving: false,
             });
             listeners.push(listener);
         }
@@ -108,40 +125,56 @@
         self.state.lock().unwrap()
     }
 
+    /// Name of the group.
+    #[must_use]
     pub fn name(&self) -> String {
         self.lock().group.clone()
     }
 
+    /// Number of its servers.
+    #[must_use]
     pub fn size(&self) -> usize {
         self.lock().servers.len()
     }
 
+    /// Id of a server.
+    #[must_use]
     pub fn id(&self, number: usize) -> String {
         self.lock().servers[number].id.clone()
     }
 
+    /// Address of a server, as the platform lists it.
+    #[must_use]
     pub fn address(&self, number: usize) -> SocketAddr {
         self.lock().servers[number].address
     }
 
+    /// Number of the primary.
+    #[must_use]
     pub fn leader(&self) -> usize {
         self.lock().leader
     }
 
+    /// All statements of clients that ran.
+    #[must_use]
     pub fn runs(&self) -> Vec<Run> {
         self.lock().runs.clone()
     }
 
+    /// What a server received.
+    #[must_use]
     pub fn log(&self, number: usize) -> Vec<Entry> {
         self.lock().servers[number].log.clone()
     }
 
     /// Connections open at a server now.
+    #[must_use]
     pub fn connections(&self, number: usize) -> usize {
         self.lock().servers[number].connections
     }
 
     /// Connections opened at a server so far.
+    #[must_use]
     pub fn started(&self, number: usize) -> usize {
         self.lock().servers[number].started
     }
@@ -153,14 +186,43 @@
         state.servers[number].lives.send_modify(|life| *life += 1);
     }
 
+    /// A crashed server is back, with what the primary has.
+    pub fn restart(&self, number: usize) {
+        let mut state = self.lock();
+        let log = state.servers[state.leader].log.clone();
+        let server = &mut state.servers[number];
+        server.up = true;
+        server.applied = server.applied.min(log.len());
+        server.log = log;
+    }
+
+    /// A server says that it is about to leave, or that it stays.
+    pub fn set_leaving(&self, number: usize, leaving: bool) {
+        self.lock().servers[number].leaving = leaving;
+    }
+
+    /// Whether a server is about to leave.
+    #[must_use]
+    pub fn is_leaving(&self, number: usize) -> bool {
+        self.lock().servers[number].leaving
+    }
+
+    /// The platform lists another address for a server, which leads to it.
+    pub fn set_address(&self, number: usize, address: SocketAddr) {
+        self.lock().servers[number].address = address;
+    }
+
+    /// Statements that contain this text run from now on without an answer.
     pub fn lose_answers_of(&self, number: usize, prefix: Option<&str>) {
         self.lock().servers[number].lose_answers_of = prefix.map(str::to_owned);
     }
 
+    /// The next statements are refused as too many.
     pub fn refuse_as_busy(&self, number: usize, count: usize) {
         self.lock().servers[number].busy_left = count;
     }
 
+    /// A server applies what it received only after this time.
     pub fn set_lag(&self, number: usize, lag: Duration) {
         self.lock().servers[number].lag = lag;
     }
@@ -429,6 +491,7 @@
             text: text.to_owned(),
             values: session.values.clone(),
             in_transaction: session.state == 'T',
+            at: Instant::now(),
         });
     }
 
@@ -489,7 +552,7 @@
 /// Lets replicas apply what they received, each after its lag, until the
 /// group is dropped.
 pub async fn apply_for_ever(group: Group) {
-    let mut received: Vec<Vec<std::time::Instant>> = vec![Vec::new(); group.size()];
+    let mut received: Vec<Vec<Instant>> = vec![Vec::new(); group.size()];
     loop {
         {
             let mut state = group.lock();
@@ -497,7 +560,7 @@
             for (number, server) in state.servers.iter_mut().enumerate() {
                 let times = &mut received[number];
                 times.truncate(server.log.len());
-                times.resize(server.log.len(), std::time::Instant::now());
+                times.resize(server.log.len(), Instant::now());
                 let due = times.iter().take_while(|at| at.elapsed() >= server.lag).count();
                 if number != leader {
                     server.applied = server.applied.max(due.min(server.log.len()));
--- a/platform/tests/standin/store.rs
+++ b/standin/src/platform/store.rs
@@ -24,11 +24,12 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
-use super::servers::Group;
+use crate::platform::servers::Group;
 
 /// What the store does with calls.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Mode {
+    /// Calls are answered.
     #[default]
     Up,
     /// Every call is refused; nothing is done.
@@ -57,6 +58,7 @@
 /// The store.
 #[derive(Clone)]
 pub struct Store {
+    /// Where it listens.
     pub address: SocketAddr,
     objects: Arc<Mutex<Objects>>,
     changes: watch::Sender<u64>,
@@ -65,6 +67,8 @@
 }
 
 impl Store {
+    /// Starts an empty store. A server that is to lead does so after
+    /// `promote_time`.
     pub async fn start(promote_time: Duration) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let store = Self {
@@ -87,6 +91,7 @@
         self.objects.lock().unwrap()
     }
 
+    /// Sets what it does with calls from now on.
     pub fn set_mode(&self, mode: Mode) {
         self.lock().mode = mode;
     }
@@ -99,21 +104,26 @@
     }
 
     /// Orders to promote that were accepted: group, server, token.
+    #[must_use]
     pub fn promotions(&self) -> Vec<(String, String, u64)> {
         self.lock().promotions.clone()
     }
 
     /// Calls so far that were to create an object of a kind, refused ones too.
+    #[must_use]
     pub fn creations(&self, kind: &str) -> usize {
         self.lock().creations.get(kind).copied().unwrap_or_default()
     }
 
+    /// Names of all objects of a kind.
+    #[must_use]
     pub fn names(&self, kind: &str) -> Vec<String> {
         let objects = self.lock();
         let of_kind = objects.kept.keys().filter(|(k, _)| k == kind);
         of_kind.map(|(_, name)| name.clone()).collect()
     }
 
+    /// Lists the servers of a group.
     pub fn add_group(&self, group: &Group) {
         self.groups.lock().unwrap().push(group.clone());
         for number in 0..group.size() {
@@ -132,15 +142,18 @@
         self.put("servers", &group.id(number), &spec);
     }
 
+    /// A server is not listed any more.
     pub fn remove_server(&self, group: &Group, number: usize) {
         self.delete("servers", &group.id(number));
     }
 
+    /// Writes an object as the operator would.
     pub fn put(&self, kind: &str, name: &str, spec: &Value) {
         self.lock().put(kind, name, spec);
         self.announce();
     }
 
+    /// Removes an object.
     pub fn delete(&self, kind: &str, name: &str) {
         self.lock().delete(kind, name);
         self.announce();
@@ -342,7 +355,8 @@
         tokio::time::sleep(store.promote_time).await;
         if group.promote(&id) {
             for number in 0..group.size() {
-                store.publish_server(&group, number, "ready");
+                let state = if group.is_leaving(number) { "draining" } else { "ready" };
+                store.publish_server(&group, number, state);
             }
         }
     });
--- a/testing/testutils/src/process.rs
+++ b/testing/testutils/src/process.rs
@@ -44,6 +44,11 @@
     unsafe { libc::kill(id, number) == 0 }
 }
 
+fn append_to(log: &Path) -> std::fs::File {
+    let file = std::fs::File::options().create(true).append(true).open(log);
+    file.expect("the log file can be written")
+}
+
 impl Process {
     /// Starts a program and waits for its line `ready name=value …`.
     ///
@@ -52,11 +57,7 @@
     /// When it cannot be started or ends before that line.
     #[must_use]
     pub fn start(program: &Path, arguments: &[&str], log: &Path) -> Self {
-        let log = std::fs::File::options()
-            .create(true)
-            .append(true)
-            .open(log)
-            .expect("the log file can be written");
+        let log = append_to(log);
         let mut child = Command::new(program)
             .args(arguments)
             .stdout(Stdio::piped())
@@ -76,6 +77,24 @@
         Self { child, ready }
     }
 
+    /// Starts a program that says nothing of its own when it is ready. What it
+    /// prints goes to the log.
+    ///
+    /// # Panics
+    ///
+    /// When it cannot be started.
+    #[must_use]
+    pub fn start_quiet(program: &Path, arguments: &[&str], log: &Path) -> Self {
+        let child = Command::new(program)
+            .args(arguments)
+            .stdout(Stdio::from(append_to(log)))
+            .stderr(Stdio::from(append_to(log)))
+            .stdin(Stdio::null())
+            .spawn()
+            .expect("the program can be started");
+        Self { child, ready: HashMap::new() }
+    }
+
     fn signal(&self, number: libc::c_int) {
         assert!(signal(self.child.id(), number), "signal {number} to our own child");
     }
