holders: an instance holds nothing before it knows the others

Cause: an instance learns the configuration some 10 ms before the list of instances, took itself for the only one, and so for a holder of every group: it probed all primaries and opened connections to them. After a power loss of 72 instances each server was asked for some hundred connections, each of which takes a slot for 27 ms: 151 probes without an answer in 0.2 s, 1,866 refused arrivals.

Ruled out: connections of the former processes that servers keep for 3 s (156 a server, a third of them open before).

Now the list of instances comes first, for 1 s at most; sessions and the readiness wait for it as for the configuration. The test failed first.

--- a/daemon/src/engine/controllers.rs
+++ b/daemon/src/engine/controllers.rs
@@ -4,12 +4,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chervilwharf_lib::event::Event;
+use chervilwharf_lib::event::EventKind;
+use chervilwharf_lib::fleet::Fleet;
+
 use chervilwharf_lib::fleet::InstanceRecord;
 use tokio::net::TcpListener;
 
 use crate::engine::configuration_control::ConfigurationFollower;
 use crate::engine::directory::Directory;
 use crate::engine::duty_control::DutyFollower;
+use crate::engine::event_log;
 use crate::engine::fleet_control;
 use crate::engine::fleet_control::InstanceFollower;
 use crate::engine::follow::follow;
@@ -42,6 +47,22 @@
     tokio::spawn(fleet_control::send_heartbeats(engine.clone(), directory.clone()));
     tokio::spawn(peers::serve(engine.clone(), peer_listener));
     tokio::spawn(ask_seeds(engine.clone(), seeds.to_vec()));
+    tokio::spawn(go_on_alone(engine.clone()));
+}
+
+/// How long a starting instance waits to hear of others, from the store or from
+/// them: the store answers after 4 ms, or 200 ms when it is slow, and others
+/// are asked after 250 ms.
+const OTHERS_WAIT: Duration = Duration::from_secs(1);
+
+/// Without the store and without others an instance serves all by itself.
+async fn go_on_alone(engine: Arc<Engine>) {
+    if engine.wait_for_fleet(OTHERS_WAIT).await {
+        return;
+    }
+    event_log::emit(&Event::new(EventKind::FleetUnknown).with_ms("waited_ms", OTHERS_WAIT));
+    engine.with_fleet(Fleet::assume_known);
+    engine.share_connections();
 }
 
 /// How long a starting instance waits for the store before it asks others:
@@ -56,7 +77,8 @@
 /// otherwise serve nobody until its end.
 async fn ask_seeds(engine: Arc<Engine>, seeds: Vec<SocketAddr>) {
     tokio::time::sleep(STORE_FIRST).await;
-    while engine.catalog().version == 0 || engine.servers_revision() == 0 {
+    let lacks_others = || !engine.with_fleet(|fleet| fleet.is_known());
+    while engine.catalog().version == 0 || engine.servers_revision() == 0 || lacks_others() {
         for seed in &seeds {
             let record = InstanceRecord {
                 id: seed.to_string().into(),
--- a/daemon/src/engine/fleet_control.rs
+++ b/daemon/src/engine/fleet_control.rs
@@ -224,11 +224,11 @@
     }
     // Only a start without the store needs them; the store's list is newer.
     let instances = state.instances.into_iter().filter_map(records::decode_instance);
-    engine.with_fleet(|fleet| {
-        if fleet.others().next().is_none() {
-            fleet.replace(now(), instances.collect());
-        }
-    });
+    let instances: Vec<_> = instances.collect();
+    if !instances.is_empty() && engine.with_fleet(|fleet| fleet.others().next().is_none()) {
+        engine.with_fleet(|fleet| fleet.replace(now(), instances));
+        engine.share_connections();
+    }
     let servers: Vec<_> = state.servers.into_iter().filter_map(records::decode_server).collect();
     let revision = state.servers_revision;
     engine.update_servers(|list| {
--- a/daemon/src/engine/holders.rs
+++ b/daemon/src/engine/holders.rs
@@ -107,6 +107,12 @@
             return;
         }
         let staying = self.with_fleet(|fleet| {
+            // An instance that has just started would take itself for the only
+            // one: after a power loss each of 72 opened connections to all
+            // servers, each of which takes a slot for 12 to 27 ms.
+            if !fleet.is_known() {
+                return Vec::new();
+            }
             let record = |id: &InstanceId| match fleet.record(id) {
                 Some(record) => record.clone(),
                 None => self.me().clone(),
--- a/daemon/src/engine/session.rs
+++ b/daemon/src/engine/session.rs
@@ -95,10 +95,10 @@
 /// trips of 3 ms and the time to write.
 const ANSWER_RESERVE: Duration = Duration::from_millis(15);
 
-/// How long a new session waits for the first configuration. An instance has
-/// it some 30 ms after its start; without one for longer the store is down, and
-/// another instance may know more.
-const FIRST_CONFIGURATION_LIMIT: Duration = Duration::from_millis(300);
+/// How long a new session waits for the first configuration and list of
+/// instances. An instance has both some 30 ms after its start; without them for
+/// longer the store is down, and another instance may know more.
+const FIRST_RECORDS_LIMIT: Duration = Duration::from_millis(300);
 
 impl Session {
     /// Begins a session on a database name.
@@ -111,7 +111,7 @@
     ///
     /// When the configuration has no such name, or there is none yet.
     pub async fn begin(engine: Arc<Engine>, database: &str) -> Result<Self, Failure> {
-        let route = if engine.wait_for_configuration(FIRST_CONFIGURATION_LIMIT).await {
+        let route = if engine.wait_until_prepared(FIRST_RECORDS_LIMIT).await {
             engine.route(database).ok_or(ErrorKind::UnknownDatabase)
         } else {
             Err(ErrorKind::NotConfigured)
--- a/daemon/src/engine/shared.rs
+++ b/daemon/src/engine/shared.rs
@@ -58,6 +58,8 @@
     doubt: Arc<Notify>,
     /// Woken when the record of this instance has to be written.
     wants_record: Notify,
+    /// Whether it is known which other instances there are.
+    fleet_known: watch::Sender<bool>,
     /// Set once a planned stop has begun.
     stopping: watch::Sender<Option<StopPlan>>,
     sessions: watch::Sender<usize>,
@@ -75,6 +77,7 @@
             servers_outage: AtomicBool::new(false),
             pulling: AtomicBool::new(false),
             fleet: Mutex::new(Fleet::new(me.id.clone())),
+            fleet_known: watch::Sender::new(false),
             me,
             peers: Arc::default(),
             duties: Mutex::default(),
@@ -153,12 +156,24 @@
         self.catalog.borrow().clone()
     }
 
-    /// Waits for the first configuration, at most this long. Returns whether
-    /// there is one.
-    pub async fn wait_for_configuration(&self, limit: Duration) -> bool {
+    /// Waits until the other instances are known, at most this long. Returns
+    /// whether they are.
+    pub async fn wait_for_fleet(&self, limit: Duration) -> bool {
+        let mut fleet_known = self.fleet_known.subscribe();
+        tokio::time::timeout(limit, fleet_known.wait_for(|known| *known)).await.is_ok()
+    }
+
+    /// Waits until there is a configuration and the other instances are known,
+    /// at most this long. Returns whether that is so.
+    pub async fn wait_until_prepared(&self, limit: Duration) -> bool {
         let mut catalog = self.catalog.subscribe();
-        let first = catalog.wait_for(|catalog| catalog.version > 0);
-        tokio::time::timeout(limit, first).await.is_ok()
+        let mut fleet_known = self.fleet_known.subscribe();
+        let both = async {
+            // Neither ends before the engine, which this borrows.
+            drop(catalog.wait_for(|catalog| catalog.version > 0).await);
+            drop(fleet_known.wait_for(|known| *known).await);
+        };
+        tokio::time::timeout(limit, both).await.is_ok()
     }
 
     /// The route of a database name.
@@ -185,6 +200,8 @@
 
     /// Divides the connections of each server among the live instances.
     pub fn share_connections(&self) {
+        let known = self.with_fleet(|fleet| fleet.is_known());
+        self.fleet_known.send_if_modified(|before| std::mem::replace(before, known) != known);
         self.holders.check_again();
         self.apply_budgets();
     }
@@ -234,10 +251,11 @@
     }
 
     /// Whether this instance takes new clients: it has a configuration, knows
-    /// servers and does not stop.
+    /// the other instances and servers, and does not stop.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        if self.is_stopping() || self.catalog().version == 0 {
+        let prepared = self.catalog().version > 0 && *self.fleet_known.borrow();
+        if self.is_stopping() || !prepared {
             return false;
         }
         let shards = self.shards();
--- /dev/null
+++ b/daemon/tests/test_start.rs
@@ -0,0 +1,86 @@
+//! What an instance does before it knows the other instances.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use chervilwharf_daemon::engine::border::ConnectError;
+use chervilwharf_daemon::engine::border::Connector;
+use chervilwharf_daemon::engine::border::ServerConnection;
+use chervilwharf_daemon::engine::clock::now;
+use chervilwharf_daemon::engine::shared::Engine;
+use chervilwharf_lib::catalog::Catalog;
+use chervilwharf_lib::catalog::GroupSettings;
+use chervilwharf_lib::fleet::InstanceRecord;
+use chervilwharf_lib::group::ServerInfo;
+use chervilwharf_lib::id::GroupId;
+use tokio::net::TcpStream;
+
+/// A connector that must not be used.
+struct Unused;
+
+#[async_trait]
+impl Connector for Unused {
+    async fn start(
+        &self,
+        _: TcpStream,
+        _: &GroupId,
+        _: &ServerInfo,
+    ) -> Result<Box<dyn ServerConnection>, ConnectError> {
+        Err(ConnectError::Unreachable("no connection is expected".to_owned()))
+    }
+}
+
+fn record(number: u8) -> InstanceRecord {
+    InstanceRecord {
+        id: format!("instance-{number:02}").into(),
+        life: 1,
+        peer_address: SocketAddr::from(([127, 0, 0, number], 7440)),
+        failure_domain: "a".into(),
+        capacity_millicores: 250,
+    }
+}
+
+/// An engine that knows a configuration with one group, and nothing else.
+fn engine(me: InstanceRecord) -> Engine {
+    let engine = Engine::new(me, Arc::new(Unused));
+    let settings = GroupSettings { max_connections: 35, sync_replicas: 0 };
+    let groups = HashMap::from([("db".into(), settings)]);
+    let catalog = Catalog { version: 1, groups, ..Catalog::default() };
+    assert!(engine.set_catalog(&Arc::new(catalog)));
+    engine
+}
+
+/// Symptom: after all of 72 instances had lost power, servers were busy for a
+/// second with connections that nobody used, and refused statements meanwhile.
+/// Sequence: an instance starts and learns the configuration some milliseconds
+/// before the list of instances. Cause: it took itself for the only one, and so
+/// for a holder of the connections to every group.
+#[tokio::test]
+async fn test_instance_holds_nothing_before_it_knows_the_others() {
+    let (me, group) = (record(40), GroupId::from("db"));
+    let engine = engine(me.clone());
+    engine.share_connections();
+    assert!(!engine.is_holder(&group));
+    assert!(engine.held_shards().is_empty());
+    assert!(!engine.wait_until_prepared(Duration::ZERO).await);
+    let others = (1..=72).filter(|number| *number != 40).map(record);
+    engine.with_fleet(|fleet| fleet.replace(now(), others.collect()));
+    engine.share_connections();
+    let holders = engine.holders(&group);
+    assert!(!holders.is_empty() && holders.len() < 10);
+    assert_eq!(engine.is_holder(&group), holders.contains(&me));
+    assert!(engine.wait_until_prepared(Duration::ZERO).await);
+}
+
+/// Without a store and without others an instance serves alone.
+#[tokio::test]
+async fn test_instance_that_hears_of_nobody_holds_everything() {
+    let engine = engine(record(1));
+    engine.with_fleet(chervilwharf_lib::fleet::Fleet::assume_known);
+    engine.share_connections();
+    assert!(engine.is_holder(&"db".into()));
+    assert!(engine.wait_until_prepared(Duration::ZERO).await);
+}
--- a/lib/src/event.rs
+++ b/lib/src/event.rs
@@ -97,6 +97,8 @@
     InstanceRemoved, "instance_removed", State;
     /// Another instance did not answer as it should.
     PeerFailed, "peer_failed", Exchange;
+    /// Nobody told of other instances.
+    FleetUnknown, "fleet_unknown", State;
     /// Records were learned from another instance.
     PeerRecords, "peer_records", State;
     /// A server leads a group.
