--- a/lib/tests/test_server_queue.rs
+++ b/lib/tests/test_server_queue.rs
@@ -74,7 +74,7 @@
             return;
         };
         self.now = ends_at;
-        let took = ends_at - sent_at;
+        let took = ends_at.saturating_sub(sent_at);
         let slow_from = waits::slow_from(OBJECTIVE);
         let others = self.running[instance] - 1;
         self.limits[instance].answered(ends_at, others, took, slow_from);
--- a/testing/testutils/src/bin/experiment.rs
+++ b/testing/testutils/src/bin/experiment.rs
@@ -118,7 +118,7 @@
         }
         Command::Latency(command) => latency::run(&command.deployment).await,
         Command::Throughput(_) => latency::throughput().await,
-        Command::LogLine(_) => log_line::run(),
+        Command::LogLine(_) => log_line::run().await,
         Command::Capacity(command) => capacity(&command).await?,
         Command::Share(command) => {
             let lags = command.lag_ms.map_or(LAGS_MS.to_vec(), |lag| vec![lag]);
--- a/testing/testutils/src/experiments/log_line.rs
+++ b/testing/testutils/src/experiments/log_line.rs
@@ -1,13 +1,32 @@
-//! What a log line costs the one who logs it.
+//! What a log line costs the one who logs it, and what a request costs with and
+//! without logs.
 
+use std::collections::HashMap;
 use std::hint::black_box;
 use std::io::sink;
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
+use async_trait::async_trait;
+use chervilwharf_daemon::engine::border::ConnectError;
+use chervilwharf_daemon::engine::border::Connector;
+use chervilwharf_daemon::engine::border::ServerConnection;
 use chervilwharf_daemon::engine::event_log;
+use chervilwharf_daemon::engine::session::Session;
+use chervilwharf_daemon::engine::shared::Engine;
+use chervilwharf_lib::catalog::Catalog;
+use chervilwharf_lib::catalog::Consistency;
+use chervilwharf_lib::catalog::Route;
 use chervilwharf_lib::event::Event;
 use chervilwharf_lib::event::EventKind;
+use chervilwharf_lib::fleet::Fleet;
+use chervilwharf_lib::fleet::InstanceRecord;
+use chervilwharf_lib::group::ServerInfo;
+use chervilwharf_lib::id::GroupId;
+use chervilwharf_lib::statement::Statement;
+use tokio::net::TcpStream;
 
 /// Lines of one measurement.
 const LINES: u32 = 200_000;
@@ -35,13 +54,83 @@
     began_at.elapsed() / LINES
 }
 
+/// Requests that are measured while each of them still writes a line: fewer
+/// than the budget of a second.
+const LOGGED_REQUESTS: u32 = 150;
+
+struct NoServer;
+
+#[async_trait]
+impl Connector for NoServer {
+    async fn start(
+        &self,
+        _: TcpStream,
+        _: &GroupId,
+        _: &ServerInfo,
+    ) -> Result<Box<dyn ServerConnection>, ConnectError> {
+        Err(ConnectError::Unreachable("there is none".to_owned()))
+    }
+}
+
+/// A session of an engine without servers: what it answers it answers itself.
+async fn session() -> Session {
+    let me = InstanceRecord {
+        id: "instance".into(),
+        life: 1,
+        peer_address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        failure_domain: "a".into(),
+        capacity_millicores: 250,
+    };
+    let engine = Arc::new(Engine::new(me, Arc::new(NoServer)));
+    let route = Route {
+        database: "ledger-a".into(),
+        group: "lease-ledger-1".into(),
+        consistency: Consistency::Latest,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(200),
+        priority: 1,
+    };
+    let routes = HashMap::from([(route.database.clone(), Arc::new(route))]);
+    engine.set_catalog(&Arc::new(Catalog { version: 1, routes, ..Catalog::default() }));
+    engine.with_fleet(Fleet::assume_known);
+    engine.share_connections();
+    let begun = Session::begin(engine, "ledger-a").await;
+    begun.unwrap_or_else(|failure| panic!("the name is there: {failure:?}"))
+}
+
+/// Time of a request that goes well and of one that is refused.
+async fn request_times(session: &mut Session, count: u32) -> (Duration, Duration) {
+    let began_at = Instant::now();
+    for _ in 0..count {
+        let set = Statement::Set { name: "zone".into(), value: "a".into() };
+        black_box(session.run("81391e752d014b19".into(), set).await);
+    }
+    let well = began_at.elapsed() / count;
+    let began_at = Instant::now();
+    for _ in 0..count {
+        let unknown = Statement::Execute { name: "s1".into(), arguments: "1a4".into() };
+        black_box(session.run("81391e752d014b19".into(), unknown).await);
+    }
+    (well, began_at.elapsed() / count)
+}
+
+fn print_request(what: &str, (well, refused): (Duration, Duration)) {
+    println!("| a request that goes well, {what} | {} |", well.as_nanos());
+    println!("| a request that is refused, {what} | {} |", refused.as_nanos());
+}
+
 /// Measures and prints.
 ///
 /// # Panics
 ///
 /// When logging was started before in this process.
-pub fn run() {
+pub async fn run() {
+    println!("| step | ns |\n| --- | --- |");
+    let mut session = session().await;
+    print_request("without logs", request_times(&mut session, LINES).await);
     event_log::start_with("instance".into(), Box::new(sink())).expect("started once");
+    print_request("each with its line", request_times(&mut session, LOGGED_REQUESTS).await);
+    print_request("lines over their budget", request_times(&mut session, LINES).await);
     let built = time_of(|| {
         black_box(refused_request());
     });
@@ -51,7 +140,6 @@
     });
     // Of 200,000 in less than a second all but the budget are left out.
     let left_out = time_of(|| event_log::emit(&event));
-    println!("| step | ns |\n| --- | --- |");
     println!("| the event with nine fields | {} |", built.as_nanos());
     println!("| its line as text | {} |", written.as_nanos());
     println!("| an event over its budget, left out | {} |", left_out.as_nanos());
