--- /dev/null
+++ b/daemon/tests/stubs/mod.rs
@@ -0,0 +1,66 @@
+//! Stubs of what surrounds an engine. Each test binary uses a part of them.
+#![allow(dead_code, reason = "each test binary uses a part of the stubs")]
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use chervilwharf_daemon::engine::border::ConnectError;
+use chervilwharf_daemon::engine::border::Connector;
+use chervilwharf_daemon::engine::border::ServerConnection;
+use chervilwharf_daemon::engine::peers::Peers;
+use chervilwharf_daemon::engine::shard::Shard;
+use chervilwharf_lib::group::ServerInfo;
+use chervilwharf_lib::id::GroupId;
+use chervilwharf_lib::id::TargetId;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+
+/// Opens no connection.
+pub struct NoServer;
+
+#[async_trait]
+impl Connector for NoServer {
+    async fn start(
+        &self,
+        _stream: TcpStream,
+        _group: &GroupId,
+        _server: &ServerInfo,
+    ) -> Result<Box<dyn ServerConnection>, ConnectError> {
+        Err(ConnectError::Unreachable("there is none".to_owned()))
+    }
+}
+
+/// Connects, and never gets a greeting.
+pub struct NeverGreeted;
+
+#[async_trait]
+impl Connector for NeverGreeted {
+    async fn start(
+        &self,
+        _stream: TcpStream,
+        _group: &GroupId,
+        _server: &ServerInfo,
+    ) -> Result<Box<dyn ServerConnection>, ConnectError> {
+        std::future::pending().await
+    }
+}
+
+/// A group with one server, the primary, at an address.
+pub fn shard_with_primary(
+    connector: Arc<dyn Connector>,
+    id: &TargetId,
+    address: SocketAddr,
+) -> Arc<Shard> {
+    let (peers, doubt) = (Arc::new(Peers::default()), Arc::new(Notify::new()));
+    let shard = Arc::new(Shard::new("group".into(), "a".into(), connector, peers, doubt));
+    shard.set_servers(vec![ServerInfo {
+        id: id.clone(),
+        address,
+        failure_domain: "a".into(),
+        slots: 3,
+        draining: false,
+        leads: true,
+    }]);
+    shard
+}
--- a/daemon/tests/test_probe.rs
+++ b/daemon/tests/test_probe.rs
@@ -1,65 +1,25 @@
 //! What an instance concludes when it asks a server for its state.
 
-use std::net::SocketAddr;
+mod stubs;
+
 use std::sync::Arc;
 use std::time::Duration;
 
-use async_trait::async_trait;
-use chervilwharf_daemon::engine::border::ConnectError;
-use chervilwharf_daemon::engine::border::Connector;
-use chervilwharf_daemon::engine::border::ServerConnection;
 use chervilwharf_daemon::engine::clock::now;
-use chervilwharf_daemon::engine::peers::Peers;
 use chervilwharf_daemon::engine::probe::Probed;
 use chervilwharf_daemon::engine::probe::probe;
 use chervilwharf_daemon::engine::shard::Shard;
-use chervilwharf_lib::group::ServerInfo;
-use chervilwharf_lib::id::GroupId;
 use chervilwharf_lib::id::TargetId;
+use stubs::NeverGreeted;
+use stubs::shard_with_primary;
 use tokio::net::TcpListener;
-use tokio::net::TcpStream;
-use tokio::sync::Notify;
-
-/// Connects, and never gets a greeting.
-struct NeverGreeted;
-
-#[async_trait]
-impl Connector for NeverGreeted {
-    async fn start(
-        &self,
-        _stream: TcpStream,
-        _group: &GroupId,
-        _server: &ServerInfo,
-    ) -> Result<Box<dyn ServerConnection>, ConnectError> {
-        std::future::pending().await
-    }
-}
 
 /// A shard with one server that can be reached and greets nobody.
 async fn shard() -> (Arc<Shard>, TargetId, TcpListener) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let shard = Shard::new(
-        "group".into(),
-        "a".into(),
-        Arc::new(NeverGreeted),
-        Arc::new(Peers::default()),
-        Arc::new(Notify::new()),
-    );
-    let shard = Arc::new(shard);
     let id: TargetId = "server".into();
-    shard.set_servers(vec![listed(&id, listener.local_addr().unwrap())]);
-    (shard, id, listener)
-}
-
-fn listed(id: &TargetId, address: SocketAddr) -> ServerInfo {
-    ServerInfo {
-        id: id.clone(),
-        address,
-        failure_domain: "a".into(),
-        slots: 3,
-        draining: false,
-        leads: true,
-    }
+    let address = listener.local_addr().unwrap();
+    (shard_with_primary(Arc::new(NeverGreeted), &id, address), id, listener)
 }
 
 fn failures(shard: &Shard, id: &TargetId) -> u32 {
--- a/daemon/tests/test_start.rs
+++ b/daemon/tests/test_start.rs
@@ -1,37 +1,19 @@
 //! What an instance does before it knows the other instances.
 
+mod stubs;
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use async_trait::async_trait;
-use chervilwharf_daemon::engine::border::ConnectError;
-use chervilwharf_daemon::engine::border::Connector;
-use chervilwharf_daemon::engine::border::ServerConnection;
 use chervilwharf_daemon::engine::clock::now;
 use chervilwharf_daemon::engine::shared::Engine;
 use chervilwharf_lib::catalog::Catalog;
 use chervilwharf_lib::catalog::GroupSettings;
 use chervilwharf_lib::fleet::InstanceRecord;
-use chervilwharf_lib::group::ServerInfo;
 use chervilwharf_lib::id::GroupId;
-use tokio::net::TcpStream;
-
-/// A connector that must not be used.
-struct Unused;
-
-#[async_trait]
-impl Connector for Unused {
-    async fn start(
-        &self,
-        _: TcpStream,
-        _: &GroupId,
-        _: &ServerInfo,
-    ) -> Result<Box<dyn ServerConnection>, ConnectError> {
-        Err(ConnectError::Unreachable("no connection is expected".to_owned()))
-    }
-}
+use stubs::NoServer;
 
 fn record(number: u8) -> InstanceRecord {
     InstanceRecord {
@@ -45,7 +27,7 @@
 
 /// An engine that knows a configuration with one group, and nothing else.
 fn engine(me: InstanceRecord) -> Engine {
-    let engine = Engine::new(me, Arc::new(Unused));
+    let engine = Engine::new(me, Arc::new(NoServer));
     let settings = GroupSettings { max_connections: 35, sync_replicas: 0 };
     let groups = HashMap::from([("db".into(), settings)]);
     let catalog = Catalog { version: 1, groups, ..Catalog::default() };
--- a/daemon/tests/test_waiting.rs
+++ b/daemon/tests/test_waiting.rs
@@ -1,60 +1,28 @@
 //! Requests that wait for a connection.
 
+mod stubs;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use async_trait::async_trait;
-use chervilwharf_daemon::engine::border::ConnectError;
-use chervilwharf_daemon::engine::border::Connector;
-use chervilwharf_daemon::engine::border::ServerConnection;
 use chervilwharf_daemon::engine::clock::now;
-use chervilwharf_daemon::engine::peers::Peers;
 use chervilwharf_daemon::engine::request::Failure;
 use chervilwharf_daemon::engine::shard::Shard;
 use chervilwharf_daemon::engine::waiting::Want;
 use chervilwharf_lib::error_kind::ErrorKind;
-use chervilwharf_lib::group::ServerInfo;
-use chervilwharf_lib::id::GroupId;
 use chervilwharf_lib::layout::SessionValues;
 use chervilwharf_lib::pool_share::Need;
 use futures::future::join_all;
-use tokio::net::TcpStream;
-use tokio::sync::Notify;
-
-/// Opens no connection.
-struct NoServer;
-
-#[async_trait]
-impl Connector for NoServer {
-    async fn start(
-        &self,
-        _stream: TcpStream,
-        _group: &GroupId,
-        _server: &ServerInfo,
-    ) -> Result<Box<dyn ServerConnection>, ConnectError> {
-        Err(ConnectError::Unreachable("there is none".to_owned()))
-    }
-}
+use stubs::NoServer;
+use stubs::shard_with_primary;
 
 /// A group whose primary does not answer.
 fn shard_with_silent_primary() -> Arc<Shard> {
-    let shard = Arc::new(Shard::new(
-        "group".into(),
-        "a".into(),
-        Arc::new(NoServer),
-        Arc::new(Peers::default()),
-        Arc::new(Notify::new()),
-    ));
-    shard.set_servers(vec![ServerInfo {
-        id: "primary".into(),
-        address: SocketAddr::from(([127, 0, 0, 1], 1)),
-        failure_domain: "a".into(),
-        slots: 3,
-        draining: false,
-        leads: true,
-    }]);
-    shard.with_group(|group| group.observe_failure(now(), &"primary".into()));
+    let id = "primary".into();
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    let shard = shard_with_primary(Arc::new(NoServer), &id, address);
+    shard.with_group(|group| group.observe_failure(now(), &id));
     shard
 }
 
