metrics: count calls to the store, and tell kinds, roles, steps and ages apart

Cause: store_calls and replacements were registered and never counted: they read 0 for ever. A decorator of the directory counts each call by kind and outcome and keeps when the store last answered; replacements are a histogram by step; statements have a kind, time at servers a role.

--- a/daemon/src/engine/controllers.rs
+++ b/daemon/src/engine/controllers.rs
@@ -12,6 +12,7 @@
 use tokio::net::TcpListener;
 
 use crate::engine::configuration_control::ConfigurationFollower;
+use crate::engine::counted_directory::CountedDirectory;
 use crate::engine::directory::Directory;
 use crate::engine::duty_control::DutyFollower;
 use crate::engine::event_log;
@@ -33,6 +34,8 @@
     peer_listener: TcpListener,
     seeds: &[SocketAddr],
 ) {
+    let counted = CountedDirectory::new(directory.clone(), engine.metrics().store.clone());
+    let directory: Arc<dyn Directory> = Arc::new(counted);
     tokio::spawn(follow(directory.clone(), ConfigurationFollower::new(engine.clone())));
     tokio::spawn(follow(directory.clone(), ServerFollower::new(engine.clone())));
     tokio::spawn(follow(directory.clone(), InstanceFollower::new(engine.clone())));
--- a/daemon/src/engine/leader_control.rs
+++ b/daemon/src/engine/leader_control.rs
@@ -302,10 +302,13 @@
         return false;
     }
     let order = DutyOrder { server: target.clone(), term: highest_term + 1 };
+    let metrics = replacer.engine.metrics();
+    let began_at = now();
     let claimed = duty_control::claim(&replacer.engine, directory, shard.id(), Some(order)).await;
     let Some(duty) = claimed else {
         return false;
     };
+    metrics.replacement_step("claim", now().saturating_sub(began_at));
     if is_outdated(shard, from.as_ref(), reason) {
         let event = Event::new(EventKind::ReplacementDropped).with("group", shard.id());
         event_log::emit(&event.with_some("from", from).with("reason", "outdated"));
@@ -319,7 +322,9 @@
         .with("reason", format_args!("{reason:?}"))
         .with("token", duty.token);
     event_log::emit(&event);
+    let began_at = now();
     let promoted = replacer.promoter.promote(&duty, &target).await;
+    metrics.replacement_step("promote", now().saturating_sub(began_at));
     let event = Event::new(EventKind::PromotionAnswered).with("group", shard.id());
     let event = event.with("server", &target).with("token", duty.token);
     event_log::emit(&event.with("outcome", format_args!("{promoted:?}")));
@@ -345,10 +350,12 @@
         }
         Promoted::NotDone => return false,
     };
-    let until = now() + limit;
-    while now() < until {
+    let began_at = now();
+    while now() < began_at + limit {
         if let Probed::Status(status) = probe::probe(shard, target).await {
             if status.leads {
+                let took = now().saturating_sub(began_at);
+                replacer.engine.metrics().replacement_step("lead", took);
                 return true;
             }
         }
--- a/daemon/src/engine/metrics.rs
+++ b/daemon/src/engine/metrics.rs
@@ -1,10 +1,14 @@
 //! Counters and histograms of the session engine.
 
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use chervilwharf_lib::error_kind::ErrorKind;
 use chervilwharf_lib::id::GroupId;
+use chervilwharf_lib::moment::Moment;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -15,6 +19,7 @@
 use prometheus_client::registry::Registry;
 
 use crate::engine::clock::now;
+use crate::engine::directory::RecordKind;
 use crate::engine::event_log;
 use crate::engine::shard::Shard;
 use crate::engine::shared::Engine;
@@ -25,6 +30,8 @@
 pub struct StatementLabels {
     /// The group that served it.
     pub group: String,
+    /// `read`, `write`, `commit` or `session`.
+    pub kind: &'static str,
     /// `ok` or the name of the error kind.
     pub outcome: &'static str,
 }
@@ -37,6 +44,24 @@
     pub group: String,
 }
 
+/// Labels of time at servers.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+pub struct ServerLabels {
+    /// The group.
+    pub group: String,
+    /// `primary`, `replica`, or `holder` for another instance on the way there.
+    pub role: &'static str,
+}
+
+/// Labels of a step in the replacement of a primary.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+pub struct PhaseLabels {
+    /// `claim`, `promote` or `lead`.
+    pub phase: &'static str,
+}
+
 /// Labels of connections to a server.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
@@ -67,8 +92,43 @@
     pub outcome: &'static str,
 }
 
+/// Labels of what is known of a kind of records.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+pub struct KindLabels {
+    /// Kind of the records.
+    pub kind: String,
+}
+
 type SecondsGauge = Gauge<f64, AtomicU64>;
-type GroupHistogram = Family<GroupLabels, Histogram, fn() -> Histogram>;
+type HistogramFamily<L> = Family<L, Histogram, fn() -> Histogram>;
+
+/// Calls to the platform's store, and when it last answered.
+#[derive(Clone, Debug, Default)]
+pub struct StoreMetrics {
+    calls: Family<StoreLabels, Counter>,
+    answered_at: Arc<Mutex<HashMap<RecordKind, Moment>>>,
+    age_seconds: Family<KindLabels, SecondsGauge>,
+}
+
+impl StoreMetrics {
+    /// A call about a kind of records ended.
+    pub fn called(&self, kind: RecordKind, succeeded: bool) {
+        let outcome = if succeeded { "ok" } else { "failed" };
+        self.calls.get_or_create(&StoreLabels { kind: kind.to_string(), outcome }).inc();
+        if succeeded {
+            self.answered_at.lock().expect("never poisoned").insert(kind, now());
+        }
+    }
+
+    fn look_at_ages(&self) {
+        for (kind, at) in self.answered_at.lock().expect("never poisoned").iter() {
+            let age = now().saturating_sub(*at);
+            let labels = KindLabels { kind: kind.to_string() };
+            self.age_seconds.get_or_create(&labels).set(age.as_secs_f64());
+        }
+    }
+}
 
 /// Counters and histograms of an engine.
 pub struct EngineMetrics {
@@ -76,17 +136,17 @@
     /// Statements by group and outcome.
     pub statements: Family<StatementLabels, Counter>,
     /// Time from a statement's arrival to its answer.
-    statement_seconds: GroupHistogram,
+    statement_seconds: HistogramFamily<GroupLabels>,
     /// Time that statements waited for a connection.
-    wait_seconds: GroupHistogram,
+    wait_seconds: HistogramFamily<GroupLabels>,
     /// Time that statements spent at servers.
-    server_seconds: GroupHistogram,
+    server_seconds: HistogramFamily<ServerLabels>,
     /// Tries that were followed by another one.
     tries_again: Family<ReasonLabels, Counter>,
-    /// Calls that follow records of the platform's store.
-    pub store_calls: Family<StoreLabels, Counter>,
-    /// Replacements of primaries that this instance ordered.
-    pub replacements: Counter,
+    /// Calls to the platform's store.
+    pub store: StoreMetrics,
+    /// Time that each step in the replacement of a primary took here.
+    replacement_seconds: HistogramFamily<PhaseLabels>,
     connections: Family<ConnectionLabels, Gauge>,
     waiting: Family<GroupLabels, Gauge>,
     sample_age_seconds: Family<GroupLabels, SecondsGauge>,
@@ -100,7 +160,7 @@
     Histogram::new(exponential_buckets(0.001, 2.0, 14))
 }
 
-fn group_histogram() -> GroupHistogram {
+fn histograms<L: Clone + std::hash::Hash + Eq>() -> HistogramFamily<L> {
     Family::new_with_constructor(latency_histogram as fn() -> Histogram)
 }
 
@@ -109,12 +169,12 @@
         let mut metrics = Self {
             registry: Registry::with_prefix("chervilwharf"),
             statements: Family::default(),
-            statement_seconds: group_histogram(),
-            wait_seconds: group_histogram(),
-            server_seconds: group_histogram(),
+            statement_seconds: histograms(),
+            wait_seconds: histograms(),
+            server_seconds: histograms(),
             tries_again: Family::default(),
-            store_calls: Family::default(),
-            replacements: Counter::default(),
+            store: StoreMetrics::default(),
+            replacement_seconds: histograms(),
             connections: Family::default(),
             waiting: Family::default(),
             sample_age_seconds: Family::default(),
@@ -136,8 +196,11 @@
         registry.register("wait_seconds", "Wait for a connection", self.wait_seconds.clone());
         registry.register("server_seconds", "Time at servers", self.server_seconds.clone());
         registry.register("tries_again", "Tries followed by others", self.tries_again.clone());
-        registry.register("store_calls", "Calls that follow records", self.store_calls.clone());
-        registry.register("replacements", "Primaries replaced", self.replacements.clone());
+        registry.register("store_calls", "Calls to the store", self.store.calls.clone());
+        let age = self.store.age_seconds.clone();
+        registry.register("store_answer_age_seconds", "Since the store last answered", age);
+        let seconds = self.replacement_seconds.clone();
+        registry.register("replacement_seconds", "Steps in replacing a primary", seconds);
         registry.register("connections", "Connections to servers", self.connections.clone());
         registry.register("waiting", "Statements that wait", self.waiting.clone());
         let age = self.sample_age_seconds.clone();
@@ -152,23 +215,42 @@
         );
     }
 
-    /// A statement ended after `took`.
-    pub fn ended(&self, group: &GroupId, failure: Option<ErrorKind>, took: Duration) {
+    /// A statement of a kind ended after `took`.
+    pub fn ended(
+        &self,
+        group: &GroupId,
+        kind: &'static str,
+        failure: Option<ErrorKind>,
+        took: Duration,
+    ) {
         let outcome = failure.map_or("ok", ErrorKind::name);
         let group = group.to_string();
-        let labels = StatementLabels { group: group.clone(), outcome };
+        let labels = StatementLabels { group: group.clone(), kind, outcome };
         self.statements.get_or_create(&labels).inc();
         let seconds = self.statement_seconds.get_or_create(&GroupLabels { group });
         seconds.observe(took.as_secs_f64());
     }
 
-    /// A statement had waited for a connection, and was at a server.
-    pub fn tried(&self, group: &GroupId, waited: Duration, at_server: Duration) {
+    /// A statement had waited for a connection, and was at a server of this role.
+    pub fn tried(
+        &self,
+        group: &GroupId,
+        role: &'static str,
+        waited: Duration,
+        at_server: Duration,
+    ) {
         let labels = GroupLabels { group: group.to_string() };
         self.wait_seconds.get_or_create(&labels).observe(waited.as_secs_f64());
+        let labels = ServerLabels { group: labels.group, role };
         self.server_seconds.get_or_create(&labels).observe(at_server.as_secs_f64());
     }
 
+    /// A step in the replacement of a primary took this long.
+    pub fn replacement_step(&self, phase: &'static str, took: Duration) {
+        let seconds = self.replacement_seconds.get_or_create(&PhaseLabels { phase });
+        seconds.observe(took.as_secs_f64());
+    }
+
     /// A try was followed by another one.
     pub fn moved(&self, reason: ErrorKind) {
         self.tries_again.get_or_create(&ReasonLabels { reason: reason.name() }).inc();
@@ -180,6 +262,7 @@
         self.configuration_version.set(i64::try_from(engine.catalog().version).unwrap_or(i64::MAX));
         self.sessions.set(i64::try_from(engine.session_count()).unwrap_or(i64::MAX));
         self.lines_left_out.set(i64::try_from(event_log::left_out()).unwrap_or(i64::MAX));
+        self.store.look_at_ages();
         self.connections.clear();
         for shard in engine.shards() {
             self.look_at(&shard);
--- a/daemon/src/engine/mod.rs
+++ b/daemon/src/engine/mod.rs
@@ -9,6 +9,7 @@
 pub mod clock;
 pub mod configuration_control;
 pub mod controllers;
+pub mod counted_directory;
 pub mod directory;
 pub mod duty_control;
 pub mod event_log;
--- a/daemon/src/engine/session.rs
+++ b/daemon/src/engine/session.rs
@@ -344,8 +344,9 @@
         let began_at = now();
         let database = self.database.clone();
         self.trail = Trail { id: id.clone(), database, ..Trail::default() };
+        let kind = self.kind_of(&statement);
         let result = self.dispatch(id, statement).await;
-        self.report(result.as_ref().err(), now().saturating_sub(began_at));
+        self.report(kind, result.as_ref().err(), now().saturating_sub(began_at));
         let state = self.state();
         match result {
             Ok(Some(served)) => {
@@ -356,10 +357,34 @@
         }
     }
 
-    fn report(&self, failure: Option<&Failure>, took: Duration) {
+    /// The kind of a statement, for counters.
+    fn kind_of(&self, statement: &Statement) -> &'static str {
+        match statement {
+            Statement::Read { .. } => "read",
+            Statement::Write { .. } => "write",
+            Statement::Commit => "commit",
+            Statement::Execute { name, .. } => match self.prepared.get(name) {
+                Some(prepared) if prepared.access == Access::Write => "write",
+                _ => "read",
+            },
+            _ => "session",
+        }
+    }
+
+    /// Where the last try of the present statement went, for histograms.
+    fn role_of_server(&self) -> &'static str {
+        let server = self.trail.server.as_deref().unwrap_or_default();
+        self.shard.with_group(|group| match group.server(server) {
+            Some(view) if group.leads(&view.info.id) => "primary",
+            Some(_) => "replica",
+            None => "holder",
+        })
+    }
+
+    fn report(&self, kind: &'static str, failure: Option<&Failure>, took: Duration) {
         let group = self.shard.id();
         let metrics = self.engine.metrics();
-        metrics.ended(group, failure.map(|failure| failure.kind), took);
+        metrics.ended(group, kind, failure.map(|failure| failure.kind), took);
         if let Some(failure) = failure {
             self.trail.failed(group, failure, took, self.shard.waiting());
             return;
@@ -367,7 +392,7 @@
         if self.trail.tries == 0 {
             return;
         }
-        metrics.tried(group, self.trail.waited, self.trail.at_server);
+        metrics.tried(group, self.role_of_server(), self.trail.waited, self.trail.at_server);
         let objective = self.engine.route(&self.database).map(|route| route.objective);
         if let Some(objective) = objective.filter(|objective| took > *objective) {
             self.trail.late(group, took, objective);
--- /dev/null
+++ b/daemon/tests/test_metrics.rs
@@ -0,0 +1,96 @@
+//! Counters that operators rely on.
+
+mod stubs;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use chervilwharf_daemon::engine::counted_directory::CountedDirectory;
+use chervilwharf_daemon::engine::directory::Changes;
+use chervilwharf_daemon::engine::directory::Currency;
+use chervilwharf_daemon::engine::directory::Directory;
+use chervilwharf_daemon::engine::directory::DirectoryError;
+use chervilwharf_daemon::engine::directory::Entry;
+use chervilwharf_daemon::engine::directory::Listing;
+use chervilwharf_daemon::engine::directory::Record;
+use chervilwharf_daemon::engine::directory::RecordKind;
+use chervilwharf_daemon::engine::directory::Revision;
+use chervilwharf_daemon::engine::directory::WriteError;
+use chervilwharf_daemon::engine::shared::Engine;
+use chervilwharf_lib::fleet::InstanceRecord;
+use stubs::NoServer;
+
+/// A store that lists nothing and refuses everything else.
+struct ListsOnly;
+
+#[async_trait]
+impl Directory for ListsOnly {
+    async fn list(&self, _: RecordKind, _: Currency) -> Result<Listing, DirectoryError> {
+        Ok(Listing::default())
+    }
+
+    async fn watch(
+        &self,
+        _: RecordKind,
+        _: Revision,
+        _: Duration,
+        _: Currency,
+    ) -> Result<Changes, DirectoryError> {
+        Err(DirectoryError::Refused(503))
+    }
+
+    async fn get(&self, _: RecordKind, _: &str) -> Result<Option<Entry>, DirectoryError> {
+        Err(DirectoryError::Refused(503))
+    }
+
+    async fn write(
+        &self,
+        _: &str,
+        _: &Record,
+        _: Option<Revision>,
+    ) -> Result<Revision, WriteError> {
+        Err(WriteError::NotDone(DirectoryError::Refused(503)))
+    }
+
+    async fn remove(&self, _: RecordKind, _: &str, _: Revision) -> Result<(), WriteError> {
+        Err(WriteError::NotDone(DirectoryError::Refused(503)))
+    }
+}
+
+fn record() -> InstanceRecord {
+    InstanceRecord {
+        id: "instance".into(),
+        life: 1,
+        peer_address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        failure_domain: "a".into(),
+        capacity_millicores: 250,
+    }
+}
+
+/// Symptom: calls to the store are paid for, and the metric that counts them
+/// says none. Sequence: calls end, well or not. Cause: the counter was
+/// registered, and nobody counted.
+#[tokio::test]
+async fn test_calls_to_the_store_are_counted_by_kind_and_outcome() {
+    let engine = Engine::new(record(), Arc::new(NoServer));
+    let directory = CountedDirectory::new(Arc::new(ListsOnly), engine.metrics().store.clone());
+    for _ in 0..2 {
+        directory.list(RecordKind::Servers, Currency::Fresh).await.unwrap();
+    }
+    let wait = Duration::from_secs(1);
+    directory.watch(RecordKind::Servers, 7, wait, Currency::Fresh).await.unwrap_err();
+    let own = Record::Instance(record());
+    directory.write("instance", &own, None).await.unwrap_err();
+    let text = engine.metrics().text(&engine);
+    let counted = |labels: &str, count: u32| {
+        let line = format!("chervilwharf_store_calls_total{{{labels}}} {count}\n");
+        assert!(text.contains(&line), "{line} is not in {text}");
+    };
+    counted(r#"kind="servers",outcome="ok""#, 2);
+    counted(r#"kind="servers",outcome="failed""#, 1);
+    counted(r#"kind="instances",outcome="failed""#, 1);
+    assert!(text.contains(r#"chervilwharf_store_answer_age_seconds{kind="servers"}"#));
+    assert!(!text.contains(r#"chervilwharf_store_answer_age_seconds{kind="instances"}"#));
+}
