--- a/testing/testutils/src/callers.rs
+++ b/testing/testutils/src/callers.rs
@@ -3,6 +3,7 @@
 use tokio_postgres::Client;
 use tokio_postgres::Error;
 use tokio_postgres::NoTls;
+use tokio_postgres::SimpleQueryMessage;
 
 use crate::cluster::Cluster;
 use crate::cluster::password;
@@ -44,6 +45,15 @@
     }
 }
 
+/// First value of the first row of a result.
+#[must_use]
+pub fn first_value(messages: &[SimpleQueryMessage]) -> Option<String> {
+    messages.iter().find_map(|message| match message {
+        SimpleQueryMessage::Row(row) => row.get(0).map(str::to_owned),
+        _ => None,
+    })
+}
+
 /// SQLSTATE of an error, or nothing if the connection broke.
 #[must_use]
 pub fn sqlstate(error: &Error) -> &str {
