--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -18,6 +18,7 @@
 use crate::deployment::Deployment;
 use crate::deployment::OWN_MS;
 use crate::deployment::added_name;
+use crate::history::Cut;
 use crate::history::Heard;
 use crate::history::Read;
 use crate::history::Sighting;
@@ -92,6 +93,8 @@
     acknowledged: Acknowledged,
     /// The last of them in the present session.
     of_session: Option<String>,
+    /// The instance of the present session.
+    instance: usize,
 }
 
 /// Whether a session can go on.
@@ -118,7 +121,7 @@
     pub fn new(crowd: Arc<Crowd>, number: usize, seed: u64) -> Self {
         let random = StdRng::seed_from_u64(seed.wrapping_mul(1_000).wrapping_add(number as u64));
         let acknowledged = Acknowledged::default();
-        Self { crowd, number, random, next: 0, acknowledged, of_session: None }
+        Self { crowd, number, random, next: 0, acknowledged, of_session: None, instance: 0 }
     }
 
     /// Works until it is told to stop.
@@ -138,7 +141,8 @@
     async fn session(&mut self, database: &str) {
         self.of_session = None;
         let instances = &self.crowd.deployment.instances;
-        let front = instances[self.random.random_range(0..instances.len())].front;
+        self.instance = self.random.random_range(0..instances.len());
+        let front = instances[self.instance].front;
         let name = format!("c{}", self.number);
         let Some(mut client) = Client::try_connect(front, &name).await else {
             return;
@@ -180,6 +184,17 @@
         }
     }
 
+    /// Runs a statement, and notes it if the connection ends instead.
+    async fn query(&self, client: &mut Client, text: &str) -> Option<Answer> {
+        let sent_at = Instant::now();
+        let answer = client.try_query(text).await;
+        if answer.is_none() {
+            let cut = Cut { instance: self.instance, sent_at, ended_at: Instant::now() };
+            self.crowd.deployment.history.cuts.lock().expect("never poisoned").push(cut);
+        }
+        answer
+    }
+
     fn next_data(&mut self) -> String {
         self.next += 1;
         format!("c{}-{}", self.number, self.next)
@@ -204,7 +219,7 @@
 
     async fn write_own(&mut self, client: &mut Client) -> After {
         let (item, data) = (self.own_item(), self.next_data());
-        let answer = client.try_query(&format!("WRITE {item} {data}")).await;
+        let answer = self.query(client, &format!("WRITE {item} {data}")).await;
         let heard = Heard::from_code(code(answer.as_ref()));
         self.note(&[item], vec![client.last_id()], &data, heard);
         self.acknowledge(heard, data);
@@ -221,13 +236,13 @@
     async fn transaction(&mut self, client: &mut Client) -> After {
         let data = self.next_data();
         let items = [self.own_item(), format!("pair-{}", self.number)];
-        let begun = client.try_query("BEGIN").await;
+        let begun = self.query(client, "BEGIN").await;
         if begun.as_ref().is_none_or(|answer| answer.state != "T") {
             return after(begun.as_ref());
         }
         let mut ids = Vec::new();
         for item in &items {
-            let answer = client.try_query(&format!("WRITE {item} {data}")).await;
+            let answer = self.query(client, &format!("WRITE {item} {data}")).await;
             ids.push(client.last_id());
             if code(answer.as_ref()) != Some("DONE") {
                 // COMMIT was never sent: nothing may be kept.
@@ -236,7 +251,7 @@
             }
         }
         let commits = self.random.random_range(0..5) > 0;
-        let answer = client.try_query(if commits { "COMMIT" } else { "ROLLBACK" }).await;
+        let answer = self.query(client, if commits { "COMMIT" } else { "ROLLBACK" }).await;
         let heard = if commits { Heard::from_code(code(answer.as_ref())) } else { Heard::NotKept };
         self.note(&items, ids, &data, heard);
         self.acknowledge(heard, data);
@@ -248,14 +263,14 @@
         let of_session = self.of_session.clone();
         let must_see =
             of_session.or_else(|| self.acknowledged.newest(Duration::from_millis(OWN_MS)));
-        let answer = client.try_query(&format!("READ {item}")).await;
+        let answer = self.query(client, &format!("READ {item}")).await;
         self.note_read(item, answer.as_ref(), must_see, "own writes");
         after(answer.as_ref())
     }
 
     async fn write_shared(&mut self, client: &mut Client) -> After {
         let (item, data) = (SHARED_ITEM.to_owned(), self.next_data());
-        let answer = client.try_query(&format!("WRITE {item} {data}")).await;
+        let answer = self.query(client, &format!("WRITE {item} {data}")).await;
         let heard = Heard::from_code(code(answer.as_ref()));
         self.note(&[item], vec![client.last_id()], &data, heard);
         if heard == Heard::Kept {
@@ -271,7 +286,7 @@
         promise: &'static str,
     ) -> After {
         let must_see = self.crowd.shared.lock().expect("never poisoned").newest(age);
-        let answer = client.try_query(&format!("READ {SHARED_ITEM}")).await;
+        let answer = self.query(client, &format!("READ {SHARED_ITEM}")).await;
         self.note_read(SHARED_ITEM.to_owned(), answer.as_ref(), must_see, promise);
         after(answer.as_ref())
     }
--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -22,6 +22,7 @@
 
 use crate::history::History;
 use crate::history::Leaving;
+use crate::history::Stop;
 use crate::series::Shape;
 
 /// Replication delay when nothing is wrong.
@@ -222,6 +223,13 @@
         *instance.process.lock().expect("never poisoned") = Some(process);
     }
 
+    /// Asks an instance to stop.
+    pub fn stop(&self, number: usize) {
+        let stop = Stop { instance: number, at: Instant::now() };
+        self.instances[number].terminate();
+        self.history.stops.lock().expect("never poisoned").push(stop);
+    }
+
     fn settings(&self, instance: &Instance) -> Value {
         let internal = port(&self.ports.internal);
         let seeds: Vec<_> = self.instances.iter().map(|other| other.front).collect();
--- a/soak/src/fault.rs
+++ b/soak/src/fault.rs
@@ -76,7 +76,7 @@
             Self::KillInstance(number) => instances[number].kill(),
             Self::KillAllInstances => instances.iter().for_each(crate::deployment::Instance::kill),
             Self::FreezeInstance(number) => instances[number].freeze(),
-            Self::StopInstance(number) => instances[number].terminate(),
+            Self::StopInstance(number) => deployment.stop(number),
             Self::CutFromStore(number) => instances[number].store_proxy.set(Behaviour::cut()),
             Self::ForgetStoreConnections(number) => {
                 instances[number].store_proxy.forget_open_connections();
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -80,6 +80,26 @@
     pub until: Option<Instant>,
 }
 
+/// A request whose connection ended without an answer.
+#[derive(Clone, Copy, Debug)]
+pub struct Cut {
+    /// The instance that it was sent to.
+    pub instance: usize,
+    /// When it was sent.
+    pub sent_at: Instant,
+    /// When the end of the connection was seen.
+    pub ended_at: Instant,
+}
+
+/// An instance that was asked to stop.
+#[derive(Clone, Copy, Debug)]
+pub struct Stop {
+    /// Its number.
+    pub instance: usize,
+    /// When.
+    pub at: Instant,
+}
+
 /// All that was seen in one run.
 #[derive(Debug, Default)]
 pub struct History {
@@ -91,6 +111,10 @@
     pub sightings: Mutex<Vec<Sighting>>,
     /// Servers that left.
     pub leaving: Mutex<Vec<Leaving>>,
+    /// Requests without an answer.
+    pub cuts: Mutex<Vec<Cut>>,
+    /// Planned stops.
+    pub stops: Mutex<Vec<Stop>>,
 }
 
 impl History {
--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -8,11 +8,13 @@
 use chervilwharf_standin::platform::servers::Entry;
 use chervilwharf_standin::platform::servers::Run;
 
+use crate::history::Cut;
 use crate::history::Heard;
 use crate::history::History;
 use crate::history::Leaving;
 use crate::history::Read;
 use crate::history::Sighting;
+use crate::history::Stop;
 use crate::history::Write;
 
 /// From then on a server that leaves may get nothing new. Far below the 7 s
@@ -123,3 +125,14 @@
     let found = single.filter(|run| leaving.iter().any(|left| late(left, run)));
     found.map(|run| format!("at a server that leaves: {run:?}")).collect()
 }
+
+/// A request that was in progress when its instance was asked to stop is
+/// answered. Only for series without a fault that could have cut it.
+#[must_use]
+pub fn judge_stops(cuts: &[Cut], stops: &[Stop]) -> Vec<String> {
+    let in_progress = |cut: &Cut, stop: &Stop| {
+        cut.instance == stop.instance && cut.sent_at < stop.at && cut.ended_at > stop.at
+    };
+    let found = cuts.iter().filter(|cut| stops.iter().any(|stop| in_progress(cut, stop)));
+    found.map(|cut| format!("cut off by a planned stop: {cut:?}")).collect()
+}
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -3,7 +3,9 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
+use chervilwharf_soak::series::Selection;
 use chervilwharf_soak::series::Shape;
+use chervilwharf_soak::series::series;
 use chervilwharf_soak::soak;
 
 /// Soaks instances in overlapping faults and checks what the proxy promises.
@@ -15,9 +17,15 @@
     /// number of seeds (default: 10)
     #[argh(option, default = "10")]
     seeds: u64,
+    /// only what operators do on purpose: stops, servers that leave, configurations
+    #[argh(switch)]
+    planned: bool,
     /// check promises about time as well, which a busy machine can break
     #[argh(switch)]
     timed: bool,
+    /// only series with a fault whose name contains this
+    #[argh(option, default = "String::new()")]
+    with: String,
     /// show the faults of each series
     #[argh(switch)]
     verbose: bool,
@@ -26,9 +34,17 @@
 #[tokio::main]
 async fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
+    let selection = if arguments.planned { Selection::PlannedWork } else { Selection::Any };
+    let shape = Shape { selection, ..Shape::default() };
     let mut failed = 0;
-    for seed in arguments.first..arguments.first + arguments.seeds {
-        let report = soak::run(seed, Shape::default(), arguments.timed).await;
+    let holds = |seed: &u64| {
+        let mut faults = series(*seed, shape).into_iter();
+        faults.any(|timed| format!("{:?}", timed.fault).contains(&arguments.with))
+    };
+    let wanted = usize::try_from(arguments.seeds).unwrap_or(usize::MAX);
+    let last = arguments.first.saturating_add(arguments.seeds.saturating_mul(SEARCHED));
+    for seed in (arguments.first..last).filter(holds).take(wanted) {
+        let report = soak::run(seed, shape, arguments.timed).await;
         let verdict = if report.broken.is_empty() { "held" } else { "BROKEN" };
         println!(
             "seed {seed}: {verdict}; {} faults, {} writes kept, {} not, {} unknown, {} reads, \
@@ -54,5 +70,8 @@
     if failed > 0 { ExitCode::FAILURE } else { ExitCode::SUCCESS }
 }
 
+/// Seeds that are looked through for each that is wanted.
+const SEARCHED: u64 = 1_000;
+
 /// Broken promises of one seed that are printed.
 const SHOWN: usize = 10;
--- a/soak/src/series.rs
+++ b/soak/src/series.rs
@@ -19,7 +19,17 @@
     pub lasts: Duration,
 }
 
-/// How a deployment under test looks.
+/// Which faults a series can hold.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Selection {
+    /// All of them.
+    #[default]
+    Any,
+    /// Only what operators do on purpose.
+    PlannedWork,
+}
+
+/// How a deployment under test looks, and what is done to it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Shape {
     /// Number of instances.
@@ -28,11 +38,14 @@
     pub servers: usize,
     /// How long faults begin.
     pub length: Duration,
+    /// Which faults.
+    pub selection: Selection,
 }
 
 impl Default for Shape {
     fn default() -> Self {
-        Self { instances: 3, servers: 3, length: Duration::from_secs(8) }
+        let length = Duration::from_secs(8);
+        Self { instances: 3, servers: 3, length, selection: Selection::Any }
     }
 }
 
@@ -62,7 +75,13 @@
 fn any_fault(random: &mut StdRng, shape: Shape) -> Fault {
     let instance = random.random_range(0..shape.instances);
     let server = random.random_range(0..shape.servers);
-    let faults = [
+    let planned = [
+        Fault::StopInstance(instance),
+        Fault::StopInstance(instance),
+        Fault::LeavingServer(server),
+        Fault::Configuration,
+    ];
+    let any = [
         Fault::KillInstance(instance),
         Fault::KillAllInstances,
         Fault::FreezeInstance(instance),
@@ -87,5 +106,9 @@
         Fault::StoreForgets,
         Fault::Configuration,
     ];
+    let faults = match shape.selection {
+        Selection::Any => any.as_slice(),
+        Selection::PlannedWork => planned.as_slice(),
+    };
     faults[random.random_range(0..faults.len())]
 }
--- a/soak/src/soak.rs
+++ b/soak/src/soak.rs
@@ -14,6 +14,7 @@
 use crate::fault::Fault;
 use crate::history::Heard;
 use crate::judge;
+use crate::series::Selection;
 use crate::series::Shape;
 use crate::series::Timed;
 use crate::series::series;
@@ -85,6 +86,11 @@
         let leaving = deployment.history.leaving.lock().expect("never poisoned").clone();
         broken.extend(judge::judge_leaving(&leaving, &runs));
     }
+    if shape.selection == Selection::PlannedWork {
+        let cuts = deployment.history.cuts.lock().expect("never poisoned").clone();
+        let stops = deployment.history.stops.lock().expect("never poisoned").clone();
+        broken.extend(judge::judge_stops(&cuts, &stops));
+    }
     let report = report(seed, faults, &deployment, broken);
     clean_up(&deployment, &report);
     report
--- a/soak/tests/test_soak.rs
+++ b/soak/tests/test_soak.rs
@@ -1,6 +1,7 @@
 //! A short soak; the long one is run by hand with `cargo run --release -p
 //! chervilwharf-soak`.
 
+use chervilwharf_soak::series::Selection;
 use chervilwharf_soak::series::Shape;
 use chervilwharf_soak::series::series;
 use chervilwharf_soak::soak;
@@ -18,6 +19,14 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn test_planned_work_cuts_off_nothing() {
+    let shape = Shape { selection: Selection::PlannedWork, ..Shape::default() };
+    let report = soak::run(1, shape, false).await;
+    println!("{report:?}");
+    assert!(report.broken.is_empty(), "{:#?}", report.broken);
+}
+
 #[test]
 fn test_a_seed_gives_the_same_series_each_time() {
     let shape = Shape::default();
