--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -15,6 +15,7 @@
 use chervilwharf_standin::platform::servers;
 use chervilwharf_standin::platform::servers::Group;
 use chervilwharf_standin::platform::store::Store;
+use chervilwharf_testutils::cluster::wait_for;
 use chervilwharf_testutils::process::Process;
 use chervilwharf_testutils::process::program;
 use serde_json::Value;
@@ -41,7 +42,7 @@
 const AWAY: Duration = Duration::from_millis(500);
 
 /// Pause between two looks whether something has happened.
-const LOOK_AGAIN: Duration = Duration::from_millis(20);
+pub const LOOK_AGAIN: Duration = Duration::from_millis(20);
 
 /// Ports that all instances use, each on an address of its own.
 ///
@@ -159,6 +160,10 @@
 
 impl Deployment {
     /// Starts everything and waits until all instances take clients.
+    ///
+    /// # Panics
+    ///
+    /// When one of them never does.
     pub async fn new(shape: Shape) -> Self {
         let group = Group::start("db", shape.servers, USUAL_LAG).await;
         tokio::spawn(servers::apply_for_ever(group.clone()));
@@ -194,9 +199,7 @@
             deployment.start(number);
         }
         for instance in &deployment.instances {
-            while !instance.is_ready().await {
-                tokio::time::sleep(LOOK_AGAIN).await;
-            }
+            wait_for("the instance takes clients", async || instance.is_ready().await).await;
         }
         deployment
     }
--- a/soak/src/soak.rs
+++ b/soak/src/soak.rs
@@ -2,15 +2,16 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
 use std::time::Instant;
 
+use chervilwharf_testutils::cluster::PATIENCE;
 use tokio::task::JoinSet;
 
 use crate::caller::Caller;
 use crate::caller::Crowd;
 use crate::caller::look_for_databases;
 use crate::deployment::Deployment;
+use crate::deployment::LOOK_AGAIN;
 use crate::fault::Fault;
 use crate::history::Heard;
 use crate::judge;
@@ -25,13 +26,6 @@
 /// Operations that each caller has to get through before and after the faults.
 const PROGRESS: u64 = 10;
 
-/// Longest wait for that. Far beyond what it takes, so that a slow machine
-/// gives the same verdict.
-const PATIENCE: Duration = Duration::from_secs(60);
-
-/// Pause between two looks whether something has happened.
-const LOOK_AGAIN: Duration = Duration::from_millis(20);
-
 /// What one run gave.
 #[derive(Clone, Debug)]
 pub struct Report {
--- a/standin/src/platform/store.rs
+++ b/standin/src/platform/store.rs
@@ -206,6 +206,24 @@
         true
     }
 
+    /// Changes an object that is at this revision. The answer holds the object
+    /// that `change` returns, or the one that is at another revision.
+    fn change_at(
+        &mut self,
+        kind: &str,
+        name: &str,
+        revision: Option<u64>,
+        change: impl FnOnce(&mut Self, Value) -> Value,
+    ) -> Response {
+        match self.get(kind, name) {
+            None => StatusCode::NOT_FOUND.into_response(),
+            Some(object) if object["meta"]["rev"].as_u64() != revision => {
+                (StatusCode::CONFLICT, Json(object)).into_response()
+            }
+            Some(object) => Json(change(self, object)).into_response(),
+        }
+    }
+
     fn get(&self, kind: &str, name: &str) -> Option<Value> {
         self.kept.get(&(kind.to_owned(), name.to_owned())).cloned()
     }
@@ -291,16 +309,8 @@
     if store.refuses().await {
         return StatusCode::SERVICE_UNAVAILABLE.into_response();
     }
-    let response = {
-        let mut objects = store.lock();
-        match objects.get(&kind, &name) {
-            None => StatusCode::NOT_FOUND.into_response(),
-            Some(object) if object["meta"]["rev"] != body["meta"]["rev"] => {
-                (StatusCode::CONFLICT, Json(object)).into_response()
-            }
-            Some(_) => Json(objects.put(&kind, &name, &body["spec"])).into_response(),
-        }
-    };
+    let put = |objects: &mut Objects, _| objects.put(&kind, &name, &body["spec"]);
+    let response = store.lock().change_at(&kind, &name, body["meta"]["rev"].as_u64(), put);
     store.announce();
     store.answer(response).await
 }
@@ -313,19 +323,11 @@
     if store.refuses().await {
         return StatusCode::SERVICE_UNAVAILABLE.into_response();
     }
-    let response = {
-        let mut objects = store.lock();
-        match objects.get(&kind, &name) {
-            None => StatusCode::NOT_FOUND.into_response(),
-            Some(object) if object["meta"]["rev"].as_u64() != query["rev"].parse().ok() => {
-                (StatusCode::CONFLICT, Json(object)).into_response()
-            }
-            Some(object) => {
-                objects.delete(&kind, &name);
-                Json(object).into_response()
-            }
-        }
+    let delete = |objects: &mut Objects, object| {
+        objects.delete(&kind, &name);
+        object
     };
+    let response = store.lock().change_at(&kind, &name, query["rev"].parse().ok(), delete);
     store.announce();
     store.answer(response).await
 }
