engine: one fact in one place, and servers for a request worked out once

- That the other instances are known stood twice, in Fleet and in a watch that was brought in line at each sharing of connections.
It is the watch alone; take_instances serves the store's list and a list of another instance.
- A request that finds no free connection worked out its servers three times to be admitted; once does, for the tiers and the computed wait.
- A heartbeat's reply took the catalog once for each group it names.
- A new group is added before the list of held groups is forgotten.

No behaviour changes. The test of the start fails without its rule as before.

--- a/daemon/src/engine/controllers.rs
+++ b/daemon/src/engine/controllers.rs
@@ -6,7 +6,6 @@
 
 use chervilwharf_lib::event::Event;
 use chervilwharf_lib::event::EventKind;
-use chervilwharf_lib::fleet::Fleet;
 
 use chervilwharf_lib::fleet::InstanceRecord;
 use tokio::net::TcpListener;
@@ -64,8 +63,7 @@
         return;
     }
     event_log::emit(&Event::new(EventKind::FleetUnknown).with_ms("waited_ms", OTHERS_WAIT));
-    engine.with_fleet(Fleet::assume_known);
-    engine.share_connections();
+    engine.know_fleet();
 }
 
 /// How long a starting instance waits for the store before it asks others:
@@ -80,8 +78,8 @@
 /// otherwise serve nobody until its end.
 async fn ask_seeds(engine: Arc<Engine>, seeds: Vec<SocketAddr>) {
     tokio::time::sleep(STORE_FIRST).await;
-    let lacks_others = || !engine.with_fleet(|fleet| fleet.is_known());
-    while engine.catalog().version == 0 || engine.servers_revision() == 0 || lacks_others() {
+    let lacks_records = || engine.catalog().version == 0 || engine.servers_revision() == 0;
+    while lacks_records() || !engine.is_fleet_known() {
         for seed in &seeds {
             let record = InstanceRecord {
                 id: seed.to_string().into(),
--- a/daemon/src/engine/fleet_control.rs
+++ b/daemon/src/engine/fleet_control.rs
@@ -70,8 +70,7 @@
         if !records.contains(me) {
             self.engine.wants_record().notify_one();
         }
-        self.engine.with_fleet(|fleet| fleet.replace(now(), records));
-        self.engine.share_connections();
+        self.engine.take_instances(records);
     }
 
     fn change(&mut self, _revision: Revision, changes: Vec<Change>) {
@@ -226,8 +225,7 @@
     let instances = state.instances.into_iter().filter_map(records::decode_instance);
     let instances: Vec<_> = instances.collect();
     if !instances.is_empty() && engine.with_fleet(|fleet| fleet.others().next().is_none()) {
-        engine.with_fleet(|fleet| fleet.replace(now(), instances));
-        engine.share_connections();
+        engine.take_instances(instances);
     }
     let servers: Vec<_> = state.servers.into_iter().filter_map(records::decode_server).collect();
     let revision = state.servers_revision;
@@ -315,11 +313,12 @@
     /// The reply to a heartbeat, with what is known of the groups it names.
     #[must_use]
     pub fn heartbeat_reply(&self, question: &Heartbeat) -> Heartbeat {
+        let catalog = self.catalog();
         let shards: Vec<_> = question
             .demands
             .iter()
             .map(|demand| GroupId::from(demand.group.as_str()))
-            .filter(|group| self.catalog().groups.contains_key(group))
+            .filter(|group| catalog.groups.contains_key(group))
             .map(|group| self.shard(&group))
             .collect();
         let at = now();
--- a/daemon/src/engine/holders.rs
+++ b/daemon/src/engine/holders.rs
@@ -106,18 +106,17 @@
         if self.holder_lists().lock().is_checked(at) {
             return;
         }
+        // An instance that has just started would take itself for the only one:
+        // after a power loss each of 72 opened connections to all servers, each
+        // of which takes a slot for 12 to 27 ms.
+        let known = self.is_fleet_known();
         let staying = self.with_fleet(|fleet| {
-            // An instance that has just started would take itself for the only
-            // one: after a power loss each of 72 opened connections to all
-            // servers, each of which takes a slot for 12 to 27 ms.
-            if !fleet.is_known() {
-                return Vec::new();
-            }
             let record = |id: &InstanceId| match fleet.record(id) {
                 Some(record) => record.clone(),
                 None => self.me().clone(),
             };
-            fleet.staying(at).iter().map(record).collect::<Vec<_>>()
+            let staying = if known { fleet.staying(at) } else { Vec::new() };
+            staying.iter().map(record).collect::<Vec<_>>()
         });
         let version = self.catalog().version;
         self.holder_lists().lock().check(at, staying, version);
--- a/daemon/src/engine/shared.rs
+++ b/daemon/src/engine/shared.rs
@@ -156,6 +156,25 @@
         self.catalog.borrow().clone()
     }
 
+    /// Takes a list of all instances over.
+    pub fn take_instances(&self, records: Vec<InstanceRecord>) {
+        self.with_fleet(|fleet| fleet.replace(now(), records));
+        self.know_fleet();
+    }
+
+    /// Goes on with the instances that are known, also when nobody told of
+    /// others.
+    pub fn know_fleet(&self) {
+        self.fleet_known.send_replace(true);
+        self.share_connections();
+    }
+
+    /// Whether it is known which other instances there are.
+    #[must_use]
+    pub fn is_fleet_known(&self) -> bool {
+        *self.fleet_known.borrow()
+    }
+
     /// Waits until the other instances are known, at most this long. Returns
     /// whether they are.
     pub async fn wait_for_fleet(&self, limit: Duration) -> bool {
@@ -200,8 +219,6 @@
 
     /// Divides the connections of each server among the live instances.
     pub fn share_connections(&self) {
-        let known = self.with_fleet(|fleet| fleet.is_known());
-        self.fleet_known.send_if_modified(|before| std::mem::replace(before, known) != known);
         self.holders.check_again();
         self.apply_budgets();
     }
@@ -234,13 +251,13 @@
         if let Some(shard) = self.shards.read().expect("never poisoned").get(group) {
             return shard.clone();
         }
-        self.forget_held();
         let mut shards = self.shards.write().expect("never poisoned");
         let shard = shards.entry(group.clone()).or_insert_with(|| {
             let home = self.me.failure_domain.clone();
             let (connector, peers) = (self.connector.clone(), self.peers.clone());
             Arc::new(Shard::new(group.clone(), home, connector, peers, self.doubt.clone()))
         });
+        self.forget_held();
         shard.clone()
     }
 
@@ -254,7 +271,7 @@
     /// the other instances and servers, and does not stop.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        let prepared = self.catalog().version > 0 && *self.fleet_known.borrow();
+        let prepared = self.catalog().version > 0 && self.is_fleet_known();
         if self.is_stopping() || !prepared {
             return false;
         }
--- a/daemon/src/engine/waiting.rs
+++ b/daemon/src/engine/waiting.rs
@@ -120,7 +120,8 @@
         let (place, ahead, measures) = {
             let mut inner = self.lock();
             let measures = !inner.awaits_primary(&want.need);
-            let ahead = inner.competitors(began_at, want, tier);
+            let servers = inner.servers_for(began_at, &want.need);
+            let ahead = inner.competitors(began_at, want, &servers, tier);
             let waiter = Waiter { need: want.need.clone(), grant };
             let place = inner.queue.push(want.rank(tier), waiter);
             (WaitingPlace { shard: self.clone(), place }, ahead, measures)
@@ -159,12 +160,13 @@
         if self.awaits_primary(&want.need) {
             return Ok(Tier::InTime);
         }
-        let ahead = self.competitors(now, want, Tier::InTime);
-        let late_waiting = self.competitors(now, want, Tier::Late);
+        let servers = self.servers_for(now, &want.need);
+        let ahead = self.competitors(now, want, &servers, Tier::InTime);
+        let late_waiting = self.competitors(now, want, &servers, Tier::Late);
         let measured = |tier, ahead| self.pace.expected_wait(now, want.line(tier), ahead);
         let in_time = measured(Tier::InTime, ahead);
         let prospect = Prospect {
-            in_time: in_time.or_else(|| self.computed_wait(now, want, ahead)),
+            in_time: in_time.or_else(|| self.computed_wait(&servers, ahead)),
             late: measured(Tier::Late, late_waiting),
             late_waiting,
             patience,
@@ -185,9 +187,8 @@
         *need == Need::Leader && !self.group.leader_answers()
     }
 
-    /// Requests that go before this one in a tier, and want the same servers.
-    fn competitors(&self, now: Moment, want: &Want<'_>, tier: Tier) -> usize {
-        let servers = self.servers_for(now, &want.need);
+    /// Requests that go before this one in a tier, and want one of its servers.
+    fn competitors(&self, now: Moment, want: &Want<'_>, servers: &[TargetId], tier: Tier) -> usize {
         let competes = |(rank, waiter): &(Rank, &Waiter)| {
             rank.tier == tier && servers.iter().any(|id| waiter.need.accepts(&self.group, now, id))
         };
@@ -201,10 +202,9 @@
         accepted.map(|view| view.info.id.clone()).collect()
     }
 
-    /// How long a request would wait by what runs now; `None` if nobody can
-    /// serve it now, but somebody may soon.
-    fn computed_wait(&self, now: Moment, want: &Want<'_>, ahead: usize) -> Option<Duration> {
-        let servers = self.servers_for(now, &want.need);
+    /// How long a request for these servers would wait by what runs now; `None`
+    /// if nobody can serve it now, but somebody may soon.
+    fn computed_wait(&self, servers: &[TargetId], ahead: usize) -> Option<Duration> {
         let capacity: f64 = servers.iter().map(|id| self.share_of(id).limit.value()).sum();
         let places = f64::from(u32::try_from(ahead + 1).unwrap_or(u32::MAX));
         (capacity > 0.0).then(|| self.service_time.mul_f64(places / capacity))
--- a/daemon/tests/test_start.rs
+++ b/daemon/tests/test_start.rs
@@ -7,7 +7,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chervilwharf_daemon::engine::clock::now;
 use chervilwharf_daemon::engine::shared::Engine;
 use chervilwharf_lib::catalog::Catalog;
 use chervilwharf_lib::catalog::GroupSettings;
@@ -49,8 +48,7 @@
     assert!(engine.held_shards().is_empty());
     assert!(!engine.wait_until_prepared(Duration::ZERO).await);
     let others = (1..=72).filter(|number| *number != 40).map(record);
-    engine.with_fleet(|fleet| fleet.replace(now(), others.collect()));
-    engine.share_connections();
+    engine.take_instances(others.collect());
     let holders = engine.holders(&group);
     assert!(!holders.is_empty() && holders.len() < 10);
     assert_eq!(engine.is_holder(&group), holders.contains(&me));
@@ -61,8 +59,7 @@
 #[tokio::test]
 async fn test_instance_that_hears_of_nobody_holds_everything() {
     let engine = engine(record(1));
-    engine.with_fleet(chervilwharf_lib::fleet::Fleet::assume_known);
-    engine.share_connections();
+    engine.know_fleet();
     assert!(engine.is_holder(&"db".into()));
     assert!(engine.wait_until_prepared(Duration::ZERO).await);
 }
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -70,26 +70,13 @@
 pub struct Fleet {
     me: InstanceId,
     members: BTreeMap<InstanceId, Member>,
-    /// Whether the others were listed once, or it was given up to wait for it.
-    known: bool,
 }
 
 impl Fleet {
     /// A fleet of which only this instance is known.
     #[must_use]
     pub fn new(me: InstanceId) -> Self {
-        Self { me, members: BTreeMap::new(), known: false }
-    }
-
-    /// Whether it is known which other instances there are.
-    #[must_use]
-    pub fn is_known(&self) -> bool {
-        self.known
-    }
-
-    /// Nobody tells of other instances: this one goes on with those it knows.
-    pub fn assume_known(&mut self) {
-        self.known = true;
+        Self { me, members: BTreeMap::new() }
     }
 
     /// A record was listed or changed.
@@ -113,7 +100,6 @@
 
     /// These are all records.
     pub fn replace(&mut self, now: Moment, records: Vec<InstanceRecord>) {
-        self.known = true;
         self.members.retain(|id, _| records.iter().any(|record| record.id == *id));
         for record in records {
             self.present(now, record);
--- a/testing/testutils/src/experiments/log_line.rs
+++ b/testing/testutils/src/experiments/log_line.rs
@@ -21,7 +21,6 @@
 use chervilwharf_lib::catalog::Route;
 use chervilwharf_lib::event::Event;
 use chervilwharf_lib::event::EventKind;
-use chervilwharf_lib::fleet::Fleet;
 use chervilwharf_lib::fleet::InstanceRecord;
 use chervilwharf_lib::group::ServerInfo;
 use chervilwharf_lib::id::GroupId;
@@ -92,8 +91,7 @@
     };
     let routes = HashMap::from([(route.database.clone(), Arc::new(route))]);
     engine.set_catalog(&Arc::new(Catalog { version: 1, routes, ..Catalog::default() }));
-    engine.with_fleet(Fleet::assume_known);
-    engine.share_connections();
+    engine.know_fleet();
     let begun = Session::begin(engine, "ledger-a").await;
     begun.unwrap_or_else(|failure| panic!("the name is there: {failure:?}"))
 }
