--- a/daemon/src/engine/border.rs
+++ b/daemon/src/engine/border.rs
@@ -84,6 +84,12 @@
         term: u64,
     ) -> Result<Result<ServerStatus, ServerRefusal>, ExchangeError>;
 
+    /// Makes a primary of a term below `term` a replica.
+    async fn demote(
+        &mut self,
+        term: u64,
+    ) -> Result<Result<ServerStatus, ServerRefusal>, ExchangeError>;
+
     /// Whether the server has closed an idle connection, as far as can be
     /// told without asking it.
     fn is_closed(&mut self) -> bool;
--- a/daemon/src/engine/controllers.rs
+++ b/daemon/src/engine/controllers.rs
@@ -19,9 +19,10 @@
 use crate::engine::fleet_control::InstanceFollower;
 use crate::engine::follow::follow;
 use crate::engine::leader_control;
-use crate::engine::leader_control::Replacer;
 use crate::engine::peers;
 use crate::engine::promoter::Promoter;
+use crate::engine::replacement::Replacer;
+use crate::engine::right_control;
 use crate::engine::server_control::ServerFollower;
 use crate::engine::shared::Engine;
 
@@ -45,6 +46,7 @@
         promoter: promoter.clone(),
     };
     tokio::spawn(leader_control::run(replacer));
+    tokio::spawn(right_control::learn_orders(engine.clone(), directory.clone()));
     tokio::spawn(fleet_control::keep_record(engine.clone(), directory.clone()));
     tokio::spawn(fleet_control::send_heartbeats(engine.clone(), directory.clone()));
     tokio::spawn(peers::serve(engine.clone(), peer_listener));
--- a/daemon/src/engine/duty_control.rs
+++ b/daemon/src/engine/duty_control.rs
@@ -12,7 +12,9 @@
 use chervilwharf_lib::event::EventKind;
 use chervilwharf_lib::id::GroupId;
 use chervilwharf_lib::id::InstanceId;
+use chervilwharf_lib::moment::Moment;
 
+use crate::engine::clock::now;
 use crate::engine::directory::Change;
 use crate::engine::directory::Currency;
 use crate::engine::directory::Directory;
@@ -29,9 +31,9 @@
 #[derive(Debug, Default)]
 pub struct DutyBook {
     duties: HashMap<GroupId, (Revision, DutyRecord)>,
-    /// Tokens of this life that were used without an answer, or refused. An
-    /// order that went unanswered can be carried out seconds later; only a
-    /// higher token keeps it from undoing what is ordered after it.
+    /// Tokens of this life that an order was given under. One that went
+    /// unanswered can be carried out seconds later; only a higher token keeps it
+    /// from undoing what is ordered after it.
     spent: HashMap<GroupId, DutyToken>,
 }
 
@@ -63,11 +65,24 @@
         self.spent.insert(duty.group.clone(), duty.token);
     }
 
+    /// An order that the store does not know, under a token kept from before.
+    fn note_order(&mut self, group: &GroupId, order: OrderChange) {
+        if let (Some((_, record)), OrderChange::Put(order)) = (self.duties.get_mut(group), order) {
+            record.order = order;
+        }
+    }
+
+    /// Whether an order was given under the present token of a group.
+    #[must_use]
+    pub fn is_spent(&self, group: &GroupId) -> bool {
+        let token = self.record(group).map(|record| record.token);
+        token.is_some() && self.spent.get(group).copied() >= token
+    }
+
     fn usable(&self, group: &GroupId, id: &InstanceId, life: u64) -> Option<DutyRecord> {
         let record = self.record(group)?;
         let ours = record.holder == *id && record.life == life;
-        let spent = self.spent.get(group).is_some_and(|token| *token >= record.token);
-        (ours && !spent).then(|| record.clone())
+        (ours && !self.is_spent(group)).then(|| record.clone())
     }
 }
 
@@ -121,16 +136,34 @@
     }
 }
 
+/// What becomes of the order that a duty's record names.
+#[derive(Clone, Debug)]
+pub enum OrderChange {
+    /// It stays.
+    Keep,
+    /// This takes its place, or nothing.
+    Put(Option<DutyOrder>),
+}
+
+/// A duty that was taken.
+#[derive(Clone, Debug)]
+pub struct Claim {
+    /// Its record.
+    pub duty: DutyRecord,
+    /// When the store had taken it; `None` for a token kept from before.
+    pub written_at: Option<Moment>,
+}
+
 /// Takes the duty of a group under a new token. While the store cannot be
 /// reached, a token of this life that was never spent will do.
 pub async fn claim(
     engine: &Engine,
     directory: &dyn Directory,
     group: &GroupId,
-    order: Option<DutyOrder>,
-) -> Option<DutyRecord> {
-    match claim_new(engine, directory, group, order).await {
-        Ok(record) => Some(record),
+    order: OrderChange,
+) -> Option<Claim> {
+    match claim_new(engine, directory, group, order.clone()).await {
+        Ok(duty) => Some(Claim { duty, written_at: Some(now()) }),
         Err(error) => {
             let me = engine.me();
             let kept = engine.with_duties(|duties| duties.usable(group, &me.id, me.life));
@@ -140,7 +173,11 @@
             // Somebody else's newer record makes an old token useless.
             match error {
                 WriteError::Conflict(_) => None,
-                WriteError::NotDone(_) | WriteError::Unanswered(_) => kept,
+                WriteError::NotDone(_) | WriteError::Unanswered(_) => {
+                    let duty = kept?;
+                    engine.with_duties(|duties| duties.note_order(group, order));
+                    Some(Claim { duty, written_at: None })
+                }
             }
         }
     }
@@ -150,7 +187,7 @@
     engine: &Engine,
     directory: &dyn Directory,
     group: &GroupId,
-    order: Option<DutyOrder>,
+    order: OrderChange,
 ) -> Result<DutyRecord, WriteError> {
     let present = directory.get(RecordKind::Duties, group).await.map_err(WriteError::NotDone)?;
     let last = match &present {
@@ -165,7 +202,11 @@
             return Err(WriteError::Conflict(present));
         }
     }
-    let next = next_record(group, engine.me(), last.as_ref(), order);
+    let next = next_record(group, engine.me(), last.as_ref(), None);
+    let next = match order {
+        OrderChange::Keep => next,
+        OrderChange::Put(order) => DutyRecord { order, ..next },
+    };
     let record = Record::Duty(next.clone());
     let expected = present.map(|entry| entry.revision);
     let written = match directory.write(group, &record, expected).await {
--- a/daemon/src/engine/fleet_control.rs
+++ b/daemon/src/engine/fleet_control.rs
@@ -32,6 +32,7 @@
 use crate::engine::event_log;
 use crate::engine::follow::Follower;
 use crate::engine::records;
+use crate::engine::right_control;
 use crate::engine::shard::Shard;
 use crate::engine::shared::Engine;
 
@@ -117,7 +118,10 @@
     // Most often there is none yet, and each call is paid for: it is read
     // only by the refusal to create it.
     match directory.write(&me.id, &record, None).await {
-        Err(WriteError::Conflict(Some(present))) if present.record == record => return Ok(()),
+        Err(WriteError::Conflict(Some(present))) if present.record == record => {
+            engine.set_registered();
+            return Ok(());
+        }
         Err(WriteError::Conflict(Some(present))) => {
             directory.write(&me.id, &record, Some(present.revision)).await?;
         }
@@ -125,6 +129,7 @@
             written?;
         }
     }
+    engine.set_registered();
     event_log::emit(&Event::new(EventKind::InstanceRegistered).with("life", me.life));
     Ok(())
 }
@@ -148,11 +153,20 @@
 /// still itself.
 const STOOD_STILL: Duration = Duration::from_millis(1_500);
 
+/// Shortest pause between two rounds of heartbeats, where the right to use a
+/// primary is wanted and missing: what 7 instances send then is a twentieth of
+/// their processor at most.
+const RENEWAL_PAUSE: Duration = Duration::from_millis(50);
+
 /// Sends heartbeats for ever.
 pub async fn send_heartbeats(engine: Arc<Engine>, directory: Arc<dyn Directory>) {
     let mut last_round = now();
     loop {
-        tokio::time::sleep(HEARTBEAT_INTERVAL).await;
+        tokio::select! {
+            () = tokio::time::sleep(HEARTBEAT_INTERVAL) => {}
+            // Grants come with the replies.
+            () = engine.renewal().notified() => tokio::time::sleep(RENEWAL_PAUSE).await,
+        }
         let at = now();
         if at > last_round + STOOD_STILL {
             let still = at.saturating_sub(last_round);
@@ -164,6 +178,7 @@
             let engine = engine.clone();
             tokio::spawn(async move { heartbeat(&engine, &target).await });
         }
+        tokio::spawn(right_control::renew_by_store(engine.clone(), directory.clone()));
         engine.share_connections();
         engine.close_unused_links();
         remove_lost(&engine, &directory, at);
@@ -186,6 +201,7 @@
         return;
     };
     engine.take_heartbeat(&reply);
+    engine.take_grants(asked_at, &peer.id, &reply.grants);
     engine.take_samples(asked_at, &reply.samples);
     if !engine.wants_directory_of(&reply) {
         return;
@@ -280,7 +296,7 @@
             targets.insert(record.id.clone(), target(record));
         }
         for shard in self.held_shards() {
-            for record in self.co_holders(shard.id()) {
+            for record in self.voters_and_co_holders(shard.id()) {
                 let shared = targets.entry(record.id.clone()).or_insert_with(|| target(record));
                 shared.shared_groups.push(shard.clone());
             }
@@ -288,6 +304,20 @@
         targets.into_values().collect()
     }
 
+    /// The other instances that vote on a group or hold connections to it.
+    #[must_use]
+    pub fn voters_and_co_holders(&self, group: &GroupId) -> Vec<InstanceRecord> {
+        let mut records = self.co_holders(group);
+        let voters = self.voters(group);
+        let lacking = voters.iter().filter(|id| !records.iter().any(|record| record.id == **id));
+        let lacking: Vec<_> = lacking.cloned().collect();
+        records.extend(self.with_fleet(|fleet| {
+            let record = |id: &InstanceId| fleet.record(id).cloned();
+            lacking.iter().filter_map(record).collect::<Vec<_>>()
+        }));
+        records
+    }
+
     /// What this instance says of itself to one that shares these groups.
     ///
     /// Only of shared groups: with each of 64 groups in each heartbeat 31
@@ -298,6 +328,7 @@
         let demand = |shard: &Arc<Shard>| GroupDemand {
             group: shard.id().to_string(),
             wanted: shard.demand(at),
+            term: shard.with_group(|group| group.leader().map_or(0, |leader| leader.term)),
         };
         Heartbeat {
             instance: self.me().id.to_string(),
@@ -306,6 +337,7 @@
             configuration_version: self.catalog().version,
             servers_revision: self.servers_changed_at(),
             samples: Vec::new(),
+            grants: Vec::new(),
             demands: shared_groups.iter().map(demand).collect(),
         }
     }
@@ -330,7 +362,8 @@
             Some(PositionSample { group, term: position.term, index: position.index, age_ms })
         };
         let samples = shards.iter().filter_map(sample).collect();
-        Heartbeat { samples, ..self.heartbeat(&shards) }
+        let grants = self.grants(at, &question.instance, &question.demands);
+        Heartbeat { samples, grants, ..self.heartbeat(&shards) }
     }
 
     /// Another instance told, in reply to something asked at `asked_at`, what
--- a/daemon/src/engine/leader_control.rs
+++ b/daemon/src/engine/leader_control.rs
@@ -6,9 +6,6 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use chervilwharf_lib::duty;
-use chervilwharf_lib::duty::DutyOrder;
-use chervilwharf_lib::duty::DutyRecord;
 use chervilwharf_lib::duty::succession;
 use chervilwharf_lib::engine_protos::Contact;
 use chervilwharf_lib::engine_protos::LeaderQuery;
@@ -16,26 +13,23 @@
 use chervilwharf_lib::engine_protos::engine_frame::Body;
 use chervilwharf_lib::event::Event;
 use chervilwharf_lib::event::EventKind;
-use chervilwharf_lib::group::ServerStatus;
 use chervilwharf_lib::id::GroupId;
 use chervilwharf_lib::id::TargetId;
 use chervilwharf_lib::leader_watch::LeaderWatch;
 use chervilwharf_lib::leader_watch::Opinions;
-use chervilwharf_lib::leader_watch::REPLACEMENT_TIME;
-use chervilwharf_lib::leader_watch::ReplaceReason;
 use chervilwharf_lib::leader_watch::WatchAction;
 use chervilwharf_lib::moment::Moment;
 use futures::future::join_all;
 use rand::seq::IndexedRandom;
 
 use crate::engine::clock::now;
-use crate::engine::directory::Directory;
 use crate::engine::duty_control;
+use crate::engine::duty_control::OrderChange;
 use crate::engine::event_log;
 use crate::engine::probe;
 use crate::engine::probe::Probed;
-use crate::engine::promoter::Promoted;
-use crate::engine::promoter::Promoter;
+use crate::engine::replacement::Replacer;
+use crate::engine::replacement::replace;
 use crate::engine::shard::Shard;
 use crate::engine::shared::Engine;
 
@@ -43,16 +37,6 @@
 /// for; a doubt is looked at when it comes up.
 const TICK: Duration = Duration::from_millis(100);
 
-/// Pause between two questions to a server that is about to lead.
-const LEAD_POLL: Duration = Duration::from_millis(80);
-
-/// How long a server may take to lead after an order that was accepted.
-const LEAD_LIMIT: Duration = Duration::from_millis(1_800);
-
-/// How long to look for the effect of an order that got no answer before it
-/// is given again under a higher token.
-const UNANSWERED_LIMIT: Duration = Duration::from_millis(500);
-
 /// The watches of all groups.
 #[derive(Default)]
 pub struct LeaderWatches {
@@ -67,6 +51,11 @@
         f(watches.entry(group.clone()).or_default())
     }
 
+    /// Somebody replaces the primary of a group, or is about to.
+    pub fn expect_replacement(&self, group: &GroupId, at: Moment) {
+        self.with(group, |watch| watch.replacing(at));
+    }
+
     fn is_replacing(&self, group: &GroupId) -> bool {
         self.replacing.lock().expect("never poisoned").contains(group)
     }
@@ -96,17 +85,6 @@
     }
 }
 
-/// What a replacement needs.
-#[derive(Clone)]
-pub struct Replacer {
-    /// The engine.
-    pub engine: Arc<Engine>,
-    /// Where the duty is kept.
-    pub directory: Arc<dyn Directory>,
-    /// Carries the order out.
-    pub promoter: Arc<dyn Promoter>,
-}
-
 /// Watches all groups for ever.
 pub async fn run(replacer: Replacer) {
     let claims_from = now() + CLAIM_AFTER;
@@ -199,8 +177,13 @@
     };
     let (replacer, shard) = (replacer.clone(), shard.clone());
     tokio::spawn(async move {
-        let claimed =
-            duty_control::claim(&replacer.engine, &*replacer.directory, shard.id(), None).await;
+        let claimed = duty_control::claim(
+            &replacer.engine,
+            &*replacer.directory,
+            shard.id(),
+            OrderChange::Keep,
+        )
+        .await;
         if claimed.is_none() {
             tokio::time::sleep(CLAIM_PAUSE).await;
         }
@@ -275,145 +258,6 @@
     }
 }
 
-/// Replaces a primary. Returns whether another server leads now.
-async fn replace(
-    replacer: &Replacer,
-    shard: &Arc<Shard>,
-    from: Option<TargetId>,
-    reason: ReplaceReason,
-) -> bool {
-    let last_resort = reason == ReplaceReason::LastResort;
-    let Some((target, status)) = best_replica(shard, from.as_ref(), last_resort).await else {
-        let event = Event::new(EventKind::ReplacementDropped).with("group", shard.id());
-        event_log::emit(&event.with_some("from", from).with("reason", "no replica can take over"));
-        return false;
-    };
-    if status.leads {
-        return true;
-    }
-    let directory = &*replacer.directory;
-    let highest_term = shard.with_group(|group| group.highest_term()).max(status.term);
-    let last = replacer.engine.with_duties(|duties| duties.record(shard.id()).cloned());
-    let last_order = last.and_then(|record| record.order);
-    if !last_resort && !duty::order_permits(last_order.as_ref(), &target, highest_term) {
-        let event = Event::new(EventKind::ReplacementDropped).with("group", shard.id());
-        let event = event.with_some("ordered", last_order.map(|order| order.server));
-        event_log::emit(&event.with("server", target).with("reason", "an order is unsettled"));
-        return false;
-    }
-    let order = DutyOrder { server: target.clone(), term: highest_term + 1 };
-    let metrics = replacer.engine.metrics();
-    let began_at = now();
-    let claimed = duty_control::claim(&replacer.engine, directory, shard.id(), Some(order)).await;
-    let Some(duty) = claimed else {
-        return false;
-    };
-    metrics.replacement_step("claim", now().saturating_sub(began_at));
-    if is_outdated(shard, from.as_ref(), reason) {
-        let event = Event::new(EventKind::ReplacementDropped).with("group", shard.id());
-        event_log::emit(&event.with_some("from", from).with("reason", "outdated"));
-        return false;
-    }
-    let event = Event::new(EventKind::ReplacementBegun)
-        .with("group", shard.id())
-        .with_some("from", from)
-        .with("server", &target)
-        .with("received", status.received)
-        .with("reason", format_args!("{reason:?}"))
-        .with("token", duty.token);
-    event_log::emit(&event);
-    let began_at = now();
-    let promoted = replacer.promoter.promote(&duty, &target).await;
-    metrics.replacement_step("promote", now().saturating_sub(began_at));
-    let event = Event::new(EventKind::PromotionAnswered).with("group", shard.id());
-    let event = event.with("server", &target).with("token", duty.token);
-    event_log::emit(&event.with("outcome", format_args!("{promoted:?}")));
-    finish(replacer, shard, &duty, &target, promoted).await
-}
-
-async fn finish(
-    replacer: &Replacer,
-    shard: &Arc<Shard>,
-    duty: &DutyRecord,
-    target: &TargetId,
-    promoted: Promoted,
-) -> bool {
-    let limit = match promoted {
-        Promoted::Accepted => LEAD_LIMIT,
-        Promoted::Unanswered => {
-            replacer.engine.with_duties(|duties| duties.spend(duty));
-            UNANSWERED_LIMIT
-        }
-        Promoted::Refused => {
-            replacer.engine.with_duties(|duties| duties.spend(duty));
-            return false;
-        }
-        Promoted::NotDone => return false,
-    };
-    let began_at = now();
-    while now() < began_at + limit {
-        if let Probed::Status(status) = probe::probe(shard, target).await {
-            if status.leads {
-                let took = now().saturating_sub(began_at);
-                replacer.engine.metrics().replacement_step("lead", took);
-                return true;
-            }
-        }
-        tokio::time::sleep(LEAD_POLL).await;
-    }
-    false
-}
-
-/// Whether the reason to replace a primary has gone while the duty was taken,
-/// which can last for seconds when the store is slow.
-fn is_outdated(shard: &Arc<Shard>, from: Option<&TargetId>, reason: ReplaceReason) -> bool {
-    shard.with_group(|group| {
-        let leader = group.leader().map(|leader| &leader.id);
-        if leader != from {
-            return true;
-        }
-        let answers = |id: &TargetId| group.server(id).is_some_and(|view| view.failures == 0);
-        reason == ReplaceReason::Unreachable && leader.is_some_and(answers)
-    })
-}
-
-/// The reachable replica that received most: it lacks the fewest
-/// acknowledged commits.
-///
-/// As a last resort also one that missed a change of primary: a group whose
-/// later primary is lost for good would otherwise have none for ever.
-async fn best_replica(
-    shard: &Arc<Shard>,
-    from: Option<&TargetId>,
-    last_resort: bool,
-) -> Option<(TargetId, ServerStatus)> {
-    let candidates: Vec<TargetId> = shard.with_group(|group| {
-        let able = group.servers().filter(|view| !view.info.draining);
-        let able = able.filter(|view| Some(&view.info.id) != from);
-        able.map(|view| view.info.id.clone()).collect()
-    });
-    let probes = candidates.iter().map(|id| probe::probe(shard, id));
-    let probed = join_all(probes).await;
-    let mut best: Option<(TargetId, ServerStatus)> = None;
-    for (id, probed) in candidates.into_iter().zip(probed) {
-        let Probed::Status(status) = probed else {
-            continue;
-        };
-        let may_lead = shard.with_group(|group| group.may_lead(&status));
-        if !may_lead && !last_resort {
-            let event = Event::new(EventKind::CandidateRejected).with("group", shard.id());
-            let event = event.with("server", &id).with("received", status.received);
-            event_log::emit(&event.with("term", status.term).with("reason", "missed a change"));
-            continue;
-        }
-        let rank = |status: &ServerStatus| (status.leads, status.received);
-        if best.as_ref().is_none_or(|(_, known)| rank(&status) > rank(known)) {
-            best = Some((id, status));
-        }
-    }
-    best
-}
-
 impl Engine {
     /// This instance's place among those that may replace the primary of a
     /// group; `None` while it stops.
@@ -436,7 +280,8 @@
             return true;
         };
         if record.holder == self.me().id {
-            return record.life != self.me().life;
+            let spent = self.with_duties(|duties| duties.is_spent(group));
+            return spent || record.life != self.me().life;
         }
         !self.holders(group).iter().any(|holder| holder.id == record.holder)
     }
@@ -444,7 +289,7 @@
     /// Somebody took the duty of a group, usually to replace its primary.
     pub fn duty_moved(&self, group: &GroupId, holder: &str) {
         if *holder != *self.me().id {
-            self.watches().with(group, |watch| watch.replacing(now()));
+            self.watches().expect_replacement(group, now());
         }
     }
 
@@ -455,10 +300,11 @@
         let shard = self.shard(&group);
         let at = now();
         let detoured = shard.has_detour(&query.server);
+        let reached = shard.reaches(at, &query.server);
         let (contact, leader) = shard.with_group(|group| {
             let contact = match group.server(&query.server) {
                 Some(view) if view.failures > 0 || detoured => Contact::Failed,
-                Some(view) if view.answered_at + REACHED_WITHIN > at => Contact::Answered,
+                Some(_) if reached => Contact::Answered,
                 _ => Contact::Unknown,
             };
             (contact, group.leader().cloned())
@@ -475,9 +321,3 @@
         }
     }
 }
-
-/// An answer of a primary proves contact for this long.
-const REACHED_WITHIN: Duration = Duration::from_millis(400);
-
-/// Checks at compile time that others wait longer than a whole replacement.
-const _: () = assert!(REPLACEMENT_TIME.as_millis() > LEAD_LIMIT.as_millis());
--- /dev/null
+++ b/daemon/src/engine/right_control.rs
@@ -0,0 +1,298 @@
+//! Keeps the right of this instance to use the primaries of its groups, and
+//! answers others that ask for theirs.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilwharf_lib::engine_protos::GivenLease;
+use chervilwharf_lib::engine_protos::GroupDemand;
+use chervilwharf_lib::engine_protos::PrimaryNews;
+use chervilwharf_lib::engine_protos::TermEnd;
+use chervilwharf_lib::engine_protos::TermEndReply;
+use chervilwharf_lib::engine_protos::TermGrant;
+use chervilwharf_lib::event::Event;
+use chervilwharf_lib::event::EventKind;
+use chervilwharf_lib::id::GroupId;
+use chervilwharf_lib::id::InstanceId;
+use chervilwharf_lib::moment::Moment;
+use chervilwharf_lib::placement::voters;
+use chervilwharf_lib::primary_right::Ending;
+use chervilwharf_lib::primary_right::Objection;
+use chervilwharf_lib::primary_right::PrimaryRight;
+use chervilwharf_lib::primary_right::Promise;
+
+use crate::engine::clock::now;
+use crate::engine::directory::Currency;
+use crate::engine::directory::Directory;
+use crate::engine::directory::DirectoryError;
+use crate::engine::directory::Entry;
+use crate::engine::directory::Record;
+use crate::engine::directory::RecordKind;
+use crate::engine::event_log;
+use crate::engine::shard::Shard;
+use crate::engine::shared::Engine;
+
+/// Pause between two tries to read the orders after a start; each is paid for.
+const ORDERS_PAUSE: Duration = Duration::from_millis(300);
+
+/// A lease that ends within this time is renewed by the store as well: the last
+/// round of heartbeats, every 500 ms, was not answered by enough voters.
+const RENEWED_BY_STORE_WITHIN: Duration = Duration::from_millis(700);
+
+/// How long the answers to a round of heartbeats are waited for before the
+/// store is read: many times the way there and back (2 to 4 ms).
+const ANSWERS_WAIT: Duration = Duration::from_millis(60);
+
+/// Time that a primary to be replaced gets no new work without a promise, while
+/// what runs there ends. The replacement asks anew every few milliseconds.
+const PAUSE: Duration = Duration::from_millis(250);
+
+/// An answer of a primary proves contact for this long.
+const REACHED_WITHIN: Duration = Duration::from_millis(400);
+
+/// Reads which orders there are when an instance starts. Only then it votes,
+/// unless others tell it what they grant.
+pub async fn learn_orders(engine: Arc<Engine>, directory: Arc<dyn Directory>) {
+    let mut failed = false;
+    while let Err(error) = read_orders(&engine, &*directory).await {
+        if !failed {
+            event_log::emit(&Event::new(EventKind::OrdersUnknown).with("reason", error));
+        }
+        failed = true;
+        tokio::time::sleep(ORDERS_PAUSE).await;
+    }
+    engine.vote();
+}
+
+/// Reads the duties as they are now, which renews the right to use primaries
+/// that nobody has an order to replace.
+async fn read_orders(engine: &Engine, directory: &dyn Directory) -> Result<(), DirectoryError> {
+    let asked_at = now();
+    let listing = directory.list(RecordKind::Duties, Currency::Fresh).await?;
+    let mut ordered: Vec<GroupId> = Vec::new();
+    for Entry { revision, record, .. } in listing.entries {
+        let Record::Duty(record) = record else {
+            continue;
+        };
+        let term = record.order.as_ref().map_or(0, |order| order.term);
+        engine.shard(&record.group).change_right(|right| {
+            right.take_order(term);
+            right.granted_by_store(asked_at, term.saturating_sub(1));
+        });
+        ordered.push(record.group.clone());
+        engine.with_duties(|duties| duties.learn(revision, record));
+    }
+    for shard in engine.shards() {
+        if !ordered.contains(shard.id()) {
+            shard.change_right(|right| right.granted_by_store(asked_at, 0));
+        }
+    }
+    Ok(())
+}
+
+/// Renews the right by the store where too few voters answer: an instance that
+/// is cut off from the others and reaches the store goes on.
+pub async fn renew_by_store(engine: Arc<Engine>, directory: Arc<dyn Directory>) {
+    tokio::time::sleep(ANSWERS_WAIT).await;
+    let at = now();
+    let ends_soon = |shard: &Arc<Shard>| {
+        shard.with_group(|group| {
+            let Some(term) = group.leader().map(|leader| leader.term).filter(|term| *term > 0)
+            else {
+                return false;
+            };
+            let end = group.right().lease_end(term);
+            group.right().retired() < term
+                && end.is_none_or(|end| end < at + RENEWED_BY_STORE_WITHIN)
+        })
+    };
+    if !engine.held_shards().iter().any(ends_soon) {
+        return;
+    }
+    let result = read_orders(&engine, &*directory).await;
+    let event = Event::new(EventKind::RightFromStore);
+    event_log::emit(&event.with_some("failed", result.err()));
+}
+
+impl Engine {
+    /// This instance votes from now on, on all groups.
+    fn vote(&self) {
+        self.set_knows_orders();
+        for shard in self.shards() {
+            shard.change_right(PrimaryRight::knows_orders);
+        }
+        self.renewal().notify_one();
+    }
+
+    /// Instances that vote on a group.
+    #[must_use]
+    pub fn voters(&self, group: &GroupId) -> Vec<InstanceId> {
+        let all = self.instance_ids();
+        voters(group, &all)
+    }
+
+    /// All instances that have a record. This one may have none yet: others do
+    /// not count it then, and its own vote must not make a majority.
+    #[must_use]
+    pub fn instance_ids(&self) -> Vec<InstanceId> {
+        let mut ids: Vec<_> =
+            self.with_fleet(|fleet| fleet.others().map(|record| record.id.clone()).collect());
+        if self.is_registered() {
+            ids.push(self.me().id.clone());
+        }
+        ids.sort_unstable();
+        ids
+    }
+
+    /// Tells all held groups who votes.
+    pub fn update_voters(&self) {
+        if !self.is_fleet_known() {
+            return;
+        }
+        let all = self.instance_ids();
+        for shard in self.held_shards() {
+            let voters = voters(shard.id(), &all);
+            shard.change_right(|right| right.set_voters(&self.me().id, &voters));
+        }
+    }
+
+    /// What this instance grants another one that asks about these groups.
+    #[must_use]
+    pub fn grants(&self, at: Moment, to: &str, demands: &[GroupDemand]) -> Vec<TermGrant> {
+        let to: InstanceId = to.into();
+        let catalog = self.catalog();
+        let known = demands.iter().filter(|demand| catalog.groups.contains_key(&*demand.group));
+        known
+            .filter_map(|demand| {
+                let shard = self.shard(&demand.group.as_str().into());
+                let retired_term =
+                    shard.with_group(|group| group.right_mut().grant(at, &to, demand.term))?;
+                Some(TermGrant { group: demand.group.clone(), retired_term })
+            })
+            .collect()
+    }
+
+    /// A voter answered a heartbeat of `asked_at`.
+    pub fn take_grants(&self, asked_at: Moment, voter: &InstanceId, grants: &[TermGrant]) {
+        for grant in grants {
+            let shard = self.shard(&grant.group.as_str().into());
+            shard.change_right(|right| right.granted(voter, asked_at, grant.retired_term));
+        }
+    }
+
+    /// Another instance is about to replace a primary.
+    #[must_use]
+    pub fn end_term(&self, end: &TermEnd) -> TermEndReply {
+        let group_id: GroupId = end.group.as_str().into();
+        let shard = self.shard(&group_id);
+        let at = now();
+        let token =
+            self.with_duties(|duties| duties.record(&group_id).map_or(0, |duty| duty.token));
+        let running = shard.with_group(|group| group.server(&end.server).map_or(0, |v| v.running));
+        let reply = TermEndReply {
+            running: u64::try_from(running).unwrap_or(u64::MAX),
+            ..TermEndReply::default()
+        };
+        if end.only_pause {
+            shard.with_group(|group| group.right_mut().pause(at + PAUSE));
+            return reply;
+        }
+        if !end.planned && shard.reaches(at, &end.server) {
+            return reply;
+        }
+        let ending = Ending {
+            term: end.term,
+            token: end.token,
+            successor: end.successor.as_str().into(),
+            withdrawn: end.withdrawn_token,
+        };
+        let result = shard.with_group(|group| {
+            group.right_mut().see_token(token);
+            group.retire(at, &ending)
+        });
+        self.watches().expect_replacement(&group_id, at);
+        let event = Event::new(EventKind::TermEnded).with("group", &group_id);
+        let event = event.with("term", end.term).with("token", end.token);
+        match result {
+            Ok(promise) => {
+                event_log::emit(&event.with("outcome", "promised"));
+                TermEndReply { promised: true, given: encode_given(promise), ..reply }
+            }
+            Err(objection) => {
+                event_log::emit(&event.with("outcome", format_args!("{objection:?}")));
+                encode_objection(objection, reply)
+            }
+        }
+    }
+
+    /// An order that this instance may have voted for is settled.
+    pub fn take_primary_news(&self, news: &PrimaryNews) {
+        let shard = self.shard(&news.group.as_str().into());
+        let id = news.server.as_str().into();
+        let changed = shard.with_group(|group| {
+            group.right_mut().settle(news.token);
+            group.hear_of_leader(now(), &id, news.term)
+        });
+        if changed {
+            let event = Event::new(EventKind::LeaderFound).with("group", shard.id());
+            let event = event.with("server", &id).with("term", news.term);
+            event_log::emit(&event.with("source", "replacement"));
+            shard.doubt();
+            shard.pump();
+        }
+    }
+}
+
+impl Shard {
+    /// Changes the right to use the primary, and serves those who waited for it.
+    fn change_right(self: &Arc<Self>, change: impl FnOnce(&mut PrimaryRight)) {
+        let regained = self.with_group(|group| {
+            let had = group.usable_leader(now()).is_some();
+            change(group.right_mut());
+            !had && group.usable_leader(now()).is_some()
+        });
+        if regained {
+            self.right_changed();
+        }
+    }
+
+    /// Whether a server answered this instance itself just now.
+    #[must_use]
+    pub fn reaches(&self, at: Moment, server: &str) -> bool {
+        let direct = !self.has_detour(server);
+        direct
+            && self.with_group(|group| {
+                let view = group.server(server);
+                view.is_some_and(|view| {
+                    view.failures == 0 && view.answered_at + REACHED_WITHIN > at
+                })
+            })
+    }
+}
+
+fn encode_objection(objection: Objection, reply: TermEndReply) -> TermEndReply {
+    match objection {
+        Objection::LaterTerm(later_term) => TermEndReply { later_term, ..reply },
+        Objection::HigherToken(higher_token) => TermEndReply { higher_token, ..reply },
+        Objection::OtherSuccessor(server) => {
+            TermEndReply { other_successor: server.to_string(), ..reply }
+        }
+    }
+}
+
+fn encode_given(promise: Promise) -> Vec<GivenLease> {
+    let given = promise.given.into_iter().map(|(instance, lasting)| GivenLease {
+        instance: instance.to_string(),
+        lasting_ms: u64::try_from(lasting.as_millis()).unwrap_or(u64::MAX).saturating_add(1),
+    });
+    given.collect()
+}
+
+/// The promise of another instance.
+#[must_use]
+pub fn decode_given(given: &[GivenLease]) -> Promise {
+    let decode = |lease: &GivenLease| {
+        (lease.instance.as_str().into(), Duration::from_millis(lease.lasting_ms))
+    };
+    Promise { given: given.iter().map(decode).collect() }
+}
--- a/daemon/src/engine/session.rs
+++ b/daemon/src/engine/session.rs
@@ -12,6 +12,7 @@
 use chervilwharf_lib::event::EventKind;
 use chervilwharf_lib::id::RequestId;
 use chervilwharf_lib::id::TargetId;
+use chervilwharf_lib::id::Term;
 use chervilwharf_lib::layout::SessionValues;
 use chervilwharf_lib::moment::Moment;
 use chervilwharf_lib::pool_share::Need;
@@ -95,6 +96,10 @@
 /// trips of 3 ms and the time to write.
 const ANSWER_RESERVE: Duration = Duration::from_millis(15);
 
+/// How long the right to use a primary may take to come back before a commit
+/// counts as unknown: a few rounds of heartbeats, or a read of a slow store.
+const CONFIRM_LIMIT: Duration = Duration::from_millis(400);
+
 /// How long a new session waits for the first configuration and list of
 /// instances. An instance has both some 30 ms after its start; without them for
 /// longer the store is down, and another instance may know more.
@@ -299,6 +304,26 @@
         waits::read_stall_limit(request.route.objective, usual_time).min(request.time_left(now()))
     }
 
+    /// Whether a transaction that wrote, begun in `term`, may be committed at a
+    /// server now.
+    #[must_use]
+    pub fn may_commit(&self, server: &str, term: Option<Term>) -> bool {
+        term.is_some() && self.shard.term_of(server) == term
+    }
+
+    /// Whether a commit that a server acknowledged counts: the server was the
+    /// primary of `term` when it made it. Else nobody can tell.
+    pub async fn is_confirmed(&self, request: &Request, server: &TargetId, term: Term) -> bool {
+        let until = request.deadline.min(now() + CONFIRM_LIMIT);
+        let confirmed = self.shard.confirm_term(term, until).await;
+        if !confirmed {
+            let event = Event::new(EventKind::CommitUnconfirmed).with("id", &request.id);
+            let event = event.with("group", self.shard.id()).with("server", server);
+            event_log::emit(&event.with("term", term));
+        }
+        confirmed
+    }
+
     /// Lowest position that a read of this session has to see.
     #[must_use]
     pub fn floor_for(&self, arrived_at: Moment, consistency: Consistency) -> Option<Position> {
--- a/daemon/src/engine/shard.rs
+++ b/daemon/src/engine/shard.rs
@@ -17,6 +17,7 @@
 use chervilwharf_lib::id::FailureDomainId;
 use chervilwharf_lib::id::GroupId;
 use chervilwharf_lib::id::TargetId;
+use chervilwharf_lib::id::Term;
 use chervilwharf_lib::moment::Moment;
 use chervilwharf_lib::pool_share::Choice;
 use chervilwharf_lib::pool_share::Need;
@@ -80,6 +81,10 @@
     inner: Mutex<Inner>,
     /// Woken when there is something to find out about the primary.
     doubt: Arc<Notify>,
+    /// Woken when the right to use the primary is wanted and missing.
+    renewal: Arc<Notify>,
+    /// Woken when the right to use the primary changed.
+    right_changed: Notify,
 }
 
 /// Longest time for a server's greeting, once it can be reached.
@@ -117,7 +122,15 @@
         doubt: Arc<Notify>,
     ) -> Self {
         let inner = Inner { budget: 1, group: Group::with_home(home), ..Inner::default() };
-        Self { id, connector, peers, inner: Mutex::new(inner), doubt }
+        let (inner, right_changed) = (Mutex::new(inner), Notify::new());
+        Self { id, connector, peers, inner, doubt, renewal: Arc::default(), right_changed }
+    }
+
+    /// With somebody to wake when the right to use the primary is missing.
+    #[must_use]
+    pub fn with_renewal(mut self, renewal: Arc<Notify>) -> Self {
+        self.renewal = renewal;
+        self
     }
 
     /// There is something to find out about the primary.
@@ -150,6 +163,47 @@
         }
     }
 
+    /// The primary is wanted: sees to it that the right to use it is renewed.
+    pub fn want_leader(&self) {
+        if !self.with_group(|group| group.want_leader(now())) {
+            self.renewal.notify_one();
+        }
+    }
+
+    /// The right to use the primary may have changed.
+    pub fn right_changed(self: &Arc<Self>) {
+        self.right_changed.notify_waiters();
+        self.pump();
+    }
+
+    /// The term in which a server may be used as the primary now.
+    #[must_use]
+    pub fn term_of(&self, server: &str) -> Option<Term> {
+        self.with_group(|group| group.usable_term(now(), server))
+    }
+
+    /// Whether a commit that a server acknowledged was made while it was the
+    /// primary of `term`: the right to use that term is still there, or comes
+    /// back before `until`.
+    ///
+    /// An old primary goes on after another was promoted, and what it commits
+    /// then is lost.
+    pub async fn confirm_term(&self, term: Term, until: Moment) -> bool {
+        loop {
+            let changed = self.right_changed.notified();
+            let (holds, retired) = self.with_group(|group| {
+                (group.right().holds(now(), term), group.right().retired() >= term)
+            });
+            if holds || retired || now() >= until {
+                return holds;
+            }
+            self.renewal.notify_one();
+            let wait = until.saturating_sub(now());
+            // Over either way: looked at again.
+            let _waited = tokio::time::timeout(wait, changed).await;
+        }
+    }
+
     /// A server takes long to answer.
     pub fn suspect(&self, server: &TargetId) {
         if self.with_group(|group| group.suspect(now(), server)) {
--- a/daemon/src/engine/shared.rs
+++ b/daemon/src/engine/shared.rs
@@ -12,12 +12,15 @@
 use chervilwharf_lib::catalog::Catalog;
 use chervilwharf_lib::catalog::Route;
 use chervilwharf_lib::connection_budget::budget;
+use chervilwharf_lib::engine_protos::PrimaryNewsTaken;
 use chervilwharf_lib::engine_protos::Tunnel;
 use chervilwharf_lib::engine_protos::engine_frame::Body;
 use chervilwharf_lib::fleet::Fleet;
 use chervilwharf_lib::fleet::InstanceRecord;
 use chervilwharf_lib::group::ServerInfo;
 use chervilwharf_lib::id::GroupId;
+use chervilwharf_lib::moment::Moment;
+use chervilwharf_lib::primary_right::PrimaryRight;
 use chervilwharf_lib::server_list::ServerList;
 use chervilwharf_lib::stop_plan::StopPlan;
 use tokio::sync::Notify;
@@ -47,6 +50,7 @@
     /// Whether records are being pulled from another instance.
     pulling: AtomicBool,
     me: InstanceRecord,
+    started_at: Moment,
     fleet: Mutex<Fleet>,
     peers: Arc<Peers>,
     duties: Mutex<DutyBook>,
@@ -56,6 +60,13 @@
     watches: LeaderWatches,
     /// Woken when there is something to find out about a primary.
     doubt: Arc<Notify>,
+    /// Woken when the right to use a primary is wanted and missing.
+    renewal: Arc<Notify>,
+    /// Whether this instance has a record, by which the others count it among
+    /// those that vote.
+    registered: AtomicBool,
+    /// Whether this instance knows which orders there were when it started.
+    knows_orders: AtomicBool,
     /// Woken when the record of this instance has to be written.
     wants_record: Notify,
     /// Whether it is known which other instances there are.
@@ -78,6 +89,7 @@
             pulling: AtomicBool::new(false),
             fleet: Mutex::new(Fleet::new(me.id.clone())),
             fleet_known: watch::Sender::new(false),
+            started_at: now(),
             me,
             peers: Arc::default(),
             duties: Mutex::default(),
@@ -86,6 +98,9 @@
             statement_links: Arc::default(),
             watches: LeaderWatches::default(),
             doubt: Arc::default(),
+            renewal: Arc::default(),
+            registered: AtomicBool::new(false),
+            knows_orders: AtomicBool::new(false),
             wants_record: Notify::new(),
             stopping: watch::Sender::new(None),
             sessions: watch::Sender::new(0),
@@ -145,6 +160,17 @@
         &self.doubt
     }
 
+    /// Woken when the right to use a primary is wanted and missing.
+    #[must_use]
+    pub fn renewal(&self) -> &Notify {
+        &self.renewal
+    }
+
+    /// From now on this instance votes on groups that it gets to know.
+    pub fn set_knows_orders(&self) {
+        self.knows_orders.store(true, Ordering::Relaxed);
+    }
+
     /// Reads or updates what is known of the instances.
     pub fn with_fleet<R>(&self, f: impl FnOnce(&mut Fleet) -> R) -> R {
         f(&mut self.fleet.lock().expect("never poisoned"))
@@ -158,15 +184,31 @@
 
     /// Takes a list of all instances over.
     pub fn take_instances(&self, records: Vec<InstanceRecord>) {
+        if records.iter().any(|record| record.id == self.me.id) {
+            self.registered.store(true, Ordering::Relaxed);
+        }
         self.with_fleet(|fleet| fleet.replace(now(), records));
         self.know_fleet();
     }
 
+    /// This instance has a record now.
+    pub fn set_registered(&self) {
+        self.registered.store(true, Ordering::Relaxed);
+        self.update_voters();
+    }
+
+    /// Whether this instance has a record.
+    #[must_use]
+    pub fn is_registered(&self) -> bool {
+        self.registered.load(Ordering::Relaxed)
+    }
+
     /// Goes on with the instances that are known, also when nobody told of
     /// others.
     pub fn know_fleet(&self) {
         self.fleet_known.send_replace(true);
         self.share_connections();
+        self.renewal.notify_one();
     }
 
     /// Whether it is known which other instances there are.
@@ -221,6 +263,7 @@
     pub fn share_connections(&self) {
         self.holders.check_again();
         self.apply_budgets();
+        self.update_voters();
     }
 
     fn apply_budgets(&self) {
@@ -255,7 +298,15 @@
         let shard = shards.entry(group.clone()).or_insert_with(|| {
             let home = self.me.failure_domain.clone();
             let (connector, peers) = (self.connector.clone(), self.peers.clone());
-            Arc::new(Shard::new(group.clone(), home, connector, peers, self.doubt.clone()))
+            let shard = Shard::new(group.clone(), home, connector, peers, self.doubt.clone());
+            let shard = shard.with_renewal(self.renewal.clone());
+            shard.with_group(|group| {
+                *group.right_mut() = PrimaryRight::unknown().with_start(self.started_at);
+                if self.knows_orders.load(Ordering::Relaxed) {
+                    group.right_mut().knows_orders();
+                }
+            });
+            Arc::new(shard)
         });
         self.forget_held();
         shard.clone()
@@ -395,6 +446,11 @@
                 Some(Body::HeartbeatReply(self.heartbeat_reply(&heartbeat)))
             }
             Body::LeaderQuery(query) => Some(Body::LeaderReply(self.leader_reply(&query))),
+            Body::TermEnd(end) => Some(Body::TermEndReply(self.end_term(&end))),
+            Body::PrimaryNews(news) => {
+                self.take_primary_news(&news);
+                Some(Body::PrimaryNewsTaken(PrimaryNewsTaken {}))
+            }
             Body::DirectoryPull(pull) => Some(Body::DirectoryState(self.directory_state(pull))),
             _ => None,
         }
--- a/daemon/src/engine/single.rs
+++ b/daemon/src/engine/single.rs
@@ -165,6 +165,9 @@
         steps.push(Step::own(Statement::Rollback));
     }
     let server = lease.as_ref().map(|lease| lease.server().clone()).unwrap_or_default();
+    if floor.is_none() && session.shard().term_of(&server).is_none() {
+        return unentitled(lease);
+    }
     let sent_at = now();
     let slow_from = waits::slow_from(request.route.objective);
     let limit = session.stall_limit(request, &server);
@@ -208,6 +211,15 @@
     }
 }
 
+/// The right to use the primary ended between the choice of the server and now:
+/// the instance stood still, or the primary is being replaced. Nothing was sent.
+fn unentitled(lease: Option<Lease>) -> Try {
+    if let Some(lease) = lease {
+        lease.give_back();
+    }
+    Try::Again { failure: Failure::new(ErrorKind::NoPrimary), pause: waits::BUSY_PAUSE }
+}
+
 /// Gives a connection back if all is over on it.
 fn give_back(lease: Option<Lease>, replies: &[StepReply]) {
     let idle = replies.last().is_some_and(|reply| reply.state == TransactionState::Idle);
@@ -298,6 +310,9 @@
     let id = Some(request.id.clone());
     steps.push(Step { id, floor: None, statement: work.statement.clone() });
     let server = lease.as_ref().map(|lease| lease.server().clone()).unwrap_or_default();
+    let Some(term) = session.shard().term_of(&server) else {
+        return unentitled(lease);
+    };
     let sent_at = now();
     let limit = request.time_left(sent_at);
     let replies = match send(session, &mut lease, &steps, limit).await {
@@ -322,6 +337,9 @@
             let took = now().saturating_sub(sent_at);
             let slow_from = waits::slow_from(request.route.objective);
             session.shard().observe_time(&server, took, slow_from);
+            if !session.is_confirmed(request, &server, term).await {
+                return Try::Failed(Failure::new(ErrorKind::OutcomeUnknown));
+            }
             let position = reply.position;
             if let Some(position) = position {
                 session
--- a/daemon/src/engine/transaction.rs
+++ b/daemon/src/engine/transaction.rs
@@ -9,6 +9,7 @@
 use chervilwharf_lib::event::Event;
 use chervilwharf_lib::event::EventKind;
 use chervilwharf_lib::id::TargetId;
+use chervilwharf_lib::id::Term;
 use chervilwharf_lib::moment::Moment;
 use chervilwharf_lib::pool_share::Need;
 use chervilwharf_lib::position::Position;
@@ -58,6 +59,8 @@
     remote: Option<RemoteTransaction>,
     /// Whether a statement that writes was sent.
     wrote: bool,
+    /// Term of the primary when it began there.
+    term: Option<Term>,
     fate: Fate,
     /// When the client's last statement was answered.
     pub active_at: Moment,
@@ -73,6 +76,7 @@
             lease: None,
             remote: None,
             wrote: false,
+            term: None,
             fate: Fate::Alive,
             active_at: now(),
         }
@@ -360,6 +364,13 @@
     let mut lease = Some(lease);
     let mut steps = session.layout_steps(lease.as_mut(), work.prepared.as_ref());
     let setup = steps.len();
+    let term = session.shard().term_of(&server);
+    if floor.is_none() && term.is_none() {
+        if let Some(lease) = lease {
+            lease.give_back();
+        }
+        return Err((Failure::new(ErrorKind::NoPrimary), Some(waits::BUSY_PAUSE)));
+    }
     // A read-only BEGIN at the primary would not be refused after it lost the
     // lead, so without a floor a transaction that may write is begun.
     let statement = Statement::Begin { read_only: floor.is_some() };
@@ -377,6 +388,7 @@
     let reply = &replies[setup];
     let Err(refusal) = &reply.result else {
         transaction.lease = lease;
+        transaction.term = term;
         return Ok(());
     };
     if let (Some(lease), TransactionState::Idle) = (lease, reply.state) {
@@ -427,6 +439,10 @@
     let mut last = Failure::new(ErrorKind::Overloaded);
     while now() < request.deadline {
         let server = server_of(transaction);
+        if transaction.wrote && !session.may_commit(&server, transaction.term) {
+            // Dropped, the transaction is rolled back.
+            return Err(Failure::new(ErrorKind::TransactionLost));
+        }
         let steps =
             [Step { id: Some(request.id.clone()), floor: None, statement: Statement::Commit }];
         let sent_at = now();
@@ -444,6 +460,12 @@
         };
         match reply.result {
             Ok(answer) => {
+                let term = transaction.term.filter(|_| transaction.wrote);
+                if let Some(term) = term {
+                    if !session.is_confirmed(request, &server, term).await {
+                        return Err(Failure::new(ErrorKind::OutcomeUnknown));
+                    }
+                }
                 committed(session, transaction, sent_at, &server, reply.position);
                 if let (Some(lease), TransactionState::Idle) =
                     (transaction.lease.take(), reply.state)
--- a/daemon/src/engine/waiting.rs
+++ b/daemon/src/engine/waiting.rs
@@ -88,6 +88,9 @@
     /// When none could be had in time. Nothing was sent then.
     pub async fn acquire(self: &Arc<Self>, want: &Want<'_>) -> Result<Lease, Failure> {
         let began_at = now();
+        if want.need == Need::Leader {
+            self.want_leader();
+        }
         let tier = {
             let mut inner = self.lock();
             if let Some((server, connection)) = inner.take_idle(began_at, want) {
@@ -98,9 +101,12 @@
         };
         if tier == Tier::InTime {
             // Without a primary that answers there is nobody to be impatient
-            // with: another one will lead soon.
-            let answers = self.with_group(|group| group.leader_answers());
-            let until = if answers { want.patient_until } else { want.give_up_at };
+            // with: another one will lead soon. Where only the right to use it is
+            // missing, that is back at once, or another instance has to serve.
+            let (answers, lacks_right) = self
+                .with_group(|group| (group.leader_answers(began_at), group.lacks_right(began_at)));
+            let patient = answers || lacks_right;
+            let until = if patient { want.patient_until } else { want.give_up_at };
             if let Some(lease) = self.wait(want, Tier::InTime, until).await {
                 return Ok(lease);
             }
@@ -119,7 +125,7 @@
         let (grant, mut granted) = oneshot::channel();
         let (place, ahead, measures) = {
             let mut inner = self.lock();
-            let measures = !inner.awaits_primary(&want.need);
+            let measures = !inner.awaits_primary(began_at, &want.need);
             let servers = inner.servers_for(began_at, &want.need);
             let ahead = inner.competitors(began_at, want, &servers, tier);
             let waiter = Waiter { need: want.need.clone(), grant };
@@ -137,7 +143,7 @@
         let ahead = if lease.is_none() && tier == Tier::Late { 0 } else { ahead };
         let waited = ended_at.saturating_sub(began_at);
         let mut inner = self.lock();
-        if measures && !inner.awaits_primary(&want.need) {
+        if measures && !inner.awaits_primary(ended_at, &want.need) {
             inner.pace.observe(ended_at, want.line(tier), ahead, waited);
         }
         drop(inner);
@@ -148,6 +154,7 @@
         let inner = self.lock();
         match need {
             Need::Leader if inner.group.leader().is_none() => ErrorKind::NoPrimary,
+            Need::Leader if inner.group.is_cut_off(now()) => ErrorKind::CutOff,
             _ => ErrorKind::Overloaded,
         }
     }
@@ -157,7 +164,10 @@
     /// Decides whether a request waits, and in which line, or is refused.
     /// `patience` is how long it can wait and still meet its objective.
     fn admit(&self, now: Moment, want: &Want<'_>, patience: Duration) -> Result<Tier, Failure> {
-        if self.awaits_primary(&want.need) {
+        if want.need == Need::Leader && self.group.is_cut_off(now) {
+            return Err(Failure::new(ErrorKind::CutOff));
+        }
+        if self.awaits_primary(now, &want.need) {
             return Ok(Tier::InTime);
         }
         let servers = self.servers_for(now, &want.need);
@@ -183,8 +193,8 @@
     /// Whether a request waits for a primary that does not answer. How long
     /// that takes is no matter of the queue: it is neither measured nor
     /// expected, or requests would be refused that the next primary serves.
-    fn awaits_primary(&self, need: &Need) -> bool {
-        *need == Need::Leader && !self.group.leader_answers()
+    fn awaits_primary(&self, now: Moment, need: &Need) -> bool {
+        *need == Need::Leader && !self.group.leader_answers(now)
     }
 
     /// Requests that go before this one in a tier, and want one of its servers.
--- a/lib/src/error_kind.rs
+++ b/lib/src/error_kind.rs
@@ -71,6 +71,8 @@
     ReplicasBehind,
     /// this instance has no configuration yet
     NotConfigured,
+    /// this instance is cut off from the others and may not use the primary
+    CutOff,
 }
 
 /// One row of the table from kind to answer.
@@ -93,7 +95,7 @@
 
 impl ErrorKind {
     /// Every kind, in the order of the table in the documentation.
-    pub const ALL: [Self; 27] = [
+    pub const ALL: [Self; 28] = [
         Self::ServerRefused,
         Self::NotOwner,
         Self::NoPrimary,
@@ -121,6 +123,7 @@
         Self::UnknownPreparedName,
         Self::ReplicasBehind,
         Self::NotConfigured,
+        Self::CutOff,
     ];
 
     /// The table from kind to answer.
@@ -157,6 +160,7 @@
             Self::UnknownPreparedName => ("26000", NotRun, None, false),
             Self::ReplicasBehind => ("57P03", NotRun, SOON, true),
             Self::NotConfigured => ("57P03", NotRun, SOON, true),
+            Self::CutOff => ("57P03", NotRun, SOON, true),
         };
         AnswerRule { sqlstate, outcome, retry_after, burns_budget }
     }
@@ -192,6 +196,7 @@
             Self::UnknownPreparedName => "unknown_prepared_name",
             Self::ReplicasBehind => "replicas_behind",
             Self::NotConfigured => "not_configured",
+            Self::CutOff => "cut_off",
         }
     }
 
--- a/lib/src/event.rs
+++ b/lib/src/event.rs
@@ -113,6 +113,18 @@
     ReplacementBegun, "replacement_begun", State;
     /// A replacement was given up.
     ReplacementDropped, "replacement_dropped", State;
+    /// Nobody uses the old primary any more; another one can be promoted.
+    ReplacementAgreed, "replacement_agreed", State;
+    /// An instance was asked to use a term no more.
+    TermEnded, "term_ended", State;
+    /// An old primary was made a replica, or could not be.
+    Demoted, "demoted", State;
+    /// The right to use primaries was renewed by the store, or could not be.
+    RightFromStore, "right_from_store", State;
+    /// It is not known what was ordered before this start.
+    OrdersUnknown, "orders_unknown", State;
+    /// A commit was acknowledged by a server that may be no primary any more.
+    CommitUnconfirmed, "commit_unconfirmed", Request;
     /// The platform answered an order to promote.
     PromotionAnswered, "promotion_answered", State;
     /// Somebody took the duty of a group.
--- a/lib/src/group.rs
+++ b/lib/src/group.rs
@@ -11,6 +11,10 @@
 use crate::id::Term;
 use crate::moment::Moment;
 use crate::position::Position;
+use crate::primary_right::Ending;
+use crate::primary_right::Objection;
+use crate::primary_right::PrimaryRight;
+use crate::primary_right::Promise;
 use crate::samples::Samples;
 
 /// A server as the platform lists it.
@@ -113,8 +117,12 @@
     home: FailureDomainId,
     servers: BTreeMap<TargetId, ServerView>,
     leader: Option<Leader>,
-    /// Highest term that any server was seen in.
+    /// Highest term that there must be: seen, or concluded from a lost lead.
     highest_term: Term,
+    /// Highest term that any server was seen in.
+    seen_term: Term,
+    /// The right to use the primary.
+    right: PrimaryRight,
     samples: Samples,
     /// Last position before each term, where it is known: what lies beyond it
     /// in earlier terms was rolled back.
@@ -194,10 +202,11 @@
         std::mem::take(&mut self.leader_suspected)
     }
 
-    /// Whether there is a primary, and its last exchange did not fail.
+    /// Whether there is a primary that may be used, and its last exchange did
+    /// not fail.
     #[must_use]
-    pub fn leader_answers(&self) -> bool {
-        let leader = self.leader.as_ref().and_then(|leader| self.servers.get(&leader.id));
+    pub fn leader_answers(&self, now: Moment) -> bool {
+        let leader = self.usable_leader(now).and_then(|leader| self.servers.get(&leader.id));
         leader.is_some_and(|view| view.failures == 0)
     }
 
@@ -212,9 +221,9 @@
             return;
         }
         // The entry has no term, so it cannot be compared with what servers
-        // said themselves; it only fills a gap. A server that lost the lead
-        // refuses by itself, which makes the gap.
-        if self.leader.is_none() {
+        // said themselves: an old primary that goes on calls itself one. It
+        // only fills the gap of an instance that has just started.
+        if self.leader.is_none() && self.seen_term == 0 && self.right.retired() == 0 {
             self.leader = Some(Leader { id: view.info.id.clone(), term: 0, since: now });
         }
     }
@@ -230,25 +239,27 @@
     ) -> bool {
         self.observe_answer(now, id, Some(status.applied));
         self.highest_term = self.highest_term.max(status.term);
+        let outdated = self.see_term(status.term);
         if !status.leads {
-            return self.observe_not_leading(id, status.term);
+            return self.observe_not_leading(id, status.term) || outdated;
         }
-        let known_term = self.leader.as_ref().map_or(0, |leader| leader.term);
-        if status.term < known_term {
+        // An old primary goes on after another one was promoted.
+        if status.term < self.seen_term || status.term <= self.right.retired() {
             return false;
         }
         if status.received.term < status.term {
             self.term_bases.insert(status.term, status.received);
         }
         let changed = self.set_leader(now, id, status.term);
-        self.samples.record(asked_at, status.received);
+        self.record_sample(asked_at, status.term, status.received);
         changed
     }
 
     /// Another instance knows a leader in a term. Returns whether this one
     /// takes it for its own leader now, since it knew none in such a late term.
     pub fn hear_of_leader(&mut self, now: Moment, id: &TargetId, term: Term) -> bool {
-        if !self.servers.contains_key(id) || term < self.highest_term || term == 0 {
+        let outdated = term < self.highest_term || term <= self.right.retired();
+        if !self.servers.contains_key(id) || outdated {
             return false;
         }
         let known_term = self.leader.as_ref().map(|leader| leader.term);
@@ -256,9 +267,94 @@
             return false;
         }
         self.highest_term = term;
+        self.see_term(term);
         self.set_leader(now, id, term)
     }
 
+    /// A server is in a term. Returns whether the primary known so far was
+    /// succeeded in it: it goes on, and must not be taken for the one to replace.
+    fn see_term(&mut self, term: Term) -> bool {
+        self.seen_term = self.seen_term.max(term);
+        let seen_term = self.seen_term;
+        self.leader.take_if(|leader| leader.term > 0 && leader.term < seen_term).is_some()
+    }
+
+    /// The right to use the primary.
+    #[must_use]
+    pub fn right(&self) -> &PrimaryRight {
+        &self.right
+    }
+
+    /// The right to use the primary, to change it.
+    pub fn right_mut(&mut self) -> &mut PrimaryRight {
+        &mut self.right
+    }
+
+    /// Uses and grants a term no more.
+    ///
+    /// # Errors
+    ///
+    /// When another change may be under way, or be over.
+    pub fn retire(&mut self, now: Moment, ending: &Ending) -> Result<Promise, Objection> {
+        if self.seen_term > ending.term {
+            return Err(Objection::LaterTerm(self.seen_term));
+        }
+        let promise = self.right.promise(now, ending)?;
+        self.leader.take_if(|leader| leader.term <= ending.term);
+        Ok(promise)
+    }
+
+    /// The primary and its term, if new work may begin there now.
+    #[must_use]
+    pub fn usable_leader(&self, now: Moment) -> Option<&Leader> {
+        self.leader.as_ref().filter(|leader| self.right.may_begin(now, leader.term))
+    }
+
+    /// The term in which a server may be used as the primary now.
+    #[must_use]
+    pub fn usable_term(&self, now: Moment, id: &str) -> Option<Term> {
+        let leader = self.leader.as_ref().filter(|leader| *leader.id == *id)?;
+        self.right.holds(now, leader.term).then_some(leader.term)
+    }
+
+    /// The primary is wanted. Returns whether it may be used, as far as the
+    /// right to do so goes.
+    pub fn want_leader(&mut self, now: Moment) -> bool {
+        match &self.leader {
+            Some(leader) if leader.term > 0 => self.right.want(now, leader.term),
+            _ => true,
+        }
+    }
+
+    /// Whether there is a primary that only the right to use it is missing for.
+    #[must_use]
+    pub fn lacks_right(&self, now: Moment) -> bool {
+        let leader = self.leader.as_ref().filter(|leader| leader.term > 0);
+        leader.is_some_and(|leader| !self.right.holds(now, leader.term))
+    }
+
+    /// Whether another instance should serve what needs the primary.
+    #[must_use]
+    pub fn is_cut_off(&self, now: Moment) -> bool {
+        let leader = self.leader.as_ref();
+        leader.is_some_and(|leader| self.right.is_cut_off(now, leader.term))
+    }
+
+    /// Highest term that any server was seen in.
+    #[must_use]
+    pub fn seen_term(&self) -> Term {
+        self.seen_term
+    }
+
+    /// A position of the primary counts only if this instance had the right to
+    /// use it when it asked: an old primary that goes on lacks what was
+    /// committed since, and floors taken from it would let reads miss that.
+    fn record_sample(&mut self, asked_at: Moment, term: Term, position: Position) {
+        if self.right.holds(asked_at, term) {
+            self.samples.record(asked_at, position);
+        }
+    }
+
     fn set_leader(&mut self, now: Moment, id: &TargetId, term: Term) -> bool {
         let same = self.leader.as_ref().is_some_and(|leader| leader.id == *id);
         if same {
@@ -332,9 +428,9 @@
         position: Position,
     ) {
         self.observe_answer(now, id, Some(position));
-        let leads = self.leader.as_ref().is_some_and(|leader| leader.id == *id);
-        if leads {
-            self.samples.record(asked_at, position);
+        let term = self.leader.as_ref().filter(|leader| leader.id == *id).map(|leader| leader.term);
+        if let Some(term) = term {
+            self.record_sample(asked_at, term, position);
         }
     }
 
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod pool;
 pub mod pool_share;
 pub mod position;
+pub mod primary_right;
 pub mod retry;
 pub mod routing;
 pub mod samples;
--- a/lib/src/pool_share.rs
+++ b/lib/src/pool_share.rs
@@ -102,7 +102,7 @@
     share_of: impl Fn(&TargetId) -> PoolShare,
 ) -> Choice {
     match need {
-        Need::Leader => match group.leader() {
+        Need::Leader => match group.usable_leader(now) {
             Some(leader) => among(group, now, std::slice::from_ref(&leader.id), &share_of),
             None => Choice::Wait,
         },
--- a/lib/src/protos/chervilwharf.engine.rs
+++ b/lib/src/protos/chervilwharf.engine.rs
@@ -5,7 +5,10 @@
     /// Chosen by the side that asks, unique within the connection.
     #[prost(uint64, tag = "1")]
     pub exchange_id: u64,
-    #[prost(oneof = "engine_frame::Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
+    #[prost(
+        oneof = "engine_frame::Body",
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15"
+    )]
     pub body: ::core::option::Option<engine_frame::Body>,
 }
 /// Nested message and enum types in `EngineFrame`.
@@ -32,6 +35,14 @@
         Statement(super::Statement),
         #[prost(message, tag = "11")]
         StatementReply(super::StatementReply),
+        #[prost(message, tag = "12")]
+        TermEnd(super::TermEnd),
+        #[prost(message, tag = "13")]
+        TermEndReply(super::TermEndReply),
+        #[prost(message, tag = "14")]
+        PrimaryNews(super::PrimaryNews),
+        #[prost(message, tag = "15")]
+        PrimaryNewsTaken(super::PrimaryNewsTaken),
     }
 }
 /// Liveness, and what the sender knows of the platform's records.
@@ -56,7 +67,90 @@
     pub samples: ::prost::alloc::vec::Vec<PositionSample>,
     #[prost(message, repeated, tag = "6")]
     pub demands: ::prost::alloc::vec::Vec<GroupDemand>,
+    /// Only in replies: what the sender grants the one who asked.
+    #[prost(message, repeated, tag = "8")]
+    pub grants: ::prost::alloc::vec::Vec<TermGrant>,
+}
+/// A voter grants the use of the primary of a group in all terms above one.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TermGrant {
+    #[prost(string, tag = "1")]
+    pub group: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub retired_term: u64,
 }
+/// Asks an instance to use and grant a term of a group no more, before another
+/// server is promoted.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TermEnd {
+    #[prost(string, tag = "1")]
+    pub group: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+    /// Only to begin no new work there for a moment; nothing is promised.
+    #[prost(bool, tag = "3")]
+    pub only_pause: bool,
+    /// The primary is alive: an instance that reaches it need not object.
+    #[prost(bool, tag = "4")]
+    pub planned: bool,
+    /// The server that is replaced; empty if there is none.
+    #[prost(string, tag = "5")]
+    pub server: ::prost::alloc::string::String,
+    /// Token under which the order will go out.
+    #[prost(uint64, tag = "6")]
+    pub token: u64,
+    /// The server that is to lead.
+    #[prost(string, tag = "7")]
+    pub successor: ::prost::alloc::string::String,
+    /// Token of an order by the sender that was not given; 0 if there is none.
+    #[prost(uint64, tag = "8")]
+    pub withdrawn_token: u64,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct TermEndReply {
+    /// Whether the promise is given. If not, `later_term` may say why.
+    #[prost(bool, tag = "1")]
+    pub promised: bool,
+    /// A later term that is in use; 0 if there is none.
+    #[prost(uint64, tag = "2")]
+    pub later_term: u64,
+    /// A higher token than the one named, if the sender knows one; else 0.
+    #[prost(uint64, tag = "3")]
+    pub higher_token: u64,
+    /// Statements of the sender that run at the primary now.
+    #[prost(uint64, tag = "4")]
+    pub running: u64,
+    /// Leases that the sender helped to grant.
+    #[prost(message, repeated, tag = "5")]
+    pub given: ::prost::alloc::vec::Vec<GivenLease>,
+    /// A server whose promotion may still be carried out; empty if there is none.
+    #[prost(string, tag = "6")]
+    pub other_successor: ::prost::alloc::string::String,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct GivenLease {
+    #[prost(string, tag = "1")]
+    pub instance: ::prost::alloc::string::String,
+    /// Rounded up.
+    #[prost(uint64, tag = "2")]
+    pub lasting_ms: u64,
+}
+/// An order to promote was settled: its server leads now, or it was not given.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PrimaryNews {
+    #[prost(string, tag = "1")]
+    pub group: ::prost::alloc::string::String,
+    /// The server that leads; empty if nothing changed.
+    #[prost(string, tag = "2")]
+    pub server: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "3")]
+    pub term: u64,
+    /// The order's token.
+    #[prost(uint64, tag = "4")]
+    pub token: u64,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PrimaryNewsTaken {}
 /// A position that the primary of a group had reached.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct PositionSample {
@@ -77,6 +171,9 @@
     pub group: ::prost::alloc::string::String,
     #[prost(double, tag = "2")]
     pub wanted: f64,
+    /// Term in which the sender uses the primary; 0 if it knows none.
+    #[prost(uint64, tag = "3")]
+    pub term: u64,
 }
 /// Asks whether a primary can be reached from the other instance.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/lib/tests/test_replacement.rs
+++ b/lib/tests/test_replacement.rs
@@ -8,6 +8,7 @@
 use chervilwharf_lib::fleet::InstanceRecord;
 use chervilwharf_lib::group::Group;
 use chervilwharf_lib::group::ServerInfo;
+use chervilwharf_lib::group::ServerStatus;
 use chervilwharf_lib::id::InstanceId;
 use chervilwharf_lib::id::TargetId;
 use chervilwharf_lib::leader_watch::LeaderWatch;
@@ -16,6 +17,7 @@
 use chervilwharf_lib::leader_watch::WatchAction;
 use chervilwharf_lib::leader_watch::should_replace;
 use chervilwharf_lib::moment::Moment;
+use chervilwharf_lib::position::Position;
 
 fn at(ms: u64) -> Moment {
     Duration::from_millis(ms)
@@ -171,12 +173,32 @@
 
 #[test]
 fn test_leaving_primary_is_replaced_at_once_by_the_first() {
-    let (mut watch, group) = (LeaderWatch::default(), group(true));
+    let (mut watch, mut group) = (LeaderWatch::default(), group(true));
+    let status = ServerStatus {
+        leads: true,
+        term: 3,
+        received: Position::new(3, 7),
+        applied: Position::new(3, 7),
+        lag: Duration::ZERO,
+    };
+    group.observe_status(at(0), at(5), &id("p"), status);
     assert_eq!(replaces(&watch.tick(at(10), &group, Some(0))), Some(ReplaceReason::Leaving));
     let mut second = LeaderWatch::default();
     assert_eq!(replaces(&second.tick(at(10), &group, Some(1))), None);
 }
 
+#[test]
+fn test_leaving_server_that_only_the_list_names_as_primary_is_not_replaced() {
+    // Symptom: a planned change promotes a server that lacks acknowledged
+    // commits.
+    // Sequence: an instance starts just after a change; the list still names the
+    // old primary, which goes on and leaves, while a replica told of the new
+    // term.
+    // Cause: the old primary was replaced in the place of its successor.
+    let (mut watch, group) = (LeaderWatch::default(), group(true));
+    assert_eq!(replaces(&watch.tick(at(10), &group, Some(0))), None);
+}
+
 #[test]
 fn test_group_without_a_primary_waits_for_one_before_it_promotes() {
     let (mut watch, mut group) = (LeaderWatch::default(), group(false));
--- a/standin/src/platform/servers.rs
+++ b/standin/src/platform/servers.rs
@@ -68,6 +68,8 @@
     started: usize,
     /// It says that it is about to leave.
     leaving: bool,
+    /// The term in which it goes on as a primary after another was promoted.
+    leads_on_in: Option<u64>,
 }
 
 struct State {
@@ -77,6 +79,8 @@
     servers: Vec<Server>,
     runs: Vec<Run>,
     next_connection: u64,
+    /// Whether a primary goes on, until it is demoted, when another is promoted.
+    old_goes_on: bool,
 }
 
 /// A group of servers.
@@ -106,6 +110,7 @@
                 connections: 0,
                 started: 0,
                 leaving: false,
+                leads_on_in: None,
             });
             listeners.push(listener);
         }
@@ -116,6 +121,7 @@
             servers,
             runs: Vec::new(),
             next_connection: 0,
+            old_goes_on: false,
         };
         let group = Self { state: Arc::new(Mutex::new(state)) };
         for (number, listener) in listeners.into_iter().enumerate() {
@@ -195,6 +201,7 @@
         let log = state.servers[state.leader].log.clone();
         let server = &mut state.servers[number];
         server.up = true;
+        server.leads_on_in = None;
         server.applied = server.applied.min(log.len());
         server.log = log;
     }
@@ -236,6 +243,24 @@
         self.lock().servers[number].lag = lag;
     }
 
+    /// From now on a primary goes on, until it is demoted, when another one is
+    /// promoted.
+    pub fn let_old_primaries_go_on(&self) {
+        self.lock().old_goes_on = true;
+    }
+
+    /// Whether a primary goes on when another one is promoted.
+    #[must_use]
+    pub fn lets_old_primaries_go_on(&self) -> bool {
+        self.lock().old_goes_on
+    }
+
+    /// Whether a server takes itself for the primary.
+    #[must_use]
+    pub fn claims_lead(&self, number: usize) -> bool {
+        self.lock().leads(number)
+    }
+
     /// Makes a server the primary of the next term.
     pub fn promote(&self, id: &str) -> bool {
         let mut state = self.lock();
@@ -245,10 +270,16 @@
         if state.leader == number {
             return true;
         }
+        let old = state.leader;
+        if state.old_goes_on && state.servers[old].up {
+            state.servers[old].leads_on_in = Some(state.term);
+        }
         state.term += 1;
         state.leader = number;
+        state.servers[number].leads_on_in = None;
         let log = state.servers[number].log.clone();
-        for server in &mut state.servers {
+        let following = state.servers.iter_mut().filter(|server| server.leads_on_in.is_none());
+        for server in following {
             let common = server.log.iter().zip(&log).take_while(|(a, b)| a == b).count();
             server.log.truncate(common);
             server.applied = server.applied.min(common);
@@ -374,6 +405,25 @@
 }
 
 impl State {
+    fn leads(&self, number: usize) -> bool {
+        self.leader == number || self.servers[number].leads_on_in.is_some()
+    }
+
+    fn term_of(&self, number: usize) -> u64 {
+        self.servers[number].leads_on_in.unwrap_or(self.term)
+    }
+
+    fn demote(&mut self, number: usize, term: u64) {
+        let log = self.servers[self.leader].log.clone();
+        let server = &mut self.servers[number];
+        if server.leads_on_in.is_some_and(|old| old < term) {
+            server.leads_on_in = None;
+            let common = server.log.iter().zip(&log).take_while(|(a, b)| a == b).count();
+            server.applied = server.applied.min(common);
+            server.log = log;
+        }
+    }
+
     fn position(&self, number: usize) -> String {
         let server = &self.servers[number];
         match server.applied.checked_sub(1).map(|last| &server.log[last]) {
@@ -400,7 +450,7 @@
             None => text,
         };
         let (word, rest) = text.split_once(' ').unwrap_or((text, ""));
-        let leads = self.leader == number;
+        let leads = self.leads(number);
         let ends = matches!(word, "COMMIT" | "ROLLBACK");
         if session.state == 'E' && !ends {
             return Err("MALFORMED");
@@ -464,19 +514,24 @@
                 Ok(vec![self.value(number, arguments)])
             }
             "STATUS" => Ok(vec![self.status(number)]),
+            "DEMOTE" => {
+                self.demote(number, rest.parse().unwrap());
+                Ok(vec![self.status(number)])
+            }
             _ => Err("MALFORMED"),
         }
     }
 
     fn status(&self, number: usize) -> String {
         let server = &self.servers[number];
-        let role = if self.leader == number { "primary" } else { "replica" };
+        let role = if self.leads(number) { "primary" } else { "replica" };
         let received = server
             .log
             .last()
             .map_or("1.0".to_owned(), |entry| format!("{}.{}", entry.term, entry.index));
         let (lag_ms, connections) = (server.lag.as_millis(), server.connections);
-        format!("{role} {} {received} 0 {lag_ms} 0 {connections}", self.term)
+        let term = self.term_of(number);
+        format!("{role} {term} {received} 0 {lag_ms} 0 {connections}")
     }
 
     fn holds(&self, number: usize, position: &str) -> bool {
@@ -513,7 +568,7 @@
         text: &str,
         arguments: &str,
     ) -> Result<Vec<String>, &'static str> {
-        if self.leader != number {
+        if !self.leads(number) {
             return Err("READONLY");
         }
         self.note(number, session, id, text);
@@ -535,7 +590,7 @@
     ) -> Result<Vec<String>, &'static str> {
         let failed = session.state != 'T';
         session.state = 'I';
-        if failed || (self.leader != number && !session.writes.is_empty()) {
+        if failed || (!self.leads(number) && !session.writes.is_empty()) {
             session.writes.clear();
             return Err(if failed { "ABORTED" } else { "READONLY" });
         }
@@ -548,9 +603,14 @@
     fn keep(&mut self, number: usize, session: &mut Session) {
         let next = self.servers[number].log.last().map_or(0, |entry| entry.index) + 1;
         for (index, (request, item, data)) in (next..).zip(session.writes.drain(..)) {
-            let entry = Entry { term: self.term, index, request, item, data };
+            let entry = Entry { term: self.term_of(number), index, request, item, data };
+            if self.servers[number].leads_on_in.is_some() {
+                self.servers[number].log.push(entry);
+                continue;
+            }
             for (other, server) in self.servers.iter_mut().enumerate() {
-                if other == number || server.up {
+                let follows = server.up && server.leads_on_in.is_none();
+                if other == number || follows {
                     server.log.push(entry.clone());
                 }
             }
@@ -572,7 +632,7 @@
                 times.truncate(server.log.len());
                 times.resize(server.log.len(), Instant::now());
                 let due = times.iter().take_while(|at| at.elapsed() >= server.lag).count();
-                if number != leader {
+                if number != leader && server.leads_on_in.is_none() {
                     server.applied = server.applied.max(due.min(server.log.len()));
                 }
             }
--- a/standin/src/platform/store.rs
+++ b/standin/src/platform/store.rs
@@ -133,7 +133,7 @@
 
     /// Writes a server's entry as the server would.
     pub fn publish_server(&self, group: &Group, number: usize, state: &str) {
-        let role = if group.leader() == number { "primary" } else { "replica" };
+        let role = if group.claims_lead(number) { "primary" } else { "replica" };
         let spec = json!({
             "service": group.name(), "address": group.address(number).to_string(),
             "zone": "a", "version": "v1", "slots": 3, "state": state, "cold_left_ms": 0,
@@ -332,6 +332,9 @@
     store.answer(response).await
 }
 
+/// How late the list tells of a change of primary where the old one goes on.
+const LATE_NEWS: Duration = Duration::from_millis(300);
+
 async fn promote(
     State(store): State<Store>,
     headers: HeaderMap,
@@ -356,6 +359,9 @@
     tokio::spawn(async move {
         tokio::time::sleep(store.promote_time).await;
         if group.promote(&id) {
+            if group.lets_old_primaries_go_on() {
+                tokio::time::sleep(LATE_NEWS).await;
+            }
             for number in 0..group.size() {
                 let state = if group.is_leaving(number) { "draining" } else { "ready" };
                 store.publish_server(&group, number, state);
