platform: entries of the store are read one by one, a server started again is another

Each entry is decoded by itself and reported; what was known stays. Servers are told apart by id and start, and a primary that came back without its log is not followed.

--- a/daemon/src/engine/configuration_control.rs
+++ b/daemon/src/engine/configuration_control.rs
@@ -8,7 +8,7 @@
 
 use crate::engine::directory::Change;
 use crate::engine::directory::Currency;
-use crate::engine::directory::Entry;
+use crate::engine::directory::Listing;
 use crate::engine::directory::Record;
 use crate::engine::directory::RecordKind;
 use crate::engine::directory::Revision;
@@ -54,8 +54,8 @@
         OTHERS_LISTED
     }
 
-    fn replace(&mut self, _revision: Revision, entries: Vec<Entry>) {
-        for entry in entries {
+    fn replace(&mut self, listing: Listing) {
+        for entry in listing.entries {
             self.take(entry.record);
         }
     }
--- a/daemon/src/engine/directory.rs
+++ b/daemon/src/engine/directory.rs
@@ -71,6 +71,9 @@
 pub struct Listing {
     /// The records.
     pub entries: Vec<Entry>,
+    /// Names of records that cannot be read. What was known of them before is
+    /// still the best there is.
+    pub unreadable: Vec<Arc<str>>,
     /// Revision that the listing shows.
     pub revision: Revision,
 }
@@ -105,6 +108,8 @@
     Unreachable(String),
     /// the store's answer cannot be read: {0}
     Unreadable(String),
+    /// the record of revision {0} cannot be read
+    RecordUnreadable(Revision),
 }
 
 /// Why a record was not written.
--- a/daemon/src/engine/duty_control.rs
+++ b/daemon/src/engine/duty_control.rs
@@ -18,7 +18,9 @@
 use crate::engine::directory::Change;
 use crate::engine::directory::Currency;
 use crate::engine::directory::Directory;
+use crate::engine::directory::DirectoryError;
 use crate::engine::directory::Entry;
+use crate::engine::directory::Listing;
 use crate::engine::directory::Record;
 use crate::engine::directory::RecordKind;
 use crate::engine::directory::Revision;
@@ -121,8 +123,8 @@
         Currency::MayBeOld
     }
 
-    fn replace(&mut self, _revision: Revision, entries: Vec<Entry>) {
-        for entry in entries {
+    fn replace(&mut self, listing: Listing) {
+        for entry in listing.entries {
             self.take(entry);
         }
     }
@@ -189,10 +191,18 @@
     group: &GroupId,
     order: OrderChange,
 ) -> Result<DutyRecord, WriteError> {
-    let present = directory.get(RecordKind::Duties, group).await.map_err(WriteError::NotDone)?;
+    let (present, expected) = match directory.get(RecordKind::Duties, group).await {
+        Ok(present) => {
+            let expected = present.as_ref().map(|entry| entry.revision);
+            (present, expected)
+        }
+        // Somebody else wrote it. What was known of the duty goes on.
+        Err(DirectoryError::RecordUnreadable(revision)) => (None, Some(revision)),
+        Err(error) => return Err(WriteError::NotDone(error)),
+    };
     let last = match &present {
         Some(Entry { record: Record::Duty(record), .. }) => Some(record.clone()),
-        _ => None,
+        _ => engine.with_duties(|duties| duties.record(group).cloned()),
     };
     if let (Some(record), Some(entry)) = (&last, &present) {
         // Somebody took the duty since this instance decided to act, and acts
@@ -208,7 +218,6 @@
         OrderChange::Put(order) => DutyRecord { order, ..next },
     };
     let record = Record::Duty(next.clone());
-    let expected = present.map(|entry| entry.revision);
     let written = match directory.write(group, &record, expected).await {
         // The write may have been done: then the record says so.
         Err(WriteError::Unanswered(error)) => {
--- a/daemon/src/engine/fleet_control.rs
+++ b/daemon/src/engine/fleet_control.rs
@@ -24,7 +24,9 @@
 use crate::engine::directory::Change;
 use crate::engine::directory::Currency;
 use crate::engine::directory::Directory;
+use crate::engine::directory::DirectoryError;
 use crate::engine::directory::Entry;
+use crate::engine::directory::Listing;
 use crate::engine::directory::Record;
 use crate::engine::directory::RecordKind;
 use crate::engine::directory::Revision;
@@ -65,8 +67,12 @@
         Currency::MayBeOld
     }
 
-    fn replace(&mut self, _revision: Revision, entries: Vec<Entry>) {
-        let records: Vec<_> = entries.into_iter().filter_map(instance_of).collect();
+    fn replace(&mut self, listing: Listing) {
+        let mut records: Vec<_> = listing.entries.into_iter().filter_map(instance_of).collect();
+        records.extend(self.engine.with_fleet(|fleet| {
+            let known = listing.unreadable.iter().filter_map(|id| fleet.record(id));
+            known.cloned().collect::<Vec<_>>()
+        }));
         let me = self.engine.me();
         if !records.contains(me) {
             self.engine.wants_record().notify_one();
@@ -125,6 +131,13 @@
         Err(WriteError::Conflict(Some(present))) => {
             directory.write(&me.id, &record, Some(present.revision)).await?;
         }
+        Err(WriteError::Conflict(None)) => {
+            if let Err(DirectoryError::RecordUnreadable(revision)) =
+                directory.get(RecordKind::Instances, &me.id).await
+            {
+                directory.write(&me.id, &record, Some(revision)).await?;
+            }
+        }
         written => {
             written?;
         }
--- a/daemon/src/engine/follow.rs
+++ b/daemon/src/engine/follow.rs
@@ -10,7 +10,7 @@
 use crate::engine::directory::Currency;
 use crate::engine::directory::Directory;
 use crate::engine::directory::DirectoryError;
-use crate::engine::directory::Entry;
+use crate::engine::directory::Listing;
 use crate::engine::directory::RecordKind;
 use crate::engine::directory::Revision;
 use crate::engine::event_log;
@@ -21,7 +21,7 @@
     fn kind(&self) -> RecordKind;
 
     /// These are all records.
-    fn replace(&mut self, revision: Revision, entries: Vec<Entry>);
+    fn replace(&mut self, listing: Listing);
 
     /// These records changed, up to a revision.
     fn change(&mut self, revision: Revision, changes: Vec<Change>);
@@ -169,8 +169,9 @@
     currency: Currency,
 ) -> Result<Revision, DirectoryError> {
     let listing = directory.list(follower.kind(), currency).await?;
-    follower.replace(listing.revision, listing.entries);
-    Ok(listing.revision)
+    let revision = listing.revision;
+    follower.replace(listing);
+    Ok(revision)
 }
 
 async fn watch(
--- a/daemon/src/engine/holders.rs
+++ b/daemon/src/engine/holders.rs
@@ -129,7 +129,12 @@
         let kept = self.holder_lists().lock().held.clone();
         let held = kept.unwrap_or_else(|| {
             let shards = self.shards();
-            let ids = shards.iter().map(|shard| shard.id()).filter(|id| self.is_holder(id));
+            // Anybody may list servers of a group that the configuration does not
+            // name: they are neither asked for their state nor replaced.
+            let catalog = self.catalog();
+            let known = shards.iter().map(|shard| shard.id());
+            let known = known.filter(|id| catalog.groups.contains_key(*id));
+            let ids = known.filter(|id| self.is_holder(id));
             let held = Arc::new(ids.cloned().collect::<Vec<_>>());
             self.holder_lists().lock().held = Some(held.clone());
             held
--- a/daemon/src/engine/records.rs
+++ b/daemon/src/engine/records.rs
@@ -113,6 +113,7 @@
         slots: info.slots as u64,
         draining: info.draining,
         leads: info.leads,
+        start: info.start.to_string(),
     }
 }
 
@@ -151,6 +152,7 @@
         slots: usize::try_from(server.slots).unwrap_or(1),
         draining: server.draining,
         leads: server.leads,
+        start: text(server.start),
     };
     Some((text(server.group), info))
 }
--- a/daemon/src/engine/server_control.rs
+++ b/daemon/src/engine/server_control.rs
@@ -10,6 +10,7 @@
 use crate::engine::directory::Change;
 use crate::engine::directory::Currency;
 use crate::engine::directory::Entry;
+use crate::engine::directory::Listing;
 use crate::engine::directory::Record;
 use crate::engine::directory::RecordKind;
 use crate::engine::directory::Revision;
@@ -56,11 +57,13 @@
         OTHERS_LISTED
     }
 
-    fn replace(&mut self, revision: Revision, entries: Vec<Entry>) {
-        let servers = entries.into_iter().filter_map(server_of).collect();
+    fn replace(&mut self, listing: Listing) {
+        let Listing { entries, unreadable, revision } = listing;
+        let mut servers: Vec<_> = entries.into_iter().filter_map(server_of).collect();
         self.missing = self.engine.update_servers(|list| {
             // An answer that is seconds old must not undo what is known.
             if revision >= list.revision() {
+                servers.extend(unreadable.iter().filter_map(|id| list.listed(id)));
                 list.replace(now(), servers);
                 list.advance(revision);
             }
--- a/daemon/tests/stubs/mod.rs
+++ b/daemon/tests/stubs/mod.rs
@@ -61,6 +61,7 @@
         slots: 3,
         draining: false,
         leads: true,
+        start: "".into(),
     }]);
     shard
 }
--- a/daemon/tests/test_follow.rs
+++ b/daemon/tests/test_follow.rs
@@ -40,7 +40,7 @@
             std::future::pending::<()>().await;
         }
         let revision = if currency == Currency::Fresh { 10 } else { 1 };
-        Ok(Listing { entries: Vec::new(), revision })
+        Ok(Listing { revision, ..Listing::default() })
     }
 
     async fn watch(
@@ -82,7 +82,7 @@
         RecordKind::Instances
     }
 
-    fn replace(&mut self, _: Revision, _: Vec<Entry>) {}
+    fn replace(&mut self, _: Listing) {}
 
     fn change(&mut self, _: Revision, _: Vec<Change>) {}
 
--- a/lib/src/group.rs
+++ b/lib/src/group.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::catalog::Consistency;
@@ -20,7 +21,7 @@
 /// A server as the platform lists it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ServerInfo {
-    /// Its id, which no other server ever had.
+    /// Its id, which no other server of the group has.
     pub id: TargetId,
     /// Where it listens. Addresses are used again by other servers.
     pub address: SocketAddr,
@@ -32,6 +33,9 @@
     pub draining: bool,
     /// Whether it sees itself as the primary.
     pub leads: bool,
+    /// Tells this start of the server from earlier ones under the same id, as
+    /// far as the platform does; else empty.
+    pub start: Arc<str>,
 }
 
 /// A server's answer to a question for its state.
@@ -147,7 +151,13 @@
         let before = self.leader.clone();
         let mut servers = BTreeMap::new();
         for info in listed {
+            // Under its old id a server that was started again is another one:
+            // it may have nothing of what was known.
             let known = self.servers.remove(&info.id);
+            let known = known.filter(|view| view.info.start == info.start);
+            if known.is_none() {
+                self.leader.take_if(|leader| leader.id == info.id);
+            }
             let claims = info.leads && known.as_ref().is_none_or(|view| !view.info.leads);
             if claims && !self.leads(&info.id) {
                 self.claimants.push(info.id.clone());
@@ -247,6 +257,15 @@
         if status.term < self.seen_term || status.term <= self.right.retired() {
             return false;
         }
+        // Started again without its log, it lacks what it acknowledged: it is
+        // replaced by a replica that has more, not followed.
+        let lacking = |(sampled_at, position): (Moment, Position)| {
+            sampled_at < asked_at && position.term == status.term && status.received < position
+        };
+        if self.samples.newest().is_some_and(lacking) {
+            self.leader.take_if(|leader| leader.id == *id);
+            return false;
+        }
         if status.received.term < status.term {
             self.term_bases.insert(status.term, status.received);
         }
--- a/lib/src/protos/chervilwharf.engine.rs
+++ b/lib/src/protos/chervilwharf.engine.rs
@@ -472,6 +472,9 @@
     pub draining: bool,
     #[prost(bool, tag = "7")]
     pub leads: bool,
+    /// Tells this start of the server from earlier ones; empty if not known.
+    #[prost(string, tag = "8")]
+    pub start: ::prost::alloc::string::String,
 }
 /// What an instance last saw of a primary.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
--- a/lib/src/server_list.rs
+++ b/lib/src/server_list.rs
@@ -63,9 +63,13 @@
     pub fn present(&mut self, group: GroupId, info: ServerInfo) {
         let id = info.id.clone();
         let known = self.servers.get(&id);
+        let before = known.map(|known| known.group.clone()).filter(|before| *before != group);
         if known.is_none_or(|known| known.info != info || known.group != group) {
             self.note(&group);
         }
+        if let Some(before) = before {
+            self.note(&before);
+        }
         self.servers.insert(id, ListedServer { group, info, missing_since: None });
     }
 
@@ -129,6 +133,13 @@
         groups
     }
 
+    /// A server as it was last listed, unless it is missing.
+    #[must_use]
+    pub fn listed(&self, id: &str) -> Option<(GroupId, ServerInfo)> {
+        let listed = self.servers.get(id).filter(|listed| listed.missing_since.is_none())?;
+        Some((listed.group.clone(), listed.info.clone()))
+    }
+
     /// All servers with their groups.
     pub fn all(&self) -> impl Iterator<Item = (&GroupId, &ServerInfo)> {
         self.servers.values().map(|listed| (&listed.group, &listed.info))
--- a/lib/tests/right_world/servers.rs
+++ b/lib/tests/right_world/servers.rs
@@ -27,6 +27,7 @@
         slots: 3,
         draining: false,
         leads: number == 0,
+        start: "".into(),
     };
     (0..SERVERS).map(info).collect()
 }
--- a/lib/tests/test_group.rs
+++ b/lib/tests/test_group.rs
@@ -30,6 +30,7 @@
         slots: 3,
         draining: false,
         leads,
+        start: "".into(),
     }
 }
 
@@ -260,3 +261,54 @@
     group.begin_running("r2");
     assert_eq!(group.readers(at(2), position)[0], id("r1"));
 }
+
+fn leading(term: u64, index: u64) -> ServerStatus {
+    let received = Position::new(term, index);
+    ServerStatus { leads: true, term, received, applied: received, lag: Duration::ZERO }
+}
+
+#[test]
+fn test_old_primary_that_goes_on_is_not_followed() {
+    // Symptom: writes are acknowledged and lost.
+    // Sequence: another server was promoted and its term seen; the old primary
+    // goes on and says that it leads.
+    // Cause: whoever says that it leads was believed.
+    let mut group = Group::default();
+    group.set_servers(at(0), vec![listed("p", true), listed("r1", false)]);
+    group.observe_status(at(0), at(1), &"p".into(), leading(1, 5));
+    group.observe_status(at(10), at(11), &"r1".into(), leading(2, 6));
+    assert!(group.leads(&"r1".into()));
+    group.observe_status(at(20), at(21), &"p".into(), leading(1, 9));
+    assert!(group.leads(&"r1".into()));
+}
+
+#[test]
+fn test_primary_whose_successor_was_seen_is_given_up() {
+    // Symptom: a planned change promotes a server that lacks acknowledged
+    // commits.
+    // Sequence: a replica tells a later term; the old primary is taken for the
+    // present one and replaced in its place.
+    // Cause: a term seen at a replica did not count.
+    let mut group = Group::default();
+    group.set_servers(at(0), vec![listed("p", true), listed("r1", false)]);
+    group.observe_status(at(0), at(1), &"p".into(), leading(1, 5));
+    let replica = ServerStatus { leads: false, ..leading(2, 5) };
+    group.observe_status(at(10), at(11), &"r1".into(), replica);
+    assert_eq!(group.leader(), None);
+}
+
+#[test]
+fn test_primary_that_was_started_again_without_its_log_is_not_followed() {
+    // Symptom: sessions do not see what they wrote.
+    // Sequence: a primary is started again under its old id, with an empty log.
+    // Cause: it was taken for the server it had been.
+    let mut group = Group::default();
+    group.set_servers(at(0), vec![listed("p", true), listed("r1", false)]);
+    group.observe_status(at(0), at(1), &"p".into(), leading(1, 5));
+    let again = ServerInfo { start: "2".into(), ..listed("p", true) };
+    group.set_servers(at(10), vec![again, listed("r1", false)]);
+    assert_eq!(group.leader(), None, "it has to tell its state first");
+    assert_eq!(group.server("p").map(|view| view.applied), Some(Position::ZERO));
+    group.observe_status(at(20), at(21), &"p".into(), leading(1, 0));
+    assert_eq!(group.leader(), None, "it lacks what it acknowledged");
+}
--- a/lib/tests/test_replacement.rs
+++ b/lib/tests/test_replacement.rs
@@ -35,6 +35,7 @@
         slots: 3,
         draining,
         leads,
+        start: "".into(),
     }
 }
 
--- a/lib/tests/test_replacement_exploration.rs
+++ b/lib/tests/test_replacement_exploration.rs
@@ -123,6 +123,7 @@
                 slots: 3,
                 draining: false,
                 leads: number == 0,
+                start: "".into(),
             });
             group.set_servers(Moment::ZERO, listed.collect());
             let watch = LeaderWatch::default();
--- a/lib/tests/test_session_parts.rs
+++ b/lib/tests/test_session_parts.rs
@@ -102,6 +102,7 @@
         slots: 3,
         draining,
         leads: false,
+        start: "".into(),
     }
 }
 
--- a/lib/tests/test_sharing.rs
+++ b/lib/tests/test_sharing.rs
@@ -253,6 +253,7 @@
         slots: 3,
         draining: false,
         leads,
+        start: "".into(),
     }
 }
 
--- a/standin/src/platform/store.rs
+++ b/standin/src/platform/store.rs
@@ -153,6 +153,19 @@
         self.announce();
     }
 
+    /// Keeps anything as an object, as a careless writer could.
+    pub fn put_as_it_is(&self, kind: &str, name: &str, object: &Value) {
+        {
+            let mut objects = self.lock();
+            objects.revision += 1;
+            let revision = objects.revision;
+            objects.kept.insert((kind.to_owned(), name.to_owned()), object.clone());
+            let event = json!({ "removed": false, "object": object });
+            objects.events.push((revision, kind.to_owned(), event));
+        }
+        self.announce();
+    }
+
     /// Removes an object.
     pub fn delete(&self, kind: &str, name: &str) {
         self.lock().delete(kind, name);
