leader_watch: a primary that takes long is probed as one that fails

Cause: the probe that a slow statement brought about did not count, and its failure was looked at with the next tick. Ruled out: a shorter timeout of probes (a loaded server answers its state after up to 200 ms).

--- a/daemon/src/engine/leader_control.rs
+++ b/daemon/src/engine/leader_control.rs
@@ -139,6 +139,7 @@
             tokio::spawn(async move {
                 if probe::probe(&shard, &id).await == Probed::Failed {
                     replacer.engine.watches().with(shard.id(), |watch| watch.probe_failed(&id));
+                    replacer.engine.doubt().notify_one();
                 }
             });
         }
--- a/lib/src/leader_watch.rs
+++ b/lib/src/leader_watch.rs
@@ -90,7 +90,12 @@
 
 /// Time between two probes. A probe on a new connection takes 12 to 27 ms at
 /// a server that works.
-const PROBE_INTERVAL: Duration = Duration::from_millis(150);
+const PROBE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Time between two probes while somebody replaces the primary: that tells who
+/// leads when it is over. Each probe takes a slot of a server for 12 ms or more,
+/// and all instances ask.
+const PROBE_INTERVAL_QUIET: Duration = Duration::from_millis(500);
 
 /// Failed probes before other instances are asked. One may be lost to a full
 /// queue of connections.
@@ -199,8 +204,10 @@
         actions: &mut Vec<WatchAction>,
     ) {
         let leader = group.leader().map(|leader| leader.id.clone());
-        let failing =
-            leader.as_ref().is_none_or(|id| group.server(id).is_some_and(|view| view.failures > 0));
+        let failing = leader.as_ref().is_none_or(|id| {
+            let failed = group.server(id).is_some_and(|view| view.failures > 0);
+            failed || self.is_suspected(group, id)
+        });
         // A group without any server has nobody to lead it.
         if !failing || group.servers().next().is_none() {
             self.doubt = None;
@@ -213,7 +220,8 @@
         let Some(doubt) = &mut self.doubt else {
             return;
         };
-        doubt.probe(now, group, actions);
+        let quiet = now < self.quiet_until;
+        doubt.probe(now, group, quiet, actions);
         doubt.ask(now, actions);
         let (since, confirmed_at) = (doubt.since, doubt.confirmed_at);
         let Some(confirmed_at) = confirmed_at else {
@@ -229,13 +237,30 @@
         }
     }
 
+    /// Whether a primary is doubted and has not answered anything since.
+    fn is_suspected(&self, group: &Group, leader: &TargetId) -> bool {
+        let doubt = self.doubt.as_ref().filter(|doubt| doubt.leader.as_ref() == Some(leader));
+        doubt.is_some_and(|doubt| !group.has_answered_since(leader, doubt.since))
+    }
+
     /// The primary takes long to answer a statement.
+    ///
+    /// It is probed as one that fails from the start: a primary that went dark
+    /// was found dead 770 ms after its last answer (median of ten) when the
+    /// first probe only raised the doubt in which the others were counted.
     pub fn suspected(&mut self, now: Moment, group: &Group) -> Option<WatchAction> {
         if self.suspected_at.is_some_and(|at| at + SUSPICION_INTERVAL > now) {
             return None;
         }
         self.suspected_at = Some(now);
-        group.leader().map(|leader| WatchAction::Probe(leader.id.clone()))
+        let leader = group.leader().map(|leader| leader.id.clone())?;
+        if !self.doubt.as_ref().is_some_and(|doubt| doubt.leader.as_ref() == Some(&leader)) {
+            self.doubt = Some(Doubt::new(Some(leader.clone()), now));
+        }
+        if let Some(doubt) = &mut self.doubt {
+            doubt.probed_at = Some(now);
+        }
+        Some(WatchAction::Probe(leader))
     }
 
     /// A probe of the primary on a new connection failed.
@@ -316,8 +341,9 @@
     }
 
     /// The primary may have come back, and without one any server may lead.
-    fn probe(&mut self, now: Moment, group: &Group, actions: &mut Vec<WatchAction>) {
-        if self.probed_at.is_some_and(|at| at + PROBE_INTERVAL > now) {
+    fn probe(&mut self, now: Moment, group: &Group, quiet: bool, actions: &mut Vec<WatchAction>) {
+        let interval = if quiet { PROBE_INTERVAL_QUIET } else { PROBE_INTERVAL };
+        if self.probed_at.is_some_and(|at| at + interval > now) {
             return;
         }
         self.probed_at = Some(now);
--- a/lib/tests/test_replacement.rs
+++ b/lib/tests/test_replacement.rs
@@ -93,6 +93,50 @@
     assert!(asked_ms < 2_000, "asked after {asked_ms} ms");
 }
 
+#[test]
+fn test_primary_that_went_dark_is_asked_about_after_two_probes() {
+    // Symptom: writes wait 770 ms before anybody replaces a dead primary.
+    // Sequence: the primary goes dark; a statement that is at it takes long;
+    // each probe takes 250 ms to fail.
+    // Cause: the probe that the statement brought about did not count.
+    let (mut watch, mut group) = (LeaderWatch::default(), group(false));
+    group.observe_answer(at(900), &id("p"), None);
+    let first = watch.suspected(at(1_000), &group);
+    assert_eq!(first, Some(WatchAction::Probe(id("p"))));
+    let mut failing_at = vec![1_250];
+    for ms in (1_000..1_400).step_by(10) {
+        if failing_at.contains(&ms) {
+            group.observe_failure(at(ms), &id("p"));
+            watch.probe_failed(&id("p"));
+        }
+        for action in watch.tick(at(ms), &group, Some(0)) {
+            match action {
+                WatchAction::Probe(server) if server == id("p") => failing_at.push(ms + 250),
+                WatchAction::AskPeers(_) => {
+                    assert_eq!(ms, 1_350, "as soon as the second probe failed");
+                    return;
+                }
+                _ => {}
+            }
+        }
+    }
+    panic!("others were not asked: {failing_at:?}");
+}
+
+#[test]
+fn test_suspicion_ends_with_an_answer() {
+    // Symptom: a primary that only was slow is probed again and again.
+    // Sequence: a statement takes long; the probe that follows is answered.
+    // Cause: nothing ended the suspicion.
+    let (mut watch, mut group) = (LeaderWatch::default(), group(false));
+    watch.suspected(at(1_000), &group);
+    group.observe_answer(at(1_020), &id("p"), None);
+    for ms in (1_030..3_000).step_by(10) {
+        let actions = watch.tick(at(ms), &group, Some(0));
+        assert!(!actions.contains(&WatchAction::Probe(id("p"))), "at {ms} ms: {actions:?}");
+    }
+}
+
 #[test]
 fn test_primary_that_another_instance_reaches_is_kept() {
     // Symptom: 62 acknowledged commits are rolled back.
--- a/lib/tests/test_replacement_exploration.rs
+++ b/lib/tests/test_replacement_exploration.rs
@@ -70,6 +70,8 @@
     highest_token: u64,
     /// When the promotion of a server takes effect.
     pending: Option<(u64, usize)>,
+    /// The instance that ordered it.
+    ordered_by: Option<usize>,
     promotions: usize,
     /// Whether more than half of the instances reached the primary when a
     /// promotion of another server was ordered.
@@ -110,6 +112,7 @@
             duty: None,
             highest_token: 0,
             pending: None,
+            ordered_by: None,
             promotions: 0,
             replaced_in_use: false,
             promoted_cut_off: false,
@@ -208,6 +211,8 @@
                 opinions.silent += 1;
                 continue;
             }
+            // The answer of an instance says whether it replaces the primary.
+            opinions.replacing |= self.pending.is_some() && self.ordered_by == Some(other);
             let known = self.instances[other].group.leader().cloned();
             if let Some(known) = known {
                 self.instances[instance].group.hear_of_leader(now, &known.id, known.term);
@@ -267,6 +272,7 @@
         let stable = self.now_ms >= self.changed_ms + VOTE_AGE_MS;
         self.replaced_in_use |= stable && reaching * 2 > INSTANCES && best != self.leader;
         self.pending = Some((self.now_ms + PROMOTE_MS, best));
+        self.ordered_by = Some(instance);
     }
 
     fn promote_due(&mut self) {
