leader_watch: a primary without a known term is asked; too many connections is an answer

After a power loss an instance whose one question for the primary's term was refused never asked again, since others told it the position, and refused all writes of the group as cut off; and a refused probe counted as silence.

Each has a test that failed first.

--- a/daemon/src/engine/probe.rs
+++ b/daemon/src/engine/probe.rs
@@ -10,7 +10,9 @@
 use chervilwharf_lib::layout::SessionValues;
 use chervilwharf_lib::moment::Moment;
 use chervilwharf_lib::pool_share::Need;
+use chervilwharf_lib::server_refusal::RefusalKind;
 
+use crate::engine::border::ConnectError;
 use crate::engine::clock::now;
 use crate::engine::event_log;
 use crate::engine::shard::Shard;
@@ -55,8 +57,18 @@
     };
     let asked_at = now();
     let asking = async {
-        let connected = shard.connect(&info, None).await;
-        let mut connection = connected.map_err(|error| error.to_string())?;
+        let mut connection = match shard.connect(&info, None).await {
+            Ok(connection) => connection,
+            // It lives. After all instances had lost power at once the
+            // connections of before filled the servers for seconds, and healthy
+            // primaries were about to be replaced.
+            Err(ConnectError::Refused(refusal))
+                if refusal.kind == RefusalKind::TooManyConnections =>
+            {
+                return Ok(Err(refusal));
+            }
+            Err(error) => return Err(error.to_string()),
+        };
         connection.status().await.map_err(|error| error.to_string())
     };
     let result = match tokio::time::timeout(probe_timeout(shard, id), asking).await {
--- a/daemon/tests/stubs/mod.rs
+++ b/daemon/tests/stubs/mod.rs
@@ -13,6 +13,8 @@
 use chervilwharf_lib::group::ServerInfo;
 use chervilwharf_lib::id::GroupId;
 use chervilwharf_lib::id::TargetId;
+use chervilwharf_lib::server_refusal::RefusalKind;
+use chervilwharf_lib::server_refusal::ServerRefusal;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
@@ -46,6 +48,22 @@
     }
 }
 
+/// Refuses every connection: there are too many.
+pub struct Full;
+
+#[async_trait]
+impl Connector for Full {
+    async fn start(
+        &self,
+        _stream: TcpStream,
+        _group: &GroupId,
+        _server: &ServerInfo,
+    ) -> Result<Box<dyn ServerConnection>, ConnectError> {
+        let (kind, text) = (RefusalKind::TooManyConnections, "too many".into());
+        Err(ConnectError::Refused(ServerRefusal { kind, text }))
+    }
+}
+
 /// A group with one server, the primary, at an address.
 pub fn shard_with_primary(
     connector: Arc<dyn Connector>,
--- a/daemon/tests/test_probe.rs
+++ b/daemon/tests/test_probe.rs
@@ -5,21 +5,27 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chervilwharf_daemon::engine::border::Connector;
 use chervilwharf_daemon::engine::clock::now;
 use chervilwharf_daemon::engine::probe::Probed;
 use chervilwharf_daemon::engine::probe::probe;
 use chervilwharf_daemon::engine::shard::Shard;
 use chervilwharf_lib::id::TargetId;
+use stubs::Full;
 use stubs::NeverGreeted;
 use stubs::shard_with_primary;
 use tokio::net::TcpListener;
 
 /// A shard with one server that can be reached and greets nobody.
 async fn shard() -> (Arc<Shard>, TargetId, TcpListener) {
+    shard_with(Arc::new(NeverGreeted)).await
+}
+
+async fn shard_with(connector: Arc<dyn Connector>) -> (Arc<Shard>, TargetId, TcpListener) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let id: TargetId = "server".into();
     let address = listener.local_addr().unwrap();
-    (shard_with_primary(Arc::new(NeverGreeted), &id, address), id, listener)
+    (shard_with_primary(connector, &id, address), id, listener)
 }
 
 fn failures(shard: &Shard, id: &TargetId) -> u32 {
@@ -50,3 +56,14 @@
     assert_eq!(probe(&shard, &id).await, Probed::Failed);
     assert_eq!(failures(&shard, &id), 1);
 }
+
+#[tokio::test]
+async fn test_server_with_too_many_connections_is_alive() {
+    // Symptom: after a power loss healthy primaries are about to be replaced.
+    // Sequence: all instances start again at once; servers still count the
+    // connections of before and refuse new ones.
+    // Cause: the refusal of a probe was taken for silence.
+    let (shard, id, _listener) = shard_with(Arc::new(Full)).await;
+    assert_eq!(probe(&shard, &id).await, Probed::Busy);
+    assert_eq!(failures(&shard, &id), 0);
+}
--- a/lib/src/group.rs
+++ b/lib/src/group.rs
@@ -355,7 +355,7 @@
     /// Whether another instance should serve what needs the primary.
     #[must_use]
     pub fn is_cut_off(&self, now: Moment) -> bool {
-        let leader = self.leader.as_ref();
+        let leader = self.leader.as_ref().filter(|leader| leader.term > 0);
         leader.is_some_and(|leader| self.right.is_cut_off(now, leader.term))
     }
 
--- a/lib/src/leader_watch.rs
+++ b/lib/src/leader_watch.rs
@@ -149,7 +149,10 @@
         let Some(leader) = group.leader() else {
             return;
         };
-        if group.sample_age(now).is_some_and(|age| age < SAMPLE_AGE) {
+        // Others tell its position and not its term, without which there is no
+        // right to use it.
+        let known = leader.term > 0;
+        if known && group.sample_age(now).is_some_and(|age| age < SAMPLE_AGE) {
             return;
         }
         if self.sampled_at.is_some_and(|at| at + SAMPLE_INTERVAL > now) {
--- a/lib/tests/test_replacement.rs
+++ b/lib/tests/test_replacement.rs
@@ -123,6 +123,23 @@
     panic!("others were not asked: {failing_at:?}");
 }
 
+#[test]
+fn test_primary_whose_term_is_not_known_is_asked_though_its_position_is() {
+    // Symptom: after a power loss an instance refuses all writes of a group for
+    // as long as it runs, as if it were cut off.
+    // Sequence: its first question to the primary is refused for too many
+    // connections; then other instances tell it what the primary has reached.
+    // Cause: a fresh position kept it from asking, and only an answer tells the
+    // term that it needs a right for.
+    let (mut watch, mut group) = (LeaderWatch::default(), group(false));
+    for ms in (0..2_000).step_by(100) {
+        group.hear_of_position(at(ms), Position::new(1, ms + 1));
+        let actions = watch.tick(at(ms), &group, Some(0));
+        let asks = actions.contains(&WatchAction::Sample(id("p")));
+        assert_eq!(asks, ms % 200 == 0, "at {ms} ms: {actions:?}");
+    }
+}
+
 #[test]
 fn test_suspicion_ends_with_an_answer() {
     // Symptom: a primary that only was slow is probed again and again.
