--- a/lib/src/leader_watch.rs
+++ b/lib/src/leader_watch.rs
@@ -257,7 +257,7 @@
         }
         self.suspected_at = Some(now);
         let leader = group.leader().map(|leader| leader.id.clone())?;
-        if !self.doubt.as_ref().is_some_and(|doubt| doubt.leader.as_ref() == Some(&leader)) {
+        if self.doubt.as_ref().is_none_or(|doubt| doubt.leader.as_ref() != Some(&leader)) {
             self.doubt = Some(Doubt::new(Some(leader.clone()), now));
         }
         if let Some(doubt) = &mut self.doubt {
