holders: in large fleets those vote who would hold the connections

Seven voters picked by themselves would have cost each holder nine more heartbeats a group; at the size aimed at, six groups an instance, 17 KB/s where 4 are allowed (calculated from 160 bytes each way, not measured). Holders tell each other of the group anyway. Liveness has no part in the choice: two sides of a partition would each find a majority of their own.

--- a/daemon/src/engine/replacement.rs
+++ b/daemon/src/engine/replacement.rs
@@ -321,8 +321,8 @@
         let engine = &self.replacer.engine;
         let participants = self.participants();
         let ids: Vec<_> = participants.iter().map(|record| record.id.clone()).collect();
-        let all_asked = engine.instance_ids().iter().all(|id| ids.contains(id));
-        let voters = engine.voters(self.shard.id());
+        let all_asked = engine.recorded().iter().all(|record| ids.contains(&record.id));
+        let voters = engine.voters(self.shard.id()).to_vec();
         let mut agreement = Agreement::new(voters, ids, all_asked, self.written_at);
         let last_resort = self.reason == ReplaceReason::LastResort;
         let until = now() + PROMISE_LIMIT;
--- a/daemon/src/engine/right_control.rs
+++ b/daemon/src/engine/right_control.rs
@@ -1,7 +1,9 @@
 //! Keeps the right of this instance to use the primaries of its groups, and
 //! answers others that ask for theirs.
 
+use std::collections::HashMap;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 
 use chervilwharf_lib::engine_protos::GivenLease;
@@ -12,10 +14,11 @@
 use chervilwharf_lib::engine_protos::TermGrant;
 use chervilwharf_lib::event::Event;
 use chervilwharf_lib::event::EventKind;
+use chervilwharf_lib::fleet::InstanceRecord;
+use chervilwharf_lib::holders::voters;
 use chervilwharf_lib::id::GroupId;
 use chervilwharf_lib::id::InstanceId;
 use chervilwharf_lib::moment::Moment;
-use chervilwharf_lib::placement::voters;
 use chervilwharf_lib::primary_right::Ending;
 use chervilwharf_lib::primary_right::Objection;
 use chervilwharf_lib::primary_right::PrimaryRight;
@@ -50,6 +53,18 @@
 /// An answer of a primary proves contact for this long.
 const REACHED_WITHIN: Duration = Duration::from_millis(400);
 
+/// Who votes, by group.
+#[derive(Default)]
+pub struct VoterLists(Mutex<VoterListsInner>);
+
+#[derive(Default)]
+struct VoterListsInner {
+    /// The instances and the configuration that the lists were computed from.
+    recorded: Vec<InstanceRecord>,
+    configuration_version: u64,
+    kept: HashMap<GroupId, Arc<Vec<InstanceId>>>,
+}
+
 /// Reads which orders there are when an instance starts. Only then it votes,
 /// unless others tell it what they grant.
 pub async fn learn_orders(engine: Arc<Engine>, directory: Arc<dyn Directory>) {
@@ -126,22 +141,38 @@
 
     /// Instances that vote on a group.
     #[must_use]
-    pub fn voters(&self, group: &GroupId) -> Vec<InstanceId> {
-        let all = self.instance_ids();
-        voters(group, &all)
+    pub fn voters(&self, group: &GroupId) -> Arc<Vec<InstanceId>> {
+        let catalog = self.catalog();
+        let mut lists = self.voter_lists().0.lock().expect("never poisoned");
+        if let Some(kept) = lists.kept.get(group) {
+            return kept.clone();
+        }
+        let most = catalog.groups.get(group).map_or(0, |settings| settings.max_connections);
+        let computed = Arc::new(voters(group, most, catalog.groups.len(), &lists.recorded));
+        lists.kept.insert(group.clone(), computed.clone());
+        computed
     }
 
     /// All instances that have a record. This one may have none yet: others do
     /// not count it then, and its own vote must not make a majority.
     #[must_use]
-    pub fn instance_ids(&self) -> Vec<InstanceId> {
-        let mut ids: Vec<_> =
-            self.with_fleet(|fleet| fleet.others().map(|record| record.id.clone()).collect());
+    pub fn recorded(&self) -> Vec<InstanceRecord> {
+        let mut recorded: Vec<_> = self.with_fleet(|fleet| fleet.others().cloned().collect());
         if self.is_registered() {
-            ids.push(self.me().id.clone());
+            recorded.push(self.me().clone());
+        }
+        recorded.sort_unstable_by(|a, b| a.id.cmp(&b.id));
+        recorded
+    }
+
+    /// Drops the lists of voters if they were computed from something else.
+    fn renew_voter_lists(&self) {
+        let (recorded, version) = (self.recorded(), self.catalog().version);
+        let mut lists = self.voter_lists().0.lock().expect("never poisoned");
+        if lists.recorded != recorded || lists.configuration_version != version {
+            *lists =
+                VoterListsInner { recorded, configuration_version: version, kept: HashMap::new() };
         }
-        ids.sort_unstable();
-        ids
     }
 
     /// Tells all held groups who votes.
@@ -149,10 +180,12 @@
         if !self.is_fleet_known() {
             return;
         }
-        let all = self.instance_ids();
+        self.renew_voter_lists();
         for shard in self.held_shards() {
-            let voters = voters(shard.id(), &all);
-            shard.change_right(|right| right.set_voters(&self.me().id, &voters));
+            let voters = self.voters(shard.id());
+            if !shard.with_group(|group| group.right().has_voters(&self.me().id, &voters)) {
+                shard.change_right(|right| right.set_voters(&self.me().id, &voters));
+            }
         }
     }
 
--- a/daemon/src/engine/shared.rs
+++ b/daemon/src/engine/shared.rs
@@ -37,6 +37,7 @@
 use crate::engine::peers::PeerHandler;
 use crate::engine::peers::Peers;
 use crate::engine::remote::StatementLinks;
+use crate::engine::right_control::VoterLists;
 use crate::engine::shard::Shard;
 
 /// What all sessions of an instance share.
@@ -62,6 +63,7 @@
     doubt: Arc<Notify>,
     /// Woken when the right to use a primary is wanted and missing.
     renewal: Arc<Notify>,
+    voter_lists: VoterLists,
     /// Whether this instance has a record, by which the others count it among
     /// those that vote.
     registered: AtomicBool,
@@ -99,6 +101,7 @@
             watches: LeaderWatches::default(),
             doubt: Arc::default(),
             renewal: Arc::default(),
+            voter_lists: VoterLists::default(),
             registered: AtomicBool::new(false),
             knows_orders: AtomicBool::new(false),
             wants_record: Notify::new(),
@@ -136,6 +139,12 @@
         &self.holders
     }
 
+    /// Lists of those that vote, by group.
+    #[must_use]
+    pub fn voter_lists(&self) -> &VoterLists {
+        &self.voter_lists
+    }
+
     /// Idle links for statements that go through other instances.
     #[must_use]
     pub fn statement_links(&self) -> &Arc<StatementLinks> {
--- a/lib/src/holders.rs
+++ b/lib/src/holders.rs
@@ -6,6 +6,7 @@
 use crate::fleet::InstanceRecord;
 use crate::id::FailureDomainId;
 use crate::id::GroupId;
+use crate::id::InstanceId;
 use crate::placement::stable_hash;
 
 /// Fewest connections to a server with which an instance can serve on its own:
@@ -74,3 +75,27 @@
     let uniform = (hash as f64 + 1.0) / (1_u64 << 53) as f64;
     f64::from(record.capacity_millicores.max(1)) / -uniform.ln()
 }
+
+/// Fleets up to this size vote as a whole, so that no choice has to be agreed on.
+const ALL_VOTE_UP_TO: usize = 9;
+
+/// The instances that vote on a group, out of all that have a record.
+///
+/// Whether they are alive has no part in it: two sides of a partition take
+/// different instances for dead, and would each find a majority of their own. In
+/// a large fleet they are those that hold the connections while all are alive:
+/// these tell each other of the group with heartbeats anyway.
+#[must_use]
+pub fn voters(
+    group: &GroupId,
+    max_connections: usize,
+    groups: usize,
+    recorded: &[InstanceRecord],
+) -> Vec<InstanceId> {
+    let chosen = if recorded.len() <= ALL_VOTE_UP_TO {
+        recorded.to_vec()
+    } else {
+        holders(group, max_connections, groups, recorded)
+    };
+    chosen.into_iter().map(|record| record.id).collect()
+}
--- a/lib/src/placement.rs
+++ b/lib/src/placement.rs
@@ -69,28 +69,3 @@
     scored.sort_by(|a, b| b.cmp(a));
     scored.into_iter().map(|(_, _, id)| id).collect()
 }
-
-/// Most instances that vote on a group.
-///
-/// Each that uses the primary tells each of these so twice a second. Seven bear
-/// the loss of three; with up to nine instances all of them vote, so that no
-/// choice has to be agreed on.
-const MOST_VOTERS: usize = 7;
-
-/// Fleets up to this size vote as a whole.
-const ALL_VOTE_UP_TO: usize = 9;
-
-/// The instances that vote on a group, out of all that have a record.
-///
-/// Whether they are alive has no part in it: two sides of a partition take
-/// different instances for dead, and would each find a majority of their own.
-#[must_use]
-pub fn voters(group: &str, all: &[InstanceId]) -> Vec<InstanceId> {
-    if all.len() <= ALL_VOTE_UP_TO {
-        return all.to_vec();
-    }
-    let mut scored: Vec<_> =
-        all.iter().map(|id| (stable_hash(&["voter", group, id]), id.clone())).collect();
-    scored.sort_unstable_by(|a, b| b.cmp(a));
-    scored.into_iter().take(MOST_VOTERS).map(|(_, id)| id).collect()
-}
--- a/lib/src/primary_right.rs
+++ b/lib/src/primary_right.rs
@@ -169,6 +169,13 @@
         self.grants.retain(|voter, _| others.contains(voter));
     }
 
+    /// Whether these are the voters already.
+    #[must_use]
+    pub fn has_voters(&self, me: &InstanceId, voters: &[InstanceId]) -> bool {
+        let others = voters.iter().filter(|voter| *voter != me);
+        self.votes == voters.contains(me) && self.others.iter().eq(others)
+    }
+
     /// The orders in the store are known now: this instance votes. It does so
     /// too when most voters have told it what they grant.
     ///
--- a/lib/tests/right_world/mod.rs
+++ b/lib/tests/right_world/mod.rs
@@ -14,7 +14,6 @@
 use chervilwharf_lib::id::InstanceId;
 use chervilwharf_lib::id::Term;
 use chervilwharf_lib::moment::Moment;
-use chervilwharf_lib::placement::voters;
 use chervilwharf_lib::position::Position;
 use chervilwharf_lib::primary_right::Agreement;
 use chervilwharf_lib::primary_right::Ending;
@@ -286,8 +285,7 @@
         let now_ms = self.now_ms;
         let ids: Vec<_> = (0..INSTANCES).map(instance_id).collect();
         let me = &mut self.instances[number];
-        let voters = voters("db", &ids);
-        me.group.right_mut().set_voters(&ids[number], &voters);
+        me.group.right_mut().set_voters(&ids[number], &ids);
         if now_ms >= me.next_heartbeat_ms {
             me.next_heartbeat_ms = now_ms + HEARTBEAT_MS;
             self.heartbeat(number);
@@ -514,7 +512,7 @@
         }
         let ids: Vec<_> = (0..INSTANCES).map(instance_id).collect();
         let written_at = replacement.written_ms.map(at);
-        let agreement = Agreement::new(voters("db", &ids), ids, true, written_at);
+        let agreement = Agreement::new(ids.clone(), ids, true, written_at);
         let until_ms = self.now_ms + PROMISE_LIMIT_MS;
         replacement.step = Step::Collect { agreement, until_ms, asked_ms: 0 };
         true
