holders: eight vote on a group of a large fleet, all of a small one

Cause: voters that follow the number of holders jump from nine to three when a tenth instance joins, and two views of the instances have majorities without a common member. Found by a test over all fleets from 2 to 60 instances that takes one out. Ruled out: seven or nine (odd: one voter replaced by another is enough), a number that falls with the fleet.

--- a/daemon/src/engine/right_control.rs
+++ b/daemon/src/engine/right_control.rs
@@ -59,9 +59,8 @@
 
 #[derive(Default)]
 struct VoterListsInner {
-    /// The instances and the configuration that the lists were computed from.
+    /// The instances that the lists were computed from.
     recorded: Vec<InstanceRecord>,
-    configuration_version: u64,
     kept: HashMap<GroupId, Arc<Vec<InstanceId>>>,
 }
 
@@ -142,13 +141,11 @@
     /// Instances that vote on a group.
     #[must_use]
     pub fn voters(&self, group: &GroupId) -> Arc<Vec<InstanceId>> {
-        let catalog = self.catalog();
         let mut lists = self.voter_lists().0.lock().expect("never poisoned");
         if let Some(kept) = lists.kept.get(group) {
             return kept.clone();
         }
-        let most = catalog.groups.get(group).map_or(0, |settings| settings.max_connections);
-        let computed = Arc::new(voters(group, most, catalog.groups.len(), &lists.recorded));
+        let computed = Arc::new(voters(group, &lists.recorded));
         lists.kept.insert(group.clone(), computed.clone());
         computed
     }
@@ -167,11 +164,10 @@
 
     /// Drops the lists of voters if they were computed from something else.
     fn renew_voter_lists(&self) {
-        let (recorded, version) = (self.recorded(), self.catalog().version);
+        let recorded = self.recorded();
         let mut lists = self.voter_lists().0.lock().expect("never poisoned");
-        if lists.recorded != recorded || lists.configuration_version != version {
-            *lists =
-                VoterListsInner { recorded, configuration_version: version, kept: HashMap::new() };
+        if lists.recorded != recorded {
+            *lists = VoterListsInner { recorded, kept: HashMap::new() };
         }
     }
 
--- a/lib/src/holders.rs
+++ b/lib/src/holders.rs
@@ -51,6 +51,12 @@
     }
     let by_connections = (shared / HOLDER_CONNECTIONS).clamp(FEWEST_HOLDERS, MOST_HOLDERS);
     let by_groups = (staying.len() / groups.max(1)).max(HOLDERS_OF_MANY);
+    let chosen = ordered(group, staying).into_iter().take(by_connections.min(by_groups));
+    chosen.cloned().collect()
+}
+
+/// Instances in the order in which they hold a group.
+fn ordered<'a>(group: &GroupId, staying: &'a [InstanceRecord]) -> Vec<&'a InstanceRecord> {
     let mut scored: Vec<_> = staying.iter().map(|record| (score(group, record), record)).collect();
     scored.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.id.cmp(&b.1.id)));
     let mut turns: HashMap<&FailureDomainId, usize> = HashMap::new();
@@ -64,8 +70,7 @@
         .collect();
     // Stable: within a turn the best score goes first.
     ordered.sort_by_key(|(turn, _)| *turn);
-    let chosen = ordered.into_iter().take(by_connections.min(by_groups));
-    chosen.map(|(_, record)| record.clone()).collect()
+    ordered.into_iter().map(|(_, record)| record).collect()
 }
 
 /// A score whose order picks instances in proportion to their capacity.
@@ -76,26 +81,22 @@
     f64::from(record.capacity_millicores.max(1)) / -uniform.ln()
 }
 
-/// Fleets up to this size vote as a whole, so that no choice has to be agreed on.
-const ALL_VOTE_UP_TO: usize = 9;
+/// Most instances that vote on a group.
+///
+/// Eight bear the loss of three. It is the same for all larger fleets, and even:
+/// when an instance joins or goes, one voter at most is replaced by another, and
+/// five of the eight before and five of the eight after have one in common. With
+/// seven or nine they need not.
+const MOST_VOTERS: usize = 8;
 
 /// The instances that vote on a group, out of all that have a record.
 ///
 /// Whether they are alive has no part in it: two sides of a partition take
 /// different instances for dead, and would each find a majority of their own. In
-/// a large fleet they are those that hold the connections while all are alive:
-/// these tell each other of the group with heartbeats anyway.
+/// a large fleet with few groups they are those that hold the connections while
+/// all are alive, and tell each other of the group with heartbeats anyway.
 #[must_use]
-pub fn voters(
-    group: &GroupId,
-    max_connections: usize,
-    groups: usize,
-    recorded: &[InstanceRecord],
-) -> Vec<InstanceId> {
-    let chosen = if recorded.len() <= ALL_VOTE_UP_TO {
-        recorded.to_vec()
-    } else {
-        holders(group, max_connections, groups, recorded)
-    };
-    chosen.into_iter().map(|record| record.id).collect()
+pub fn voters(group: &GroupId, recorded: &[InstanceRecord]) -> Vec<InstanceId> {
+    let chosen = ordered(group, recorded).into_iter().take(MOST_VOTERS);
+    chosen.map(|record| record.id.clone()).collect()
 }
--- a/lib/tests/test_sharing.rs
+++ b/lib/tests/test_sharing.rs
@@ -14,6 +14,7 @@
 use chervilwharf_lib::group::ServerInfo;
 use chervilwharf_lib::group::ServerStatus;
 use chervilwharf_lib::holders::holders;
+use chervilwharf_lib::holders::voters;
 use chervilwharf_lib::moment::Moment;
 use chervilwharf_lib::pool_share::Choice;
 use chervilwharf_lib::pool_share::Need;
@@ -302,3 +303,46 @@
     let need = Need::Reader { floor: Position::new(1, 10), shunned: Some("r".into()) };
     assert_eq!(choose(&group, at(1), &need, |_| share(1, 4)), Choice::Idle("p".into()));
 }
+
+fn recorded(count: usize) -> Vec<InstanceRecord> {
+    let domains = ["a", "b", "c"];
+    (0..count)
+        .map(|number| InstanceRecord {
+            id: format!("i{number:03}").into(),
+            life: 1,
+            peer_address: SocketAddr::from(([127, 0, 0, 1], 1)),
+            failure_domain: domains[number % 3].into(),
+            capacity_millicores: 250,
+        })
+        .collect()
+}
+
+#[test]
+fn test_all_of_a_small_fleet_vote_and_the_holders_of_a_large_one() {
+    let small = recorded(7);
+    assert_eq!(voters(&"db".into(), &small).len(), 7);
+    let large = recorded(74);
+    let holding: Vec<_> =
+        holders(&"db".into(), 35, 8, &large).into_iter().map(|record| record.id).collect();
+    assert_eq!(voters(&"db".into(), &large), holding);
+}
+
+#[test]
+fn test_voters_found_before_and_after_one_record_have_majorities_that_meet() {
+    // Symptom: two replacements of a primary at the same time.
+    // Sequence: an instance joins or goes; some know of it already.
+    // Cause: the voters of both views had majorities without a common member.
+    for count in 2..60 {
+        let all = recorded(count);
+        let before = voters(&"db".into(), &all);
+        for gone in 0..count {
+            let mut left = all.clone();
+            left.remove(gone);
+            let after = voters(&"db".into(), &left);
+            let common = before.iter().filter(|id| after.contains(id)).count();
+            let together = before.len() + after.len() - common;
+            let majorities = before.len() / 2 + 1 + after.len() / 2 + 1;
+            assert!(majorities > together, "{count} without {gone}: {before:?} {after:?}");
+        }
+    }
+}
