--- a/lib/src/story.rs
+++ b/lib/src/story.rs
@@ -23,7 +23,7 @@
 const BEFORE_MS: u64 = 4_000;
 
 /// Events that say something of a group or a server, and so of requests.
-const CONTEXT_EVENTS: [&str; 17] = [
+const CONTEXT_EVENTS: [&str; 20] = [
     "started",
     "stopping",
     "stood_still",
@@ -35,6 +35,9 @@
     "leader_opinions",
     "replacement_begun",
     "replacement_dropped",
+    "replacement_agreed",
+    "term_ended",
+    "right_from_store",
     "promotion_answered",
     "detour_opened",
     "detour_closed",
@@ -213,6 +216,16 @@
         ("request_refused", "unknown_database") => {
             "no configuration in force has its database name".to_owned()
         }
+        ("request_refused", "cut_off") => {
+            let instance = &last.instance;
+            format!(
+                "instance {instance} had not the right to use the primary: too few others \
+                 answered it, and neither did the store{around}"
+            )
+        }
+        ("request_unknown", _) if event("commit_unconfirmed").is_some() => {
+            format!("server {server} committed it when it may have been succeeded{around}")
+        }
         ("request_unknown", _) => {
             format!("server {server} did not answer for {at_server} ms{around}")
         }
--- a/lib/tests/test_story.rs
+++ b/lib/tests/test_story.rs
@@ -105,3 +105,21 @@
         !line.contains('\n') && line.len() < 6_000 && parsed.is_some()
     }
 }
+
+#[test]
+fn test_story_tells_why_an_instance_refused_and_why_a_commit_is_unknown() {
+    // Symptom: the reason names the refusal, not what was behind it.
+    // Sequence: an instance has not the right to use the primary; another one
+    // gets a commit acknowledged after its right has ended.
+    // Cause: only the name of the error was told.
+    let refused = request(EventKind::RequestRefused, "r1", "cut_off");
+    let story = story::tell("r1", vec![line(5_000, "a", &refused)]);
+    let cause = story.cause.expect("a cause");
+    assert!(cause.contains("instance a had not the right"), "{cause}");
+
+    let unconfirmed = Event::new(EventKind::CommitUnconfirmed).with("id", "r2").with("group", "db");
+    let unknown = request(EventKind::RequestUnknown, "r2", "outcome_unknown");
+    let log = vec![line(5_000, "a", &unconfirmed), line(5_001, "a", &unknown)];
+    let cause = story::tell("r2", log).cause.expect("a cause");
+    assert!(cause.contains("may have been succeeded"), "{cause}");
+}
