replacement: who cannot write the order leaves it to the next, before the term is ended

An order that it had noted for itself and not given then kept it from naming another server.

Now only voters get leases from the store, so that it is enough that all of them promise; whether they answer is found out before the term ends; who cannot go on steps back for 3.9 s; an order not given is forgotten.

--- a/daemon/src/engine/duty_control.rs
+++ b/daemon/src/engine/duty_control.rs
@@ -68,7 +68,7 @@
     }
 
     /// An order that the store does not know, under a token kept from before.
-    fn note_order(&mut self, group: &GroupId, order: OrderChange) {
+    pub fn note_order(&mut self, group: &GroupId, order: OrderChange) {
         if let (Some((_, record)), OrderChange::Put(order)) = (self.duties.get_mut(group), order) {
             record.order = order;
         }
--- a/daemon/src/engine/leader_control.rs
+++ b/daemon/src/engine/leader_control.rs
@@ -56,6 +56,11 @@
         self.with(group, |watch| watch.replacing(at));
     }
 
+    /// This instance leaves the replacement of a primary to others for a while.
+    pub fn step_back(&self, group: &GroupId) {
+        self.with(group, |watch| watch.step_back(now()));
+    }
+
     fn is_replacing(&self, group: &GroupId) -> bool {
         self.replacing.lock().expect("never poisoned").contains(group)
     }
--- a/daemon/src/engine/replacement.rs
+++ b/daemon/src/engine/replacement.rs
@@ -111,6 +111,8 @@
 enum Dropped {
     /// Nothing was ordered.
     BeforeOrder(&'static str),
+    /// Nothing was ordered, and another instance may be able to.
+    LeftToOthers(&'static str),
     /// The order may have been given.
     AfterOrder,
 }
@@ -144,7 +146,7 @@
     match try_replace(replacer, shard, from.clone(), reason).await {
         Ok(()) => true,
         Err(Dropped::AfterOrder) => false,
-        Err(Dropped::BeforeOrder(reason)) => {
+        Err(Dropped::BeforeOrder(reason) | Dropped::LeftToOthers(reason)) => {
             let event = Event::new(EventKind::ReplacementDropped).with("group", shard.id());
             event_log::emit(&event.with_some("from", from).with("reason", reason));
             false
@@ -190,8 +192,13 @@
         written_at: claim.written_at,
     };
     let result = replacement.carry_out(target).await;
-    if let Err(Dropped::BeforeOrder(_)) = result {
-        replacement.withdraw().await;
+    match result {
+        Err(Dropped::BeforeOrder(_)) => replacement.withdraw().await,
+        Err(Dropped::LeftToOthers(_)) => {
+            replacement.withdraw().await;
+            replacer.engine.watches().step_back(shard.id());
+        }
+        _ => {}
     }
     result
 }
@@ -217,6 +224,9 @@
         if self.is_planned() {
             self.prepare_planned().await;
         }
+        if self.written_at.is_none() && !self.all_voters_answer().await {
+            return Err(Dropped::LeftToOthers("the store has not the order, and not all answer"));
+        }
         self.collect_promises().await?;
         self.metrics_step("agree", began_at);
         let began_at = now();
@@ -274,6 +284,15 @@
         }
     }
 
+    /// Whether all that vote answer, so that they can promise in person. Asked
+    /// before the term is ended: an instance that the store turned away ended it
+    /// again and again, and a group had no primary for twelve seconds.
+    async fn all_voters_answer(&self) -> bool {
+        let replies = self.ask_all(true).await;
+        let answers = |voter: &InstanceId| replies.iter().any(|(id, _)| id == voter);
+        self.replacer.engine.voters(self.shard.id()).iter().all(answers)
+    }
+
     /// All instances that may use the primary or vote, this one included.
     fn participants(&self) -> Vec<InstanceRecord> {
         let engine = &self.replacer.engine;
@@ -321,9 +340,8 @@
         let engine = &self.replacer.engine;
         let participants = self.participants();
         let ids: Vec<_> = participants.iter().map(|record| record.id.clone()).collect();
-        let all_asked = engine.recorded().iter().all(|record| ids.contains(&record.id));
         let voters = engine.voters(self.shard.id()).to_vec();
-        let mut agreement = Agreement::new(voters, ids, all_asked, self.written_at);
+        let mut agreement = Agreement::new(voters, ids, self.written_at);
         let last_resort = self.reason == ReplaceReason::LastResort;
         let until = now() + PROMISE_LIMIT;
         loop {
@@ -435,10 +453,12 @@
     /// for its outcome.
     async fn withdraw(&self) {
         self.tell_others(None);
+        let restored = OrderChange::Put(self.last_order.clone());
         if self.written_at.is_none() {
+            let engine = &self.replacer.engine;
+            engine.with_duties(|duties| duties.note_order(self.shard.id(), restored));
             return;
         }
-        let restored = OrderChange::Put(self.last_order.clone());
         if claim(self.replacer, self.shard.id(), restored).await.is_none() {
             let event = Event::new(EventKind::DutyFailed).with("group", self.shard.id());
             event_log::emit(&event.with("reason", "the order could not be withdrawn"));
--- a/lib/src/leader_watch.rs
+++ b/lib/src/leader_watch.rs
@@ -80,6 +80,8 @@
     leaving_since: Option<(TargetId, Moment)>,
     /// Somebody replaces the primary; nobody else should before this time.
     quiet_until: Moment,
+    /// Others should replace the primary until then.
+    stepped_back_until: Moment,
     sampled_at: Option<Moment>,
     suspected_at: Option<Moment>,
 }
@@ -196,7 +198,8 @@
         let Some(rank) = rank.and_then(|rank| u32::try_from(rank).ok()) else {
             return false;
         };
-        now >= confirmed_at + STAGGER * rank && now >= self.quiet_until
+        let free = now >= self.quiet_until && now >= self.stepped_back_until;
+        now >= confirmed_at + STAGGER * rank && free
     }
 
     fn watch_failing(
@@ -300,6 +303,12 @@
         self.quiet_until = now + REPLACEMENT_TIME;
     }
 
+    /// This instance cannot replace the primary now, and others may: it leaves
+    /// it to them for the time of two in the succession and a replacement.
+    pub fn step_back(&mut self, now: Moment) {
+        self.stepped_back_until = now + STAGGER * 2 + REPLACEMENT_TIME;
+    }
+
     /// A replacement ended without a new primary; it may be tried again.
     pub fn replacement_failed(&mut self, now: Moment) {
         self.quiet_until = now;
--- a/lib/src/primary_right.rs
+++ b/lib/src/primary_right.rs
@@ -239,8 +239,10 @@
         self.end_by_voters(term).max(self.end_by_store(term))
     }
 
+    /// Only voters get anything from the store: whoever replaces a primary asks
+    /// all of them, and not every instance there is.
     fn end_by_store(&self, term: Term) -> Option<Moment> {
-        let grant = self.store_grant.filter(|grant| grant.retired < term);
+        let grant = self.store_grant.filter(|grant| self.votes && grant.retired < term);
         let grant = grant.filter(|grant| grant.asked_at >= self.store_from);
         grant.map(|grant| grant.asked_at + STORE_LEASE)
     }
@@ -349,8 +351,6 @@
 pub struct Agreement {
     voters: Vec<InstanceId>,
     asked: Vec<InstanceId>,
-    /// Whether all instances that there are were asked.
-    all_asked: bool,
     /// When the order was written into the store; `None` if it could not be.
     written_at: Option<Moment>,
     promised: Vec<InstanceId>,
@@ -375,11 +375,9 @@
     pub fn new(
         voters: Vec<InstanceId>,
         asked: Vec<InstanceId>,
-        all_asked: bool,
         written_at: Option<Moment>,
     ) -> Self {
-        let (promised, given) = (Vec::new(), BTreeMap::new());
-        Self { voters, asked, all_asked, written_at, promised, given }
+        Self { voters, asked, written_at, promised: Vec::new(), given: BTreeMap::new() }
     }
 
     /// An instance promised, in an answer that came at `now`.
@@ -402,21 +400,21 @@
     ///
     /// A silent instance needs a majority of grants, one of which must come
     /// from a voter that promised; so its lease ends with the last grant of
-    /// these. Or it read the store before the order was there.
+    /// these. Or it is a voter and read the store before the order was there.
     #[must_use]
     pub fn readiness(&self, last_resort: bool) -> Readiness {
         let votes = self.voters.iter().filter(|voter| self.promised.contains(voter)).count();
         if votes * 2 <= self.voters.len() && !last_resort {
             return Readiness::TooFewVotes;
         }
-        if self.all_asked && self.missing().next().is_none() {
-            return Readiness::From(Moment::ZERO);
-        }
-        let Some(written_at) = self.written_at else {
-            return Readiness::SomeSilent;
-        };
         let silent = self.given.iter().filter(|(id, _)| !self.promised.contains(id));
         let by_voters = silent.map(|(_, until)| *until).max().unwrap_or_default();
-        Readiness::From(by_voters.max(written_at + STORE_LEASE))
+        if votes == self.voters.len() {
+            return Readiness::From(by_voters);
+        }
+        match self.written_at {
+            Some(written_at) => Readiness::From(by_voters.max(written_at + STORE_LEASE)),
+            None => Readiness::SomeSilent,
+        }
     }
 }
--- a/lib/tests/test_replacement.rs
+++ b/lib/tests/test_replacement.rs
@@ -222,6 +222,28 @@
     assert_eq!(replaces(&watch.tick(at(asked_ms + 5_000), &group, None)), None);
 }
 
+#[test]
+fn test_instance_that_cannot_take_the_duty_leaves_it_to_the_next() {
+    // Symptom: a group has no primary for twelve seconds.
+    // Sequence: the store turns away the instance that comes first, and serves
+    // the others; the primary dies.
+    // Cause: it tried again as soon as it had failed, and the others waited for
+    // it.
+    let (mut watch, mut group) = (LeaderWatch::default(), group(false));
+    group.observe_failure(at(0), &id("p"));
+    let asked_ms = until_asked(&mut watch, &mut group, 0);
+    watch.heard(at(asked_ms), Some(&id("p")), NOBODY_REACHES);
+    watch.replacing(at(asked_ms));
+    watch.step_back(at(asked_ms + 10));
+    watch.replacement_failed(at(asked_ms + 10));
+    assert_eq!(replaces(&watch.tick(at(asked_ms + 3_000), &group, Some(0))), None);
+    let mut next = LeaderWatch::default();
+    let next_asked_ms = until_asked(&mut next, &mut group, 0);
+    next.heard(at(next_asked_ms), Some(&id("p")), NOBODY_REACHES);
+    assert!(replaces(&next.tick(at(next_asked_ms + 700), &group, Some(1))).is_some());
+    assert!(replaces(&watch.tick(at(asked_ms + 4_000), &group, Some(0))).is_some());
+}
+
 #[test]
 fn test_no_second_replacement_while_one_is_under_way() {
     let (mut watch, mut group) = (LeaderWatch::default(), group(false));
