--- a/daemon/src/engine/fleet_control.rs
+++ b/daemon/src/engine/fleet_control.rs
@@ -68,6 +68,7 @@
     }
 
     fn replace(&mut self, listing: Listing) {
+        self.engine.store_answered().notify_one();
         let mut records: Vec<_> = listing.entries.into_iter().filter_map(instance_of).collect();
         records.extend(self.engine.with_fleet(|fleet| {
             let known = listing.unreadable.iter().filter_map(|id| fleet.record(id));
--- a/daemon/src/engine/right_control.rs
+++ b/daemon/src/engine/right_control.rs
@@ -38,6 +38,14 @@
 /// Pause between two tries to read the orders after a start; each is paid for.
 const ORDERS_PAUSE: Duration = Duration::from_millis(300);
 
+/// How long the first reading goes on whatever else the store answers: a slow
+/// store answers in 250 ms.
+const FIRST_ORDERS_LIMIT: Duration = Duration::from_millis(300);
+
+/// Answers of the store that come within this time are taken to be as late as
+/// each other.
+const ANSWERED_TOGETHER: Duration = Duration::from_millis(100);
+
 /// A lease that ends within this time is renewed by the store as well: the last
 /// round of heartbeats, every 500 ms, was not answered by enough voters.
 const RENEWED_BY_STORE_WITHIN: Duration = Duration::from_millis(700);
@@ -68,16 +76,38 @@
 /// unless others tell it what they grant.
 pub async fn learn_orders(engine: Arc<Engine>, directory: Arc<dyn Directory>) {
     let mut failed = false;
-    while let Err(error) = read_orders(&engine, &*directory).await {
+    loop {
+        let result = tokio::select! {
+            result = read_orders(&engine, &*directory) => result,
+            // A call that the store took while it was down is never answered.
+            // All instances had been killed during an outage: for a second after
+            // it nobody could use a primary.
+            () = answered_elsewhere(&engine, failed) => continue,
+        };
+        let Err(error) = result else {
+            break;
+        };
         if !failed {
             event_log::emit(&Event::new(EventKind::OrdersUnknown).with("reason", error));
         }
         failed = true;
-        tokio::time::sleep(ORDERS_PAUSE).await;
+        tokio::select! {
+            () = tokio::time::sleep(ORDERS_PAUSE) => {}
+            () = engine.store_answered().notified() => {}
+        }
     }
     engine.vote();
 }
 
+/// Waits until the store answers another question, and a little longer.
+async fn answered_elsewhere(engine: &Engine, failed: bool) {
+    if !failed {
+        tokio::time::sleep(FIRST_ORDERS_LIMIT).await;
+    }
+    engine.store_answered().notified().await;
+    tokio::time::sleep(ANSWERED_TOGETHER).await;
+}
+
 /// Reads the duties as they are now, which renews the right to use primaries
 /// that nobody has an order to replace.
 async fn read_orders(engine: &Engine, directory: &dyn Directory) -> Result<(), DirectoryError> {
--- a/daemon/src/engine/shared.rs
+++ b/daemon/src/engine/shared.rs
@@ -67,6 +67,8 @@
     /// Whether this instance has a record, by which the others count it among
     /// those that vote.
     registered: AtomicBool,
+    /// Woken when the store listed something.
+    store_answered: Notify,
     /// Whether this instance knows which orders there were when it started.
     knows_orders: AtomicBool,
     /// Woken when the record of this instance has to be written.
@@ -103,6 +105,7 @@
             renewal: Arc::default(),
             voter_lists: VoterLists::default(),
             registered: AtomicBool::new(false),
+            store_answered: Notify::new(),
             knows_orders: AtomicBool::new(false),
             wants_record: Notify::new(),
             stopping: watch::Sender::new(None),
@@ -175,6 +178,12 @@
         &self.renewal
     }
 
+    /// Woken when the store listed something.
+    #[must_use]
+    pub fn store_answered(&self) -> &Notify {
+        &self.store_answered
+    }
+
     /// From now on this instance votes on groups that it gets to know.
     pub fn set_knows_orders(&self) {
         self.knows_orders.store(true, Ordering::Relaxed);
