duty_control: an order of another instance is not overwritten

Cause, found by reading the change: an instance that took its own order back, or named another server in it, wrote over a record that another one had written meanwhile if it had heard of it, and with it over an order that those who read the store must see. What counts now is the token known when it decided.

engine: the survey of the servers before a promotion has a file of its own.

--- a/daemon/src/engine/duty_control.rs
+++ b/daemon/src/engine/duty_control.rs
@@ -74,6 +74,12 @@
         }
     }
 
+    /// The present token of a group; 0 if nobody ever held its duty.
+    #[must_use]
+    pub fn token(&self, group: &GroupId) -> DutyToken {
+        self.record(group).map_or(0, |record| record.token)
+    }
+
     /// Whether an order was given under the present token of a group.
     #[must_use]
     pub fn is_spent(&self, group: &GroupId) -> bool {
@@ -156,15 +162,18 @@
     pub written_at: Option<Moment>,
 }
 
-/// Takes the duty of a group under a new token. While the store cannot be
-/// reached, a token of this life that was never spent will do.
+/// Takes the duty of a group under a new token, unless another instance took it
+/// under a later one than `since`, which was known when this one decided to act.
+/// While the store cannot be reached, a token of this life that was never spent
+/// will do.
 pub async fn claim(
     engine: &Engine,
     directory: &dyn Directory,
     group: &GroupId,
     order: OrderChange,
+    since: DutyToken,
 ) -> Option<Claim> {
-    match claim_new(engine, directory, group, order.clone()).await {
+    match claim_new(engine, directory, group, order.clone(), since).await {
         Ok(duty) => Some(Claim { duty, written_at: Some(now()) }),
         Err(error) => {
             let me = engine.me();
@@ -190,6 +199,7 @@
     directory: &dyn Directory,
     group: &GroupId,
     order: OrderChange,
+    since: DutyToken,
 ) -> Result<DutyRecord, WriteError> {
     let (present, expected) = match directory.get(RecordKind::Duties, group).await {
         Ok(present) => {
@@ -205,10 +215,11 @@
         _ => engine.with_duties(|duties| duties.record(group).cloned()),
     };
     if let (Some(record), Some(entry)) = (&last, &present) {
+        engine.with_duties(|duties| duties.learn(entry.revision, record.clone()));
         // Somebody took the duty since this instance decided to act, and acts
-        // now. Two that replace a primary at once undo each other's work.
-        let news = engine.with_duties(|duties| duties.learn(entry.revision, record.clone()));
-        if news && record.holder != engine.me().id {
+        // now. Two that replace a primary at once undo each other's work, and an
+        // order that is overwritten is seen by nobody who reads the store.
+        if record.token > since && record.holder != engine.me().id {
             return Err(WriteError::Conflict(present));
         }
     }
--- a/daemon/src/engine/leader_control.rs
+++ b/daemon/src/engine/leader_control.rs
@@ -183,13 +183,10 @@
     };
     let (replacer, shard) = (replacer.clone(), shard.clone());
     tokio::spawn(async move {
-        let claimed = duty_control::claim(
-            &replacer.engine,
-            &*replacer.directory,
-            shard.id(),
-            OrderChange::Keep,
-        )
-        .await;
+        let (engine, directory) = (&replacer.engine, &*replacer.directory);
+        let since = engine.with_duties(|duties| duties.token(shard.id()));
+        let claimed =
+            duty_control::claim(engine, directory, shard.id(), OrderChange::Keep, since).await;
         if claimed.is_none() {
             tokio::time::sleep(CLAIM_PAUSE).await;
         }
--- a/daemon/src/engine/mod.rs
+++ b/daemon/src/engine/mod.rs
@@ -35,6 +35,7 @@
 pub mod single;
 pub mod socket;
 pub mod stop;
+pub mod survey;
 pub mod trail;
 pub mod transaction;
 pub mod waiting;
--- a/daemon/src/engine/replacement.rs
+++ b/daemon/src/engine/replacement.rs
@@ -20,7 +20,6 @@
 use chervilwharf_lib::event::Event;
 use chervilwharf_lib::event::EventKind;
 use chervilwharf_lib::fleet::InstanceRecord;
-use chervilwharf_lib::group::ServerStatus;
 use chervilwharf_lib::id::GroupId;
 use chervilwharf_lib::id::InstanceId;
 use chervilwharf_lib::id::TargetId;
@@ -28,7 +27,6 @@
 use chervilwharf_lib::leader_watch::REPLACEMENT_TIME;
 use chervilwharf_lib::leader_watch::ReplaceReason;
 use chervilwharf_lib::moment::Moment;
-use chervilwharf_lib::position::Position;
 use chervilwharf_lib::primary_right::Agreement;
 use chervilwharf_lib::primary_right::Readiness;
 use chervilwharf_lib::primary_right::STORE_LEASE;
@@ -47,6 +45,8 @@
 use crate::engine::right_control::decode_given;
 use crate::engine::shard::Shard;
 use crate::engine::shared::Engine;
+use crate::engine::survey::Candidate;
+use crate::engine::survey::survey;
 
 /// Pause between two questions to a server that is about to lead.
 const LEAD_POLL: Duration = Duration::from_millis(60);
@@ -100,13 +100,6 @@
     pub promoter: Arc<dyn Promoter>,
 }
 
-/// A replica that can take over.
-#[derive(Clone, Debug)]
-struct Candidate {
-    id: TargetId,
-    status: ServerStatus,
-}
-
 /// Why a replacement went no further.
 enum Dropped {
     /// Nothing was ordered.
@@ -161,7 +154,8 @@
     reason: ReplaceReason,
 ) -> Result<(), Dropped> {
     let last_resort = reason == ReplaceReason::LastResort;
-    let found = survey(replacer, shard, from.as_ref(), reason).await;
+    let since = replacer.engine.with_duties(|duties| duties.token(shard.id()));
+    let found = survey(&replacer.engine, shard, from.as_ref(), reason).await;
     if found.leading.is_some_and(|leading| from.as_ref() != Some(&leading.id)) {
         return Ok(());
     }
@@ -176,7 +170,7 @@
     let order = DutyOrder { server: target.id.clone(), term: highest_term + 1 };
     let metrics = replacer.engine.metrics();
     let began_at = now();
-    let claim = claim(replacer, shard.id(), OrderChange::Put(Some(order))).await;
+    let claim = claim(replacer, shard.id(), OrderChange::Put(Some(order)), since).await;
     let claim = claim.ok_or(Dropped::BeforeOrder("the duty could not be taken"))?;
     metrics.replacement_step("claim", now().saturating_sub(began_at));
     let mut replacement = Replacement {
@@ -203,8 +197,13 @@
     result
 }
 
-async fn claim(replacer: &Replacer, group: &GroupId, order: OrderChange) -> Option<Claim> {
-    duty_control::claim(&replacer.engine, &*replacer.directory, group, order).await
+async fn claim(
+    replacer: &Replacer,
+    group: &GroupId,
+    order: OrderChange,
+    since: DutyToken,
+) -> Option<Claim> {
+    duty_control::claim(&replacer.engine, &*replacer.directory, group, order, since).await
 }
 
 impl Replacement<'_> {
@@ -407,7 +406,8 @@
     async fn choose_successor(&mut self, first: Candidate) -> Result<Candidate, Dropped> {
         let until = now() + RECEIVE_LIMIT;
         let best = loop {
-            let found = survey(self.replacer, self.shard, self.from.as_ref(), self.reason).await;
+            let found =
+                survey(&self.replacer.engine, self.shard, self.from.as_ref(), self.reason).await;
             if found.leading.is_some() {
                 return Err(Dropped::BeforeOrder("a server leads in a later term"));
             }
@@ -436,7 +436,8 @@
             return false;
         }
         let order = DutyOrder { server: target.id.clone(), term: self.term + 1 };
-        let claim = claim(self.replacer, self.shard.id(), OrderChange::Put(Some(order))).await;
+        let (change, since) = (OrderChange::Put(Some(order)), self.duty.token);
+        let claim = claim(self.replacer, self.shard.id(), change, since).await;
         let Some(Claim { duty, written_at: Some(_) }) = claim else {
             return false;
         };
@@ -459,7 +460,8 @@
             engine.with_duties(|duties| duties.note_order(self.shard.id(), restored));
             return;
         }
-        if claim(self.replacer, self.shard.id(), restored).await.is_none() {
+        let since = self.duty.token;
+        if claim(self.replacer, self.shard.id(), restored, since).await.is_none() {
             let event = Event::new(EventKind::DutyFailed).with("group", self.shard.id());
             event_log::emit(&event.with("reason", "the order could not be withdrawn"));
         }
@@ -549,100 +551,3 @@
     let event = Event::new(EventKind::Demoted).with("group", shard.id()).with("server", &server);
     event_log::emit(&event.with("term", term).with_some("failed", failed));
 }
-
-/// What the servers of a group say before one of them takes over.
-#[derive(Default)]
-struct Survey {
-    /// The replica that received most.
-    best: Option<Candidate>,
-    /// What the old primary has, if it was asked and goes on.
-    old_received: Option<Position>,
-    /// A server that leads in a later term already.
-    leading: Option<Candidate>,
-}
-
-/// Asks the servers of a group. The best replica lacks the fewest acknowledged
-/// commits; where commits are acknowledged only when some replicas have them,
-/// so many must have answered that one of these is among them.
-///
-/// As a last resort also one that missed a change of primary will do: a group
-/// whose later primary is lost for good would otherwise have none for ever.
-async fn survey(
-    replacer: &Replacer,
-    shard: &Arc<Shard>,
-    from: Option<&TargetId>,
-    reason: ReplaceReason,
-) -> Survey {
-    let last_resort = reason == ReplaceReason::LastResort;
-    let asks_old = reason == ReplaceReason::Leaving;
-    let ids: Vec<TargetId> = shard.with_group(|group| {
-        let asked = group.servers().filter(|view| asks_old || Some(&view.info.id) != from);
-        asked.map(|view| view.info.id.clone()).collect()
-    });
-    let replicas = ids.iter().filter(|id| Some(*id) != from).count();
-    let probed = join_all(ids.iter().map(|id| probe::probe(shard, id))).await;
-    let mut survey = Survey::default();
-    let mut answered = 0;
-    for (id, probed) in ids.into_iter().zip(probed) {
-        let Probed::Status(status) = probed else {
-            continue;
-        };
-        if status.leads {
-            survey.take_leading(shard, Candidate { id, status });
-            continue;
-        }
-        answered += 1;
-        if is_able(shard, &id, &status, last_resort) {
-            survey.take_replica(Candidate { id, status });
-        }
-    }
-    let catalog = replacer.engine.catalog();
-    let sync = catalog.groups.get(shard.id()).map_or(0, |settings| settings.sync_replicas);
-    if sync > 0 && !last_resort && answered + sync <= replicas {
-        report_rejected(shard, None, "too few replicas answer to have every commit");
-        survey.best = None;
-    }
-    survey
-}
-
-impl Survey {
-    /// A server that leads: in a later term it is the new primary, else the old
-    /// one that goes on, whose promotion would change nothing.
-    fn take_leading(&mut self, shard: &Arc<Shard>, server: Candidate) {
-        self.old_received = self.old_received.max(Some(server.status.received));
-        let current = shard.with_group(|group| {
-            let leader = group.leader().map(|leader| &leader.id);
-            leader == Some(&server.id) && group.right().retired() < server.status.term
-        });
-        if current {
-            self.leading = Some(server);
-        }
-    }
-
-    fn take_replica(&mut self, replica: Candidate) {
-        let known = self.best.as_ref().map(|known| known.status.received);
-        if known.is_none_or(|known| replica.status.received > known) {
-            self.best = Some(replica);
-        }
-    }
-}
-
-fn is_able(shard: &Arc<Shard>, id: &TargetId, status: &ServerStatus, last_resort: bool) -> bool {
-    let (may_lead, draining) = shard.with_group(|group| {
-        let draining = group.server(id).is_none_or(|view| view.info.draining);
-        (group.may_lead(status), draining)
-    });
-    if !may_lead && !last_resort {
-        report_rejected(shard, Some((id, status)), "missed a change");
-    }
-    !draining && (may_lead || last_resort)
-}
-
-fn report_rejected(shard: &Shard, server: Option<(&TargetId, &ServerStatus)>, reason: &str) {
-    let event = Event::new(EventKind::CandidateRejected)
-        .with("group", shard.id())
-        .with_some("server", server.map(|(id, _)| id))
-        .with_some("received", server.map(|(_, status)| status.received))
-        .with_some("term", server.map(|(_, status)| status.term));
-    event_log::emit(&event.with("reason", reason));
-}
