--- a/daemon/src/engine/replacement.rs
+++ b/daemon/src/engine/replacement.rs
@@ -296,7 +296,6 @@
     fn participants(&self) -> Vec<InstanceRecord> {
         let engine = &self.replacer.engine;
         let mut records = engine.voters_and_co_holders(self.shard.id());
-        records.retain(|record| record.id != engine.me().id);
         records.push(engine.me().clone());
         records
     }
--- a/daemon/src/engine/right_control.rs
+++ b/daemon/src/engine/right_control.rs
@@ -18,6 +18,7 @@
 use chervilwharf_lib::holders::voters;
 use chervilwharf_lib::id::GroupId;
 use chervilwharf_lib::id::InstanceId;
+use chervilwharf_lib::id::Term;
 use chervilwharf_lib::moment::Moment;
 use chervilwharf_lib::primary_right::Ending;
 use chervilwharf_lib::primary_right::Objection;
@@ -113,23 +114,23 @@
 async fn read_orders(engine: &Engine, directory: &dyn Directory) -> Result<(), DirectoryError> {
     let asked_at = now();
     let listing = directory.list(RecordKind::Duties, Currency::Fresh).await?;
-    let mut ordered: Vec<GroupId> = Vec::new();
+    let mut ordered: HashMap<GroupId, Term> = HashMap::new();
     for Entry { revision, record, .. } in listing.entries {
         let Record::Duty(record) = record else {
             continue;
         };
         let term = record.order.as_ref().map_or(0, |order| order.term);
-        engine.shard(&record.group).change_right(|right| {
-            right.take_order(term);
-            right.granted_by_store(asked_at, term.saturating_sub(1));
-        });
-        ordered.push(record.group.clone());
+        ordered.insert(record.group.clone(), term);
+        // Known from now on, also if the configuration comes later.
+        let _shard = engine.shard(&record.group);
         engine.with_duties(|duties| duties.learn(revision, record));
     }
     for shard in engine.shards() {
-        if !ordered.contains(shard.id()) {
-            shard.change_right(|right| right.granted_by_store(asked_at, 0));
-        }
+        let term = ordered.get(shard.id()).copied().unwrap_or_default();
+        shard.change_right(|right| {
+            right.take_order(term);
+            right.granted_by_store(asked_at, term.saturating_sub(1));
+        });
     }
     Ok(())
 }
@@ -141,8 +142,7 @@
     let at = now();
     let ends_soon = |shard: &Arc<Shard>| {
         shard.with_group(|group| {
-            let Some(term) = group.leader().map(|leader| leader.term).filter(|term| *term > 0)
-            else {
+            let Some(term) = group.confirmed_leader().map(|leader| leader.term) else {
                 return false;
             };
             let end = group.right().lease_end(term);
@@ -245,8 +245,7 @@
         let group_id: GroupId = end.group.as_str().into();
         let shard = self.shard(&group_id);
         let at = now();
-        let token =
-            self.with_duties(|duties| duties.record(&group_id).map_or(0, |duty| duty.token));
+        let token = self.with_duties(|duties| duties.token(&group_id));
         let running = shard.with_group(|group| group.server(&end.server).map_or(0, |v| v.running));
         let reply = TermEndReply {
             running: u64::try_from(running).unwrap_or(u64::MAX),
--- a/daemon/tests/stubs/mod.rs
+++ b/daemon/tests/stubs/mod.rs
@@ -10,6 +10,7 @@
 use chervilwharf_daemon::engine::border::ServerConnection;
 use chervilwharf_daemon::engine::peers::Peers;
 use chervilwharf_daemon::engine::shard::Shard;
+use chervilwharf_lib::fleet::InstanceRecord;
 use chervilwharf_lib::group::ServerInfo;
 use chervilwharf_lib::id::GroupId;
 use chervilwharf_lib::id::TargetId;
@@ -64,6 +65,17 @@
     }
 }
 
+/// An instance.
+pub fn instance(id: &str) -> InstanceRecord {
+    InstanceRecord {
+        id: id.into(),
+        life: 1,
+        peer_address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        failure_domain: "a".into(),
+        capacity_millicores: 250,
+    }
+}
+
 /// A group with one server, the primary, at an address.
 pub fn shard_with_primary(
     connector: Arc<dyn Connector>,
--- a/daemon/tests/test_duty.rs
+++ b/daemon/tests/test_duty.rs
@@ -2,7 +2,6 @@
 
 mod stubs;
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -23,8 +22,8 @@
 use chervilwharf_daemon::engine::shared::Engine;
 use chervilwharf_lib::duty::DutyOrder;
 use chervilwharf_lib::duty::DutyRecord;
-use chervilwharf_lib::fleet::InstanceRecord;
 use stubs::NoServer;
+use stubs::instance;
 
 /// Keeps one record.
 struct OneRecord(Mutex<Entry>);
@@ -82,17 +81,6 @@
     DutyOrder { server: server.into(), term: 2 }
 }
 
-fn engine() -> Engine {
-    let me = InstanceRecord {
-        id: "me".into(),
-        life: 1,
-        peer_address: SocketAddr::from(([127, 0, 0, 1], 1)),
-        failure_domain: "a".into(),
-        capacity_millicores: 250,
-    };
-    Engine::new(me, Arc::new(NoServer))
-}
-
 #[tokio::test]
 async fn test_order_of_another_instance_is_not_overwritten_by_one_that_acts_on_older_news() {
     // Symptom: two servers are promoted one after the other, and what was
@@ -110,7 +98,8 @@
         order: Some(order("theirs")),
     };
     let entry = Entry { name: "db".into(), revision: 5, record: Record::Duty(duty(4)) };
-    let (engine, directory) = (engine(), OneRecord(Mutex::new(entry)));
+    let (engine, directory) =
+        (Engine::new(instance("me"), Arc::new(NoServer)), OneRecord(Mutex::new(entry)));
     engine.with_duties(|duties| duties.learn(5, duty(4)));
     let ours = || OrderChange::Put(Some(order("ours")));
     assert!(claim(&engine, &directory, &"db".into(), ours(), 3).await.is_none());
--- a/daemon/tests/test_metrics.rs
+++ b/daemon/tests/test_metrics.rs
@@ -2,7 +2,6 @@
 
 mod stubs;
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -19,8 +18,8 @@
 use chervilwharf_daemon::engine::directory::Revision;
 use chervilwharf_daemon::engine::directory::WriteError;
 use chervilwharf_daemon::engine::shared::Engine;
-use chervilwharf_lib::fleet::InstanceRecord;
 use stubs::NoServer;
+use stubs::instance;
 
 /// A store that lists nothing and refuses everything else.
 struct ListsOnly;
@@ -59,29 +58,19 @@
     }
 }
 
-fn record() -> InstanceRecord {
-    InstanceRecord {
-        id: "instance".into(),
-        life: 1,
-        peer_address: SocketAddr::from(([127, 0, 0, 1], 1)),
-        failure_domain: "a".into(),
-        capacity_millicores: 250,
-    }
-}
-
 /// Symptom: calls to the store are paid for, and the metric that counts them
 /// says none. Sequence: calls end, well or not. Cause: the counter was
 /// registered, and nobody counted.
 #[tokio::test]
 async fn test_calls_to_the_store_are_counted_by_kind_and_outcome() {
-    let engine = Engine::new(record(), Arc::new(NoServer));
+    let engine = Engine::new(instance("instance"), Arc::new(NoServer));
     let directory = CountedDirectory::new(Arc::new(ListsOnly), engine.metrics().store.clone());
     for _ in 0..2 {
         directory.list(RecordKind::Servers, Currency::Fresh).await.unwrap();
     }
     let wait = Duration::from_secs(1);
     directory.watch(RecordKind::Servers, 7, wait, Currency::Fresh).await.unwrap_err();
-    let own = Record::Instance(record());
+    let own = Record::Instance(instance("instance"));
     directory.write("instance", &own, None).await.unwrap_err();
     let text = engine.metrics().text(&engine);
     let counted = |labels: &str, count: u32| {
--- a/daemon/tests/test_start.rs
+++ b/daemon/tests/test_start.rs
@@ -13,15 +13,11 @@
 use chervilwharf_lib::fleet::InstanceRecord;
 use chervilwharf_lib::id::GroupId;
 use stubs::NoServer;
+use stubs::instance;
 
 fn record(number: u8) -> InstanceRecord {
-    InstanceRecord {
-        id: format!("instance-{number:02}").into(),
-        life: 1,
-        peer_address: SocketAddr::from(([127, 0, 0, number], 7440)),
-        failure_domain: "a".into(),
-        capacity_millicores: 250,
-    }
+    let peer_address = SocketAddr::from(([127, 0, 0, number], 7440));
+    InstanceRecord { peer_address, ..instance(&format!("instance-{number:02}")) }
 }
 
 /// An engine that knows a configuration with one group, and nothing else.
--- a/lib/src/group.rs
+++ b/lib/src/group.rs
@@ -323,6 +323,13 @@
         Ok(promise)
     }
 
+    /// The primary, if it told its term itself: one that only the platform's
+    /// list names may have been succeeded already.
+    #[must_use]
+    pub fn confirmed_leader(&self) -> Option<&Leader> {
+        self.leader.as_ref().filter(|leader| leader.term > 0)
+    }
+
     /// The primary and its term, if new work may begin there now.
     #[must_use]
     pub fn usable_leader(&self, now: Moment) -> Option<&Leader> {
@@ -339,24 +346,20 @@
     /// The primary is wanted. Returns whether it may be used, as far as the
     /// right to do so goes.
     pub fn want_leader(&mut self, now: Moment) -> bool {
-        match &self.leader {
-            Some(leader) if leader.term > 0 => self.right.want(now, leader.term),
-            _ => true,
-        }
+        let term = self.confirmed_leader().map(|leader| leader.term);
+        term.is_none_or(|term| self.right.want(now, term))
     }
 
     /// Whether there is a primary that only the right to use it is missing for.
     #[must_use]
     pub fn lacks_right(&self, now: Moment) -> bool {
-        let leader = self.leader.as_ref().filter(|leader| leader.term > 0);
-        leader.is_some_and(|leader| !self.right.holds(now, leader.term))
+        self.confirmed_leader().is_some_and(|leader| !self.right.holds(now, leader.term))
     }
 
     /// Whether another instance should serve what needs the primary.
     #[must_use]
     pub fn is_cut_off(&self, now: Moment) -> bool {
-        let leader = self.leader.as_ref().filter(|leader| leader.term > 0);
-        leader.is_some_and(|leader| self.right.is_cut_off(now, leader.term))
+        self.confirmed_leader().is_some_and(|leader| self.right.is_cut_off(now, leader.term))
     }
 
     /// Highest term that any server was seen in.
--- a/lib/src/leader_watch.rs
+++ b/lib/src/leader_watch.rs
@@ -171,11 +171,10 @@
         rank: Option<usize>,
         actions: &mut Vec<WatchAction>,
     ) {
-        // One that only the platform's list names may have been succeeded
-        // already: it would be replaced with the term of its successor.
+        // One that was succeeded already would be replaced in the place of its
+        // successor.
         let leaving = group
-            .leader()
-            .filter(|leader| leader.term > 0)
+            .confirmed_leader()
             .filter(|leader| group.server(&leader.id).is_some_and(|view| view.info.draining));
         let Some(leader) = leaving else {
             self.leaving_since = None;
--- a/lib/src/primary_right.rs
+++ b/lib/src/primary_right.rs
@@ -3,9 +3,9 @@
 //! The platform's servers do not step down when another one is promoted: an old
 //! primary goes on, answers reads with old data and acknowledges writes that
 //! are lost. So instances must not use it, by themselves. Each uses a primary
-//! only while it holds a lease on its term, granted by most of the instances
-//! that vote, or by the platform's store; and whoever replaces the primary first
-//! has their promise that they grant it no more.
+//! only while it holds a lease on its term, granted by half of the instances that
+//! vote, or by the platform's store; and whoever replaces the primary first has
+//! the promise of more than half that they grant it no more.
 //!
 //! All times are [`Moment`]s, on a clock that counts suspensions: an instance
 //! that was frozen finds its lease over when it wakes up.
@@ -76,7 +76,7 @@
 /// How long after a start it matters what an earlier life may have promised: a
 /// replacement that collected the promise has sent its order by then, or never
 /// will, and the new term can be seen.
-pub const FORGETFUL: Duration = Duration::from_secs(4);
+const FORGETFUL: Duration = Duration::from_secs(4);
 
 /// How long an order that got no answer may still be carried out. The platform
 /// does so within seconds; until then only the server that it names may be
@@ -408,7 +408,7 @@
 
     /// Whether, and from when on, nobody uses the old term any more.
     ///
-    /// A silent instance needs a majority of grants, one of which must come
+    /// A silent instance needs half of the grants, one of which must come
     /// from a voter that promised; so its lease ends with the last grant of
     /// these. Or it is a voter and read the store before the order was there.
     #[must_use]
--- a/lib/tests/right_world/mod.rs
+++ b/lib/tests/right_world/mod.rs
@@ -278,7 +278,7 @@
                     if whole { 0 } else { usize::from(self.random.per_mille(350)) };
             }
         }
-        self.servers.disturb(&mut self.random, self.now_ms);
+        self.servers.disturb(&mut self.random);
     }
 
     fn act(&mut self, number: usize) {
@@ -383,7 +383,7 @@
                 }
             }
             Message::Write { server, term } => {
-                if let Some(entry) = self.servers.commit(server, self.now_ms) {
+                if let Some(entry) = self.servers.commit(server) {
                     self.send(to, Message::Written { entry, term });
                 }
             }
--- a/lib/tests/right_world/servers.rs
+++ b/lib/tests/right_world/servers.rs
@@ -88,7 +88,7 @@
         Self { all: servers, entries: Vec::new(), orders: Vec::new(), current: 0 }
     }
 
-    pub fn disturb(&mut self, random: &mut Random, _now_ms: u64) {
+    pub fn disturb(&mut self, random: &mut Random) {
         let number = usize::try_from(random.below(SERVERS as u64)).unwrap();
         if random.per_mille(1) {
             self.all[number].up ^= true;
@@ -187,7 +187,7 @@
     }
 
     /// Commits at a server that takes itself for the primary.
-    pub fn commit(&mut self, number: usize, _now_ms: u64) -> Option<usize> {
+    pub fn commit(&mut self, number: usize) -> Option<usize> {
         if !self.all[number].up || !self.all[number].leads {
             return None;
         }
