fleet_control: a record that was not written does not count as written

Found by reading the change: where an entry of our own name can be neither created nor read, the instance went on as registered and counted itself among those that vote. Now it tries again.

--- a/daemon/src/engine/fleet_control.rs
+++ b/daemon/src/engine/fleet_control.rs
@@ -133,10 +133,11 @@
             directory.write(&me.id, &record, Some(present.revision)).await?;
         }
         Err(WriteError::Conflict(None)) => {
-            if let Err(DirectoryError::RecordUnreadable(revision)) =
-                directory.get(RecordKind::Instances, &me.id).await
-            {
-                directory.write(&me.id, &record, Some(revision)).await?;
+            match directory.get(RecordKind::Instances, &me.id).await {
+                Err(DirectoryError::RecordUnreadable(revision)) => {
+                    directory.write(&me.id, &record, Some(revision)).await?;
+                }
+                _ => return Err(WriteError::Conflict(None)),
             }
         }
         written => {
