engine: a connection counts as set up for a session only when that was sent

Cause: layout_steps counts the statements that set a connection up for a session as done. Between it and sending, the right to use the primary was looked at; where it had just ended, the connection was given back unused, and counted as set up for a session whose values it did not have. The session's next try got it again and ran with the values of another client account.

Ruled out: cancelled exchanges (the lease is taken out and closes), refused set-up steps (the caller closes), connections lost both ways: the exploration plays them and holds.

Change: the right is looked at before the connection is set up, and a connection with unanswered set-up is closed instead of given back.

--- a/daemon/src/engine/lease.rs
+++ b/daemon/src/engine/lease.rs
@@ -4,23 +4,46 @@
 
 use chervilwharf_lib::id::TargetId;
 use chervilwharf_lib::layout::ConnectionLayout;
+use chervilwharf_lib::layout::SessionValues;
+use chervilwharf_lib::statement::Prepared;
 
 use crate::engine::border::ServerConnection;
+use crate::engine::border::Step;
 use crate::engine::shard::Shard;
 
 /// An open connection and what is set up on it.
 pub struct PooledConnection {
     /// The connection.
     pub connection: Box<dyn ServerConnection>,
-    /// What is set up on it.
-    pub layout: ConnectionLayout,
+    layout: ConnectionLayout,
+    /// Whether statements that the layout counts as done may not have run.
+    unsettled: bool,
 }
 
 impl PooledConnection {
     /// A connection that was just opened.
     #[must_use]
     pub fn new(connection: Box<dyn ServerConnection>) -> Self {
-        Self { connection, layout: ConnectionLayout::default() }
+        Self { connection, layout: ConnectionLayout::default(), unsettled: false }
+    }
+
+    /// How many statements it takes to set it up for a session.
+    #[must_use]
+    pub fn distance(&self, values: &SessionValues, prepared: Option<&Prepared>) -> usize {
+        self.layout.distance(values, prepared)
+    }
+
+    /// Statements that set it up for a session. They count as done, so they
+    /// have to be sent, or the connection is of no use any more.
+    pub fn adapt(&mut self, values: &SessionValues, prepared: Option<&Prepared>) -> Vec<Step> {
+        let steps = self.layout.adapt(values, prepared);
+        self.unsettled |= !steps.is_empty();
+        steps.into_iter().map(Step::own).collect()
+    }
+
+    /// All that was sent to the server has been answered.
+    pub fn settle(&mut self) {
+        self.unsettled = false;
     }
 }
 
@@ -84,8 +107,17 @@
     }
 
     /// Ends the lease of a connection that is idle and whole.
+    ///
+    /// One that was to be set up, and for which that was not sent, is closed. It
+    /// would count as set up for a session whose values it does not have, and
+    /// run that session's statements with the values of another one: seen where
+    /// the right to use the primary ended between the two.
     pub fn give_back(mut self) {
         self.stop_running();
+        let whole = self.connection.as_ref().is_some_and(|connection| !connection.unsettled);
+        if !whole {
+            return;
+        }
         if let Some(connection) = self.connection.take() {
             self.shard.take_back(&self.server, connection);
         }
--- a/daemon/src/engine/session.rs
+++ b/daemon/src/engine/session.rs
@@ -360,8 +360,7 @@
         let Some(lease) = lease else {
             return Vec::new();
         };
-        let layout = &mut lease.connection().layout;
-        layout.adapt(&self.values, prepared).into_iter().map(Step::own).collect()
+        lease.connection().adapt(&self.values, prepared)
     }
 
     /// Runs one statement.
--- a/daemon/src/engine/shard.rs
+++ b/daemon/src/engine/shard.rs
@@ -519,8 +519,7 @@
             if contested {
                 return None;
             }
-            let fit =
-                |pooled: &PooledConnection| pooled.layout.distance(want.values, want.prepared);
+            let fit = |pooled: &PooledConnection| pooled.distance(want.values, want.prepared);
             if let Some(connection) = self.take_from(&server, fit) {
                 return Some((server, connection));
             }
--- a/daemon/src/engine/single.rs
+++ b/daemon/src/engine/single.rs
@@ -73,6 +73,7 @@
     session.trail_mut().sent(open.server().clone(), now().saturating_sub(sent_at));
     match result {
         Ok(replies) => {
+            open.connection().settle();
             *lease = Some(open);
             Sent::Replies(replies)
         }
@@ -151,6 +152,10 @@
         Ok(lease) => Some(lease),
         Err(failure) => return Try::Failed(failure),
     };
+    let server = lease.as_ref().map(|lease| lease.server().clone()).unwrap_or_default();
+    if floor.is_none() && session.shard().term_of(&server).is_none() {
+        return unentitled(lease);
+    }
     let mut steps = session.layout_steps(lease.as_mut(), work.prepared.as_ref());
     let setup = steps.len();
     if floor.is_none() {
@@ -164,10 +169,6 @@
     if floor.is_none() {
         steps.push(Step::own(Statement::Rollback));
     }
-    let server = lease.as_ref().map(|lease| lease.server().clone()).unwrap_or_default();
-    if floor.is_none() && session.shard().term_of(&server).is_none() {
-        return unentitled(lease);
-    }
     let sent_at = now();
     let slow_from = waits::slow_from(request.route.objective);
     let limit = session.stall_limit(request, &server);
@@ -305,14 +306,14 @@
         Ok(lease) => Some(lease),
         Err(failure) => return Try::Failed(failure),
     };
-    let mut steps = session.layout_steps(lease.as_mut(), work.prepared.as_ref());
-    let main = steps.len();
-    let id = Some(request.id.clone());
-    steps.push(Step { id, floor: None, statement: work.statement.clone() });
     let server = lease.as_ref().map(|lease| lease.server().clone()).unwrap_or_default();
     let Some(term) = session.shard().term_of(&server) else {
         return unentitled(lease);
     };
+    let mut steps = session.layout_steps(lease.as_mut(), work.prepared.as_ref());
+    let main = steps.len();
+    let id = Some(request.id.clone());
+    steps.push(Step { id, floor: None, statement: work.statement.clone() });
     let sent_at = now();
     let limit = request.time_left(sent_at);
     let replies = match send(session, &mut lease, &steps, limit).await {
--- a/daemon/src/engine/transaction.rs
+++ b/daemon/src/engine/transaction.rs
@@ -361,16 +361,14 @@
     let lease = session.acquire(request, need, work.prepared.as_ref()).await;
     let lease = lease.map_err(|failure| (failure, None))?;
     let server = lease.server().clone();
-    let mut lease = Some(lease);
-    let mut steps = session.layout_steps(lease.as_mut(), work.prepared.as_ref());
-    let setup = steps.len();
     let term = session.shard().term_of(&server);
     if floor.is_none() && term.is_none() {
-        if let Some(lease) = lease {
-            lease.give_back();
-        }
+        lease.give_back();
         return Err((Failure::new(ErrorKind::NoPrimary), Some(waits::BUSY_PAUSE)));
     }
+    let mut lease = Some(lease);
+    let mut steps = session.layout_steps(lease.as_mut(), work.prepared.as_ref());
+    let setup = steps.len();
     // A read-only BEGIN at the primary would not be refused after it lost the
     // lead, so without a floor a transaction that may write is begun.
     let statement = Statement::Begin { read_only: floor.is_some() };
--- /dev/null
+++ b/daemon/tests/test_session_values.rs
@@ -0,0 +1,258 @@
+//! Statements run with the values of their own session, whatever happens to
+//! the connections that sessions share.
+
+mod stubs;
+mod values_world;
+
+use std::collections::BTreeMap;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilwharf_daemon::engine::guest::GuestSession;
+use chervilwharf_daemon::engine::peers::Guest;
+use chervilwharf_daemon::engine::records;
+use chervilwharf_daemon::engine::session::Session;
+use chervilwharf_lib::engine_protos;
+use chervilwharf_lib::engine_protos::Execution;
+use chervilwharf_lib::engine_protos::SessionValue;
+use chervilwharf_lib::engine_protos::statement::Begin;
+use chervilwharf_lib::engine_protos::statement::Work;
+use chervilwharf_lib::layout::SessionValues;
+use chervilwharf_lib::statement::Statement;
+use futures::poll;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use values_world::Exchange;
+use values_world::ValuesWorld;
+use values_world::route;
+
+/// A session on the route, with one value.
+async fn session(world: &ValuesWorld, value: &str) -> (Session, SessionValues) {
+    let mut session =
+        Session::begin(world.engine.clone(), "app").await.expect("the route is there");
+    let set = Statement::Set { name: "zone".into(), value: value.into() };
+    session.run("set".into(), set).await.result.expect("a value of the session");
+    (session, BTreeMap::from([("zone".into(), value.into())]))
+}
+
+fn read() -> Statement {
+    Statement::Read { item: "1".into() }
+}
+
+/// Statements after which a connection is handed to somebody who waits.
+fn write() -> Statement {
+    Statement::Write { item_and_data: "1 x".into() }
+}
+
+/// Symptom: a statement ran with the values of another client account's session.
+/// Sequence: a request gets a connection that was set up for another session;
+/// before it is used, the right to use the primary ends, so it is given back
+/// unused; the same session gets it again. Cause: it counted as set up for the
+/// session although the statements that do so had not been sent.
+async fn test_connection_given_back_unused(statement: Statement) {
+    let mut world = ValuesWorld::new(1, true).await;
+    let (mut first, first_values) = session(&world, "first").await;
+    let (mut second, second_values) = session(&world, "second").await;
+    world.shared.expect("a", &first_values);
+    world.shared.expect("b", &second_values);
+    {
+        let mut running = Box::pin(first.run("a".into(), read()));
+        let mut waiting = Box::pin(second.run("b".into(), statement));
+        while !running_at_server(&world) {
+            assert!(poll!(&mut running).is_pending());
+            tokio::task::yield_now().await;
+        }
+        // The first is at the server, the second waits for its connection.
+        assert!(poll!(&mut running).is_pending());
+        assert!(poll!(&mut waiting).is_pending());
+        assert_eq!(world.engine.shard(&values_world::GROUP.into()).waiting(), 1);
+        world.shared.let_one_end();
+        running.await.result.expect("the server answers");
+        // The second has the connection now, and does not know it yet.
+        world.end_term();
+        assert!(poll!(&mut waiting).is_pending());
+        world.lead_again();
+        for _ in 0..8 {
+            world.shared.let_one_end();
+        }
+        waiting.await.result.expect("the server leads again");
+    }
+    let violations = world.shared.with_ledger(|ledger| ledger.violations.clone());
+    assert!(violations.is_empty(), "{violations:?}");
+}
+
+/// Whether a connection is lent.
+fn running_at_server(world: &ValuesWorld) -> bool {
+    let shard = world.engine.shard(&values_world::GROUP.into());
+    shard.with_group(|group| group.server(values_world::SERVER).is_some_and(|s| s.running > 0))
+}
+
+#[tokio::test]
+async fn test_read_on_a_connection_given_back_unused_has_its_own_values() {
+    test_connection_given_back_unused(read()).await;
+}
+
+#[tokio::test]
+async fn test_write_on_a_connection_given_back_unused_has_its_own_values() {
+    test_connection_given_back_unused(write()).await;
+}
+
+type Running = Pin<Box<dyn Future<Output = Client>>>;
+
+/// A client that is connected here, or at another instance that sends its
+/// statements on.
+enum Client {
+    Here(Session, SessionValues),
+    There(GuestSession, SessionValues),
+}
+
+impl Client {
+    async fn new(world: &ValuesWorld, rng: &mut StdRng) -> Self {
+        let values: SessionValues =
+            BTreeMap::from([("zone".into(), rng.random_range(0..3).to_string().into())]);
+        if rng.random_bool(0.5) {
+            return Self::There(GuestSession::new(world.engine.clone()), values);
+        }
+        let (session, values) = session(world, &values["zone"]).await;
+        Self::Here(session, values)
+    }
+
+    /// A statement, or a transaction of two.
+    async fn operate(self, shared: Arc<values_world::Shared>, key: u64, kind: u32) -> Self {
+        match self {
+            Self::Here(mut session, mut values) => {
+                if kind == 4 {
+                    values.insert("unit".into(), key.to_string().into());
+                    let set = Statement::Set { name: "unit".into(), value: values["unit"].clone() };
+                    session.run("set".into(), set).await.result.expect("a value of the session");
+                }
+                let id = format!("{key}");
+                shared.expect(&id, &values);
+                operate_here(&mut session, &id, kind).await;
+                Self::Here(session, values)
+            }
+            Self::There(mut guest, values) => {
+                let id = format!("{key}");
+                shared.expect(&id, &values);
+                operate_there(&mut guest, &id, kind, &values).await;
+                Self::There(guest, values)
+            }
+        }
+    }
+}
+
+async fn operate_here(session: &mut Session, id: &str, kind: u32) {
+    let transaction = kind == 3;
+    // Whatever becomes of the statements, only their values are looked at.
+    if transaction {
+        let _begun = session.run("begin".into(), Statement::Begin { read_only: false }).await;
+    }
+    let statement = if kind == 1 { write() } else { read() };
+    let _ran = session.run(id.into(), statement).await;
+    if transaction {
+        let _committed = session.run(id.into(), Statement::Commit).await;
+    }
+}
+
+async fn operate_there(guest: &mut GuestSession, id: &str, kind: u32, values: &SessionValues) {
+    let execution = Execution { writes: false, shape: "q1".to_owned(), arguments: "1".to_owned() };
+    let work = match kind {
+        1 => Work::Write("1 x".to_owned()),
+        2 => Work::Execute(execution),
+        _ => Work::Read("1".to_owned()),
+    };
+    let values = values
+        .iter()
+        .map(|(name, value)| SessionValue { name: name.to_string(), value: value.to_string() });
+    let begin = if kind == 3 { Begin::ReadWrite } else { Begin::No };
+    let statement = engine_protos::Statement {
+        id: id.to_owned(),
+        route: Some(records::encode_route(&route())),
+        time_left_ms: 200,
+        values: values.collect(),
+        begin: begin.into(),
+        work: Some(work),
+        ..engine_protos::Statement::default()
+    };
+    let reply = guest.run(statement.clone()).await;
+    if reply.in_transaction && kind == 3 {
+        let commit = engine_protos::Statement {
+            begin: Begin::No.into(),
+            in_transaction: true,
+            work: Some(Work::Commit(true)),
+            ..statement
+        };
+        let _committed = guest.run(commit).await;
+    }
+}
+
+/// Runs clients against each other in an order drawn from `seed`: exchanges
+/// that are lost or refused, clients that leave at any moment, a right to use
+/// the primary that ends at any moment.
+async fn explore(seed: u64) -> (usize, Vec<String>) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut world = ValuesWorld::new(2, true).await;
+    let mut clients = Vec::new();
+    for _ in 0..5 {
+        clients.push(Client::new(&world, &mut rng).await);
+    }
+    let mut running: Vec<Running> = Vec::new();
+    for key in 0..400 {
+        match rng.random_range(0..12) {
+            0..=2 if !clients.is_empty() => {
+                let client = clients.swap_remove(rng.random_range(0..clients.len()));
+                let kind = rng.random_range(0..5);
+                running.push(Box::pin(client.operate(world.shared.clone(), key, kind)));
+            }
+            0..=7 if !running.is_empty() => {
+                let index = rng.random_range(0..running.len());
+                if let std::task::Poll::Ready(client) = poll!(&mut running[index]) {
+                    drop(running.swap_remove(index));
+                    clients.push(client);
+                }
+            }
+            8 if !running.is_empty() && rng.random_bool(0.2) => {
+                drop(running.swap_remove(rng.random_range(0..running.len())));
+                clients.push(Client::new(&world, &mut rng).await);
+            }
+            9 => world.shared.let_one_end(),
+            10 => world.shared.next_exchange(match rng.random_range(0..8) {
+                0 => Exchange::LostBefore,
+                1 => Exchange::LostAfter,
+                2 | 3 => Exchange::Busy,
+                _ => Exchange::Answered,
+            }),
+            11 if rng.random_bool(0.4) => {
+                world.end_term();
+                if let Some(first) = running.first_mut() {
+                    // Whoever has a connection and has not used it, finds out now.
+                    if let std::task::Poll::Ready(client) = poll!(first) {
+                        drop(running.swap_remove(0));
+                        clients.push(client);
+                    }
+                }
+                world.lead_again();
+            }
+            _ => tokio::task::yield_now().await,
+        }
+        if key % 40 == 39 {
+            // Pauses of the engine pass.
+            tokio::time::sleep(Duration::from_millis(16)).await;
+        }
+    }
+    world.shared.with_ledger(|ledger| (ledger.ran, std::mem::take(&mut ledger.violations)))
+}
+
+#[tokio::test]
+async fn test_statements_run_with_their_own_values_in_any_order() {
+    let mut ran = 0;
+    for seed in 0..60 {
+        let (ran_now, violations) = explore(seed).await;
+        assert!(violations.is_empty(), "seed {seed}: {violations:?}");
+        ran += ran_now;
+    }
+    // An exploration in which hardly anything runs would show nothing.
+    assert!(ran > 1_000, "only {ran} statements ran");
+}
