remote: a holder is asked for a sign of life, and a silent one gets no statement

Cause: while one primary of twenty was split, 139 of 195 instances heard only each other and 56 only each other. Each statement at an entry of one side waited for holders of the other by its own time (300 ms for a connection, its whole time on an open one), and what it learned was forgotten after a second. 10,755 tries moved on after 300 to 900 ms in eight seconds, 7,666 of them from the smaller side to the larger; nineteen groups were well.

Ruled out: the primaries (one of twenty split), the servers (all others reached from both sides), the right (lost on the larger side by the one group with fewer than four of its eight voters there).

Change: lib/peer_contact: silence is a property of the instance; when one is silent the others give a sign of life first. A holder without the right is passed over as one that does not hold. A primary that this side neither reaches nor can replace is given up until it answers. Nobody here that could serve: refused at once (holder_silent, cut_off).

--- /dev/null
+++ b/daemon/src/engine/contacts.rs
@@ -0,0 +1,145 @@
+//! Asks other instances for signs of life, and remembers who gave them.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+
+use chervilwharf_lib::engine_protos::SignOfLife;
+use chervilwharf_lib::engine_protos::engine_frame::Body;
+use chervilwharf_lib::event::Event;
+use chervilwharf_lib::event::EventKind;
+use chervilwharf_lib::fleet::InstanceRecord;
+use chervilwharf_lib::holder_choice::Candidate;
+use chervilwharf_lib::holder_choice::choose;
+use chervilwharf_lib::id::GroupId;
+use chervilwharf_lib::id::InstanceId;
+use chervilwharf_lib::moment::Moment;
+use chervilwharf_lib::peer_contact::Contact;
+use chervilwharf_lib::peer_contact::PeerContacts;
+use chervilwharf_lib::peer_contact::SIGN_LIMIT;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+
+use crate::engine::clock::now;
+use crate::engine::event_log;
+use crate::engine::shared::Engine;
+
+/// Which other instances are heard.
+#[derive(Default)]
+pub struct Contacts(Mutex<PeerContacts>);
+
+impl Contacts {
+    fn lock(&self) -> MutexGuard<'_, PeerContacts> {
+        self.0.lock().expect("never poisoned")
+    }
+
+    /// What is known of an instance.
+    #[must_use]
+    pub fn of(&self, id: &InstanceId) -> Contact {
+        self.lock().contact(now(), id)
+    }
+
+    /// An instance answered something that was sent at `asked_at`.
+    pub fn heard(&self, asked_at: Moment, id: &InstanceId) {
+        let news = self.lock().heard(asked_at, id);
+        if news {
+            event_log::emit(&Event::new(EventKind::PeerHeard).with("peer", id));
+        }
+    }
+
+    /// An instance did not answer something that was sent at `asked_at`.
+    pub fn missed(&self, asked_at: Moment, id: &InstanceId) {
+        let at = now();
+        let news = self.lock().missed(at, asked_at, id);
+        if news {
+            let event = Event::new(EventKind::PeerSilent).with("peer", id);
+            event_log::emit(&event.with_ms("for_ms", at.saturating_sub(asked_at)));
+        }
+    }
+
+    /// This instance stood still itself: that nobody answered says nothing.
+    pub fn forget(&self) {
+        *self.lock() = PeerContacts::default();
+    }
+
+    /// Forgets instances that are gone.
+    pub fn keep_only(&self, exists: impl Fn(&InstanceId) -> bool) {
+        self.lock().keep_only(exists);
+    }
+
+    fn take_question(&self, id: &InstanceId) -> bool {
+        self.lock().take_question(now(), id)
+    }
+}
+
+impl Engine {
+    /// Asks another instance for a sign of life. Returns whether it gave one.
+    pub async fn ask_for_sign(&self, peer: &InstanceRecord) -> bool {
+        let asked_at = now();
+        let asking = self.peers().ask(peer.peer_address, Body::SignOfLife(SignOfLife {}));
+        let answer = tokio::time::timeout(SIGN_LIMIT, asking).await;
+        let heard = matches!(answer, Ok(Ok(_)));
+        if heard {
+            self.contacts().heard(asked_at, &peer.id);
+        } else {
+            self.contacts().missed(asked_at, &peer.id);
+        }
+        heard
+    }
+
+    /// A holder of a group that can be reached, but for those that were tried;
+    /// `None` if none of them can, or what is known of them is not older than
+    /// the time in which it is asked again.
+    pub async fn find_holder(
+        self: &Arc<Self>,
+        group: &GroupId,
+        key: u32,
+        tried: &[InstanceId],
+    ) -> Option<Candidate> {
+        loop {
+            let candidates = self.candidates(group, tried);
+            let chosen = choose(&candidates, key)?.clone();
+            match chosen.contact {
+                Contact::Heard => {
+                    self.ask_in_background(&candidates);
+                    return Some(chosen);
+                }
+                Contact::Unproven => {
+                    // The others may be wanted next.
+                    self.ask_in_background(&candidates);
+                    if self.ask_for_sign(&chosen.record).await {
+                        return Some(chosen);
+                    }
+                }
+                Contact::Silent => {
+                    if !self.ask_silent(&candidates).await {
+                        return None;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Asks those that are not heard, without waiting for them.
+    fn ask_in_background(self: &Arc<Self>, candidates: &[Candidate]) {
+        let wanted = |candidate: &&Candidate| self.contacts().take_question(&candidate.record.id);
+        for candidate in candidates.iter().filter(wanted) {
+            let (engine, record) = (self.clone(), candidate.record.clone());
+            tokio::spawn(async move { engine.ask_for_sign(&record).await });
+        }
+    }
+
+    /// Asks the silent ones that were not asked just now. Returns as soon as one
+    /// gives a sign of life; false if none does.
+    async fn ask_silent(&self, candidates: &[Candidate]) -> bool {
+        let due = candidates.iter().filter(|c| self.contacts().take_question(&c.record.id));
+        let mut asking: FuturesUnordered<_> =
+            due.map(|candidate| self.ask_for_sign(&candidate.record)).collect();
+        while let Some(heard) = asking.next().await {
+            if heard {
+                return true;
+            }
+        }
+        false
+    }
+}
--- a/daemon/src/engine/fleet_control.rs
+++ b/daemon/src/engine/fleet_control.rs
@@ -2,6 +2,7 @@
 //! other instances are alive.
 
 use std::collections::BTreeMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -187,6 +188,7 @@
             let still = at.saturating_sub(last_round);
             event_log::emit(&Event::new(EventKind::StoodStill).with_ms("for_ms", still));
             engine.with_fleet(|fleet| fleet.stood_still(at));
+            engine.contacts().forget();
         }
         last_round = at;
         for target in engine.heartbeat_targets() {
@@ -211,10 +213,12 @@
     let asked_at = now();
     let peer = &target.record;
     let question = Body::Heartbeat(engine.heartbeat(&target.shared_groups));
-    let Ok(Body::HeartbeatReply(reply)) = engine.peers().ask(peer.peer_address, question).await
-    else {
+    let answer = engine.peers().ask(peer.peer_address, question).await;
+    let Ok(Body::HeartbeatReply(reply)) = answer else {
+        engine.contacts().missed(asked_at, &peer.id);
         return;
     };
+    engine.contacts().heard(asked_at, &peer.id);
     engine.take_heartbeat(&reply);
     engine.take_grants(asked_at, &peer.id, &reply.grants);
     engine.take_samples(asked_at, &reply.samples);
@@ -296,8 +300,11 @@
 impl Engine {
     /// Closes links to instances whose record is gone.
     fn close_unused_links(&self) {
-        let addresses: Vec<_> =
-            self.with_fleet(|fleet| fleet.others().map(|record| record.peer_address).collect());
+        let (ids, addresses): (Vec<_>, Vec<_>) = self.with_fleet(|fleet| {
+            fleet.others().map(|record| (record.id.clone(), record.peer_address)).unzip()
+        });
+        let ids: HashSet<_> = ids.into_iter().collect();
+        self.contacts().keep_only(|id| ids.contains(id));
         self.peers().keep_only(&addresses);
         self.statement_links().keep_only(&addresses);
     }
--- a/daemon/src/engine/guest.rs
+++ b/daemon/src/engine/guest.rs
@@ -49,6 +49,8 @@
 
     async fn run_inner(&mut self, statement: engine_protos::Statement) -> StatementReply {
         let begin = statement.begin();
+        let floor = Position::new(statement.floor_term, statement.floor_index);
+        let refusal = |kind| refusal(kind, floor);
         let Some(work) = decode_work(statement.work) else {
             return refusal(ErrorKind::BadStatement);
         };
@@ -86,7 +88,6 @@
         session.use_route(&request.id, &request.route);
         let values = statement.values.into_iter();
         session.set_values(values.map(|value| (value.name.into(), value.value.into())).collect());
-        let floor = Position::new(statement.floor_term, statement.floor_index);
         session.set_floor((floor.term > 0).then_some(floor));
         if begin != Begin::No {
             session.begin_guest(&request.route, begin == Begin::ReadOnly);
@@ -129,11 +130,16 @@
     }
 }
 
-fn refusal(kind: ErrorKind) -> StatementReply {
+/// The session's floor goes back as it came: the other instance takes over what
+/// the reply says, and without it later reads of the session could miss its own
+/// commit.
+fn refusal(kind: ErrorKind, floor: Position) -> StatementReply {
     let failure = Failure::new(kind);
     StatementReply {
         error: kind.name().to_owned(),
         text: failure.text.to_string(),
+        floor_term: floor.term,
+        floor_index: floor.index,
         ..StatementReply::default()
     }
 }
--- a/daemon/src/engine/holders.rs
+++ b/daemon/src/engine/holders.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use chervilwharf_lib::fleet::InstanceRecord;
+use chervilwharf_lib::holder_choice::Candidate;
 use chervilwharf_lib::holders::holders;
 use chervilwharf_lib::id::GroupId;
 use chervilwharf_lib::id::InstanceId;
@@ -20,9 +21,9 @@
 /// seconds; looking for each statement would cost more than the statement.
 const CHECKED_EVERY: Duration = Duration::from_millis(200);
 
-/// A holder that did not answer, or does not hold, is passed over for this
-/// long.
-const AVOIDED_FOR: Duration = Duration::from_secs(1);
+/// A holder that could not serve a statement of a group is passed over there for
+/// this long: it may be able to after the next heartbeats.
+const UNABLE_FOR: Duration = Duration::from_millis(500);
 
 #[derive(Default)]
 struct Inner {
@@ -38,7 +39,8 @@
     kept: HashMap<GroupId, Arc<Vec<InstanceRecord>>>,
     /// Groups that this instance holds connections to.
     held: Option<Arc<Vec<GroupId>>>,
-    avoided_until: HashMap<InstanceId, Moment>,
+    /// Holders that could not serve, by group.
+    unable_until: HashMap<(GroupId, InstanceId), Moment>,
 }
 
 /// Lists of holders, by group.
@@ -52,10 +54,13 @@
         self.inner.lock().expect("never poisoned")
     }
 
-    /// Passes an instance over for a while.
-    pub fn avoid(&self, id: &InstanceId) {
-        let until = now() + AVOIDED_FOR;
-        self.lock().avoided_until.insert(id.clone(), until);
+    /// A holder could not serve a statement of a group, which another one may
+    /// be able to.
+    pub fn observe_unable(&self, group: &GroupId, id: &InstanceId) {
+        let at = now();
+        let mut inner = self.lock();
+        inner.unable_until.retain(|_, until| *until > at);
+        inner.unable_until.insert((group.clone(), id.clone()), at + UNABLE_FOR);
     }
 
     /// The instances or the configuration may have changed: looks at the next
@@ -160,28 +165,24 @@
         holders.iter().filter(|record| record.id != self.me().id).cloned().collect()
     }
 
-    /// A holder to go through: one in this failure domain if there is one, the
-    /// same for the same `key`, so that its connections fit the session.
+    /// The holders of a group that a statement could go through, but for those
+    /// that it tried.
     #[must_use]
-    pub fn choose_holder(
-        &self,
-        group: &GroupId,
-        key: u32,
-        tried: &[InstanceId],
-    ) -> Option<InstanceRecord> {
+    pub fn candidates(&self, group: &GroupId, tried: &[InstanceId]) -> Vec<Candidate> {
         let at = now();
-        let holders = self.co_holders(group);
+        let mut holders = self.co_holders(group);
+        holders.retain(|record| !tried.contains(&record.id));
         let inner = self.holder_lists().lock();
-        let avoided = |record: &InstanceRecord| {
-            inner.avoided_until.get(&record.id).is_some_and(|until| *until > at)
+        let unable = |id: &InstanceId| {
+            let until = inner.unable_until.get(&(group.clone(), id.clone()));
+            until.is_some_and(|until| *until > at)
+        };
+        let candidate = |record: InstanceRecord| Candidate {
+            contact: self.contacts().of(&record.id),
+            unable: unable(&record.id),
+            near: record.failure_domain == self.me().failure_domain,
+            record,
         };
-        let near = |record: &InstanceRecord| record.failure_domain == self.me().failure_domain;
-        let untried: Vec<_> =
-            holders.into_iter().filter(|record| !tried.contains(&record.id)).collect();
-        let best = untried.iter().map(|record| (avoided(record), !near(record))).min()?;
-        let equal: Vec<_> =
-            untried.iter().filter(|record| (avoided(record), !near(record)) == best).collect();
-        let index = usize::try_from(key).unwrap_or_default() % equal.len();
-        equal.get(index).map(|record| (*record).clone())
+        holders.into_iter().map(candidate).collect()
     }
 }
--- a/daemon/src/engine/leader_control.rs
+++ b/daemon/src/engine/leader_control.rs
@@ -242,7 +242,11 @@
         .with_count("silent", opinions.silent)
         .with("replacing", opinions.replacing);
     event_log::emit(&event);
-    engine.watches().with(shard.id(), |watch| watch.heard(now(), leader.as_ref(), opinions));
+    let out_of_reach = engine.watches().with(shard.id(), |watch| {
+        watch.heard(now(), leader.as_ref(), opinions);
+        watch.out_of_reach().cloned()
+    });
+    shard.set_out_of_reach(out_of_reach.as_ref());
 }
 
 /// Another instance knows a primary. In a later term than ours it is taken
--- a/daemon/src/engine/mod.rs
+++ b/daemon/src/engine/mod.rs
@@ -8,6 +8,7 @@
 pub mod border;
 pub mod clock;
 pub mod configuration_control;
+pub mod contacts;
 pub mod controllers;
 pub mod counted_directory;
 pub mod directory;
--- a/daemon/src/engine/peers.rs
+++ b/daemon/src/engine/peers.rs
@@ -96,6 +96,18 @@
         read.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock)
     }
 
+    /// Connects, unless it is connected.
+    ///
+    /// # Errors
+    ///
+    /// When no connection can be opened in time.
+    pub async fn open(&mut self, address: SocketAddr) -> Result<(), PeerError> {
+        if self.frames.is_none() {
+            self.frames = Some(frames(connect(address).await?));
+        }
+        Ok(())
+    }
+
     /// Asks and waits for the answer. Dropped early it closes the connection.
     ///
     /// # Errors
@@ -104,9 +116,9 @@
     pub async fn exchange(&mut self, address: SocketAddr, body: Body) -> Result<Body, LinkError> {
         // Taken out, so that a connection on which an answer is still to come
         // is closed when this future is dropped.
-        let mut frames = match self.frames.take() {
-            Some(frames) => frames,
-            None => frames(connect(address).await.map_err(LinkError::NotConnected)?),
+        self.open(address).await.map_err(LinkError::NotConnected)?;
+        let Some(mut frames) = self.frames.take() else {
+            return Err(PeerError::Unreadable.into());
         };
         self.last_exchange_id += 1;
         let exchange_id = self.last_exchange_id;
--- a/daemon/src/engine/remote.rs
+++ b/daemon/src/engine/remote.rs
@@ -17,6 +17,8 @@
 use chervilwharf_lib::error_kind::ErrorKind;
 use chervilwharf_lib::fleet::InstanceRecord;
 use chervilwharf_lib::id::InstanceId;
+use chervilwharf_lib::peer_contact::SIGN_AFTER;
+use chervilwharf_lib::peer_contact::SIGN_LIMIT;
 use chervilwharf_lib::position::Position;
 use chervilwharf_lib::statement::Access;
 use chervilwharf_lib::statement::Answer;
@@ -30,6 +32,7 @@
 use crate::engine::request::Request;
 use crate::engine::request::Served;
 use crate::engine::session::Session;
+use crate::engine::shared::Engine;
 use crate::engine::single::Work;
 use crate::engine::transaction::ROLLBACK_LIMIT;
 use crate::engine::transaction::Transaction;
@@ -38,6 +41,10 @@
 /// back.
 const WAY_RESERVE: Duration = Duration::from_millis(10);
 
+/// Pause between two questions to an instance at which a statement takes long: a
+/// few times the usual statement, since it is known to be alive.
+const SIGN_AGAIN: Duration = Duration::from_millis(200);
+
 /// Links kept open to one instance. More are opened when more statements are
 /// under way, and closed afterwards.
 const KEPT_LINKS: usize = 4;
@@ -108,26 +115,23 @@
     work: &Work,
     writes: bool,
 ) -> Result<Served, Failure> {
-    let mut tried = Vec::new();
-    while now() < request.deadline {
-        let Some(holder) = next_holder(session, request, &tried) else {
-            break;
-        };
+    // Reads may run twice: nobody can tell.
+    let leaving = if writes { Leaving::LosesOutcome } else { Leaving::LosesNothing };
+    let mut search = Search::default();
+    while let Some(holder) = search.next(session, request).await {
         let statement = encode(session, request, work, Begin::No);
         let mut link = session.engine().statement_links().take(holder.peer_address);
-        match send(session, request, &holder, &mut link, statement).await {
-            Ok(reply) if is_elsewhere(&reply) => pass_over(session, &holder, &mut tried),
+        match send(session, request, &holder, &mut link, statement, leaving).await {
+            Ok(reply) if is_elsewhere(&reply) => search.refused(session, &holder, reply),
             Ok(reply) => {
                 session.engine().statement_links().give_back(holder.peer_address, link);
                 return decode(session, reply);
             }
-            Err(SendError::NotSent) => pass_over(session, &holder, &mut tried),
-            // Reads may run twice: nobody can tell.
-            Err(SendError::Lost) if !writes => pass_over(session, &holder, &mut tried),
-            Err(SendError::Lost) => return Err(Failure::new(ErrorKind::OutcomeUnknown)),
+            Err(SendError::Lost) if writes => return Err(Failure::new(ErrorKind::OutcomeUnknown)),
+            Err(SendError::NotSent | SendError::Lost) => search.silent(session, &holder),
         }
     }
-    Err(Failure::new(ErrorKind::NoPrimary))
+    Err(search.into_failure())
 }
 
 /// Runs a statement of a transaction through its holder; the first one picks
@@ -157,27 +161,25 @@
     work: &Work,
 ) -> Result<Served, Failure> {
     let mode = if transaction.is_read_only() { Begin::ReadOnly } else { Begin::ReadWrite };
-    let mut tried = Vec::new();
-    while now() < request.deadline {
-        let Some(holder) = next_holder(session, request, &tried) else {
-            break;
-        };
+    let mut search = Search::default();
+    while let Some(holder) = search.next(session, request).await {
         let statement = encode(session, request, work, mode);
         let links = session.engine().statement_links().clone();
         let mut link = links.take(holder.peer_address);
-        match send(session, request, &holder, &mut link, statement).await {
-            Ok(reply) if is_elsewhere(&reply) => pass_over(session, &holder, &mut tried),
+        let leaving = Leaving::LosesNothing;
+        match send(session, request, &holder, &mut link, statement, leaving).await {
+            Ok(reply) if is_elsewhere(&reply) => search.refused(session, &holder, reply),
             Ok(reply) => {
                 let remote = RemoteTransaction { links, holder, link };
                 return settle(session, transaction, reply, remote);
             }
-            Err(SendError::NotSent) => pass_over(session, &holder, &mut tried),
-            // The other instance rolls back when the link ends.
-            Err(SendError::Lost) => return Err(lost(transaction, work)),
+            // Where it did get there it is rolled back when the link ends: only
+            // a COMMIT keeps anything.
+            Err(SendError::NotSent | SendError::Lost) => search.silent(session, &holder),
         }
     }
     transaction.fail();
-    Err(Failure::new(ErrorKind::NoPrimary))
+    Err(search.into_failure())
 }
 
 async fn go_on(
@@ -189,7 +191,9 @@
 ) -> Result<Served, Failure> {
     let statement = encode(session, request, work, Begin::No);
     let holder = remote.holder.clone();
-    match send(session, request, &holder, &mut remote.link, statement).await {
+    let may_be_kept = work.statement == Statement::Commit && transaction.may_have_written();
+    let leaving = if may_be_kept { Leaving::LosesOutcome } else { Leaving::LosesNothing };
+    match send(session, request, &holder, &mut remote.link, statement, leaving).await {
         Ok(reply) => settle(session, transaction, reply, remote),
         Err(_) => Err(lost(transaction, work)),
     }
@@ -220,24 +224,59 @@
     decode(session, reply)
 }
 
-fn next_holder(
-    session: &Session,
-    request: &Request,
-    tried: &[InstanceId],
-) -> Option<InstanceRecord> {
-    session.engine().choose_holder(&request.route.group, session.key(), tried)
+/// The search for a holder that can serve a request.
+#[derive(Default)]
+struct Search {
+    tried: Vec<InstanceId>,
+    /// Why the last one that was tried could not.
+    last: Option<Failure>,
 }
 
-fn pass_over(session: &Session, holder: &InstanceRecord, tried: &mut Vec<InstanceId>) {
-    session.engine().holder_lists().avoid(&holder.id);
-    session.try_again(&Failure::new(ErrorKind::NotOwner));
-    tried.push(holder.id.clone());
+impl Search {
+    /// The next holder to try; `None` if there is none that could, or the time
+    /// is over.
+    async fn next(&mut self, session: &Session, request: &Request) -> Option<InstanceRecord> {
+        if now() >= request.deadline {
+            return None;
+        }
+        let group = &request.route.group;
+        let found = session.engine().find_holder(group, session.key(), &self.tried).await?;
+        // One that just refused is asked again, but only one: it is known not to
+        // be servable here, and another instance may be able to.
+        let hopeless = found.unable && self.last.is_some();
+        (!hopeless).then_some(found.record)
+    }
+
+    /// A holder could not serve it; nothing ran.
+    fn refused(&mut self, session: &mut Session, holder: &InstanceRecord, reply: StatementReply) {
+        session.engine().holder_lists().observe_unable(session.shard().id(), &holder.id);
+        // It holds no answer.
+        if let Err(failure) = decode(session, reply) {
+            self.passed_over(session, holder, failure);
+        }
+    }
+
+    /// A holder did not answer; what it may have done can be done again.
+    fn silent(&mut self, session: &Session, holder: &InstanceRecord) {
+        self.passed_over(session, holder, Failure::new(ErrorKind::HolderSilent));
+    }
+
+    fn passed_over(&mut self, session: &Session, holder: &InstanceRecord, failure: Failure) {
+        session.try_again(&failure);
+        self.tried.push(holder.id.clone());
+        self.last = Some(failure);
+    }
+
+    fn into_failure(self) -> Failure {
+        self.last.unwrap_or_else(|| Failure::new(ErrorKind::HolderSilent))
+    }
 }
 
 /// Whether another instance has to be asked; nothing ran.
 fn is_elsewhere(reply: &StatementReply) -> bool {
     let kind = ErrorKind::from_name(&reply.error);
-    !reply.error.is_empty() && matches!(kind, ErrorKind::NotOwner | ErrorKind::Stopping)
+    let elsewhere = matches!(kind, ErrorKind::NotOwner | ErrorKind::Stopping | ErrorKind::CutOff);
+    !reply.error.is_empty() && elsewhere
 }
 
 enum SendError {
@@ -247,17 +286,57 @@
     Lost,
 }
 
+/// What is lost when a statement that was sent is not waited for any more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Leaving {
+    /// Nothing: it can be sent again, or what it belongs to is rolled back.
+    LosesNothing,
+    /// Whether it was kept. It is waited for as long as there is time.
+    LosesOutcome,
+}
+
 async fn send(
     session: &mut Session,
     request: &Request,
     holder: &InstanceRecord,
     link: &mut PeerLink,
     statement: engine_protos::Statement,
+    leaving: Leaving,
 ) -> Result<StatementReply, SendError> {
     let sent_at = now();
-    let exchange = link.exchange(holder.peer_address, Body::Statement(statement));
-    let result = tokio::time::timeout(request.time_left(sent_at), exchange).await;
+    let engine = session.engine().clone();
+    let result = exchange(&engine, request, holder, link, statement, leaving).await;
     session.trail_mut().sent(holder.id.clone(), now().saturating_sub(sent_at));
+    if result.is_ok() {
+        engine.contacts().heard(sent_at, &holder.id);
+    }
+    result
+}
+
+async fn exchange(
+    engine: &Engine,
+    request: &Request,
+    holder: &InstanceRecord,
+    link: &mut PeerLink,
+    statement: engine_protos::Statement,
+    leaving: Leaving,
+) -> Result<StatementReply, SendError> {
+    let sent_at = now();
+    let limit = SIGN_LIMIT.min(request.time_left(sent_at));
+    let Ok(Ok(())) = tokio::time::timeout(limit, link.open(holder.peer_address)).await else {
+        engine.contacts().missed(sent_at, &holder.id);
+        return Err(SendError::NotSent);
+    };
+    let exchange = link.exchange(holder.peer_address, Body::Statement(statement));
+    let time_left = request.time_left(now());
+    let mut exchange = std::pin::pin!(tokio::time::timeout(time_left, exchange));
+    let result = tokio::select! {
+        result = &mut exchange => result,
+        () = silence_of(engine, holder) => match leaving {
+            Leaving::LosesNothing => return Err(SendError::Lost),
+            Leaving::LosesOutcome => exchange.await,
+        },
+    };
     match result {
         Ok(Ok(Body::StatementReply(reply))) => Ok(reply),
         Ok(Err(LinkError::NotConnected(_))) => Err(SendError::NotSent),
@@ -265,6 +344,14 @@
     }
 }
 
+/// Ends when an instance at which a statement is gives no sign of life.
+async fn silence_of(engine: &Engine, holder: &InstanceRecord) {
+    tokio::time::sleep(SIGN_AFTER).await;
+    while engine.ask_for_sign(holder).await {
+        tokio::time::sleep(SIGN_AGAIN).await;
+    }
+}
+
 fn encode(
     session: &Session,
     request: &Request,
--- a/daemon/src/engine/session.rs
+++ b/daemon/src/engine/session.rs
@@ -81,6 +81,8 @@
     /// Place among the sessions that a planned stop closes one by one.
     spread: u32,
     counted: Option<SessionGuard>,
+    /// Whether its client should come back through another instance.
+    moves_on: bool,
 }
 
 fn report_refused(engine: &Engine, database: &str, kind: ErrorKind) {
@@ -148,6 +150,7 @@
             trail: Trail::default(),
             spread,
             counted: Some(engine.count_session()),
+            moves_on: false,
             engine,
         }
     }
@@ -290,11 +293,16 @@
         self.transaction.as_ref().is_some_and(Transaction::holds_connection)
     }
 
-    /// Whether a planned stop ends the session now that its operation is over.
+    /// Whether the session ends now that its operation is over: by a planned stop,
+    /// or because another instance may serve what this one had to refuse.
+    ///
+    /// A client that stays connected comes back to the same instance: on a day
+    /// with a partition nine of ten refused tries were of requests whose three
+    /// tries were all refused by the same side, while the other side was well.
     #[must_use]
     pub fn is_over(&self, stop: &watch::Receiver<Option<StopPlan>>) -> bool {
         let closing = stop.borrow().is_some_and(|plan| plan.closing_begins_at() <= now());
-        closing && self.state() == TransactionState::Idle
+        (closing || self.moves_on) && self.state() == TransactionState::Idle
     }
 
     /// How long an exchange that may be repeated waits for a server.
@@ -371,6 +379,8 @@
         let kind = self.kind_of(&statement);
         let result = self.dispatch(id, statement).await;
         self.report(kind, result.as_ref().err(), now().saturating_sub(began_at));
+        let refused = result.as_ref().err().map(|failure| failure.kind);
+        self.moves_on |= refused.is_some_and(ErrorKind::may_be_served_elsewhere);
         let state = self.state();
         match result {
             Ok(Some(served)) => {
--- a/daemon/src/engine/shared.rs
+++ b/daemon/src/engine/shared.rs
@@ -13,6 +13,7 @@
 use chervilwharf_lib::catalog::Route;
 use chervilwharf_lib::connection_budget::budget;
 use chervilwharf_lib::engine_protos::PrimaryNewsTaken;
+use chervilwharf_lib::engine_protos::SignOfLife;
 use chervilwharf_lib::engine_protos::Tunnel;
 use chervilwharf_lib::engine_protos::engine_frame::Body;
 use chervilwharf_lib::fleet::Fleet;
@@ -28,6 +29,7 @@
 
 use crate::engine::border::Connector;
 use crate::engine::clock::now;
+use crate::engine::contacts::Contacts;
 use crate::engine::duty_control::DutyBook;
 use crate::engine::guest::GuestSession;
 use crate::engine::holders::Holders;
@@ -57,6 +59,7 @@
     duties: Mutex<DutyBook>,
     metrics: EngineMetrics,
     holders: Holders,
+    contacts: Contacts,
     statement_links: Arc<StatementLinks>,
     watches: LeaderWatches,
     /// Woken when there is something to find out about a primary.
@@ -99,6 +102,7 @@
             duties: Mutex::default(),
             metrics: EngineMetrics::default(),
             holders: Holders::default(),
+            contacts: Contacts::default(),
             statement_links: Arc::default(),
             watches: LeaderWatches::default(),
             doubt: Arc::default(),
@@ -142,6 +146,12 @@
         &self.holders
     }
 
+    /// Which other instances are heard.
+    #[must_use]
+    pub fn contacts(&self) -> &Contacts {
+        &self.contacts
+    }
+
     /// Lists of those that vote, by group.
     #[must_use]
     pub fn voter_lists(&self) -> &VoterLists {
@@ -469,6 +479,7 @@
                 self.take_primary_news(&news);
                 Some(Body::PrimaryNewsTaken(PrimaryNewsTaken {}))
             }
+            Body::SignOfLife(_) => Some(Body::SignOfLifeReply(SignOfLife {})),
             Body::DirectoryPull(pull) => Some(Body::DirectoryState(self.directory_state(pull))),
             _ => None,
         }
--- a/daemon/src/engine/waiting.rs
+++ b/daemon/src/engine/waiting.rs
@@ -7,6 +7,8 @@
 use chervilwharf_lib::arrival::Arrival;
 use chervilwharf_lib::arrival::Prospect;
 use chervilwharf_lib::error_kind::ErrorKind;
+use chervilwharf_lib::event::Event;
+use chervilwharf_lib::event::EventKind;
 use chervilwharf_lib::id::TargetId;
 use chervilwharf_lib::layout::SessionValues;
 use chervilwharf_lib::moment::Moment;
@@ -19,6 +21,7 @@
 use tokio::sync::oneshot;
 
 use crate::engine::clock::now;
+use crate::engine::event_log;
 use crate::engine::lease::Lease;
 use crate::engine::request::Failure;
 use crate::engine::shard::Inner;
@@ -93,6 +96,9 @@
         }
         let tier = {
             let mut inner = self.lock();
+            if want.need == Need::Leader && inner.group.is_cut_off(began_at) {
+                return Err(Failure::new(ErrorKind::CutOff));
+            }
             if let Some((server, connection)) = inner.take_idle(began_at, want) {
                 drop(inner);
                 return Ok(Lease::new(self.clone(), server, connection));
@@ -119,6 +125,22 @@
         late.ok_or_else(|| Failure::new(self.shortage(&want.need)))
     }
 
+    /// The primary can neither be reached nor replaced from here: those who wait
+    /// for it are told so.
+    pub fn set_out_of_reach(&self, id: Option<&TargetId>) {
+        let mut inner = self.lock();
+        if !inner.group.set_out_of_reach(id) {
+            return;
+        }
+        let waiting = inner.queue.iter().filter(|(_, waiter)| waiter.need == Need::Leader);
+        let places: Vec<_> = waiting.map(|(place, _)| place).collect();
+        // Without somebody who grants, the wait is over.
+        let refused = places.into_iter().filter_map(|place| inner.queue.remove(place)).count();
+        drop(inner);
+        let event = Event::new(EventKind::PrimaryOutOfReach).with("group", self.id());
+        event_log::emit(&event.with_some("server", id).with_count("refused", refused));
+    }
+
     /// Waits for a connection in the queue.
     async fn wait(self: &Arc<Self>, want: &Want<'_>, tier: Tier, until: Moment) -> Option<Lease> {
         let began_at = now();
--- a/daemon/tests/test_waiting.rs
+++ b/daemon/tests/test_waiting.rs
@@ -59,3 +59,28 @@
         assert_eq!(failures, vec![waited_for_nothing.clone(); requests]);
     }
 }
+
+/// Symptom: requests for a primary on the other side of a partition waited for
+/// their whole time, 760 ms and more. Sequence: they wait for it, and it turns out
+/// that it can neither be reached nor replaced from here. Cause: nobody told them;
+/// refused, they reach an instance on the other side.
+#[tokio::test]
+async fn test_requests_for_a_primary_out_of_reach_are_refused_at_once() {
+    let shard = shard_with_silent_primary();
+    let long = Duration::from_secs(600);
+    let waiting: Vec<_> = (0..3)
+        .map(|_| {
+            let shard = shard.clone();
+            tokio::spawn(async move { failure(&shard, long).await })
+        })
+        .collect();
+    while shard.waiting() < waiting.len() {
+        tokio::task::yield_now().await;
+    }
+    shard.set_out_of_reach(Some(&"primary".into()));
+    // Both would last ten minutes.
+    for failure in join_all(waiting).await {
+        assert_eq!(failure.expect("it ends").kind, ErrorKind::CutOff);
+    }
+    assert_eq!(failure(&shard, long).await.kind, ErrorKind::CutOff);
+}
--- a/lib/src/error_kind.rs
+++ b/lib/src/error_kind.rs
@@ -73,6 +73,8 @@
     NotConfigured,
     /// this instance is cut off from the others and may not use the primary
     CutOff,
+    /// no instance that holds connections to the database answers
+    HolderSilent,
 }
 
 /// One row of the table from kind to answer.
@@ -95,7 +97,7 @@
 
 impl ErrorKind {
     /// Every kind, in the order of the table in the documentation.
-    pub const ALL: [Self; 28] = [
+    pub const ALL: [Self; 29] = [
         Self::ServerRefused,
         Self::NotOwner,
         Self::NoPrimary,
@@ -124,6 +126,7 @@
         Self::ReplicasBehind,
         Self::NotConfigured,
         Self::CutOff,
+        Self::HolderSilent,
     ];
 
     /// The table from kind to answer.
@@ -161,6 +164,7 @@
             Self::ReplicasBehind => ("57P03", NotRun, SOON, true),
             Self::NotConfigured => ("57P03", NotRun, SOON, true),
             Self::CutOff => ("57P03", NotRun, SOON, true),
+            Self::HolderSilent => ("57P03", NotRun, SOON, true),
         };
         AnswerRule { sqlstate, outcome, retry_after, burns_budget }
     }
@@ -197,9 +201,17 @@
             Self::ReplicasBehind => "replicas_behind",
             Self::NotConfigured => "not_configured",
             Self::CutOff => "cut_off",
+            Self::HolderSilent => "holder_silent",
         }
     }
 
+    /// Whether an instance on the other side of a partition may be able to serve
+    /// what this one cannot.
+    #[must_use]
+    pub fn may_be_served_elsewhere(self) -> bool {
+        matches!(self, Self::CutOff | Self::HolderSilent)
+    }
+
     /// Finds a kind by its name. A name from a newer version reads as
     /// [`ErrorKind::OutcomeUnknown`], the only answer that promises nothing.
     #[must_use]
--- a/lib/src/event.rs
+++ b/lib/src/event.rs
@@ -97,6 +97,10 @@
     InstanceRemoved, "instance_removed", State;
     /// Another instance did not answer as it should.
     PeerFailed, "peer_failed", Exchange;
+    /// Another instance gave no sign of life.
+    PeerSilent, "peer_silent", State;
+    /// A silent instance gave a sign of life.
+    PeerHeard, "peer_heard", State;
     /// Nobody told of other instances.
     FleetUnknown, "fleet_unknown", State;
     /// Records were learned from another instance.
@@ -107,6 +111,8 @@
     LeaderLost, "leader_lost", State;
     /// What other instances say of a primary.
     LeaderOpinions, "leader_opinions", State;
+    /// A primary can neither be reached nor replaced from here.
+    PrimaryOutOfReach, "primary_out_of_reach", State;
     /// A server cannot take over.
     CandidateRejected, "candidate_rejected", State;
     /// A primary is to be replaced.
--- a/lib/src/group.rs
+++ b/lib/src/group.rs
@@ -135,6 +135,8 @@
     claimants: Vec<TargetId>,
     /// Whether the primary takes long to answer a statement.
     leader_suspected: bool,
+    /// The primary, while it can neither be reached nor replaced from here.
+    out_of_reach: Option<TargetId>,
 }
 
 impl Group {
@@ -356,10 +358,26 @@
         self.confirmed_leader().is_some_and(|leader| !self.right.holds(now, leader.term))
     }
 
-    /// Whether another instance should serve what needs the primary.
+    /// Whether another instance should serve what needs the primary: the right
+    /// to use it is missing, or nobody on this side of a partition reaches it.
     #[must_use]
     pub fn is_cut_off(&self, now: Moment) -> bool {
-        self.confirmed_leader().is_some_and(|leader| self.right.is_cut_off(now, leader.term))
+        let lacks_right =
+            self.confirmed_leader().is_some_and(|leader| self.right.is_cut_off(now, leader.term));
+        lacks_right || self.is_out_of_reach()
+    }
+
+    fn is_out_of_reach(&self) -> bool {
+        let leader = self.leader.as_ref().map(|leader| &leader.id);
+        leader.is_some() && leader == self.out_of_reach.as_ref()
+    }
+
+    /// A server can neither be reached nor replaced from here, until it answers.
+    /// Returns whether that is news.
+    pub fn set_out_of_reach(&mut self, id: Option<&TargetId>) -> bool {
+        let before = self.is_out_of_reach();
+        self.out_of_reach = id.cloned();
+        !before && self.is_out_of_reach()
     }
 
     /// Highest term that any server was seen in.
@@ -432,6 +450,7 @@
         };
         view.failures = 0;
         view.answered_at = now;
+        self.out_of_reach.take_if(|out| out == id);
         view.avoided_until = Moment::ZERO;
         if let Some(applied) = applied {
             view.applied = applied;
--- a/lib/src/leader_watch.rs
+++ b/lib/src/leader_watch.rs
@@ -68,6 +68,9 @@
     failed_probes: u32,
     asked_at: Option<Moment>,
     rounds: u32,
+    /// Whether nobody who answers reaches it, and those who do not answer could
+    /// outvote the others.
+    out_of_reach: bool,
     /// When it became certain enough to act.
     confirmed_at: Option<Moment>,
 }
@@ -110,6 +113,10 @@
 /// Rounds after which instances that know nothing do not count any more.
 const ROUNDS_FOR_UNKNOWN: u32 = 3;
 
+/// Rounds after which a primary that nobody here reaches is given up for as long
+/// as that lasts: one may be lost to instances that are slow to answer.
+const ROUNDS_OUT_OF_REACH: u32 = 2;
+
 /// Without any leader, this long is left for one to appear: a promotion that
 /// another instance ordered takes up to a second.
 const ABSENCE_LIMIT: Duration = Duration::from_millis(1_200);
@@ -290,6 +297,7 @@
         }
         doubt.rounds += 1;
         let lasting = doubt.since + LAST_RESORT_AFTER <= now;
+        doubt.out_of_reach = doubt.rounds >= ROUNDS_OUT_OF_REACH && is_out_of_reach(opinions);
         if should_replace(opinions, doubt.rounds, lasting) {
             doubt.confirmed_at.get_or_insert(now);
         } else {
@@ -297,6 +305,18 @@
         }
     }
 
+    /// The primary that can neither be reached nor replaced from this side of a
+    /// partition, if there is one.
+    ///
+    /// Requests for it waited for their whole time, 760 ms and more, and were told
+    /// that there was no primary; refused at once, their clients reach an
+    /// instance on the other side.
+    #[must_use]
+    pub fn out_of_reach(&self) -> Option<&TargetId> {
+        let doubt = self.doubt.as_ref().filter(|doubt| doubt.out_of_reach);
+        doubt.and_then(|doubt| doubt.leader.as_ref())
+    }
+
     /// Somebody, maybe this instance, replaces the primary now.
     pub fn replacing(&mut self, now: Moment) {
         self.quiet_until = now + REPLACEMENT_TIME;
@@ -338,6 +358,14 @@
     votes * 2 > all
 }
 
+/// Whether nobody who answers reaches a primary, and too few answer to replace
+/// it.
+fn is_out_of_reach(opinions: Opinions) -> bool {
+    let nobody = opinions.reached == 0 && opinions.unknown == 0 && !opinions.replacing;
+    let answering = opinions.failed + 1;
+    nobody && answering <= opinions.silent
+}
+
 impl Doubt {
     fn new(leader: Option<TargetId>, now: Moment) -> Self {
         Self {
@@ -347,6 +375,7 @@
             failed_probes: 0,
             asked_at: None,
             rounds: 0,
+            out_of_reach: false,
             confirmed_at: None,
         }
     }
--- a/lib/src/protos/chervilwharf.engine.rs
+++ b/lib/src/protos/chervilwharf.engine.rs
@@ -7,7 +7,7 @@
     pub exchange_id: u64,
     #[prost(
         oneof = "engine_frame::Body",
-        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15"
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17"
     )]
     pub body: ::core::option::Option<engine_frame::Body>,
 }
@@ -43,8 +43,15 @@
         PrimaryNews(super::PrimaryNews),
         #[prost(message, tag = "15")]
         PrimaryNewsTaken(super::PrimaryNewsTaken),
+        #[prost(message, tag = "16")]
+        SignOfLife(super::SignOfLife),
+        #[prost(message, tag = "17")]
+        SignOfLifeReply(super::SignOfLife),
     }
 }
+/// Asks whether the other instance can be reached, and answers that.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct SignOfLife {}
 /// Liveness, and what the sender knows of the platform's records.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Heartbeat {
--- a/lib/src/story.rs
+++ b/lib/src/story.rs
@@ -23,7 +23,7 @@
 const BEFORE_MS: u64 = 4_000;
 
 /// Events that say something of a group or a server, and so of requests.
-const CONTEXT_EVENTS: [&str; 20] = [
+const CONTEXT_EVENTS: [&str; 23] = [
     "started",
     "stopping",
     "stood_still",
@@ -33,6 +33,9 @@
     "leader_found",
     "leader_lost",
     "leader_opinions",
+    "primary_out_of_reach",
+    "peer_silent",
+    "peer_heard",
     "replacement_begun",
     "replacement_dropped",
     "replacement_agreed",
--- a/lib/tests/test_replacement.rs
+++ b/lib/tests/test_replacement.rs
@@ -211,6 +211,51 @@
     assert!(should_replace(minority, 9, true));
 }
 
+/// Symptom: clients on the smaller side of a partition waited 760 ms and more for
+/// a primary on the other side, and were told then that there is none.
+/// Sequence: a primary is cut off together with most of the instances that hold
+/// its group. Cause: those that are left doubted it, asked each other, and went on
+/// waiting for it or for a successor that they cannot make.
+#[test]
+fn test_primary_beyond_a_partition_is_given_up_until_it_answers() {
+    let minority = Opinions { reached: 0, failed: 1, unknown: 0, silent: 6, replacing: false };
+    let mut watch = LeaderWatch::default();
+    let mut group = group(false);
+    group.observe_failure(at(0), &id("p"));
+    let ms = until_asked(&mut watch, &mut group, 0);
+    watch.heard(at(ms), Some(&id("p")), minority);
+    assert_eq!(watch.out_of_reach(), None, "one round may be lost");
+    watch.heard(at(ms + 200), Some(&id("p")), minority);
+    assert_eq!(watch.out_of_reach(), Some(&id("p")));
+    assert!(group.set_out_of_reach(watch.out_of_reach()), "news");
+    assert!(!group.set_out_of_reach(watch.out_of_reach()), "no news any more");
+    assert!(group.is_cut_off(at(ms + 200)));
+    group.observe_answer(at(ms + 300), &id("p"), None);
+    assert!(!group.is_cut_off(at(ms + 300)));
+}
+
+/// Where it can be replaced, or reached, or is being replaced, it is waited for.
+#[test]
+fn test_primary_that_can_be_replaced_or_reached_is_not_given_up() {
+    let some = Opinions { reached: 0, failed: 1, unknown: 0, silent: 6, replacing: false };
+    let waited_for = [
+        Opinions { failed: 6, silent: 1, ..some },
+        Opinions { reached: 1, ..some },
+        Opinions { unknown: 1, ..some },
+        Opinions { replacing: true, ..some },
+    ];
+    for opinions in waited_for {
+        let mut watch = LeaderWatch::default();
+        let mut group = group(false);
+        group.observe_failure(at(0), &id("p"));
+        let ms = until_asked(&mut watch, &mut group, 0);
+        for round in 0..3 {
+            watch.heard(at(ms + 200 * round), Some(&id("p")), opinions);
+        }
+        assert_eq!(watch.out_of_reach(), None, "{opinions:?}");
+    }
+}
+
 #[test]
 fn test_later_instances_in_the_succession_wait_for_the_first() {
     let (mut watch, mut group) = (LeaderWatch::default(), group(false));
