fleet_control: who was told of nobody tells of nobody, and is told the records

Cause: half of 195 instances killed a second into a silence of the store. A new life asked another new life which instances there are, was told of that one alone, took it for the whole fleet and asked no more: 98 of 98 held all twenty groups. 32,819 changes of budgets, 13,827 connections over the servers' limit, 7,220 requests refused as overloaded in seven seconds.

Ruled out: missing configuration (all had it within 0.8 s), votes (5,676 refusals, of groups with fewer than four voters that live on: they remain).

Change: instances are told only by who was told of all, by the store or from there; a new life without records invites one of those that send it heartbeats to tell them, since the three addresses of its settings may be new lives too. Sessions refused because another instance may serve end after the answer: the client's retries came back to the same instance.

--- a/daemon/src/engine/controllers.rs
+++ b/daemon/src/engine/controllers.rs
@@ -87,7 +87,7 @@
 async fn ask_seeds(engine: Arc<Engine>, seeds: Vec<SocketAddr>) {
     tokio::time::sleep(STORE_FIRST).await;
     let lacks_records = || engine.catalog().version == 0 || engine.servers_revision() == 0;
-    while lacks_records() || !engine.is_fleet_known() {
+    while lacks_records() || !engine.is_fleet_listed() {
         for seed in &seeds {
             let record = InstanceRecord {
                 id: seed.to_string().into(),
--- a/daemon/src/engine/fleet_control.rs
+++ b/daemon/src/engine/fleet_control.rs
@@ -226,6 +226,9 @@
     engine.take_heartbeat(&reply);
     engine.take_grants(asked_at, &peer.id, &reply.grants);
     engine.take_samples(asked_at, &reply.samples);
+    if reply.lacks_records {
+        tell_records(engine, peer).await;
+    }
     if !engine.wants_directory_of(&reply) {
         return;
     }
@@ -235,15 +238,30 @@
     }
 }
 
+/// Tells an instance that has just started, without the store, what it lacks.
+///
+/// It asks the addresses of its settings itself, but those are three, and may have
+/// been started again with it.
+async fn tell_records(engine: &Engine, peer: &InstanceRecord) {
+    if !engine.is_fleet_listed() {
+        return;
+    }
+    let state = engine.directory_state(DirectoryPull::default());
+    if let Err(error) = engine.peers().ask(peer.peer_address, Body::DirectoryState(state)).await {
+        let event = Event::new(EventKind::PeerFailed).with("peer", &peer.id);
+        event_log::emit(&event.with("told", "records").with("reason", error));
+    }
+}
+
 /// Takes over what another instance knows of the platform's records.
 pub async fn pull_directory(engine: &Engine, peer: &InstanceRecord) {
     let question = Body::DirectoryPull(DirectoryPull {
         configuration_version: engine.catalog().version,
         servers_revision: engine.servers_revision(),
-        knows_instances: engine.with_fleet(|fleet| fleet.others().next().is_some()),
+        knows_instances: engine.is_fleet_listed(),
     });
     let reason = match engine.peers().ask(peer.peer_address, question).await {
-        Ok(Body::DirectoryState(state)) => return take_directory(engine, &peer.id, state),
+        Ok(Body::DirectoryState(state)) => return engine.take_directory(state),
         Ok(_) => "it answered something else than was asked".to_owned(),
         Err(error) => error.to_string(),
     };
@@ -251,33 +269,6 @@
     event_log::emit(&event.with("asked", "records").with("reason", reason));
 }
 
-fn take_directory(engine: &Engine, from: &InstanceId, state: DirectoryState) {
-    if let Some(configuration) = state.configuration {
-        let catalog = Arc::new(records::decode_catalog(configuration));
-        let version = catalog.version;
-        if engine.set_catalog(&catalog) {
-            let event = Event::new(EventKind::ConfigurationInForce).with("version", version);
-            event_log::emit(&event.with("source", from));
-        }
-    }
-    // Only a start without the store needs them; the store's list is newer.
-    let instances = state.instances.into_iter().filter_map(records::decode_instance);
-    let instances: Vec<_> = instances.collect();
-    if !instances.is_empty() && engine.with_fleet(|fleet| fleet.others().next().is_none()) {
-        engine.take_instances(instances);
-    }
-    let servers: Vec<_> = state.servers.into_iter().filter_map(records::decode_server).collect();
-    let revision = state.servers_revision;
-    engine.update_servers(|list| {
-        if revision > list.revision() {
-            let event = Event::new(EventKind::PeerRecords).with("peer", from);
-            event_log::emit(&event.with("servers_revision", revision));
-            list.replace(now(), servers);
-            list.advance(revision);
-        }
-    });
-}
-
 fn remove_lost(engine: &Arc<Engine>, directory: &Arc<dyn Directory>, at: Moment) {
     let lost = engine.with_fleet(|fleet| fleet.removable(at));
     for record in lost {
@@ -364,6 +355,7 @@
             servers_revision: self.servers_changed_at(),
             samples: Vec::new(),
             grants: Vec::new(),
+            lacks_records: false,
             demands: shared_groups.iter().map(demand).collect(),
         }
     }
@@ -389,7 +381,8 @@
         };
         let samples = shards.iter().filter_map(sample).collect();
         let grants = self.grants(at, &question.instance, &question.demands);
-        Heartbeat { samples, grants, ..self.heartbeat(&shards) }
+        let lacks_records = self.invites_records();
+        Heartbeat { samples, grants, lacks_records, ..self.heartbeat(&shards) }
     }
 
     /// Another instance told, in reply to something asked at `asked_at`, what
@@ -429,6 +422,36 @@
         heartbeat.configuration_version > self.catalog().version || (newer_servers && late)
     }
 
+    /// Takes over what another instance tells of the platform's records.
+    pub fn take_directory(&self, state: DirectoryState) {
+        let from = state.sender;
+        if let Some(configuration) = state.configuration {
+            let catalog = Arc::new(records::decode_catalog(configuration));
+            let version = catalog.version;
+            if self.set_catalog(&catalog) {
+                let event = Event::new(EventKind::ConfigurationInForce).with("version", version);
+                event_log::emit(&event.with("source", &from));
+            }
+        }
+        // Only a start without the store needs them; the store's list is newer.
+        let instances = state.instances.into_iter().filter_map(records::decode_instance);
+        let instances: Vec<_> = instances.collect();
+        if !instances.is_empty() && !self.is_fleet_listed() {
+            self.take_instances(instances);
+        }
+        let servers = state.servers.into_iter().filter_map(records::decode_server);
+        let servers: Vec<_> = servers.collect();
+        let revision = state.servers_revision;
+        self.update_servers(|list| {
+            if revision > list.revision() {
+                let event = Event::new(EventKind::PeerRecords).with("peer", from);
+                event_log::emit(&event.with("servers_revision", revision));
+                list.replace(now(), servers);
+                list.advance(revision);
+            }
+        });
+    }
+
     /// How current this instance's own view of configuration and servers is.
     #[must_use]
     pub fn record_currency(&self) -> Currency {
@@ -439,7 +462,8 @@
     /// What this instance knows of the platform's records and another lacks.
     #[must_use]
     pub fn directory_state(&self, lacks: DirectoryPull) -> DirectoryState {
-        let mut state = DirectoryState::default();
+        let sender = self.me().id.to_string();
+        let mut state = DirectoryState { sender, ..DirectoryState::default() };
         let catalog = self.catalog();
         if catalog.version > lacks.configuration_version {
             state.configuration = Some(records::encode_catalog(&catalog));
@@ -450,7 +474,7 @@
             let servers = listed.iter().map(|(group, info)| records::encode_server(group, info));
             state.servers = servers.collect();
         }
-        if !lacks.knows_instances {
+        if !lacks.knows_instances && self.is_fleet_listed() {
             state.instances = self.with_fleet(|fleet| {
                 let others = fleet.others().map(records::encode_instance);
                 others.chain([records::encode_instance(self.me())]).collect()
--- a/daemon/src/engine/shared.rs
+++ b/daemon/src/engine/shared.rs
@@ -12,6 +12,7 @@
 use chervilwharf_lib::catalog::Catalog;
 use chervilwharf_lib::catalog::Route;
 use chervilwharf_lib::connection_budget::budget;
+use chervilwharf_lib::engine_protos::DirectoryTaken;
 use chervilwharf_lib::engine_protos::PrimaryNewsTaken;
 use chervilwharf_lib::engine_protos::SignOfLife;
 use chervilwharf_lib::engine_protos::Tunnel;
@@ -43,6 +44,10 @@
 use crate::engine::right_control::VoterLists;
 use crate::engine::shard::Shard;
 
+/// How long an instance that was asked to tell the records has for it, before
+/// another one is asked: as long as for any answer.
+const INVITATION: Duration = Duration::from_millis(300);
+
 /// What all sessions of an instance share.
 pub struct Engine {
     connector: Arc<dyn Connector>,
@@ -81,6 +86,11 @@
     earlier_record: Mutex<Option<Revision>>,
     /// Whether it is known which other instances there are.
     fleet_known: watch::Sender<bool>,
+    /// Whether the store, or an instance that had it from there, told of all
+    /// instances.
+    fleet_listed: AtomicBool,
+    /// When another instance was last asked to tell the records.
+    invited_at: Mutex<Option<Moment>>,
     /// Set once a planned stop has begun.
     stopping: watch::Sender<Option<StopPlan>>,
     sessions: watch::Sender<usize>,
@@ -99,6 +109,8 @@
             pulling: AtomicBool::new(false),
             fleet: Mutex::new(Fleet::new(me.id.clone())),
             fleet_known: watch::Sender::new(false),
+            fleet_listed: AtomicBool::new(false),
+            invited_at: Mutex::default(),
             started_at: now(),
             me,
             peers: Arc::default(),
@@ -231,9 +243,36 @@
             self.registered.store(true, Ordering::Relaxed);
         }
         self.with_fleet(|fleet| fleet.replace(now(), records));
+        self.fleet_listed.store(true, Ordering::Relaxed);
         self.know_fleet();
     }
 
+    /// Whether the store, or an instance that had it from there, told of all
+    /// instances. An instance that goes on alone knows no others, and must not
+    /// tell that there are none.
+    #[must_use]
+    pub fn is_fleet_listed(&self) -> bool {
+        self.fleet_listed.load(Ordering::Relaxed)
+    }
+
+    /// Whether the one who asks now should tell the records: they are lacking, and
+    /// nobody else was asked to just now.
+    #[must_use]
+    pub fn invites_records(&self) -> bool {
+        let lacks =
+            self.catalog().version == 0 || self.servers_revision() == 0 || !self.is_fleet_listed();
+        if !lacks {
+            return false;
+        }
+        let at = now();
+        let mut invited_at = self.invited_at.lock().expect("never poisoned");
+        let waits = invited_at.is_some_and(|invited_at| invited_at + INVITATION > at);
+        if !waits {
+            *invited_at = Some(at);
+        }
+        !waits
+    }
+
     /// This instance has a record now.
     pub fn set_registered(&self) {
         self.registered.store(true, Ordering::Relaxed);
@@ -494,6 +533,10 @@
                 self.take_primary_news(&news);
                 Some(Body::PrimaryNewsTaken(PrimaryNewsTaken {}))
             }
+            Body::DirectoryState(state) => {
+                self.take_directory(state);
+                Some(Body::DirectoryTaken(DirectoryTaken {}))
+            }
             Body::SignOfLife(_) => Some(Body::SignOfLifeReply(SignOfLife {})),
             Body::DirectoryPull(pull) => Some(Body::DirectoryState(self.directory_state(pull))),
             _ => None,
--- a/daemon/tests/test_start.rs
+++ b/daemon/tests/test_start.rs
@@ -10,6 +10,8 @@
 use chervilwharf_daemon::engine::shared::Engine;
 use chervilwharf_lib::catalog::Catalog;
 use chervilwharf_lib::catalog::GroupSettings;
+use chervilwharf_lib::engine_protos::DirectoryPull;
+use chervilwharf_lib::engine_protos::Heartbeat;
 use chervilwharf_lib::fleet::InstanceRecord;
 use chervilwharf_lib::id::GroupId;
 use stubs::NoServer;
@@ -59,3 +61,40 @@
     assert!(engine.is_holder(&"db".into()));
     assert!(engine.wait_until_prepared(Duration::ZERO).await);
 }
+
+/// Symptom: half of 195 instances were killed during a silence of the store; for
+/// six seconds half of all requests were refused, and each primary refused 700
+/// connections. Sequence: an instance that has just started asks another one that
+/// has just started which instances there are, and is told of that one alone.
+/// Cause: it took that for the whole fleet, itself for a holder of every group, and
+/// asked no more.
+#[tokio::test]
+async fn test_instance_that_was_told_of_nobody_tells_of_nobody() {
+    let alone = engine(record(1));
+    alone.know_fleet();
+    let told = alone.directory_state(DirectoryPull::default());
+    assert!(told.instances.is_empty(), "{:?}", told.instances);
+    let asks = engine(record(2));
+    asks.take_directory(told);
+    assert!(!asks.is_fleet_known());
+    let knows = engine(record(3));
+    knows.take_instances((1..=72).map(record).collect());
+    asks.take_directory(knows.directory_state(DirectoryPull::default()));
+    assert!(asks.is_fleet_listed());
+    assert!(asks.holders(&"db".into()).len() < 10);
+}
+
+/// An instance that lacks the records asks one that watches it to tell them, and
+/// not all of them at once.
+#[tokio::test]
+async fn test_instance_without_records_invites_one_to_tell_them() {
+    let started = engine(record(2));
+    let asked = || started.heartbeat_reply(&Heartbeat::default()).lacks_records;
+    assert!(asked());
+    assert!(!asked(), "another one was asked just now");
+    let knows = engine(record(3));
+    knows.take_instances((1..=72).map(record).collect());
+    knows.update_servers(|list| list.advance(7));
+    started.take_directory(knows.directory_state(DirectoryPull::default()));
+    assert!(!started.invites_records());
+}
--- a/lib/src/protos/chervilwharf.engine.rs
+++ b/lib/src/protos/chervilwharf.engine.rs
@@ -7,7 +7,7 @@
     pub exchange_id: u64,
     #[prost(
         oneof = "engine_frame::Body",
-        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17"
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18"
     )]
     pub body: ::core::option::Option<engine_frame::Body>,
 }
@@ -47,6 +47,8 @@
         SignOfLife(super::SignOfLife),
         #[prost(message, tag = "17")]
         SignOfLifeReply(super::SignOfLife),
+        #[prost(message, tag = "18")]
+        DirectoryTaken(super::DirectoryTaken),
     }
 }
 /// Asks whether the other instance can be reached, and answers that.
@@ -77,6 +79,10 @@
     /// Only in replies: what the sender grants the one who asked.
     #[prost(message, repeated, tag = "8")]
     pub grants: ::prost::alloc::vec::Vec<TermGrant>,
+    /// Only in replies: the sender has just started, and the store does not answer
+    /// it; it asks to be told the records.
+    #[prost(bool, tag = "9")]
+    pub lacks_records: bool,
 }
 /// A voter grants the use of the primary of a group in all terms above one.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -358,6 +364,8 @@
     pub knows_instances: bool,
 }
 /// Only what is newer than what the question names.
+///
+/// Also told unasked to an instance that lacks them.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct DirectoryState {
     #[prost(message, optional, tag = "1")]
@@ -367,9 +375,15 @@
     pub servers_revision: u64,
     #[prost(message, repeated, tag = "3")]
     pub servers: ::prost::alloc::vec::Vec<Server>,
+    /// Empty if the sender was not told of all instances itself.
     #[prost(message, repeated, tag = "4")]
     pub instances: ::prost::alloc::vec::Vec<Instance>,
+    /// The instance that tells.
+    #[prost(string, tag = "5")]
+    pub sender: ::prost::alloc::string::String,
 }
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct DirectoryTaken {}
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Instance {
     #[prost(string, tag = "1")]
