--- a/daemon/src/engine/session.rs
+++ b/daemon/src/engine/session.rs
@@ -1,6 +1,8 @@
 //! A client's session: its values, prepared names, last own commit and
 //! transaction.
 
+mod rest;
+
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -22,9 +24,7 @@
 use chervilwharf_lib::statement::Prepared;
 use chervilwharf_lib::statement::Statement;
 use chervilwharf_lib::statement::TransactionState;
-use chervilwharf_lib::stop_plan::StopPlan;
 use chervilwharf_lib::waits;
-use tokio::sync::watch;
 
 use crate::engine::border::Step;
 use crate::engine::clock::now;
@@ -234,77 +234,6 @@
         self.transaction.as_ref().map_or(TransactionState::Idle, Transaction::state)
     }
 
-    /// How long the session may rest before its transaction is ended.
-    #[must_use]
-    pub fn rest_limit(&self) -> Option<Duration> {
-        let transaction = self.transaction.as_ref()?;
-        if !transaction.holds_connection() {
-            return None;
-        }
-        let limit = self.engine.catalog().transaction_idle?;
-        Some((transaction.active_at + limit).saturating_sub(now()))
-    }
-
-    /// Ends a transaction in which the client rested too long: its connection
-    /// is one of few, and others wait for it.
-    pub fn end_rest(&mut self) {
-        if let Some(transaction) = &mut self.transaction {
-            let event = Event::new(EventKind::TransactionRested).with("database", &self.database);
-            event_log::emit(&event.with("last_id", &self.trail.id));
-            transaction.end_rest();
-        }
-    }
-
-    /// Waits until the session, at rest now, has to change by itself.
-    pub async fn rest(&self, stop: &mut watch::Receiver<Option<StopPlan>>) -> RestEnd {
-        loop {
-            let plan = *stop.borrow_and_update();
-            let (until, end) = self.rest_end(plan);
-            let wait = async {
-                match until {
-                    Some(until) => tokio::time::sleep(until.saturating_sub(now())).await,
-                    None => std::future::pending().await,
-                }
-            };
-            tokio::select! {
-                () = wait => return end,
-                changed = stop.changed() => {
-                    // Without an engine there is nothing to serve.
-                    if changed.is_err() {
-                        return RestEnd::Close;
-                    }
-                }
-            }
-        }
-    }
-
-    fn rest_end(&self, plan: Option<StopPlan>) -> (Option<Moment>, RestEnd) {
-        let idle = self.state() == TransactionState::Idle;
-        if let (Some(plan), true) = (plan, idle) {
-            return (Some(plan.close_at(self.spread)), RestEnd::Close);
-        }
-        let limit = self.rest_limit().map(|limit| now() + limit);
-        let stop = plan.map(|plan| plan.transactions_end_at()).filter(|_| self.holds_connection());
-        let until = [limit, stop].into_iter().flatten().min();
-        (until, RestEnd::RollBack)
-    }
-
-    fn holds_connection(&self) -> bool {
-        self.transaction.as_ref().is_some_and(Transaction::holds_connection)
-    }
-
-    /// Whether the session ends now that its operation is over: by a planned stop,
-    /// or because another instance may serve what this one had to refuse.
-    ///
-    /// A client that stays connected comes back to the same instance: on a day
-    /// with a partition nine of ten refused tries were of requests whose three
-    /// tries were all refused by the same side, while the other side was well.
-    #[must_use]
-    pub fn is_over(&self, stop: &watch::Receiver<Option<StopPlan>>) -> bool {
-        let closing = stop.borrow().is_some_and(|plan| plan.closing_begins_at() <= now());
-        (closing || self.moves_on) && self.state() == TransactionState::Idle
-    }
-
     /// How long an exchange that may be repeated waits for a server.
     #[must_use]
     pub fn stall_limit(&self, request: &Request, server: &str) -> Duration {
--- /dev/null
+++ b/daemon/src/engine/shared/known_fleet.rs
@@ -0,0 +1,119 @@
+//! Whether it is known which instances there are, and who told.
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use chervilwharf_lib::fleet::InstanceRecord;
+
+use crate::engine::clock::now;
+use crate::engine::shared::Engine;
+
+/// By then a store that told the configuration has listed the instances: a slow one
+/// answers in 250 ms, and lists 50 records at a time.
+const LISTED_AFTER: Duration = Duration::from_secs(1);
+
+/// How long an instance that was asked to tell the records has for it, before
+/// another one is asked: as long as for any answer.
+const INVITATION: Duration = Duration::from_millis(300);
+
+impl Engine {
+    /// Takes a list of all instances over.
+    pub fn take_instances(&self, records: Vec<InstanceRecord>) {
+        if records.iter().any(|record| record.id == self.me.id) {
+            self.registered.store(true, Ordering::Relaxed);
+        }
+        self.with_fleet(|fleet| fleet.replace(now(), records));
+        self.fleet_listed.store(true, Ordering::Relaxed);
+        self.know_fleet();
+    }
+
+    /// Whether the store, or an instance that had it from there, told of all
+    /// instances. An instance that goes on alone knows no others, and must not
+    /// tell that there are none.
+    #[must_use]
+    pub fn is_fleet_listed(&self) -> bool {
+        self.fleet_listed.load(Ordering::Relaxed)
+    }
+
+    /// The store told the configuration.
+    pub fn note_store_answered(&self) {
+        *self.store_answered_at.lock().expect("never poisoned") = Some(now());
+        self.store_answered.notify_one();
+    }
+
+    /// Whether it is known who could hold connections: the other instances were
+    /// listed, or there is nobody to tell of them.
+    ///
+    /// A store that has just answered again is about to tell: taking themselves for
+    /// alone until then, 74 instances opened connections to all servers at once.
+    #[must_use]
+    pub fn knows_who_holds(&self) -> bool {
+        let answered_at = *self.store_answered_at.lock().expect("never poisoned");
+        let about_to_tell = answered_at.is_some_and(|at| at + LISTED_AFTER > now());
+        self.is_fleet_listed() || (self.is_fleet_known() && !about_to_tell)
+    }
+
+    /// Whether the one who asks now should tell the records: they are lacking, and
+    /// nobody else was asked to just now.
+    #[must_use]
+    pub fn invites_records(&self) -> bool {
+        let lacks =
+            self.catalog().version == 0 || self.servers_revision() == 0 || !self.is_fleet_listed();
+        if !lacks {
+            return false;
+        }
+        let at = now();
+        let mut invited_at = self.invited_at.lock().expect("never poisoned");
+        let waits = invited_at.is_some_and(|invited_at| invited_at + INVITATION > at);
+        if !waits {
+            *invited_at = Some(at);
+        }
+        !waits
+    }
+
+    /// This instance has a record now.
+    pub fn set_registered(&self) {
+        self.registered.store(true, Ordering::Relaxed);
+        self.update_voters();
+    }
+
+    /// Whether this instance has a record.
+    #[must_use]
+    pub fn is_registered(&self) -> bool {
+        self.registered.load(Ordering::Relaxed)
+    }
+
+    /// Goes on with the instances that are known, also when nobody told of
+    /// others.
+    pub fn know_fleet(&self) {
+        self.fleet_known.send_replace(true);
+        self.share_connections();
+        self.renewal.notify_one();
+    }
+
+    /// Whether it is known which other instances there are.
+    #[must_use]
+    pub fn is_fleet_known(&self) -> bool {
+        *self.fleet_known.borrow()
+    }
+
+    /// Waits until the other instances are known, at most this long. Returns
+    /// whether they are.
+    pub async fn wait_for_fleet(&self, limit: Duration) -> bool {
+        let mut fleet_known = self.fleet_known.subscribe();
+        tokio::time::timeout(limit, fleet_known.wait_for(|known| *known)).await.is_ok()
+    }
+
+    /// Waits until there is a configuration and the other instances are known,
+    /// at most this long. Returns whether that is so.
+    pub async fn wait_until_prepared(&self, limit: Duration) -> bool {
+        let mut catalog = self.catalog.subscribe();
+        let mut fleet_known = self.fleet_known.subscribe();
+        let both = async {
+            // Neither ends before the engine, which this borrows.
+            drop(catalog.wait_for(|catalog| catalog.version > 0).await);
+            drop(fleet_known.wait_for(|known| *known).await);
+        };
+        tokio::time::timeout(limit, both).await.is_ok()
+    }
+}
--- /dev/null
+++ b/lib/src/ownership/fencing.rs
@@ -0,0 +1,283 @@
+//! How an owner fences the servers of a database, and chooses and promotes one.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Instant;
+
+use crate::id::TargetId;
+use crate::id::Term;
+use crate::ownership::Ownership;
+use crate::ownership::Phase;
+use crate::ownership::instance_of;
+use crate::ownership_types::FenceFailure;
+use crate::ownership_types::LossReason;
+use crate::ownership_types::OwnershipAction;
+use crate::ownership_types::ServerState;
+use crate::ownership_types::TakeCause;
+use crate::position::Position;
+
+impl Ownership {
+    pub(super) fn start_fencing(&mut self, now: Instant, cause: TakeCause) -> Vec<OwnershipAction> {
+        let term = self.highest_term + 1;
+        self.highest_term = term;
+        for view in self.servers.values_mut() {
+            view.confirmed_sent_at = None;
+        }
+        self.phase = Phase::Fencing {
+            term,
+            since: now,
+            majority_at: None,
+            granted: BTreeMap::new(),
+            failed: BTreeSet::new(),
+            cause,
+        };
+        self.servers
+            .keys()
+            .map(|server| OwnershipAction::Fence { server: server.clone(), term })
+            .collect()
+    }
+
+    pub(super) fn fenced(
+        &mut self,
+        now: Instant,
+        server: TargetId,
+        term: Term,
+        result: Result<ServerState, FenceFailure>,
+    ) -> Vec<OwnershipAction> {
+        match result {
+            Ok(state) => self.fence_granted(now, server, term, state),
+            Err(FenceFailure::HigherTerm { term: higher, owner }) => {
+                self.fence_refused(now, term, higher, &owner)
+            }
+            Err(FenceFailure::Unreachable) => self.fence_unreachable(now, server, term),
+        }
+    }
+
+    pub(super) fn fence_granted(
+        &mut self,
+        now: Instant,
+        server: TargetId,
+        term: Term,
+        state: ServerState,
+    ) -> Vec<OwnershipAction> {
+        // A server that came back while we serve was fenced again; it can
+        // follow the primary now.
+        if let Phase::Serving { term: own, primary, .. } = &self.phase {
+            if *own != term || *primary == server {
+                return Vec::new();
+            }
+            let primary = primary.clone();
+            return vec![OwnershipAction::Follow { server, term, primary }];
+        }
+        let majority = self.majority();
+        let Phase::Fencing { term: own, since, majority_at, granted, .. } = &mut self.phase else {
+            return Vec::new();
+        };
+        if *own != term {
+            return Vec::new();
+        }
+        let sent_at = *since;
+        granted.insert(server.clone(), state.clone());
+        if granted.len() >= majority && majority_at.is_none() {
+            *majority_at = Some(now);
+        }
+        if let Some(view) = self.servers.get_mut(&server) {
+            view.state = Some(state);
+            view.confirmed_sent_at = Some(sent_at);
+        }
+        self.choose_if_ready(now)
+    }
+
+    fn fence_unreachable(
+        &mut self,
+        now: Instant,
+        server: TargetId,
+        term: Term,
+    ) -> Vec<OwnershipAction> {
+        let Phase::Fencing { term: own, failed, .. } = &mut self.phase else {
+            return Vec::new();
+        };
+        if *own != term {
+            return Vec::new();
+        }
+        failed.insert(server);
+        self.choose_if_ready(now)
+    }
+
+    fn fence_refused(
+        &mut self,
+        now: Instant,
+        term: Term,
+        higher: Term,
+        owner: &str,
+    ) -> Vec<OwnershipAction> {
+        self.highest_term = self.highest_term.max(higher);
+        if let Phase::Serving { term: own, .. } = &self.phase {
+            return if higher > *own { self.lose(now, LossReason::Fenced) } else { Vec::new() };
+        }
+        let Phase::Fencing { term: own, cause, .. } = &self.phase else {
+            return Vec::new();
+        };
+        if *own != term {
+            return Vec::new();
+        }
+        // Whoever holds the higher term may be serving reads in it, whatever
+        // had started our own attempt.
+        let cause = if cause.earlier_owner_may_serve() { *cause } else { TakeCause::OwnerSilent };
+        // The first refusal only tells the current term to one who did not
+        // know it. A second one is a race with another instance, unless the
+        // term is our own from before a restart.
+        if !self.retried_at_once || instance_of(owner) == &*self.me {
+            self.retried_at_once = true;
+            return self.start_fencing(now, cause);
+        }
+        self.back_off(now)
+    }
+
+    pub(super) fn choose_if_ready(&mut self, now: Instant) -> Vec<OwnershipAction> {
+        let majority = self.majority();
+        let Phase::Fencing { term, majority_at, granted, failed, cause, .. } = &self.phase else {
+            return Vec::new();
+        };
+        let answered = granted.len() + failed.len();
+        let Some(majority_at) = *majority_at else {
+            if answered == self.servers.len() {
+                return self.back_off(now);
+            }
+            return Vec::new();
+        };
+        // The servers that did not answer may be dead. Waiting a little for
+        // them avoids promoting a replica when the old primary is alive.
+        let waited = now.saturating_duration_since(majority_at) >= self.timing.choose_wait;
+        let rest_is_silent =
+            self.servers.iter().filter(|(id, _)| !granted.contains_key(*id)).all(|(id, view)| {
+                failed.contains(id) || view.detector.misses() >= self.timing.misses_to_suspect
+            });
+        if answered < self.servers.len() && !waited && !rest_is_silent {
+            return Vec::new();
+        }
+        let (term, cause) = (*term, *cause);
+        let candidate = self.choose(granted, majority);
+        self.phase =
+            Phase::Promoting { term, candidate: candidate.clone(), since: now, majority_at, cause };
+        vec![OwnershipAction::Promote { server: candidate, term }]
+    }
+
+    /// Picks the server with the highest log among those fenced.
+    ///
+    /// A server to avoid is passed over only when the others are a majority
+    /// by themselves. Otherwise it may be the only one of them that holds an
+    /// acknowledged write, and leaving it out would lose that write.
+    fn choose(&self, granted: &BTreeMap<TargetId, ServerState>, majority: usize) -> TargetId {
+        let wanted = granted.keys().filter(|id| !self.is_unwanted(id)).count();
+        let pass_over = wanted >= majority;
+        let best = granted
+            .iter()
+            .filter(|(id, _)| !(pass_over && self.avoid.contains(*id)))
+            .max_by_key(|(id, state)| {
+                let wanted = !self.is_unwanted(id);
+                let is_primary = self.primary.as_ref() == Some(*id) || state.is_primary;
+                let near = self.is_near(id);
+                (state.received, wanted, is_primary, near)
+            });
+        best.map(|(id, _)| id.clone()).expect("a majority was fenced, so at least one server was")
+    }
+
+    pub(super) fn is_unwanted(&self, server: &TargetId) -> bool {
+        let leaving = self.servers.get(server).is_some_and(|view| view.server.leaving);
+        leaving || self.avoid.contains(server)
+    }
+
+    pub(super) fn is_near(&self, server: &TargetId) -> bool {
+        self.servers.get(server).is_some_and(|view| view.server.failure_domain == self.near)
+    }
+
+    pub(super) fn promoted(
+        &mut self,
+        now: Instant,
+        server: &TargetId,
+        term: Term,
+        result: &Result<Position, FenceFailure>,
+    ) -> Vec<OwnershipAction> {
+        let Phase::Promoting { term: own, candidate, majority_at, cause, .. } = &self.phase else {
+            return Vec::new();
+        };
+        if *own != term || candidate != server {
+            return Vec::new();
+        }
+        let (majority_at, cause) = (*majority_at, *cause);
+        let first = match result {
+            Ok(first) => *first,
+            Err(FenceFailure::HigherTerm { term, .. }) => {
+                self.highest_term = self.highest_term.max(*term);
+                return self.back_off(now);
+            }
+            Err(FenceFailure::Unreachable) => {
+                return self.promotion_failed(now, server.clone());
+            }
+        };
+        let answers_from = if cause.earlier_owner_may_serve() {
+            majority_at + self.timing.currency
+        } else {
+            majority_at
+        };
+        self.serve(server, term, first, answers_from, cause)
+    }
+
+    pub(super) fn serve(
+        &mut self,
+        primary: &TargetId,
+        term: Term,
+        first: Position,
+        answers_from: Instant,
+        cause: TakeCause,
+    ) -> Vec<OwnershipAction> {
+        self.primary = Some(primary.clone());
+        self.avoid.clear();
+        self.phase = Phase::Serving { term, primary: primary.clone(), first, answers_from };
+        if let Some(state) = self.servers.get_mut(primary).and_then(|view| view.state.as_mut()) {
+            state.is_primary = true;
+            state.received = first;
+            state.applied = first;
+        }
+        let mut actions = vec![OwnershipAction::Serve {
+            term,
+            primary: primary.clone(),
+            first,
+            answers_from,
+            cause,
+        }];
+        let others = self.servers.keys().filter(|id| *id != primary);
+        actions.extend(others.map(|id| OwnershipAction::Follow {
+            server: id.clone(),
+            term,
+            primary: primary.clone(),
+        }));
+        actions
+    }
+
+    pub(super) fn promotion_failed(
+        &mut self,
+        now: Instant,
+        server: TargetId,
+    ) -> Vec<OwnershipAction> {
+        self.avoid.insert(server);
+        let cause = match &self.phase {
+            // Whether an earlier owner may still serve does not change by
+            // our own second attempt.
+            Phase::Promoting { cause, .. } if cause.earlier_owner_may_serve() => *cause,
+            _ => TakeCause::PromotionFailed,
+        };
+        self.start_fencing(now, cause)
+    }
+
+    pub(super) fn fencing_timed_out(&mut self, now: Instant) -> Vec<OwnershipAction> {
+        let Phase::Fencing { majority_at, .. } = &self.phase else {
+            return Vec::new();
+        };
+        if majority_at.is_some() {
+            return self.choose_if_ready(now);
+        }
+        self.back_off(now)
+    }
+}
