holders: a group with a transaction open keeps its voters when it is held no more

Cause: an instance that ceased to hold a group kept up neither who votes on it nor asked them for the right, so a transaction open there lost it after 1.5 s.

--- a/daemon/src/engine/fleet_control.rs
+++ b/daemon/src/engine/fleet_control.rs
@@ -312,7 +312,7 @@
         for record in self.with_fleet(|fleet| fleet.watched()) {
             targets.insert(record.id.clone(), target(record));
         }
-        for shard in self.held_shards() {
+        for shard in self.used_shards() {
             for record in self.voters_and_co_holders(shard.id()) {
                 let shared = targets.entry(record.id.clone()).or_insert_with(|| target(record));
                 shared.shared_groups.push(shard.clone());
--- a/daemon/src/engine/holders.rs
+++ b/daemon/src/engine/holders.rs
@@ -1,6 +1,7 @@
 //! Which instances hold the connections to a group, as this instance sees it.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -147,6 +148,18 @@
         held.iter().map(|group| self.shard(group)).collect()
     }
 
+    /// Shards of the groups that this instance holds connections to, or still has
+    /// connections in use of: a transaction that began before the holders changed
+    /// needs the right to use its primary until it ends.
+    #[must_use]
+    pub fn used_shards(&self) -> Vec<Arc<Shard>> {
+        let mut used = self.held_shards();
+        let held: HashSet<_> = used.iter().map(|shard| shard.id().clone()).collect();
+        let lent = self.shards().into_iter().filter(|shard| shard.has_lent());
+        used.extend(lent.filter(|shard| !held.contains(shard.id())));
+        used
+    }
+
     /// A group was added.
     pub(crate) fn forget_held(&self) {
         self.holder_lists().lock().held = None;
--- a/daemon/src/engine/right_control.rs
+++ b/daemon/src/engine/right_control.rs
@@ -147,7 +147,7 @@
                 && end.is_none_or(|end| end < at + RENEWED_BY_STORE_WITHIN)
         })
     };
-    if !engine.held_shards().iter().any(ends_soon) {
+    if !engine.used_shards().iter().any(ends_soon) {
         return;
     }
     let result = read_orders(&engine, &*directory).await;
@@ -198,13 +198,13 @@
         }
     }
 
-    /// Tells all held groups who votes.
+    /// Tells all groups in use who votes.
     pub fn update_voters(&self) {
         if !self.is_fleet_known() {
             return;
         }
         self.renew_voter_lists();
-        for shard in self.held_shards() {
+        for shard in self.used_shards() {
             let voters = self.voters(shard.id());
             if !shard.with_group(|group| group.right().has_voters(&self.me().id, &voters)) {
                 shard.change_right(|right| right.set_voters(&self.me().id, &voters));
--- a/daemon/src/engine/shard.rs
+++ b/daemon/src/engine/shard.rs
@@ -241,6 +241,13 @@
         inner.pools.iter().map(count).collect()
     }
 
+    /// Whether a request or transaction has a connection.
+    #[must_use]
+    pub fn has_lent(&self) -> bool {
+        let inner = self.lock();
+        inner.pools.values().any(|pool| pool.share.open > pool.idle.len())
+    }
+
     /// Requests that wait for a connection.
     #[must_use]
     pub fn waiting(&self) -> usize {
--- a/daemon/tests/values_world/mod.rs
+++ b/daemon/tests/values_world/mod.rs
@@ -1,5 +1,6 @@
 //! Sessions of several clients over few connections to one server that knows
 //! which values each statement has to run with.
+#![allow(dead_code, reason = "each test binary uses a part of the world")]
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
