loss: a report of where requests were refused, late or unknown, and the cause behind it

`chervilwharf report loss LOG...`: ending, reason, cause, times, groups and instances, JSON and an SVG over time. `explain` names the cause behind holder_silent and behind cut_off at a primary out of reach.

--- a/cli/src/command.rs
+++ b/cli/src/command.rs
@@ -12,6 +12,7 @@
 use crate::client::Client;
 use crate::configuration;
 use crate::explain;
+use crate::loss;
 use crate::request;
 use crate::status;
 
@@ -152,6 +153,19 @@
 #[argh(subcommand)]
 enum Report {
     Burn(BurnCommand),
+    Loss(LossCommand),
+}
+
+/// Where requests were refused, late or unknown, and why, from logs of instances.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "loss")]
+pub struct LossCommand {
+    /// also draw it over time into this SVG file
+    #[argh(option)]
+    pub svg: Option<PathBuf>,
+    /// log files, one or more
+    #[argh(positional)]
+    pub files: Vec<PathBuf>,
 }
 
 /// How fast each service uses up the errors its objective allows.
@@ -245,6 +259,9 @@
         Command::Report(ReportCommand { report: Report::Burn(command) }) => {
             burn::run(&output, &client()?, &command).await
         }
+        Command::Report(ReportCommand { report: Report::Loss(command) }) => {
+            loss::run(&output, &command)
+        }
     }
 }
 
--- a/cli/src/explain.rs
+++ b/cli/src/explain.rs
@@ -43,7 +43,12 @@
     Ok(if story.lines.is_empty() { Ending::Failed } else { Ending::Done })
 }
 
-fn read_log(file: &Path) -> Result<Vec<LogLine>, String> {
+/// Reads the lines of a log; others are passed over.
+///
+/// # Errors
+///
+/// When the file cannot be read, with its name.
+pub fn read_log(file: &Path) -> Result<Vec<LogLine>, String> {
     let text = std::fs::read_to_string(file);
     let text = text.map_err(|error| format!("{} cannot be read: {error}", file.display()))?;
     Ok(text.lines().filter_map(story::parse_line).collect())
--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod command;
 pub mod configuration;
 pub mod explain;
+pub mod loss;
 pub mod request;
 pub mod status;
--- /dev/null
+++ b/cli/src/loss.rs
@@ -0,0 +1,107 @@
+//! "Where did we lose requests, and why?", from the logs of a whole run.
+
+use std::path::Path;
+
+use chervilwharf_lib::loss;
+use chervilwharf_lib::loss::LossReport;
+use chervilwharf_lib::loss::LossRow;
+use chervilwharf_lib::loss::LossWindow;
+use chervilwharf_lib::loss::WINDOW_MS;
+use plotters::prelude::*;
+use serde_json::json;
+
+use crate::command::Ending;
+use crate::command::LossCommand;
+use crate::command::Output;
+use crate::explain::read_log;
+
+/// Size of the plot in pixels.
+const PLOT_SIZE: (u32, u32) = (960, 420);
+
+/// Runs the command.
+///
+/// # Errors
+///
+/// When a file cannot be read, or the plot cannot be written, with its name.
+pub fn run(output: &Output, command: &LossCommand) -> Result<Ending, String> {
+    let mut log = Vec::new();
+    for file in &command.files {
+        log.extend(read_log(file)?);
+    }
+    if log.is_empty() {
+        return Err("the files hold no log lines".to_owned());
+    }
+    let report = loss::report(&log);
+    if output.json {
+        output.line(json!(report));
+    } else {
+        print(output, &report);
+    }
+    if let Some(path) = &command.svg {
+        let drawn = draw(path, &report.windows);
+        drawn.map_err(|error| format!("{} cannot be drawn: {error}", path.display()))?;
+    }
+    Ok(Ending::Done)
+}
+
+fn print(output: &Output, report: &LossReport) {
+    output.line("   count  ending   reason             seconds        p50 / p90 ms  cause");
+    for row in &report.rows {
+        output.line(to_text(row));
+        output.line(format_args!("{:>20}{}; {}", "", named(&row.groups), named(&row.instances)));
+    }
+    if report.lines_left_out > 0 {
+        output.line(format_args!(
+            "{} lines were left out by their budgets: so many more may be missing",
+            report.lines_left_out
+        ));
+    }
+}
+
+#[allow(clippy::cast_precision_loss, reason = "seconds of a run")]
+fn to_text(row: &LossRow) -> String {
+    let (first_s, last_s) = (row.first_ms as f64 / 1e3, row.last_ms as f64 / 1e3);
+    let seconds = format!("{first_s:.1} to {last_s:.1}");
+    let took = format!("{:.0} / {:.0}", row.took_p50_ms, row.took_p90_ms);
+    let LossRow { ending, reason, cause, count, .. } = row;
+    format!("{count:>8}  {ending:<8} {reason:<18} {seconds:<14} {took:<13} {cause}")
+}
+
+fn named(counts: &[(String, usize)]) -> String {
+    let named: Vec<_> = counts.iter().map(|(name, count)| format!("{name} {count}")).collect();
+    named.join(", ")
+}
+
+/// Draws refused, unknown and late requests over time.
+#[allow(clippy::cast_precision_loss, reason = "seconds and counts of a run")]
+fn draw(path: &Path, windows: &[LossWindow]) -> Result<(), Box<dyn std::error::Error>> {
+    let root = SVGBackend::new(path, PLOT_SIZE).into_drawing_area();
+    root.fill(&WHITE)?;
+    let last_ms = windows.last().map_or(0, |window| window.from_ms) + WINDOW_MS;
+    let counts = windows.iter().map(|window| window.refused + window.unknown + window.late);
+    let highest = counts.max().unwrap_or(0).max(1);
+    let mut chart = ChartBuilder::on(&root)
+        .caption(
+            "Requests a second: refused (red), unknown (blue), late (green)",
+            ("sans-serif", 20),
+        )
+        .margin(12)
+        .x_label_area_size(40)
+        .y_label_area_size(60)
+        .build_cartesian_2d(0.0..last_ms as f64 / 1e3, 0.0..highest as f64 * 1.1)?;
+    chart.configure_mesh().x_desc("seconds after the first line").draw()?;
+    for window in windows {
+        let (from_s, to_s) =
+            (window.from_ms as f64 / 1e3, (window.from_ms + WINDOW_MS) as f64 / 1e3);
+        let mut below = 0.0;
+        let parts = [(window.refused, RED), (window.unknown, BLUE), (window.late, GREEN)];
+        for (count, colour) in parts {
+            let above = below + count as f64;
+            let bar = Rectangle::new([(from_s, below), (to_s, above)], colour.filled());
+            chart.draw_series(std::iter::once(bar))?;
+            below = above;
+        }
+    }
+    root.present()?;
+    Ok(())
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod leader_watch;
 pub mod ledger;
 pub mod limits;
+pub mod loss;
 pub mod membership;
 pub mod moment;
 pub mod ownership;
--- a/lib/src/story.rs
+++ b/lib/src/story.rs
@@ -64,11 +64,15 @@
 }
 
 impl LogLine {
-    fn text(&self, field: &str) -> Option<&str> {
+    /// Text of a field.
+    #[must_use]
+    pub fn text(&self, field: &str) -> Option<&str> {
         self.fields.get(field)?.as_str()
     }
 
-    fn number(&self, field: &str) -> f64 {
+    /// Number of a field; 0 if it has none.
+    #[must_use]
+    pub fn number(&self, field: &str) -> f64 {
         self.fields.get(field).and_then(Value::as_f64).unwrap_or(0.0)
     }
 }
@@ -219,6 +223,17 @@
         ("request_refused", "unknown_database") => {
             "no configuration in force has its database name".to_owned()
         }
+        ("request_refused", "cut_off") if event("primary_out_of_reach").is_some() => {
+            "the primary is beyond a partition, and this side has too few votes to replace it"
+                .to_owned()
+        }
+        ("request_refused", "holder_silent") => {
+            let silent = lines.iter().filter(|line| line.line.event == "peer_silent");
+            let silent: BTreeSet<_> = silent.filter_map(|line| line.line.text("peer")).collect();
+            let silent: Vec<_> = silent.into_iter().collect();
+            let silent = silent.join(", ");
+            format!("no holder of the group gave a sign of life; silent: {silent}{around}")
+        }
         ("request_refused", "cut_off") => {
             let instance = &last.instance;
             format!(
--- /dev/null
+++ b/lib/tests/test_loss.rs
@@ -0,0 +1,91 @@
+//! What the logs of a whole run tell of requests that did not end as they should.
+
+use std::time::Duration;
+
+use chervilwharf_lib::event::Event;
+use chervilwharf_lib::event::EventKind;
+use chervilwharf_lib::loss;
+use chervilwharf_lib::story;
+use chervilwharf_lib::story::LogLine;
+use quickcheck::quickcheck;
+
+fn line(at_ms: u64, instance: &str, event: &Event) -> LogLine {
+    story::parse_line(&event.line(at_ms.into(), instance)).expect("a line that we wrote")
+}
+
+fn ended(kind: EventKind, group: &str, reason: &str, took_ms: u64) -> Event {
+    Event::new(kind)
+        .with("id", "r")
+        .with("group", group)
+        .with("reason", reason)
+        .with_ms("took_ms", Duration::from_millis(took_ms))
+}
+
+#[test]
+fn test_refusals_are_told_apart_by_the_cause_behind_them() {
+    let out_of_reach = Event::new(EventKind::PrimaryOutOfReach).with("group", "hot");
+    let silent = Event::new(EventKind::PeerSilent).with("peer", "h1");
+    let cut_off = |group| ended(EventKind::RequestRefused, group, "cut_off", 2);
+    let log = vec![
+        line(10_000, "a", &out_of_reach),
+        line(10_100, "b", &cut_off("hot")),
+        line(10_200, "c", &cut_off("hot")),
+        line(10_300, "b", &cut_off("calm")),
+        line(10_350, "b", &silent),
+        line(10_400, "b", &ended(EventKind::RequestRefused, "calm", "holder_silent", 101)),
+        // Long after it was told to be out of reach.
+        line(19_000, "b", &cut_off("hot")),
+    ];
+    let report = loss::report(&log);
+    let told: Vec<_> =
+        report.rows.iter().map(|row| (row.count, &*row.reason, &*row.cause)).collect();
+    let beyond = (2, "cut_off", "the primary is beyond a partition");
+    assert!(told.contains(&beyond), "{told:?}");
+    let silent = (1, "holder_silent", "other instances gave no sign of life");
+    assert!(told.contains(&silent), "{told:?}");
+    // What had happened 9 s before is no cause.
+    assert!(told.contains(&(2, "cut_off", "none that the logs tell")), "{told:?}");
+    let row = report.rows.iter().find(|row| row.cause == beyond.2).expect("told above");
+    assert_eq!(row.instances, [("b".to_owned(), 1), ("c".to_owned(), 1)]);
+    assert_eq!((row.first_ms, row.last_ms), (100, 200));
+}
+
+#[test]
+fn test_a_cause_of_another_group_is_none() {
+    let replaced = Event::new(EventKind::ReplacementBegun).with("group", "other");
+    let refused = ended(EventKind::RequestRefused, "db", "no_primary", 800);
+    let log = [line(1_000, "a", &replaced), line(1_500, "a", &refused)];
+    assert_eq!(loss::report(&log).rows[0].cause, "none that the logs tell");
+}
+
+#[test]
+fn test_windows_and_lines_left_out_are_counted() {
+    let left_out = Event::new(EventKind::LinesLeftOut).with("of", "request_late").with("count", 7);
+    let log = vec![
+        line(5_000, "a", &Event::new(EventKind::Started)),
+        line(5_100, "a", &ended(EventKind::RequestLate, "db", "", 500)),
+        line(5_900, "a", &ended(EventKind::RequestUnknown, "db", "outcome_unknown", 800)),
+        line(7_200, "a", &ended(EventKind::RequestRefused, "db", "overloaded", 1)),
+        line(7_300, "a", &left_out),
+    ];
+    let report = loss::report(&log);
+    let counts: Vec<_> = report
+        .windows
+        .iter()
+        .map(|window| (window.from_ms, window.refused, window.unknown, window.late))
+        .collect();
+    assert_eq!(counts, [(0, 0, 1, 1), (2_000, 1, 0, 0)]);
+    assert_eq!(report.lines_left_out, 7);
+}
+
+quickcheck! {
+    /// Whatever the order of the files, each request counts once.
+    fn prop_each_request_counts_once(times: Vec<u16>) -> bool {
+        let refused = ended(EventKind::RequestRefused, "db", "overloaded", 3);
+        let log: Vec<_> = times.iter().map(|at| line(u64::from(*at), "a", &refused)).collect();
+        let report = loss::report(&log);
+        let in_rows: usize = report.rows.iter().map(|row| row.count).sum();
+        let in_windows: usize = report.windows.iter().map(|window| window.refused).sum();
+        in_rows == times.len() && in_windows == times.len()
+    }
+}
