leader_watch: a replica that failed while it lagged is asked until it answers

The gap is there all the same: no read goes to a replica that is far behind, and only one without failures was asked. The test failed first.

--- a/lib/src/group/reading.rs
+++ b/lib/src/group/reading.rs
@@ -192,6 +192,14 @@
         able.into_iter().map(|(.., id)| id.clone()).collect()
     }
 
+    /// Replicas whose last exchange failed, and that reads need not avoid for that
+    /// any more.
+    pub fn failed_replicas(&self, now: Moment) -> impl Iterator<Item = &ServerView> {
+        self.servers.values().filter(move |view| {
+            view.failures > 0 && !view.is_avoided(now) && !self.leads(&view.info.id)
+        })
+    }
+
     /// Replicas that are too far behind to get reads, and so do not tell by
     /// themselves when they have caught up.
     pub fn laggards(&self, now: Moment) -> impl Iterator<Item = &ServerView> {
--- a/lib/src/leader_watch.rs
+++ b/lib/src/leader_watch.rs
@@ -5,6 +5,7 @@
 //! does not answer on new connections, and other instances do not reach it
 //! either.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::group::Group;
@@ -86,6 +87,8 @@
     /// Others should replace the primary until then.
     stepped_back_until: Moment,
     sampled_at: Option<Moment>,
+    /// When replicas that had failed were last asked.
+    replicas_probed_at: BTreeMap<TargetId, Moment>,
     suspected_at: Option<Moment>,
 }
 
@@ -133,6 +136,10 @@
 /// longer than the longest promotion (1 s) and a retry.
 pub const REPLACEMENT_TIME: Duration = Duration::from_millis(2_500);
 
+/// Time between two questions to a replica that failed; with each failure it is
+/// also avoided for longer, up to 3 s.
+const FAILED_REPLICA_CHECK: Duration = Duration::from_millis(500);
+
 /// A sample of the primary's position older than this is renewed. A fraction
 /// of the smallest staleness that clients allow (1.5 s), so that a replica
 /// behind by a second still qualifies.
@@ -149,11 +156,32 @@
         self.sample(now, group, &mut actions);
         let laggards = group.laggards(now).filter(|view| view.failures == 0);
         actions.extend(laggards.map(|view| WatchAction::Sample(view.info.id.clone())));
+        self.probe_failed_replicas(now, group, &mut actions);
         self.watch_leaving(now, group, rank, &mut actions);
         self.watch_failing(now, group, rank, &mut actions);
         actions
     }
 
+    /// Asks replicas that failed whether they are back.
+    ///
+    /// Reads find that out by themselves, but none goes to a replica that was also
+    /// far behind when it was last heard: one that had failed while it lagged was
+    /// asked by nobody any more, and the primary had its reads.
+    fn probe_failed_replicas(
+        &mut self,
+        now: Moment,
+        group: &Group,
+        actions: &mut Vec<WatchAction>,
+    ) {
+        self.replicas_probed_at.retain(|_, at| *at + FAILED_REPLICA_CHECK > now);
+        for view in group.failed_replicas(now) {
+            if !self.replicas_probed_at.contains_key(&view.info.id) {
+                self.replicas_probed_at.insert(view.info.id.clone(), now);
+                actions.push(WatchAction::Probe(view.info.id.clone()));
+            }
+        }
+    }
+
     fn sample(&mut self, now: Moment, group: &Group, actions: &mut Vec<WatchAction>) {
         let Some(leader) = group.leader() else {
             return;
--- a/lib/tests/test_replacement.rs
+++ b/lib/tests/test_replacement.rs
@@ -384,3 +384,37 @@
     assert_eq!(order[0], holder);
     assert_eq!(order.len(), 4);
 }
+
+/// Symptom: a replica that is well gets no reads, and the primary has them all.
+/// Sequence: a replica falls behind; the way to it is cut, and an exchange fails; it
+/// comes back. Cause: reads pass over a replica that is far behind, and only one
+/// that has not failed was asked whether it still is.
+#[test]
+fn test_replica_that_failed_while_it_lagged_is_asked_until_it_answers() {
+    let (mut watch, mut group) = (LeaderWatch::default(), group(false));
+    let status = |leads, received, applied| ServerStatus {
+        leads,
+        term: 1,
+        received: Position::new(1, received),
+        applied: Position::new(1, applied),
+        lag: Duration::ZERO,
+    };
+    for step in 0..40 {
+        let (ms, index) = (step * 100, step + 10);
+        group.observe_status(at(ms), at(ms), &id("p"), status(true, index, index));
+    }
+    group.observe_status(at(3_900), at(3_900), &id("r1"), status(false, 11, 11));
+    group.observe_failure(at(4_000), &id("r1"));
+    let floor = Position::new(1, 40);
+    assert!(!group.can_read(at(4_600), &id("r1"), floor), "no read goes there by itself");
+    let asked = |watch: &mut LeaderWatch, group: &Group, ms| {
+        watch.tick(at(ms), group, Some(0)).contains(&WatchAction::Probe(id("r1")))
+    };
+    assert!(!asked(&mut watch, &group, 4_100), "it failed just now");
+    assert!(asked(&mut watch, &group, 4_600));
+    assert!(!asked(&mut watch, &group, 4_700), "an answer may be on its way");
+    assert!(asked(&mut watch, &group, 5_200));
+    group.observe_status(at(5_250), at(5_250), &id("r1"), status(false, 49, 49));
+    assert!(group.can_read(at(5_250), &id("r1"), floor));
+    assert!(!asked(&mut watch, &group, 5_900));
+}
