follow: first lists are called three times at most

Hypothesis: first lists are called again without a limit while a list takes longer over a link of 20 Mbit/s than the time after which it is called again, and each call slows the others.

--- a/daemon/src/engine/follow.rs
+++ b/daemon/src/engine/follow.rs
@@ -117,6 +117,9 @@
 /// than the answer of a slow store takes (250 ms).
 const CALLED_AGAIN_AFTER: Duration = Duration::from_millis(400);
 
+/// First calls of one kind that are under way together.
+const FIRST_CALLS_AT_ONCE: usize = 3;
+
 /// Answers of the store that come within this time are taken to be as late as
 /// each other.
 pub const ANSWERED_TOGETHER: Duration = Duration::from_millis(100);
@@ -224,6 +227,11 @@
     let mut calls = FuturesUnordered::new();
     loop {
         calls.push(directory.list(kind, currency));
+        // A long list over a slow link takes as long as a silent store: called
+        // again without an end, the calls filled the links of 300 instances.
+        if calls.len() >= FIRST_CALLS_AT_ONCE {
+            break;
+        }
         let again = async {
             if kind == RecordKind::Configuration {
                 tokio::time::sleep(CALLED_AGAIN_AFTER).await;
@@ -236,6 +244,9 @@
             () = again => {}
         }
     }
+    // There is one at least.
+    let ended = calls.next().await;
+    ended.unwrap_or_else(|| Err(DirectoryError::Unreachable("no call was made".to_owned())))
 }
 
 async fn watch(
--- a/daemon/tests/test_follow.rs
+++ b/daemon/tests/test_follow.rs
@@ -370,3 +370,80 @@
         assert!(calls <= 20, "{calls} calls in {outage_ms} ms");
     }
 }
+
+/// A store behind a link on which a list takes long, and the longer, the more lists
+/// are under way.
+struct SlowLink {
+    under_way: AtomicUsize,
+    lists: AtomicUsize,
+    settled: Notify,
+}
+
+/// A list of a megabyte over 20 Mbit/s.
+const LIST_TIME: Duration = Duration::from_millis(450);
+
+#[async_trait]
+impl Directory for SlowLink {
+    async fn list(&self, _: RecordKind, _: Currency) -> Result<Listing, DirectoryError> {
+        self.lists.fetch_add(1, Ordering::SeqCst);
+        let sharing = self.under_way.fetch_add(1, Ordering::SeqCst) + 1;
+        let sharing = u32::try_from(sharing).expect("few");
+        tokio::time::sleep(LIST_TIME * sharing).await;
+        self.under_way.fetch_sub(1, Ordering::SeqCst);
+        Ok(Listing { revision: 1, ..Listing::default() })
+    }
+
+    async fn watch(
+        &self,
+        kind: RecordKind,
+        _: Revision,
+        _: Duration,
+        _: Currency,
+    ) -> Result<Changes, DirectoryError> {
+        if kind == RecordKind::Duties {
+            self.settled.notify_one();
+        }
+        // Something changes all the time while others start.
+        tokio::time::sleep(BETWEEN_CHANGES).await;
+        Ok(Changes { revision: 1, changes: Vec::new() })
+    }
+
+    async fn get(&self, _: RecordKind, _: &str) -> Result<Option<Entry>, DirectoryError> {
+        Ok(None)
+    }
+
+    async fn write(
+        &self,
+        _: &str,
+        _: &Record,
+        _: Option<Revision>,
+    ) -> Result<Revision, WriteError> {
+        Err(WriteError::Conflict(None))
+    }
+
+    async fn remove(&self, _: RecordKind, _: &str, _: Revision) -> Result<(), WriteError> {
+        Err(WriteError::Conflict(None))
+    }
+}
+
+/// Symptom: 300 instances received 158 MB each in half a minute, and were given up as
+/// too slow. Sequence: they start with links of 20 Mbit/s, over which a list takes
+/// longer than the time after which it is called again. Cause: there was no limit to
+/// the calls under way, and each made the others slower.
+#[tokio::test(start_paused = true)]
+async fn test_first_lists_over_a_slow_link_are_not_called_without_end() {
+    let store = Arc::new(SlowLink {
+        under_way: AtomicUsize::new(0),
+        lists: AtomicUsize::new(0),
+        settled: Notify::new(),
+    });
+    let gate = Arc::new(StoreGate::default());
+    for kind in KINDS {
+        tokio::spawn(follow(store.clone(), gate.clone(), OfKind(kind)));
+    }
+    let began_at = tokio::time::Instant::now();
+    store.settled.notified().await;
+    assert!(began_at.elapsed() < Duration::from_secs(5));
+    let lists = store.lists.load(Ordering::SeqCst);
+    assert!(lists <= 3 * KINDS.len(), "{lists} lists");
+}
