known_fleet: records are told only to who was told nothing by the store

Servers are listed as they are now at a start again: an old list makes each instance pull the whole list from a relay, over links of 20 Mbit/s.

--- a/daemon/src/engine/controllers.rs
+++ b/daemon/src/engine/controllers.rs
@@ -25,6 +25,7 @@
 use crate::engine::right_control;
 use crate::engine::server_control::ServerFollower;
 use crate::engine::shared::Engine;
+use crate::engine::shared::STORE_FIRST;
 use crate::engine::store_gate::StoreGate;
 
 /// Starts all controllers. They run until the program ends.
@@ -74,10 +75,6 @@
     engine.know_fleet();
 }
 
-/// How long a starting instance waits for the store before it asks others:
-/// many times the store's usual answer of 4 ms.
-const STORE_FIRST: Duration = Duration::from_millis(250);
-
 /// Pause between two rounds over the seeds.
 const SEED_PAUSE: Duration = Duration::from_millis(500);
 
--- a/daemon/src/engine/fleet_control.rs
+++ b/daemon/src/engine/fleet_control.rs
@@ -69,7 +69,7 @@
     }
 
     fn replace(&mut self, listing: Listing) {
-        self.engine.store_answered().notify_one();
+        self.engine.note_store_answered();
         let mine = listing.entries.iter().find(|entry| *entry.name == *self.engine.me().id);
         let earlier = mine.map(|entry| entry.revision);
         let mut records: Vec<_> = listing.entries.into_iter().filter_map(instance_of).collect();
--- a/daemon/src/engine/follow.rs
+++ b/daemon/src/engine/follow.rs
@@ -37,11 +37,6 @@
         change_pause(self.currency())
     }
 
-    /// How current the first list has to be.
-    fn first_currency(&self) -> Currency {
-        self.currency()
-    }
-
     /// Pause between the first list of all and the first watch.
     fn pause_after_first_list(&self) -> Duration {
         Duration::ZERO
@@ -140,11 +135,7 @@
     loop {
         let result = match revision {
             None => {
-                let currency = match (forgotten, listed) {
-                    (true, _) => Currency::Fresh,
-                    (false, true) => follower.currency(),
-                    (false, false) => follower.first_currency(),
-                };
+                let currency = if forgotten { Currency::Fresh } else { follower.currency() };
                 let listing = if listed {
                     directory.list(kind, currency).await
                 } else {
--- a/daemon/src/engine/server_control.rs
+++ b/daemon/src/engine/server_control.rs
@@ -59,14 +59,6 @@
         self.engine.record_currency()
     }
 
-    /// What was listed seconds ago will do: who reads the present state watches
-    /// from there on, and the others are told of what is newer. With 195 instances
-    /// that list the present state at each start, 8 % of what calls to the store
-    /// cost on a quiet day, and more after a power loss.
-    fn first_currency(&self) -> Currency {
-        Currency::MayBeOld
-    }
-
     /// Servers register, and report their roles, many at a time. Each change ended
     /// a watch of every relay: 602 of the 722 watches of a quiet day with 60
     /// servers and ten relays came while the servers started.
--- a/daemon/src/engine/shared.rs
+++ b/daemon/src/engine/shared.rs
@@ -9,6 +9,7 @@
 use std::sync::RwLock;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use chervilwharf_lib::catalog::Catalog;
 use chervilwharf_lib::catalog::Route;
@@ -45,6 +46,10 @@
 use crate::engine::right_control::VoterLists;
 use crate::engine::shard::Shard;
 
+/// How long a starting instance waits for the store before it asks others:
+/// many times the store's usual answer of 4 ms.
+pub const STORE_FIRST: Duration = Duration::from_millis(250);
+
 /// What all sessions of an instance share.
 pub struct Engine {
     connector: Arc<dyn Connector>,
--- a/daemon/src/engine/shared/known_fleet.rs
+++ b/daemon/src/engine/shared/known_fleet.rs
@@ -7,6 +7,7 @@
 
 use crate::engine::clock::now;
 use crate::engine::shared::Engine;
+use crate::engine::shared::STORE_FIRST;
 
 /// By then a store that told the configuration has listed the instances: a slow one
 /// answers in 250 ms, and lists 50 records at a time.
@@ -35,7 +36,7 @@
         self.fleet_listed.load(Ordering::Relaxed)
     }
 
-    /// The store told the configuration.
+    /// The store told the configuration, or the instances.
     pub fn note_store_answered(&self) {
         *self.store_answered_at.lock().expect("never poisoned") = Some(now());
         self.store_answered.notify_one();
@@ -53,16 +54,20 @@
         self.is_fleet_listed() || (self.is_fleet_known() && !about_to_tell)
     }
 
-    /// Whether the one who asks now should tell the records: they are lacking, and
-    /// nobody else was asked to just now.
+    /// Whether the one who asks now should tell the records: they are lacking, the
+    /// store has told nothing since the start, and nobody else was asked just now.
+    ///
+    /// A store that answers tells all by itself; what others send then only fills
+    /// the link over which it comes.
     #[must_use]
     pub fn invites_records(&self) -> bool {
         let lacks =
             self.catalog().version == 0 || self.servers_revision() == 0 || !self.is_fleet_listed();
-        if !lacks {
+        let at = now();
+        let told_by_store = self.store_answered_at.lock().expect("never poisoned").is_some();
+        if !lacks || told_by_store || at < self.started_at + STORE_FIRST {
             return false;
         }
-        let at = now();
         let mut invited_at = self.invited_at.lock().expect("never poisoned");
         let waits = invited_at.is_some_and(|invited_at| invited_at + INVITATION > at);
         if !waits {
--- a/daemon/tests/test_start.rs
+++ b/daemon/tests/test_start.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use chervilwharf_daemon::engine::shared::Engine;
+use chervilwharf_daemon::engine::shared::STORE_FIRST;
 use chervilwharf_lib::catalog::Catalog;
 use chervilwharf_lib::catalog::GroupSettings;
 use chervilwharf_lib::engine_protos::DirectoryPull;
@@ -84,12 +85,14 @@
     assert!(asks.holders(&"db".into()).len() < 10);
 }
 
-/// An instance that lacks the records asks one that watches it to tell them, and
-/// not all of them at once.
+/// An instance that lacks the records, and was told nothing by the store, asks one
+/// that watches it to tell them, and not all of them at once.
 #[tokio::test]
 async fn test_instance_without_records_invites_one_to_tell_them() {
     let started = engine(record(2));
     let asked = || started.heartbeat_reply(&Heartbeat::default()).lacks_records;
+    assert!(!asked(), "the store comes first");
+    tokio::time::sleep(STORE_FIRST).await;
     assert!(asked());
     assert!(!asked(), "another one was asked just now");
     let knows = engine(record(3));
@@ -98,3 +101,13 @@
     started.take_directory(knows.directory_state(DirectoryPull::default()));
     assert!(!started.invites_records());
 }
+
+/// Symptom: instances that start over slow links take seconds. Sequence: the store
+/// answers, and its lists take a while. Cause: others sent the same over that link.
+#[tokio::test]
+async fn test_instance_that_the_store_answers_invites_nobody() {
+    let started = engine(record(2));
+    tokio::time::sleep(STORE_FIRST).await;
+    started.note_store_answered();
+    assert!(!started.heartbeat_reply(&Heartbeat::default()).lacks_records);
+}
