controllers: the addresses of the settings are asked only while the store tells nothing

In a copy of the large site with 640 groups and 300 instances, all asked the same three addresses for half a megabyte after a kill of 60 %: told and asked records were not answered in time.

--- a/daemon/src/engine/controllers.rs
+++ b/daemon/src/engine/controllers.rs
@@ -85,7 +85,10 @@
     tokio::time::sleep(STORE_FIRST).await;
     let lacks_records = || engine.catalog().version == 0 || engine.servers_revision() == 0;
     while lacks_records() || !engine.is_fleet_listed() {
-        for seed in &seeds {
+        // They are three for all instances; asked by 180 that had started together,
+        // they could answer nobody in time.
+        let asked = if engine.store_is_telling() { &[] } else { &*seeds };
+        for seed in asked {
             let record = InstanceRecord {
                 id: seed.to_string().into(),
                 life: 0,
--- a/daemon/src/engine/shared/known_fleet.rs
+++ b/daemon/src/engine/shared/known_fleet.rs
@@ -49,13 +49,18 @@
     /// alone until then, 74 instances opened connections to all servers at once.
     #[must_use]
     pub fn knows_who_holds(&self) -> bool {
+        self.is_fleet_listed() || (self.is_fleet_known() && !self.store_is_telling())
+    }
+
+    /// Whether the store told something just now, and so is about to tell the rest.
+    #[must_use]
+    pub fn store_is_telling(&self) -> bool {
         let answered_at = *self.store_answered_at.lock().expect("never poisoned");
-        let about_to_tell = answered_at.is_some_and(|at| at + LISTED_AFTER > now());
-        self.is_fleet_listed() || (self.is_fleet_known() && !about_to_tell)
+        answered_at.is_some_and(|at| at + LISTED_AFTER > now())
     }
 
     /// Whether the one who asks now should tell the records: they are lacking, the
-    /// store has told nothing since the start, and nobody else was asked just now.
+    /// store does not tell them, and nobody else was asked just now.
     ///
     /// A store that answers tells all by itself; what others send then only fills
     /// the link over which it comes.
@@ -64,8 +69,7 @@
         let lacks =
             self.catalog().version == 0 || self.servers_revision() == 0 || !self.is_fleet_listed();
         let at = now();
-        let told_by_store = self.store_answered_at.lock().expect("never poisoned").is_some();
-        if !lacks || told_by_store || at < self.started_at + STORE_FIRST {
+        if !lacks || self.store_is_telling() || at < self.started_at + STORE_FIRST {
             return false;
         }
         let mut invited_at = self.invited_at.lock().expect("never poisoned");
