--- a/daemon/tests/stubs/mod.rs
+++ b/daemon/tests/stubs/mod.rs
@@ -3,11 +3,22 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_trait::async_trait;
 use chervilwharf_daemon::engine::border::ConnectError;
 use chervilwharf_daemon::engine::border::Connector;
 use chervilwharf_daemon::engine::border::ServerConnection;
+use chervilwharf_daemon::engine::directory::Changes;
+use chervilwharf_daemon::engine::directory::Currency;
+use chervilwharf_daemon::engine::directory::Directory;
+use chervilwharf_daemon::engine::directory::DirectoryError;
+use chervilwharf_daemon::engine::directory::Entry;
+use chervilwharf_daemon::engine::directory::Listing;
+use chervilwharf_daemon::engine::directory::Record;
+use chervilwharf_daemon::engine::directory::RecordKind;
+use chervilwharf_daemon::engine::directory::Revision;
+use chervilwharf_daemon::engine::directory::WriteError;
 use chervilwharf_daemon::engine::peers::Peers;
 use chervilwharf_daemon::engine::shard::Shard;
 use chervilwharf_lib::fleet::InstanceRecord;
@@ -95,3 +106,63 @@
     }]);
     shard
 }
+
+/// What a store lists, and tells of changes.
+#[async_trait]
+pub trait Listed: Send + Sync {
+    /// Lists all records of a kind.
+    async fn list(&self, kind: RecordKind, currency: Currency) -> Result<Listing, DirectoryError>;
+
+    /// Waits for changes after a revision.
+    async fn watch(
+        &self,
+        kind: RecordKind,
+        after: Revision,
+        wait: Duration,
+        currency: Currency,
+    ) -> Result<Changes, DirectoryError>;
+}
+
+/// A store that nobody writes to.
+pub struct ReadOnly<T>(Arc<T>);
+
+impl<T: Listed> ReadOnly<T> {
+    /// A store that lists what `listed` does.
+    pub fn new(listed: &Arc<T>) -> Arc<Self> {
+        Arc::new(Self(listed.clone()))
+    }
+}
+
+#[async_trait]
+impl<T: Listed> Directory for ReadOnly<T> {
+    async fn list(&self, kind: RecordKind, currency: Currency) -> Result<Listing, DirectoryError> {
+        self.0.list(kind, currency).await
+    }
+
+    async fn watch(
+        &self,
+        kind: RecordKind,
+        after: Revision,
+        wait: Duration,
+        currency: Currency,
+    ) -> Result<Changes, DirectoryError> {
+        self.0.watch(kind, after, wait, currency).await
+    }
+
+    async fn get(&self, _: RecordKind, _: &str) -> Result<Option<Entry>, DirectoryError> {
+        Ok(None)
+    }
+
+    async fn write(
+        &self,
+        _: &str,
+        _: &Record,
+        _: Option<Revision>,
+    ) -> Result<Revision, WriteError> {
+        Err(WriteError::Conflict(None))
+    }
+
+    async fn remove(&self, _: RecordKind, _: &str, _: Revision) -> Result<(), WriteError> {
+        Err(WriteError::Conflict(None))
+    }
+}
--- a/daemon/tests/test_follow.rs
+++ b/daemon/tests/test_follow.rs
@@ -11,20 +11,18 @@
 use chervilwharf_daemon::engine::directory::Change;
 use chervilwharf_daemon::engine::directory::Changes;
 use chervilwharf_daemon::engine::directory::Currency;
-use chervilwharf_daemon::engine::directory::Directory;
 use chervilwharf_daemon::engine::directory::DirectoryError;
-use chervilwharf_daemon::engine::directory::Entry;
 use chervilwharf_daemon::engine::directory::Listing;
-use chervilwharf_daemon::engine::directory::Record;
 use chervilwharf_daemon::engine::directory::RecordKind;
 use chervilwharf_daemon::engine::directory::Revision;
-use chervilwharf_daemon::engine::directory::WriteError;
 use chervilwharf_daemon::engine::follow::Follower;
 use chervilwharf_daemon::engine::follow::OTHERS_LISTED;
 use chervilwharf_daemon::engine::follow::follow;
 use chervilwharf_daemon::engine::server_control::ServerFollower;
 use chervilwharf_daemon::engine::shared::Engine;
 use chervilwharf_daemon::engine::store_gate::StoreGate;
+use stubs::Listed;
+use stubs::ReadOnly;
 use tokio::sync::Notify;
 
 /// Lists after which the test gives up.
@@ -39,7 +37,7 @@
 }
 
 #[async_trait]
-impl Directory for ForgetfulStore {
+impl Listed for ForgetfulStore {
     async fn list(&self, _: RecordKind, currency: Currency) -> Result<Listing, DirectoryError> {
         if self.lists.fetch_add(1, Ordering::SeqCst) >= TOO_MANY_LISTS {
             self.settled.notify_one();
@@ -62,23 +60,6 @@
         self.settled.notify_one();
         std::future::pending().await
     }
-
-    async fn get(&self, _: RecordKind, _: &str) -> Result<Option<Entry>, DirectoryError> {
-        Ok(None)
-    }
-
-    async fn write(
-        &self,
-        _: &str,
-        _: &Record,
-        _: Option<Revision>,
-    ) -> Result<Revision, WriteError> {
-        Err(WriteError::Conflict(None))
-    }
-
-    async fn remove(&self, _: RecordKind, _: &str, _: Revision) -> Result<(), WriteError> {
-        Err(WriteError::Conflict(None))
-    }
 }
 
 struct Quiet;
@@ -105,7 +86,7 @@
     // Cause: the list showed what is forgotten, so the watch failed at once,
     // and so on without a pause.
     let store = Arc::new(ForgetfulStore::default());
-    let following = tokio::spawn(follow(store.clone(), Arc::default(), Quiet));
+    let following = tokio::spawn(follow(ReadOnly::new(&store), Arc::default(), Quiet));
     store.settled.notified().await;
     following.abort();
     assert_eq!(store.lists.load(Ordering::SeqCst), 2, "an old one, then a fresh one");
@@ -133,7 +114,7 @@
 }
 
 #[async_trait]
-impl Directory for ServersRegister {
+impl Listed for ServersRegister {
     async fn list(&self, _: RecordKind, _: Currency) -> Result<Listing, DirectoryError> {
         Ok(Listing { revision: 1, ..Listing::default() })
     }
@@ -156,23 +137,6 @@
         let changes = vec![Change::Removed("some server".into())];
         Ok(Changes { revision: self.revision(), changes })
     }
-
-    async fn get(&self, _: RecordKind, _: &str) -> Result<Option<Entry>, DirectoryError> {
-        Ok(None)
-    }
-
-    async fn write(
-        &self,
-        _: &str,
-        _: &Record,
-        _: Option<Revision>,
-    ) -> Result<Revision, WriteError> {
-        Err(WriteError::Conflict(None))
-    }
-
-    async fn remove(&self, _: RecordKind, _: &str, _: Revision) -> Result<(), WriteError> {
-        Err(WriteError::Conflict(None))
-    }
 }
 
 /// Symptom: 602 of 2,250 priced calls of a quiet day in its first seconds, in
@@ -187,7 +151,7 @@
         all_told: Notify::new(),
     });
     let following =
-        tokio::spawn(follow(store.clone(), Arc::default(), ServerFollower::new(engine)));
+        tokio::spawn(follow(ReadOnly::new(&store), Arc::default(), ServerFollower::new(engine)));
     store.all_told.notified().await;
     following.abort();
     let watches = store.watches.load(Ordering::SeqCst);
@@ -204,7 +168,7 @@
 }
 
 #[async_trait]
-impl Directory for Refusing {
+impl Listed for Refusing {
     async fn list(&self, _: RecordKind, _: Currency) -> Result<Listing, DirectoryError> {
         if tokio::time::Instant::now() < self.ends_at {
             self.refused.fetch_add(1, Ordering::SeqCst);
@@ -225,23 +189,6 @@
     ) -> Result<Changes, DirectoryError> {
         std::future::pending().await
     }
-
-    async fn get(&self, _: RecordKind, _: &str) -> Result<Option<Entry>, DirectoryError> {
-        Ok(None)
-    }
-
-    async fn write(
-        &self,
-        _: &str,
-        _: &Record,
-        _: Option<Revision>,
-    ) -> Result<Revision, WriteError> {
-        Err(WriteError::Conflict(None))
-    }
-
-    async fn remove(&self, _: RecordKind, _: &str, _: Revision) -> Result<(), WriteError> {
-        Err(WriteError::Conflict(None))
-    }
 }
 
 const KINDS: [RecordKind; 4] =
@@ -277,7 +224,7 @@
     });
     let gate = Arc::new(StoreGate::default());
     for kind in KINDS {
-        tokio::spawn(follow(store.clone(), gate.clone(), OfKind(kind)));
+        tokio::spawn(follow(ReadOnly::new(&store), gate.clone(), OfKind(kind)));
     }
     let began_at = tokio::time::Instant::now();
     store.settled.notified().await;
@@ -299,7 +246,7 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
 #[async_trait]
-impl Directory for Silent {
+impl Listed for Silent {
     async fn list(&self, _: RecordKind, _: Currency) -> Result<Listing, DirectoryError> {
         self.calls.fetch_add(1, Ordering::SeqCst);
         if tokio::time::Instant::now() < self.ends_at {
@@ -321,23 +268,6 @@
     ) -> Result<Changes, DirectoryError> {
         std::future::pending().await
     }
-
-    async fn get(&self, _: RecordKind, _: &str) -> Result<Option<Entry>, DirectoryError> {
-        Ok(None)
-    }
-
-    async fn write(
-        &self,
-        _: &str,
-        _: &Record,
-        _: Option<Revision>,
-    ) -> Result<Revision, WriteError> {
-        Err(WriteError::Conflict(None))
-    }
-
-    async fn remove(&self, _: RecordKind, _: &str, _: Revision) -> Result<(), WriteError> {
-        Err(WriteError::Conflict(None))
-    }
 }
 
 /// Symptom: after all of 74 instances had been killed during an outage of the
@@ -356,7 +286,7 @@
         });
         let gate = Arc::new(StoreGate::default());
         for kind in KINDS {
-            tokio::spawn(follow(store.clone(), gate.clone(), OfKind(kind)));
+            tokio::spawn(follow(ReadOnly::new(&store), gate.clone(), OfKind(kind)));
         }
         store.settled.notified().await;
         let took = ends_at.elapsed();
@@ -378,7 +308,7 @@
 const LIST_TIME: Duration = Duration::from_millis(450);
 
 #[async_trait]
-impl Directory for SlowLink {
+impl Listed for SlowLink {
     async fn list(&self, _: RecordKind, _: Currency) -> Result<Listing, DirectoryError> {
         self.lists.fetch_add(1, Ordering::SeqCst);
         let sharing = self.under_way.fetch_add(1, Ordering::SeqCst) + 1;
@@ -402,23 +332,6 @@
         tokio::time::sleep(BETWEEN_CHANGES).await;
         Ok(Changes { revision: 1, changes: Vec::new() })
     }
-
-    async fn get(&self, _: RecordKind, _: &str) -> Result<Option<Entry>, DirectoryError> {
-        Ok(None)
-    }
-
-    async fn write(
-        &self,
-        _: &str,
-        _: &Record,
-        _: Option<Revision>,
-    ) -> Result<Revision, WriteError> {
-        Err(WriteError::Conflict(None))
-    }
-
-    async fn remove(&self, _: RecordKind, _: &str, _: Revision) -> Result<(), WriteError> {
-        Err(WriteError::Conflict(None))
-    }
 }
 
 /// Symptom: an instance calls for the same lists 30 times in two seconds. Sequence: it
@@ -434,7 +347,7 @@
     });
     let gate = Arc::new(StoreGate::default());
     for kind in KINDS {
-        tokio::spawn(follow(store.clone(), gate.clone(), OfKind(kind)));
+        tokio::spawn(follow(ReadOnly::new(&store), gate.clone(), OfKind(kind)));
     }
     let began_at = tokio::time::Instant::now();
     store.settled.notified().await;
