--- a/daemon/src/engine/controllers.rs
+++ b/daemon/src/engine/controllers.rs
@@ -83,8 +83,7 @@
 /// otherwise serve nobody until its end.
 async fn ask_seeds(engine: Arc<Engine>, seeds: Vec<SocketAddr>) {
     tokio::time::sleep(STORE_FIRST).await;
-    let lacks_records = || engine.catalog().version == 0 || engine.servers_revision() == 0;
-    while lacks_records() || !engine.is_fleet_listed() {
+    while engine.lacks_records() {
         // They are three for all instances; asked by 180 that had started together,
         // they could answer nobody in time.
         let asked = if engine.store_is_telling() { &[] } else { &*seeds };
--- a/daemon/src/engine/follow.rs
+++ b/daemon/src/engine/follow.rs
@@ -219,13 +219,13 @@
     let mut calls = FuturesUnordered::new();
     loop {
         calls.push(directory.list(kind, currency));
-        // A long list over a slow link takes as long as a silent store: called
-        // again without an end, each call would make the others slower.
-        if calls.len() >= FIRST_CALLS_AT_ONCE {
-            break;
-        }
+        let enough = calls.len() >= FIRST_CALLS_AT_ONCE;
         let again = async {
-            if kind == RecordKind::Configuration {
+            if enough {
+                // A long list over a slow link takes as long as a silent store:
+                // called without an end, each call would make the others slower.
+                std::future::pending().await
+            } else if kind == RecordKind::Configuration {
                 tokio::time::sleep(CALLED_AGAIN_AFTER).await;
             } else {
                 gate.answered_after(ANSWERED_TOGETHER).await;
@@ -236,9 +236,6 @@
             () = again => {}
         }
     }
-    // There is one at least.
-    let ended = calls.next().await;
-    ended.unwrap_or_else(|| Err(DirectoryError::Unreachable("no call was made".to_owned())))
 }
 
 async fn watch(
--- a/daemon/src/engine/remote.rs
+++ b/daemon/src/engine/remote.rs
@@ -191,22 +191,20 @@
 ) -> Result<Served, Failure> {
     let statement = encode(session, request, work, Begin::No);
     let holder = remote.holder.clone();
+    // Only a COMMIT that wrote may be kept.
     let may_be_kept = work.statement == Statement::Commit && transaction.may_have_written();
     let leaving = if may_be_kept { Leaving::LosesOutcome } else { Leaving::LosesNothing };
     match send(session, request, &holder, &mut remote.link, statement, leaving).await {
         Ok(reply) => settle(session, transaction, reply, remote),
-        Err(_) => Err(lost(transaction, work)),
+        Err(_) => {
+            transaction.fail();
+            let unknown = leaving == Leaving::LosesOutcome;
+            let kind = if unknown { ErrorKind::OutcomeUnknown } else { ErrorKind::TransactionLost };
+            Err(Failure::new(kind))
+        }
     }
 }
 
-/// The link of a transaction ended. Only a COMMIT that wrote may be kept.
-fn lost(transaction: &mut Transaction, work: &Work) -> Failure {
-    let commits = work.statement == Statement::Commit;
-    let unknown = commits && transaction.may_have_written();
-    transaction.fail();
-    Failure::new(if unknown { ErrorKind::OutcomeUnknown } else { ErrorKind::TransactionLost })
-}
-
 fn settle(
     session: &mut Session,
     transaction: &mut Transaction,
--- a/daemon/src/engine/shared/known_fleet.rs
+++ b/daemon/src/engine/shared/known_fleet.rs
@@ -6,13 +6,10 @@
 use chervilwharf_lib::fleet::InstanceRecord;
 
 use crate::engine::clock::now;
+use crate::engine::follow::OTHERS_LISTED;
 use crate::engine::shared::Engine;
 use crate::engine::shared::STORE_FIRST;
 
-/// By then a store that told the configuration has listed the instances: a slow one
-/// answers in 250 ms, and lists 50 records at a time.
-const LISTED_AFTER: Duration = Duration::from_secs(1);
-
 /// How long an instance that was asked to tell the records has for it, before
 /// another one is asked: as long as for any answer.
 const INVITATION: Duration = Duration::from_millis(300);
@@ -56,7 +53,13 @@
     #[must_use]
     pub fn store_is_telling(&self) -> bool {
         let answered_at = *self.store_answered_at.lock().expect("never poisoned");
-        answered_at.is_some_and(|at| at + LISTED_AFTER > now())
+        answered_at.is_some_and(|at| at + OTHERS_LISTED > now())
+    }
+
+    /// Whether this instance lacks configuration, servers or the other instances.
+    #[must_use]
+    pub fn lacks_records(&self) -> bool {
+        self.catalog().version == 0 || self.servers_revision() == 0 || !self.is_fleet_listed()
     }
 
     /// Whether the one who asks now should tell the records: they are lacking, the
@@ -66,10 +69,8 @@
     /// the link over which it comes.
     #[must_use]
     pub fn invites_records(&self) -> bool {
-        let lacks =
-            self.catalog().version == 0 || self.servers_revision() == 0 || !self.is_fleet_listed();
         let at = now();
-        if !lacks || self.store_is_telling() || at < self.started_at + STORE_FIRST {
+        if !self.lacks_records() || self.store_is_telling() || at < self.started_at + STORE_FIRST {
             return false;
         }
         let mut invited_at = self.invited_at.lock().expect("never poisoned");
--- a/daemon/src/engine/store_gate.rs
+++ b/daemon/src/engine/store_gate.rs
@@ -21,8 +21,6 @@
 pub struct StoreGate {
     /// The kind whose follower tries, while the store fails.
     trying: Mutex<Option<RecordKind>>,
-    /// Woken when the one that tries succeeds.
-    answered: Notify,
     /// Woken at every answer.
     heard: Notify,
 }
@@ -32,14 +30,14 @@
     /// `pause`, or as soon as the store answers the follower that tries.
     pub async fn wait(&self, kind: RecordKind, pause: Duration) {
         // Registered before it is looked who tries, so that no answer is missed.
-        let mut answered = std::pin::pin!(self.answered.notified());
-        answered.as_mut().enable();
+        let mut heard = std::pin::pin!(self.heard.notified());
+        heard.as_mut().enable();
         if self.takes_turn(kind) {
             tokio::time::sleep(pause).await;
             return;
         }
         // Over either way: it is tried again.
-        let _waited = tokio::time::timeout(OTHERS_LIMIT, answered).await;
+        let _waited = tokio::time::timeout(OTHERS_LIMIT, heard).await;
     }
 
     fn takes_turn(&self, kind: RecordKind) -> bool {
@@ -55,10 +53,7 @@
 
     /// The store answered.
     pub fn answered(&self) {
+        *self.trying.lock().expect("never poisoned") = None;
         self.heard.notify_waiters();
-        let tried = self.trying.lock().expect("never poisoned").take();
-        if tried.is_some() {
-            self.answered.notify_waiters();
-        }
     }
 }
--- a/daemon/tests/stubs/mod.rs
+++ b/daemon/tests/stubs/mod.rs
@@ -87,6 +87,19 @@
     }
 }
 
+/// A primary, as the platform lists it.
+pub fn primary(id: TargetId, address: SocketAddr) -> ServerInfo {
+    ServerInfo {
+        id,
+        address,
+        failure_domain: "a".into(),
+        slots: 3,
+        draining: false,
+        leads: true,
+        start: "".into(),
+    }
+}
+
 /// A group with one server, the primary, at an address.
 pub fn shard_with_primary(
     connector: Arc<dyn Connector>,
@@ -95,15 +108,7 @@
 ) -> Arc<Shard> {
     let (peers, doubt) = (Arc::new(Peers::default()), Arc::new(Notify::new()));
     let shard = Arc::new(Shard::new("group".into(), "a".into(), connector, peers, doubt));
-    shard.set_servers(vec![ServerInfo {
-        id: id.clone(),
-        address,
-        failure_domain: "a".into(),
-        slots: 3,
-        draining: false,
-        leads: true,
-        start: "".into(),
-    }]);
+    shard.set_servers(vec![primary(id.clone(), address)]);
     shard
 }
 
--- a/daemon/tests/values_world/mod.rs
+++ b/daemon/tests/values_world/mod.rs
@@ -40,6 +40,7 @@
 use tokio::sync::Semaphore;
 
 use crate::stubs::instance;
+use crate::stubs::primary;
 
 /// The group of all routes.
 pub const GROUP: &str = "db";
@@ -262,15 +263,7 @@
             transaction_idle: None,
         };
         assert!(engine.set_catalog(&Arc::new(catalog)));
-        let server = ServerInfo {
-            id: SERVER.into(),
-            address,
-            failure_domain: "a".into(),
-            slots: 3,
-            draining: false,
-            leads: true,
-            start: "".into(),
-        };
+        let server = primary(SERVER.into(), address);
         engine.update_servers(|list| {
             list.replace(chervilwharf_daemon::engine::clock::now(), vec![(GROUP.into(), server)]);
             list.advance(1);
--- a/lib/src/loss.rs
+++ b/lib/src/loss.rs
@@ -9,12 +9,9 @@
 
 use serde::Serialize;
 
+use crate::story::CAUSE_WITHIN_MS;
 use crate::story::LogLine;
 
-/// Time before the end of a request in which causes are looked for, in
-/// milliseconds: longer than a primary takes to be missed and replaced.
-const CAUSE_WITHIN_MS: u64 = 4_000;
-
 /// Length of a window of time, in milliseconds.
 pub const WINDOW_MS: u64 = 1_000;
 
--- a/lib/src/story.rs
+++ b/lib/src/story.rs
@@ -18,9 +18,9 @@
     pub fields: Map<String, Value>,
 }
 
-/// Time before a request's arrival in which causes are looked for. Longer
-/// than a primary takes to be missed and replaced.
-const BEFORE_MS: u64 = 4_000;
+/// Time before a request's arrival, or its end, in which causes are looked for, in
+/// milliseconds. Longer than a primary takes to be missed and replaced.
+pub const CAUSE_WITHIN_MS: u64 = 4_000;
 
 /// Events that say something of a group or a server, and so of requests.
 const CONTEXT_EVENTS: [&str; 23] = [
@@ -114,7 +114,7 @@
         reason = "a duration in milliseconds, clamped above"
     )]
     let arrived_ms = last.at_ms.saturating_sub(took_ms as u64).min(first.at_ms);
-    let window = arrived_ms.saturating_sub(BEFORE_MS)..=last.at_ms;
+    let window = arrived_ms.saturating_sub(CAUSE_WITHIN_MS)..=last.at_ms;
     let group = first.text("group").unwrap_or_default().to_owned();
     let servers: BTreeSet<&str> = own.iter().filter_map(|line| line.text("server")).collect();
     let instances: BTreeSet<&str> = own.iter().map(|line| &*line.instance).collect();
