--- a/daemon/src/engine/follow.rs
+++ b/daemon/src/engine/follow.rs
@@ -224,7 +224,7 @@
             if enough {
                 // A long list over a slow link takes as long as a silent store:
                 // called without an end, each call would make the others slower.
-                std::future::pending().await
+                std::future::pending::<()>().await;
             } else if kind == RecordKind::Configuration {
                 tokio::time::sleep(CALLED_AGAIN_AFTER).await;
             } else {
