--- a/daemon/src/engine/remote.rs
+++ b/daemon/src/engine/remote.rs
@@ -194,15 +194,13 @@
     // Only a COMMIT that wrote may be kept.
     let may_be_kept = work.statement == Statement::Commit && transaction.may_have_written();
     let leaving = if may_be_kept { Leaving::LosesOutcome } else { Leaving::LosesNothing };
-    match send(session, request, &holder, &mut remote.link, statement, leaving).await {
-        Ok(reply) => settle(session, transaction, reply, remote),
-        Err(_) => {
-            transaction.fail();
-            let unknown = leaving == Leaving::LosesOutcome;
-            let kind = if unknown { ErrorKind::OutcomeUnknown } else { ErrorKind::TransactionLost };
-            Err(Failure::new(kind))
-        }
+    let sent = send(session, request, &holder, &mut remote.link, statement, leaving).await;
+    if let Ok(reply) = sent {
+        return settle(session, transaction, reply, remote);
     }
+    transaction.fail();
+    let kind = if may_be_kept { ErrorKind::OutcomeUnknown } else { ErrorKind::TransactionLost };
+    Err(Failure::new(kind))
 }
 
 fn settle(
