--- a/daemon/src/engine/border.rs
+++ b/daemon/src/engine/border.rs
@@ -3,6 +3,7 @@
 use async_trait::async_trait;
 use chervilwharf_lib::group::ServerInfo;
 use chervilwharf_lib::group::ServerStatus;
+use chervilwharf_lib::id::AccountId;
 use chervilwharf_lib::id::GroupId;
 use chervilwharf_lib::id::RequestId;
 use chervilwharf_lib::position::Position;
@@ -98,12 +99,14 @@
 /// Begins sessions with servers.
 #[async_trait]
 pub trait Connector: Send + Sync {
-    /// Begins a session with a server of a group over an open stream. The
-    /// server refuses when it is not the one that `server` names.
+    /// Begins a session with a server of a group over an open stream, for an
+    /// account where clients have some. The server refuses when it is not the one
+    /// that `server` names.
     async fn start(
         &self,
         stream: TcpStream,
         group: &GroupId,
+        account: Option<&AccountId>,
         server: &ServerInfo,
     ) -> Result<Box<dyn ServerConnection>, ConnectError>;
 }
--- a/daemon/src/engine/contacts.rs
+++ b/daemon/src/engine/contacts.rs
@@ -10,6 +10,7 @@
 use chervilwharf_lib::event::EventKind;
 use chervilwharf_lib::fleet::InstanceRecord;
 use chervilwharf_lib::holder_choice::Candidate;
+use chervilwharf_lib::holder_choice::Meeting;
 use chervilwharf_lib::holder_choice::choose;
 use chervilwharf_lib::id::GroupId;
 use chervilwharf_lib::id::InstanceId;
@@ -93,12 +94,12 @@
     pub async fn find_holder(
         self: &Arc<Self>,
         group: &GroupId,
-        key: u32,
+        meeting: &Meeting,
         tried: &[InstanceId],
     ) -> Option<Candidate> {
         loop {
             let candidates = self.candidates(group, tried);
-            let chosen = choose(&candidates, key)?.clone();
+            let chosen = choose(&candidates, meeting)?.clone();
             match chosen.contact {
                 Contact::Heard => {
                     self.ask_in_background(&candidates);
--- a/daemon/src/engine/controllers.rs
+++ b/daemon/src/engine/controllers.rs
@@ -21,6 +21,7 @@
 use crate::engine::leader_control;
 use crate::engine::peers;
 use crate::engine::promoter::Promoter;
+use crate::engine::quota_control;
 use crate::engine::replacement::Replacer;
 use crate::engine::right_control;
 use crate::engine::server_control::ServerFollower;
@@ -56,6 +57,7 @@
     tokio::spawn(right_control::learn_orders(engine.clone(), directory.clone()));
     tokio::spawn(fleet_control::keep_record(engine.clone(), directory.clone()));
     tokio::spawn(fleet_control::send_heartbeats(engine.clone(), directory.clone()));
+    tokio::spawn(quota_control::keep_shards(engine.clone()));
     tokio::spawn(peers::serve(engine.clone(), peer_listener));
     tokio::spawn(ask_seeds(engine.clone(), seeds.to_vec()));
     tokio::spawn(go_on_alone(engine.clone()));
--- a/daemon/src/engine/directory.rs
+++ b/daemon/src/engine/directory.rs
@@ -30,7 +30,7 @@
 }
 
 /// What one record says.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Record {
     /// The configuration.
     Configuration(Arc<Catalog>),
@@ -56,7 +56,7 @@
 }
 
 /// A record as it is kept.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Entry {
     /// Its name.
     pub name: Arc<str>,
--- a/daemon/src/engine/guest.rs
+++ b/daemon/src/engine/guest.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use chervilwharf_lib::account::KeyDigest;
+use chervilwharf_lib::catalog::Route;
 use chervilwharf_lib::engine_protos;
 use chervilwharf_lib::engine_protos::StatementReply;
 use chervilwharf_lib::engine_protos::statement::Begin;
@@ -16,6 +18,7 @@
 use chervilwharf_lib::statement::Statement;
 use chervilwharf_lib::statement::TransactionState;
 
+use crate::engine::caller::Caller;
 use crate::engine::clock::now;
 use crate::engine::peers::Guest;
 use crate::engine::records;
@@ -51,14 +54,15 @@
         let begin = statement.begin();
         let floor = Position::new(statement.floor_term, statement.floor_index);
         let refusal = |kind| refusal(kind, floor);
-        let Some(work) = decode_work(statement.work) else {
+        let Some(work) = decode_work(statement.work.clone()) else {
             return refusal(ErrorKind::BadStatement);
         };
         if matches!(work, GuestWork::RollBack) {
             self.session = None;
             return StatementReply::default();
         }
-        let Some(route) = statement.route.map(|route| Arc::new(records::decode_route(route)))
+        let Some(route) =
+            statement.route.clone().map(|route| Arc::new(records::decode_route(route)))
         else {
             return refusal(ErrorKind::BadStatement);
         };
@@ -75,17 +79,23 @@
                 return refusal(ErrorKind::Stopping);
             }
         }
+        let Some(caller) = self.caller(&statement, &route) else {
+            self.session = None;
+            return refusal(ErrorKind::UnknownKey);
+        };
         let arrived_at = now();
         let deadline = arrived_at + Duration::from_millis(statement.time_left_ms);
         let request = Request { id: statement.id.into(), route, arrived_at, deadline };
         let engine = self.engine.clone();
-        let session = self.session.get_or_insert_with(|| Session::guest(engine, &request.route));
+        let session = self
+            .session
+            .get_or_insert_with(|| Session::guest(engine, &request.route, caller.clone()));
         if !goes_on {
             // What an earlier user of the link left behind is rolled back: the
             // statement would run inside that transaction.
             session.drop_transaction();
         }
-        session.use_route(&request.id, &request.route);
+        session.use_route(&request.id, &request.route, caller);
         let values = statement.values.into_iter();
         session.set_values(values.map(|value| (value.name.into(), value.value.into())).collect());
         session.set_floor((floor.term > 0).then_some(floor));
@@ -103,6 +113,23 @@
         }
         reply
     }
+
+    /// The client, as the newer one of two configurations knows it: the other
+    /// instance may not have heard yet that a key was taken away. `None` if no account
+    /// has its key.
+    fn caller(&self, statement: &engine_protos::Statement, route: &Route) -> Option<Caller> {
+        let key = KeyDigest::from_bytes(&statement.key_digest);
+        let account = Some(&*statement.account).filter(|account| !account.is_empty());
+        let known = Caller {
+            key: key.unwrap_or_else(|| KeyDigest::of("")),
+            account: account.map(Into::into),
+            configuration_version: statement.configuration_version,
+        };
+        let caller = known.check_again(&self.engine.catalog(), route).ok()?;
+        // A transaction's connection belongs to the account that began it.
+        let goes_on = statement.in_transaction && statement.begin() == Begin::No;
+        (!goes_on || caller.account == known.account).then_some(caller)
+    }
 }
 
 #[async_trait]
--- a/daemon/src/engine/holders.rs
+++ b/daemon/src/engine/holders.rs
@@ -9,10 +9,13 @@
 
 use chervilwharf_lib::fleet::InstanceRecord;
 use chervilwharf_lib::holder_choice::Candidate;
+use chervilwharf_lib::holder_choice::Meeting;
+use chervilwharf_lib::holder_choice::choose;
 use chervilwharf_lib::holders::holders;
 use chervilwharf_lib::id::GroupId;
 use chervilwharf_lib::id::InstanceId;
 use chervilwharf_lib::moment::Moment;
+use chervilwharf_lib::peer_contact::Contact;
 
 use crate::engine::clock::now;
 use crate::engine::shard::Shard;
@@ -178,6 +181,23 @@
         holders.iter().filter(|record| record.id != self.me().id).cloned().collect()
     }
 
+    /// Whether a statement for a group is served by the connections of this instance:
+    /// it holds the group, and is the best of its holders for those who should meet.
+    #[must_use]
+    pub fn serves_here(&self, group: &GroupId, meeting: &Meeting) -> bool {
+        if !self.is_holder(group) {
+            return false;
+        }
+        if let Meeting::Session(_) = meeting {
+            return true;
+        }
+        let mut candidates = self.candidates(group, &[]);
+        let (record, contact) = (self.me().clone(), Contact::Heard);
+        candidates.push(Candidate { record, contact, unable: false, near: true });
+        let best = choose(&candidates, meeting);
+        best.is_none_or(|candidate| candidate.record.id == self.me().id)
+    }
+
     /// The holders of a group that a statement could go through, but for those
     /// that it tried.
     #[must_use]
--- a/daemon/src/engine/lease.rs
+++ b/daemon/src/engine/lease.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use chervilwharf_lib::id::AccountId;
 use chervilwharf_lib::id::TargetId;
 use chervilwharf_lib::layout::ConnectionLayout;
 use chervilwharf_lib::layout::SessionValues;
@@ -13,6 +14,8 @@
 
 /// An open connection and what is set up on it.
 pub struct PooledConnection {
+    /// The account that it was opened for; `None` where clients have none.
+    pub account: Option<AccountId>,
     /// The connection.
     pub connection: Box<dyn ServerConnection>,
     layout: ConnectionLayout,
@@ -23,8 +26,8 @@
 impl PooledConnection {
     /// A connection that was just opened.
     #[must_use]
-    pub fn new(connection: Box<dyn ServerConnection>) -> Self {
-        Self { connection, layout: ConnectionLayout::default(), unsettled: false }
+    pub fn new(account: Option<AccountId>, connection: Box<dyn ServerConnection>) -> Self {
+        Self { account, connection, layout: ConnectionLayout::default(), unsettled: false }
     }
 
     /// How many statements it takes to set it up for a session.
@@ -128,8 +131,9 @@
     fn drop(&mut self) {
         self.stop_running();
         if let Some(connection) = self.connection.take() {
+            let account = connection.account.clone();
             drop(connection);
-            self.shard.closed(&self.server);
+            self.shard.closed(&self.server, account.as_ref());
         }
     }
 }
--- a/daemon/src/engine/mod.rs
+++ b/daemon/src/engine/mod.rs
@@ -6,6 +6,7 @@
 //! [`chervilwharf_lib::statement::Statement`] and gives it to a [`session`].
 
 pub mod border;
+pub mod caller;
 pub mod clock;
 pub mod configuration_control;
 pub mod contacts;
@@ -24,6 +25,7 @@
 pub mod peers;
 pub mod probe;
 pub mod promoter;
+pub mod quota_control;
 pub mod records;
 pub mod remote;
 pub mod replacement;
--- a/daemon/src/engine/probe.rs
+++ b/daemon/src/engine/probe.rs
@@ -10,6 +10,7 @@
 use chervilwharf_lib::layout::SessionValues;
 use chervilwharf_lib::moment::Moment;
 use chervilwharf_lib::pool_share::Need;
+use chervilwharf_lib::pool_share::Owner;
 use chervilwharf_lib::server_refusal::RefusalKind;
 
 use crate::engine::border::ConnectError;
@@ -57,7 +58,7 @@
     };
     let asked_at = now();
     let asking = async {
-        let mut connection = match shard.connect(&info, None).await {
+        let mut connection = match shard.connect(&info, None, None).await {
             Ok(connection) => connection,
             // It lives. After all instances had lost power at once the
             // connections of before filled the servers for seconds, and healthy
@@ -105,6 +106,7 @@
     let values = SessionValues::new();
     let asked_at = now();
     let want = Want {
+        owner: Owner::Anybody,
         need: Need::Server(id.clone()),
         priority: SAMPLE_PRIORITY,
         give_up_at: asked_at + PROBE_TIMEOUT,
--- a/daemon/src/engine/records.rs
+++ b/daemon/src/engine/records.rs
@@ -5,6 +5,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chervilwharf_lib::account::Account;
+use chervilwharf_lib::account::Accounts;
+use chervilwharf_lib::account::KeyDigest;
+use chervilwharf_lib::account::QuotaLimit;
 use chervilwharf_lib::catalog::Catalog;
 use chervilwharf_lib::catalog::Consistency;
 use chervilwharf_lib::catalog::GroupSettings;
@@ -13,6 +17,7 @@
 use chervilwharf_lib::engine_protos::route::Consistency as WireConsistency;
 use chervilwharf_lib::fleet::InstanceRecord;
 use chervilwharf_lib::group::ServerInfo;
+use chervilwharf_lib::id::AccountId;
 use chervilwharf_lib::id::GroupId;
 
 fn milliseconds(duration: Duration) -> u64 {
@@ -36,9 +41,29 @@
         routes: catalog.routes.values().map(|route| encode_route(route)).collect(),
         groups: groups.collect(),
         transaction_idle_ms: catalog.transaction_idle.map_or(0, milliseconds),
+        has_accounts: catalog.accounts.is_some(),
+        accounts: catalog.accounts.iter().flat_map(Accounts::iter).map(encode_account).collect(),
     }
 }
 
+fn encode_account((name, account): (&AccountId, &Account)) -> engine_protos::Account {
+    engine_protos::Account {
+        name: name.to_string(),
+        key_digests: account.keys.iter().map(|key| key.as_bytes().to_vec()).collect(),
+        rate_per_s: account.limit.map(|limit| limit.rate_per_s),
+        burst: account.limit.map_or(0.0, |limit| limit.burst),
+    }
+}
+
+fn decode_accounts(accounts: Vec<engine_protos::Account>) -> Accounts {
+    accounts.into_iter().fold(Accounts::default(), |accounts, account| {
+        let keys = account.key_digests.iter().filter_map(|key| KeyDigest::from_bytes(key));
+        let burst = account.burst;
+        let limit = account.rate_per_s.map(|rate_per_s| QuotaLimit { rate_per_s, burst });
+        accounts.with_account(text(account.name), Account { keys: keys.collect(), limit })
+    })
+}
+
 /// Encodes a route.
 #[must_use]
 pub fn encode_route(route: &Route) -> engine_protos::Route {
@@ -55,6 +80,7 @@
         timeout_ms: milliseconds(route.timeout),
         objective_ms: milliseconds(route.objective),
         priority: route.priority.into(),
+        is_public: route.is_public,
     }
 }
 
@@ -75,11 +101,13 @@
         groups.insert(text(group.name), settings);
     }
     let idle_ms = configuration.transaction_idle_ms;
+    let accounts = configuration.has_accounts.then(|| decode_accounts(configuration.accounts));
     Catalog {
         version: configuration.version,
         routes,
         groups,
         transaction_idle: (idle_ms > 0).then(|| Duration::from_millis(idle_ms)),
+        accounts,
     }
 }
 
@@ -97,6 +125,7 @@
         timeout: Duration::from_millis(route.timeout_ms),
         objective: Duration::from_millis(route.objective_ms),
         priority: u8::try_from(route.priority).unwrap_or(u8::MAX),
+        is_public: route.is_public,
         database: text(route.database),
         group: text(route.group),
     }
--- a/daemon/src/engine/remote.rs
+++ b/daemon/src/engine/remote.rs
@@ -236,7 +236,7 @@
             return None;
         }
         let group = &request.route.group;
-        let found = session.engine().find_holder(group, session.key(), &self.tried).await?;
+        let found = session.engine().find_holder(group, &session.meeting(), &self.tried).await?;
         // One that just refused is asked again, but only one: it is known not to
         // be servable here, and another instance may be able to.
         let hopeless = found.unable && self.last.is_some();
@@ -370,6 +370,9 @@
         begin: begin.into(),
         in_transaction: session.is_in_transaction(),
         work: encode_work(work),
+        account: session.caller().account.as_deref().unwrap_or_default().to_owned(),
+        key_digest: session.caller().key.as_bytes().to_vec(),
+        configuration_version: session.caller().configuration_version,
     }
 }
 
--- a/daemon/src/engine/replacement.rs
+++ b/daemon/src/engine/replacement.rs
@@ -541,7 +541,8 @@
         return;
     };
     let demoting = async {
-        let mut connection = shard.connect(&info, None).await.map_err(|error| error.to_string())?;
+        let mut connection =
+            shard.connect(&info, None, None).await.map_err(|error| error.to_string())?;
         let reply = connection.demote(term).await.map_err(|error| error.to_string())?;
         reply.map(|_| ()).map_err(|refusal| refusal.text.to_string())
     };
--- a/daemon/src/engine/session.rs
+++ b/daemon/src/engine/session.rs
@@ -7,17 +7,21 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chervilwharf_lib::account::KeyDigest;
 use chervilwharf_lib::catalog::Consistency;
 use chervilwharf_lib::catalog::Route;
 use chervilwharf_lib::error_kind::ErrorKind;
+use chervilwharf_lib::error_kind::Outcome;
 use chervilwharf_lib::event::Event;
 use chervilwharf_lib::event::EventKind;
+use chervilwharf_lib::holder_choice::Meeting;
 use chervilwharf_lib::id::RequestId;
 use chervilwharf_lib::id::TargetId;
 use chervilwharf_lib::id::Term;
 use chervilwharf_lib::layout::SessionValues;
 use chervilwharf_lib::moment::Moment;
 use chervilwharf_lib::pool_share::Need;
+use chervilwharf_lib::pool_share::Owner;
 use chervilwharf_lib::position::Position;
 use chervilwharf_lib::statement::Access;
 use chervilwharf_lib::statement::Answer;
@@ -27,6 +31,7 @@
 use chervilwharf_lib::waits;
 
 use crate::engine::border::Step;
+use crate::engine::caller::Caller;
 use crate::engine::clock::now;
 use crate::engine::event_log;
 use crate::engine::lease::Lease;
@@ -70,6 +75,9 @@
     engine: Arc<Engine>,
     shard: Arc<Shard>,
     database: Arc<str>,
+    caller: Caller,
+    /// Whether its statements come from another instance, which chose this one.
+    is_guest: bool,
     values: SessionValues,
     prepared: HashMap<Arc<str>, Prepared>,
     /// Position of the session's last own commit.
@@ -116,15 +124,17 @@
     ///
     /// # Errors
     ///
-    /// When the configuration has no such name, or there is none yet.
-    pub async fn begin(engine: Arc<Engine>, database: &str) -> Result<Self, Failure> {
-        let route = if engine.wait_until_prepared(FIRST_RECORDS_LIMIT).await {
-            engine.route(database).ok_or(ErrorKind::UnknownDatabase)
-        } else {
-            Err(ErrorKind::NotConfigured)
-        };
-        match route {
-            Ok(route) => Ok(Self::new(engine, &route, rand::random_range(0..SPREAD_STEPS))),
+    /// When the configuration has no such name or no account with this key, or there
+    /// is none yet.
+    pub async fn begin(
+        engine: Arc<Engine>,
+        database: &str,
+        key: KeyDigest,
+    ) -> Result<Self, Failure> {
+        match Self::check_start(&engine, database, key).await {
+            Ok((route, caller)) => {
+                Ok(Self::new(engine, &route, caller, rand::random_range(0..SPREAD_STEPS)))
+            }
             Err(kind) => {
                 report_refused(&engine, database, kind);
                 Err(Failure::new(kind))
@@ -132,16 +142,31 @@
         }
     }
 
+    async fn check_start(
+        engine: &Engine,
+        database: &str,
+        key: KeyDigest,
+    ) -> Result<(Arc<Route>, Caller), ErrorKind> {
+        if !engine.wait_until_prepared(FIRST_RECORDS_LIMIT).await {
+            return Err(ErrorKind::NotConfigured);
+        }
+        let route = engine.route(database).ok_or(ErrorKind::UnknownDatabase)?;
+        let caller = engine.caller(&route, key).await?;
+        Ok((route, caller))
+    }
+
     /// A session for statements that come from another instance.
     #[must_use]
-    pub fn guest(engine: Arc<Engine>, route: &Route) -> Self {
-        Self::new(engine, route, 0)
+    pub fn guest(engine: Arc<Engine>, route: &Route, caller: Caller) -> Self {
+        Self { is_guest: true, ..Self::new(engine, route, caller, 0) }
     }
 
-    fn new(engine: Arc<Engine>, route: &Route, spread: u32) -> Self {
+    fn new(engine: Arc<Engine>, route: &Route, caller: Caller, spread: u32) -> Self {
         Self {
             shard: engine.shard(&route.group),
             database: route.database.clone(),
+            caller,
+            is_guest: false,
             values: SessionValues::new(),
             prepared: HashMap::new(),
             floor: None,
@@ -156,7 +181,8 @@
     }
 
     /// Serves the next statement of another instance by this route.
-    pub fn use_route(&mut self, id: &RequestId, route: &Route) {
+    pub fn use_route(&mut self, id: &RequestId, route: &Route, caller: Caller) {
+        self.caller = caller;
         if self.counted.is_none() {
             self.counted = Some(self.engine.count_session());
         }
@@ -164,7 +190,8 @@
             self.shard = self.engine.shard(&route.group);
         }
         let database = route.database.clone();
-        self.trail = Trail { id: id.clone(), database, ..Trail::default() };
+        let account = self.caller.account.clone();
+        self.trail = Trail { id: id.clone(), database, account, ..Trail::default() };
     }
 
     /// Nothing is in progress here: a planned stop need not wait for it.
@@ -204,16 +231,26 @@
         self.in_transaction || self.transaction.is_some()
     }
 
+    /// Who its client is.
+    #[must_use]
+    pub fn caller(&self) -> &Caller {
+        &self.caller
+    }
+
     /// The engine that serves it.
     #[must_use]
     pub fn engine(&self) -> &Arc<Engine> {
         &self.engine
     }
 
-    /// A number that stays the same for the session, to choose among equals.
+    /// What its statements have in common with others that should meet them at one
+    /// holder.
     #[must_use]
-    pub fn key(&self) -> u32 {
-        self.spread
+    pub fn meeting(&self) -> Meeting {
+        match &self.caller.account {
+            Some(account) if !self.is_guest => Meeting::Account(account.clone()),
+            _ => Meeting::Session(self.spread),
+        }
     }
 
     /// The group that serves the session's present operation.
@@ -303,13 +340,13 @@
     /// Runs one statement.
     pub async fn run(&mut self, id: RequestId, statement: Statement) -> Reply {
         let began_at = now();
-        let database = self.database.clone();
-        self.trail = Trail { id: id.clone(), database, ..Trail::default() };
+        let (database, account) = (self.database.clone(), self.caller.account.clone());
+        self.trail = Trail { id: id.clone(), database, account, ..Trail::default() };
         let kind = self.kind_of(&statement);
         let result = self.dispatch(id, statement).await;
         self.report(kind, result.as_ref().err(), now().saturating_sub(began_at));
         let refused = result.as_ref().err().map(|failure| failure.kind);
-        self.moves_on |= refused.is_some_and(ErrorKind::may_be_served_elsewhere);
+        self.moves_on |= refused.is_some_and(ErrorKind::ends_session);
         let state = self.state();
         match result {
             Ok(Some(served)) => {
@@ -387,6 +424,7 @@
         let began_at = now();
         let want = Want {
             need,
+            owner: Owner::Account(self.caller.account.clone()),
             priority: request.route.priority,
             give_up_at: request.deadline,
             patient_until: request.patient_until(began_at),
@@ -475,8 +513,67 @@
             Some(transaction) => transaction.route.clone(),
             None => self.resolve()?,
         };
+        self.check_caller(&route)?;
         let request = Self::request(id, route);
-        self.run_work(&request, &work, writes).await
+        self.count_operation().await?;
+        let single = self.transaction.is_none();
+        let result = self.run_work(&request, &work, writes).await;
+        if let (true, Err(failure)) = (single, &result) {
+            self.refund_operation(failure);
+        }
+        result
+    }
+
+    /// Whether the configuration in force still has the client's key. One that was
+    /// taken away is served no more on sessions that stand open, and its transaction
+    /// is rolled back.
+    fn check_caller(&mut self, route: &Route) -> Result<(), Failure> {
+        let checked = self.caller.check_again(&self.engine.catalog(), route);
+        let same_account = |caller: &Caller| caller.account == self.caller.account;
+        match checked {
+            // A transaction's connection belongs to the account that began it.
+            Ok(caller) if self.transaction.is_none() || same_account(&caller) => {
+                self.caller = caller;
+                Ok(())
+            }
+            Ok(_) | Err(_) => {
+                if let Some(transaction) = &mut self.transaction {
+                    transaction.fail();
+                }
+                Err(Failure::new(ErrorKind::UnknownKey))
+            }
+        }
+    }
+
+    /// Counts an operation that begins with the present statement.
+    async fn count_operation(&mut self) -> Result<(), Failure> {
+        if let Some(transaction) = &mut self.transaction {
+            if transaction.is_counted {
+                return Ok(());
+            }
+        }
+        let Some(account) = self.caller.account.clone() else {
+            return Ok(());
+        };
+        let counted = self.engine.admit_operation(&account).await;
+        if let Some(transaction) = &mut self.transaction {
+            transaction.is_counted = counted.is_ok();
+            if counted.is_err() {
+                transaction.fail();
+            }
+        }
+        counted
+    }
+
+    /// A single statement that was counted failed: where it has not run, its account
+    /// may begin another one.
+    fn refund_operation(&self, failure: &Failure) {
+        let rule = failure.kind.rule();
+        if let (Some(account), Outcome::NotRun, true) =
+            (&self.caller.account, rule.outcome, rule.burns_budget)
+        {
+            self.engine.refund_operation(account);
+        }
     }
 
     /// Runs work for a request, in the transaction if there is one.
@@ -491,7 +588,7 @@
         writes: bool,
     ) -> Result<Served, Failure> {
         let Some(mut transaction) = self.transaction.take() else {
-            if !self.engine.is_holder(&request.route.group) {
+            if !self.engine.serves_here(&request.route.group, &self.meeting()) {
                 return remote::single(self, request, work, writes).await;
             }
             return if writes {
@@ -501,7 +598,7 @@
             };
         };
         self.in_transaction = true;
-        let result = if transaction.goes_remote(&self.engine) {
+        let result = if transaction.goes_remote(&self.engine, &self.meeting()) {
             transaction.note_write(writes);
             remote::in_transaction(self, &mut transaction, request, work).await
         } else {
@@ -516,7 +613,9 @@
         let Some(transaction) = &self.transaction else {
             return Err(Failure::new(ErrorKind::BadStatement));
         };
-        let request = Self::request(id, transaction.route.clone());
+        let route = transaction.route.clone();
+        self.check_caller(&route)?;
+        let request = Self::request(id, route);
         self.commit_work(&request).await
     }
 
@@ -532,7 +631,7 @@
         if transaction.has_failed() {
             return Err(Failure::new(ErrorKind::TransactionLost));
         }
-        if !transaction.goes_remote(&self.engine) {
+        if !transaction.goes_remote(&self.engine, &self.meeting()) {
             return transaction::commit(self, &mut transaction, request).await;
         }
         let work = Work { statement: Statement::Commit, prepared: None };
--- a/daemon/src/engine/shard.rs
+++ b/daemon/src/engine/shard.rs
@@ -10,12 +10,14 @@
 use std::sync::MutexGuard;
 use std::time::Duration;
 
+use chervilwharf_lib::account_rates::AccountRates;
 use chervilwharf_lib::connection_budget::Demand;
 use chervilwharf_lib::engine_protos::Tunnel;
 use chervilwharf_lib::event::Event;
 use chervilwharf_lib::event::EventKind;
 use chervilwharf_lib::group::Group;
 use chervilwharf_lib::group::ServerInfo;
+use chervilwharf_lib::id::AccountId;
 use chervilwharf_lib::id::FailureDomainId;
 use chervilwharf_lib::id::GroupId;
 use chervilwharf_lib::id::TargetId;
@@ -45,6 +47,32 @@
 struct Pool {
     idle: Vec<PooledConnection>,
     share: PoolShare,
+    /// Open ones and those being opened, by account.
+    by_account: HashMap<Option<AccountId>, usize>,
+}
+
+impl Pool {
+    fn opening(&mut self, account: Option<&AccountId>) {
+        self.share.opening += 1;
+        *self.by_account.entry(account.cloned()).or_default() += 1;
+    }
+
+    /// A connection is closed, or was not opened after all.
+    fn forget(&mut self, account: Option<&AccountId>) {
+        let account = account.cloned();
+        if let Some(count) = self.by_account.get_mut(&account) {
+            *count -= 1;
+            if *count == 0 {
+                self.by_account.remove(&account);
+            }
+        }
+    }
+
+    /// An open connection is closed.
+    fn closed(&mut self, account: Option<&AccountId>) {
+        self.share.open = self.share.open.saturating_sub(1);
+        self.forget(account);
+    }
 }
 
 #[derive(Default)]
@@ -57,6 +85,10 @@
     /// Smoothed time between a grant and the end of the statement.
     pub(super) service_time: Duration,
     demand: Demand,
+    /// How often each account wants a connection.
+    pub(super) wanted: AccountRates,
+    /// Connections being opened, by server and account.
+    openings: HashMap<(TargetId, Option<AccountId>), usize>,
     /// Servers that this instance does not reach itself, with another
     /// instance that does.
     detours: HashMap<TargetId, Detour>,
@@ -263,8 +295,10 @@
         pools.retain(|id, pool| {
             let usable = group.takes_work(id);
             if !usable {
-                pool.share.open -= pool.idle.len();
-                closing.append(&mut pool.idle);
+                for connection in std::mem::take(&mut pool.idle) {
+                    pool.closed(connection.account.as_ref());
+                    closing.push(connection);
+                }
             }
             usable || pool.share.open + pool.share.opening > 0
         });
@@ -283,7 +317,7 @@
         if usable && pool.share.open <= budget {
             pool.idle.push(connection);
         } else {
-            pool.share.open = pool.share.open.saturating_sub(1);
+            pool.closed(connection.account.as_ref());
         }
         drop(inner);
         self.pump();
@@ -319,10 +353,10 @@
     }
 
     /// A lent connection was closed.
-    pub(crate) fn closed(self: &Arc<Self>, server: &TargetId) {
+    pub(crate) fn closed(self: &Arc<Self>, server: &TargetId, account: Option<&AccountId>) {
         let mut inner = self.lock();
         if let Some(pool) = inner.pools.get_mut(server) {
-            pool.share.open = pool.share.open.saturating_sub(1);
+            pool.closed(account);
         }
         drop(inner);
         self.pump();
@@ -331,7 +365,8 @@
     /// Hands idle connections to those who wait, in their order, and opens
     /// connections for those who can have one.
     pub fn pump(self: &Arc<Self>) {
-        let (grants, openings) = self.lock().assign(now());
+        let Assignments { grants, openings, closing } = self.lock().assign(now());
+        drop(closing);
         for (grant, server, connection) in grants {
             let lease = Lease::new(self.clone(), server, connection);
             // The request may just have given up.
@@ -339,25 +374,26 @@
                 lease.give_back();
             }
         }
-        for server in openings {
+        for (server, account) in openings {
             let shard = self.clone();
-            tokio::spawn(async move { shard.open(server).await });
+            tokio::spawn(async move { shard.open(server, account).await });
         }
     }
 
-    async fn open(self: Arc<Self>, server: ServerInfo) {
+    async fn open(self: Arc<Self>, server: ServerInfo, account: Option<AccountId>) {
         let began_at = now();
         let via = self.lock().detours.get(&server.id).map(|detour| detour.via);
-        let result = self.connect(&server, via).await;
+        let result = self.connect(&server, account.as_ref(), via).await;
         if result.is_err() && via.is_some() {
             // The helper may be gone, or have lost the server itself.
             self.lock().detours.remove(&server.id);
         }
-        self.opened(&server.id, began_at, result);
+        self.opened(&server.id, account, began_at, result);
         self.pump();
     }
 
-    /// Opens a connection to a server, directly or through another instance.
+    /// Opens a connection to a server for an account, directly or through another
+    /// instance.
     ///
     /// # Errors
     ///
@@ -365,6 +401,7 @@
     pub async fn connect(
         &self,
         server: &ServerInfo,
+        account: Option<&AccountId>,
         via: Option<SocketAddr>,
     ) -> Result<Box<dyn ServerConnection>, ConnectError> {
         let unreachable = |error: PeerError| ConnectError::Unreachable(error.to_string());
@@ -376,7 +413,7 @@
                 self.peers.tunnel(via, tunnel).await.map_err(unreachable)?
             }
         };
-        let greeting = self.connector.start(stream, &self.id, server);
+        let greeting = self.connector.start(stream, &self.id, account, server);
         match tokio::time::timeout(GREETING_TIMEOUT, greeting).await {
             Ok(result) => result,
             Err(_) => Err(ConnectError::Unreachable("no greeting in time".to_owned())),
@@ -429,18 +466,24 @@
     fn opened(
         self: &Arc<Self>,
         server: &TargetId,
+        account: Option<AccountId>,
         began_at: Moment,
         result: Result<Box<dyn ServerConnection>, ConnectError>,
     ) {
         let now = now();
         let mut inner = self.lock();
+        inner.end_opening(server, account.as_ref());
         let known = inner.group.takes_work(server);
         let pool = inner.pools.entry(server.clone()).or_default();
         pool.share.opening = pool.share.opening.saturating_sub(1);
+        let opened = known && result.is_ok();
+        if !opened {
+            pool.forget(account.as_ref());
+        }
         match result {
             Ok(connection) if known => {
                 pool.share.open += 1;
-                pool.idle.push(PooledConnection::new(connection));
+                pool.idle.push(PooledConnection::new(account, connection));
                 inner.group.observe_answer(now, server, None);
             }
             Ok(_) => {}
@@ -489,4 +532,12 @@
 
 type Grant = (oneshot::Sender<Lease>, TargetId, PooledConnection);
 
-impl Inner {}
+/// What follows from a look at those who wait.
+#[derive(Default)]
+pub(super) struct Assignments {
+    grants: Vec<Grant>,
+    /// Connections to open, and for whom.
+    openings: Vec<(ServerInfo, Option<AccountId>)>,
+    /// Connections that make room for these.
+    closing: Vec<PooledConnection>,
+}
--- a/daemon/src/engine/shared.rs
+++ b/daemon/src/engine/shared.rs
@@ -25,12 +25,14 @@
 use chervilwharf_lib::id::GroupId;
 use chervilwharf_lib::moment::Moment;
 use chervilwharf_lib::primary_right::PrimaryRight;
+use chervilwharf_lib::quota::QuotaTolerance;
 use chervilwharf_lib::server_list::ServerList;
 use chervilwharf_lib::stop_plan::StopPlan;
 use tokio::sync::Notify;
 use tokio::sync::watch;
 
 use crate::engine::border::Connector;
+use crate::engine::caller::NewerConfiguration;
 use crate::engine::clock::now;
 use crate::engine::contacts::Contacts;
 use crate::engine::directory::Revision;
@@ -42,6 +44,7 @@
 use crate::engine::peers::Guest;
 use crate::engine::peers::PeerHandler;
 use crate::engine::peers::Peers;
+use crate::engine::quota_control::QuotaControl;
 use crate::engine::remote::StatementLinks;
 use crate::engine::right_control::VoterLists;
 use crate::engine::shard::Shard;
@@ -98,6 +101,9 @@
     /// Set once a planned stop has begun.
     stopping: watch::Sender<Option<StopPlan>>,
     sessions: watch::Sender<usize>,
+    quota: QuotaControl,
+    quota_tolerance: Option<QuotaTolerance>,
+    newer_configuration: NewerConfiguration,
 }
 
 impl Engine {
@@ -135,9 +141,25 @@
             earlier_record: Mutex::default(),
             stopping: watch::Sender::new(None),
             sessions: watch::Sender::new(0),
+            quota: QuotaControl::new(now()),
+            quota_tolerance: None,
+            newer_configuration: NewerConfiguration::default(),
         }
     }
 
+    /// With the tolerance that the platform grants accounts beyond their limits.
+    #[must_use]
+    pub fn with_quota_tolerance(mut self, tolerance: Option<QuotaTolerance>) -> Self {
+        self.quota_tolerance = tolerance;
+        self
+    }
+
+    /// The tolerance that the platform grants accounts beyond their limits.
+    #[must_use]
+    pub fn quota_tolerance(&self) -> Option<QuotaTolerance> {
+        self.quota_tolerance
+    }
+
     /// This instance.
     #[must_use]
     pub fn me(&self) -> &InstanceRecord {
@@ -150,6 +172,24 @@
         &self.peers
     }
 
+    /// Links to other instances, for tasks that outlive a borrow.
+    #[must_use]
+    pub fn shared_peers(&self) -> Arc<Peers> {
+        self.peers.clone()
+    }
+
+    /// Counts of the accounts' operations.
+    #[must_use]
+    pub fn quota(&self) -> &QuotaControl {
+        &self.quota
+    }
+
+    /// When others were last asked for a newer configuration.
+    #[must_use]
+    pub fn newer_configuration(&self) -> &NewerConfiguration {
+        &self.newer_configuration
+    }
+
     /// Woken when the record of this instance has to be written.
     #[must_use]
     pub fn wants_record(&self) -> &Notify {
@@ -460,6 +500,8 @@
                 self.take_directory(state);
                 Some(Body::DirectoryTaken(DirectoryTaken {}))
             }
+            Body::KeeperVote(vote) => Some(Body::KeeperVoteReply(self.keeper_vote(&vote))),
+            Body::QuotaQuestion(question) => Some(Body::QuotaReply(self.quota_reply(&question))),
             Body::SignOfLife(_) => Some(Body::SignOfLifeReply(SignOfLife {})),
             Body::DirectoryPull(pull) => Some(Body::DirectoryState(self.directory_state(pull))),
             _ => None,
--- a/daemon/src/engine/trail.rs
+++ b/daemon/src/engine/trail.rs
@@ -6,6 +6,7 @@
 use chervilwharf_lib::error_kind::ErrorKind;
 use chervilwharf_lib::event::Event;
 use chervilwharf_lib::event::EventKind;
+use chervilwharf_lib::id::AccountId;
 use chervilwharf_lib::id::RequestId;
 use chervilwharf_lib::id::TargetId;
 use chervilwharf_lib::position::Position;
@@ -20,6 +21,8 @@
     pub id: RequestId,
     /// Database name of its session.
     pub database: Arc<str>,
+    /// Account of its session; `None` where clients have none.
+    pub account: Option<AccountId>,
     /// Tries that reached a server.
     pub tries: usize,
     /// The last server.
@@ -76,6 +79,7 @@
         Event::new(kind)
             .with("id", &self.id)
             .with("database", &self.database)
+            .with_some("account", self.account.as_ref())
             .with("group", group)
             .with_count("tries", self.tries)
             .with_some("server", self.server.as_ref())
--- a/daemon/src/engine/transaction.rs
+++ b/daemon/src/engine/transaction.rs
@@ -8,6 +8,7 @@
 use chervilwharf_lib::error_kind::ErrorKind;
 use chervilwharf_lib::event::Event;
 use chervilwharf_lib::event::EventKind;
+use chervilwharf_lib::holder_choice::Meeting;
 use chervilwharf_lib::id::TargetId;
 use chervilwharf_lib::id::Term;
 use chervilwharf_lib::moment::Moment;
@@ -64,6 +65,8 @@
     fate: Fate,
     /// When the client's last statement was answered.
     pub active_at: Moment,
+    /// Whether its account's quota counts it.
+    pub is_counted: bool,
 }
 
 impl Transaction {
@@ -79,6 +82,7 @@
             term: None,
             fate: Fate::Alive,
             active_at: now(),
+            is_counted: false,
         }
     }
 
@@ -102,8 +106,8 @@
 
     /// Whether its statements go through another instance.
     #[must_use]
-    pub fn goes_remote(&self, engine: &Engine) -> bool {
-        let here = self.lease.is_some() || engine.is_holder(&self.route.group);
+    pub fn goes_remote(&self, engine: &Engine, meeting: &Meeting) -> bool {
+        let here = self.lease.is_some() || engine.serves_here(&self.route.group, meeting);
         self.remote.is_some() || !here
     }
 
--- a/daemon/src/engine/waiting.rs
+++ b/daemon/src/engine/waiting.rs
@@ -13,6 +13,7 @@
 use chervilwharf_lib::layout::SessionValues;
 use chervilwharf_lib::moment::Moment;
 use chervilwharf_lib::pool_share::Need;
+use chervilwharf_lib::pool_share::Owner;
 use chervilwharf_lib::statement::Prepared;
 use chervilwharf_lib::wait_pace::WaitLine;
 use chervilwharf_lib::wait_queue::Place;
@@ -32,6 +33,8 @@
 pub struct Want<'a> {
     /// Which servers will do.
     pub need: Need,
+    /// Whose connections will do.
+    pub owner: Owner,
     /// Order of service.
     pub priority: Priority,
     /// When the request stops waiting.
@@ -80,6 +83,8 @@
 /// A request that waits for a connection.
 pub(super) struct Waiter {
     pub(super) need: Need,
+    pub(super) owner: Owner,
+    pub(super) since: Moment,
     pub(super) grant: oneshot::Sender<Lease>,
 }
 
@@ -150,7 +155,8 @@
             let measures = !inner.awaits_primary(began_at, &want.need);
             let servers = inner.servers_for(began_at, &want.need);
             let ahead = inner.competitors(began_at, want, &servers, tier);
-            let waiter = Waiter { need: want.need.clone(), grant };
+            let (need, owner) = (want.need.clone(), want.owner.clone());
+            let waiter = Waiter { need, owner, since: began_at, grant };
             let place = inner.queue.push(want.rank(tier), waiter);
             (WaitingPlace { shard: self.clone(), place }, ahead, measures)
         };
@@ -237,7 +243,7 @@
     /// How long a request for these servers would wait by what runs now; `None`
     /// if nobody can serve it now, but somebody may soon.
     fn computed_wait(&self, servers: &[TargetId], ahead: usize) -> Option<Duration> {
-        let capacity: f64 = servers.iter().map(|id| self.share_of(id).limit.value()).sum();
+        let capacity: f64 = servers.iter().map(|id| self.limit_of(id)).sum();
         let places = f64::from(u32::try_from(ahead + 1).unwrap_or(u32::MAX));
         (capacity > 0.0).then(|| self.service_time.mul_f64(places / capacity))
     }
--- a/daemon/tests/stubs/mod.rs
+++ b/daemon/tests/stubs/mod.rs
@@ -23,6 +23,7 @@
 use chervilwharf_daemon::engine::shard::Shard;
 use chervilwharf_lib::fleet::InstanceRecord;
 use chervilwharf_lib::group::ServerInfo;
+use chervilwharf_lib::id::AccountId;
 use chervilwharf_lib::id::GroupId;
 use chervilwharf_lib::id::TargetId;
 use chervilwharf_lib::server_refusal::RefusalKind;
@@ -39,6 +40,7 @@
         &self,
         _stream: TcpStream,
         _group: &GroupId,
+        _account: Option<&AccountId>,
         _server: &ServerInfo,
     ) -> Result<Box<dyn ServerConnection>, ConnectError> {
         Err(ConnectError::Unreachable("there is none".to_owned()))
@@ -54,6 +56,7 @@
         &self,
         _stream: TcpStream,
         _group: &GroupId,
+        _account: Option<&AccountId>,
         _server: &ServerInfo,
     ) -> Result<Box<dyn ServerConnection>, ConnectError> {
         std::future::pending().await
@@ -69,6 +72,7 @@
         &self,
         _stream: TcpStream,
         _group: &GroupId,
+        _account: Option<&AccountId>,
         _server: &ServerInfo,
     ) -> Result<Box<dyn ServerConnection>, ConnectError> {
         let (kind, text) = (RefusalKind::TooManyConnections, "too many".into());
--- a/daemon/tests/test_guest.rs
+++ b/daemon/tests/test_guest.rs
@@ -25,6 +25,7 @@
         timeout: Duration::from_millis(800),
         objective: Duration::from_millis(400),
         priority: 1,
+        is_public: false,
     };
     engine_protos::Statement {
         id: "r1".to_owned(),
--- a/daemon/tests/test_holding_ends.rs
+++ b/daemon/tests/test_holding_ends.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 
 use chervilwharf_daemon::engine::session::Session;
+use chervilwharf_lib::account::KeyDigest;
 use chervilwharf_lib::fleet::InstanceRecord;
 use chervilwharf_lib::statement::Statement;
 use chervilwharf_lib::statement::TransactionState;
@@ -29,7 +30,9 @@
 async fn test_group_with_a_transaction_keeps_its_voters_when_it_is_held_no_more() {
     let world = ValuesWorld::new(2, false).await;
     let (engine, group) = (&world.engine, GROUP.into());
-    let mut session = Session::begin(engine.clone(), "app").await.expect("the route is there");
+    let mut session = Session::begin(engine.clone(), "app", KeyDigest::of("key"))
+        .await
+        .expect("the route is there");
     session.run("b".into(), Statement::Begin { read_only: false }).await.result.expect("begun");
     let read = Statement::Read { item: "1".into() };
     world.shared.expect("r", session.values());
--- a/daemon/tests/test_session_values.rs
+++ b/daemon/tests/test_session_values.rs
@@ -13,6 +13,7 @@
 use chervilwharf_daemon::engine::peers::Guest;
 use chervilwharf_daemon::engine::records;
 use chervilwharf_daemon::engine::session::Session;
+use chervilwharf_lib::account::KeyDigest;
 use chervilwharf_lib::engine_protos;
 use chervilwharf_lib::engine_protos::Execution;
 use chervilwharf_lib::engine_protos::SessionValue;
@@ -30,8 +31,9 @@
 
 /// A session on the route, with one value.
 async fn session(world: &ValuesWorld, value: &str) -> (Session, SessionValues) {
-    let mut session =
-        Session::begin(world.engine.clone(), "app").await.expect("the route is there");
+    let mut session = Session::begin(world.engine.clone(), "app", KeyDigest::of("key"))
+        .await
+        .expect("the route is there");
     let set = Statement::Set { name: "zone".into(), value: value.into() };
     session.run("set".into(), set).await.result.expect("a value of the session");
     (session, BTreeMap::from([("zone".into(), value.into())]))
--- a/daemon/tests/test_waiting.rs
+++ b/daemon/tests/test_waiting.rs
@@ -13,6 +13,7 @@
 use chervilwharf_lib::error_kind::ErrorKind;
 use chervilwharf_lib::layout::SessionValues;
 use chervilwharf_lib::pool_share::Need;
+use chervilwharf_lib::pool_share::Owner;
 use futures::future::join_all;
 use stubs::NoServer;
 use stubs::shard_with_primary;
@@ -30,6 +31,7 @@
 async fn failure(shard: &Arc<Shard>, patience: Duration) -> Failure {
     let values = SessionValues::new();
     let want = Want {
+        owner: Owner::Account(None),
         need: Need::Leader,
         priority: 1,
         give_up_at: now() + patience,
--- a/daemon/tests/values_world/mod.rs
+++ b/daemon/tests/values_world/mod.rs
@@ -27,6 +27,7 @@
 use chervilwharf_lib::engine_protos::TermEnd;
 use chervilwharf_lib::group::ServerInfo;
 use chervilwharf_lib::group::ServerStatus;
+use chervilwharf_lib::id::AccountId;
 use chervilwharf_lib::id::GroupId;
 use chervilwharf_lib::layout::SessionValues;
 use chervilwharf_lib::position::Position;
@@ -115,6 +116,7 @@
         &self,
         stream: TcpStream,
         _group: &GroupId,
+        _account: Option<&AccountId>,
         _server: &ServerInfo,
     ) -> Result<Box<dyn ServerConnection>, ConnectError> {
         Ok(Box::new(ValuesConnection {
@@ -261,6 +263,7 @@
             routes: HashMap::from([(route.database.clone(), route)]),
             groups: HashMap::from([(GROUP.into(), settings)]),
             transaction_idle: None,
+            accounts: None,
         };
         assert!(engine.set_catalog(&Arc::new(catalog)));
         let server = primary(SERVER.into(), address);
@@ -308,5 +311,6 @@
         timeout: Duration::from_millis(800),
         objective: Duration::from_millis(400),
         priority: 1,
+        is_public: false,
     })
 }
--- /dev/null
+++ b/lib/src/account_rates.rs
@@ -0,0 +1,57 @@
+//! How often accounts want a connection, to choose which connection to close.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::id::AccountId;
+use crate::moment::Moment;
+
+/// Wishes older than this count for little.
+const MEMORY: Duration = Duration::from_secs(4);
+
+/// Accounts that are kept at most; those that want least are forgotten first.
+const MOST_KEPT: usize = 1_024;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Rate {
+    per_s: f64,
+    observed_at: Moment,
+}
+
+impl Rate {
+    fn at(self, now: Moment) -> f64 {
+        let age = now.saturating_sub(self.observed_at);
+        self.per_s * (-age.as_secs_f64() / MEMORY.as_secs_f64()).exp()
+    }
+}
+
+/// How often each account wants a connection to a group, smoothed.
+#[derive(Clone, Debug, Default)]
+pub struct AccountRates {
+    rates: HashMap<AccountId, Rate>,
+}
+
+impl AccountRates {
+    /// An account wants a connection.
+    pub fn observe(&mut self, now: Moment, account: &AccountId) {
+        if self.rates.len() >= MOST_KEPT && !self.rates.contains_key(account) {
+            self.forget_least(now);
+        }
+        let rate = self.rates.entry(account.clone()).or_default();
+        rate.per_s = rate.at(now) + 1.0 / MEMORY.as_secs_f64();
+        rate.observed_at = now;
+    }
+
+    /// How often an account wants a connection, in wishes a second.
+    #[must_use]
+    pub fn of(&self, now: Moment, account: &AccountId) -> f64 {
+        self.rates.get(account).map_or(0.0, |rate| rate.at(now))
+    }
+
+    fn forget_least(&mut self, now: Moment) {
+        let least = self.rates.iter().min_by(|(_, a), (_, b)| a.at(now).total_cmp(&b.at(now)));
+        if let Some(least) = least.map(|(account, _)| account.clone()) {
+            self.rates.remove(&least);
+        }
+    }
+}
--- a/lib/src/catalog.rs
+++ b/lib/src/catalog.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::account::Accounts;
 use crate::admission::Priority;
 use crate::id::GroupId;
 
@@ -34,6 +35,8 @@
     pub objective: Duration,
     /// Order of service; lower goes first.
     pub priority: Priority,
+    /// Whether clients need no key.
+    pub is_public: bool,
 }
 
 /// What the configuration says of one group.
@@ -46,7 +49,7 @@
 }
 
 /// A whole configuration.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Catalog {
     /// Its version; 0 before the first one.
     pub version: u64,
@@ -56,4 +59,6 @@
     pub groups: HashMap<GroupId, GroupSettings>,
     /// A transaction without a statement for this long may be ended.
     pub transaction_idle: Option<Duration>,
+    /// The client accounts; `None` where clients need no key.
+    pub accounts: Option<Accounts>,
 }
--- a/lib/src/error_kind.rs
+++ b/lib/src/error_kind.rs
@@ -75,6 +75,10 @@
     CutOff,
     /// no instance that holds connections to the database answers
     HolderSilent,
+    /// no account has this key
+    UnknownKey,
+    /// nobody can tell now how much the account may still ask for
+    QuotaUnknown,
 }
 
 /// One row of the table from kind to answer.
@@ -97,7 +101,7 @@
 
 impl ErrorKind {
     /// Every kind, in the order of the table in the documentation.
-    pub const ALL: [Self; 29] = [
+    pub const ALL: [Self; 31] = [
         Self::ServerRefused,
         Self::NotOwner,
         Self::NoPrimary,
@@ -127,6 +131,8 @@
         Self::NotConfigured,
         Self::CutOff,
         Self::HolderSilent,
+        Self::UnknownKey,
+        Self::QuotaUnknown,
     ];
 
     /// The table from kind to answer.
@@ -165,6 +171,8 @@
             Self::NotConfigured => ("57P03", NotRun, SOON, true),
             Self::CutOff => ("57P03", NotRun, SOON, true),
             Self::HolderSilent => ("57P03", NotRun, SOON, true),
+            Self::UnknownKey => ("28000", NotRun, None, false),
+            Self::QuotaUnknown => ("57P03", NotRun, SOON, true),
         };
         AnswerRule { sqlstate, outcome, retry_after, burns_budget }
     }
@@ -202,6 +210,8 @@
             Self::NotConfigured => "not_configured",
             Self::CutOff => "cut_off",
             Self::HolderSilent => "holder_silent",
+            Self::UnknownKey => "unknown_key",
+            Self::QuotaUnknown => "quota_unknown",
         }
     }
 
@@ -212,6 +222,13 @@
         matches!(self, Self::CutOff | Self::HolderSilent | Self::NotOwner)
     }
 
+    /// Whether a session should end once its client was told: another instance may
+    /// serve it, or nobody does.
+    #[must_use]
+    pub fn ends_session(self) -> bool {
+        self.may_be_served_elsewhere() || self == Self::UnknownKey
+    }
+
     /// Finds a kind by its name. A name from a newer version reads as
     /// [`ErrorKind::OutcomeUnknown`], the only answer that promises nothing.
     #[must_use]
--- a/lib/src/event.rs
+++ b/lib/src/event.rs
@@ -105,6 +105,8 @@
     FleetUnknown, "fleet_unknown", State;
     /// Records were learned from another instance.
     PeerRecords, "peer_records", State;
+    /// This instance counts the operations of a shard of accounts.
+    KeeperGained, "keeper_gained", State;
     /// A server leads a group.
     LeaderFound, "leader_found", State;
     /// A server does not lead its group any more.
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -65,6 +65,11 @@
     demands: HashMap<GroupId, f64>,
 }
 
+/// Those with the highest score are the relays of their failure domain.
+fn relay_score(id: &str) -> u64 {
+    stable_hash(&["relay", id])
+}
+
 /// The instances.
 #[derive(Clone, Debug)]
 pub struct Fleet {
@@ -182,16 +187,30 @@
         if self.members.len() < RELAYS_FROM {
             return true;
         }
-        let score = |id: &str| stable_hash(&["relay", id]);
-        let mine = score(&self.me);
+        let mine = relay_score(&self.me);
         let before = self.staying(now).into_iter().filter(|id| {
             let near = self.members.get(id);
             let near = near.is_some_and(|member| member.record.failure_domain == *failure_domain);
-            near && score(id) > mine
+            near && relay_score(id) > mine
         });
         before.count() < RELAYS_PER_DOMAIN
     }
 
+    /// Other instances that read configuration and servers from the store as they
+    /// are now, one of each failure domain.
+    #[must_use]
+    pub fn relays(&self, now: Moment) -> Vec<InstanceRecord> {
+        let mut first: BTreeMap<&FailureDomainId, &InstanceRecord> = BTreeMap::new();
+        let staying = self.staying(now);
+        for record in staying.iter().filter_map(|id| self.record(id)) {
+            let best = first.entry(&record.failure_domain).or_insert(record);
+            if relay_score(&record.id) > relay_score(&best.id) {
+                *best = record;
+            }
+        }
+        first.into_values().cloned().collect()
+    }
+
     /// Record of another instance.
     #[must_use]
     pub fn record(&self, id: &str) -> Option<&InstanceRecord> {
--- a/lib/src/holder_choice.rs
+++ b/lib/src/holder_choice.rs
@@ -1,7 +1,9 @@
 //! Through which holder of a group a statement goes.
 
 use crate::fleet::InstanceRecord;
+use crate::id::AccountId;
 use crate::peer_contact::Contact;
+use crate::placement::stable_hash;
 
 /// A holder that a statement could go through.
 #[derive(Clone, Debug)]
@@ -17,17 +19,40 @@
     pub near: bool,
 }
 
+/// What the statements have in common that should meet at one holder.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Meeting {
+    /// The session: a number that stays the same for it.
+    Session(u32),
+    /// The account, whose connections serve nobody else. Spread over all holders,
+    /// the statements of each account would need a connection at each of them.
+    Account(AccountId),
+}
+
 /// Chooses a holder: one that is heard before a silent one, one that can serve
-/// before one that just could not, a near one before a far one, and among equals
-/// the same for the same `key`, so that its connections fit the session.
+/// before one that just could not, and among equals the same for those that should
+/// meet.
+///
+/// A session goes to a near holder. An account has one home among all of a group:
+/// when a holder goes, only the accounts that were at home there move.
 #[must_use]
-pub fn choose(candidates: &[Candidate], key: u32) -> Option<&Candidate> {
+pub fn choose<'a>(candidates: &'a [Candidate], meeting: &Meeting) -> Option<&'a Candidate> {
     let rank = |candidate: &Candidate| {
         let silent = candidate.contact == Contact::Silent;
-        (silent, candidate.unable, !candidate.near)
+        let far = matches!(meeting, Meeting::Session(_)) && !candidate.near;
+        (silent, candidate.unable, far)
     };
     let best = candidates.iter().map(rank).min()?;
     let equal: Vec<_> = candidates.iter().filter(|candidate| rank(candidate) == best).collect();
-    let index = usize::try_from(key).unwrap_or_default() % equal.len();
-    equal.get(index).copied()
+    match meeting {
+        Meeting::Session(number) => {
+            let index = usize::try_from(*number).unwrap_or_default() % equal.len();
+            equal.get(index).copied()
+        }
+        Meeting::Account(account) => {
+            let score =
+                |candidate: &&&Candidate| stable_hash(&["home", account, &candidate.record.id]);
+            equal.iter().max_by_key(score).copied()
+        }
+    }
 }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -4,6 +4,8 @@
 //! current time and returns what has to be done. The daemon performs the
 //! actions; the tests drive the same values on a virtual clock.
 
+pub mod account;
+pub mod account_rates;
 pub mod admission;
 pub mod arrival;
 pub mod burn;
@@ -24,6 +26,7 @@
 pub mod holders;
 pub mod id;
 pub mod instance;
+pub mod keeper_lease;
 pub mod layout;
 pub mod leader_watch;
 pub mod ledger;
@@ -39,6 +42,7 @@
 pub mod pool_share;
 pub mod position;
 pub mod primary_right;
+pub mod quota;
 pub mod retry;
 pub mod routing;
 pub mod samples;
--- a/lib/src/pool_share.rs
+++ b/lib/src/pool_share.rs
@@ -2,6 +2,7 @@
 
 use crate::concurrency::ConcurrencyLimit;
 use crate::group::Group;
+use crate::id::AccountId;
 use crate::id::TargetId;
 use crate::moment::Moment;
 use crate::position::Position;
@@ -45,13 +46,48 @@
     }
 }
 
-/// Connections to one server.
+/// Whose connections will do for a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Owner {
+    /// Any: no client's statement is run.
+    Anybody,
+    /// Those of an account; `None` where clients have none. A server runs what
+    /// comes on a connection in the name of the account that it was opened for.
+    Account(Option<AccountId>),
+}
+
+impl Owner {
+    /// Whether a connection of this account will do.
+    #[must_use]
+    pub fn accepts(&self, account: Option<&AccountId>) -> bool {
+        match self {
+            Self::Anybody => true,
+            Self::Account(wanted) => wanted.as_ref() == account,
+        }
+    }
+
+    /// The account that a new connection would be opened for.
+    #[must_use]
+    pub fn account(&self) -> Option<&AccountId> {
+        match self {
+            Self::Anybody => None,
+            Self::Account(account) => account.as_ref(),
+        }
+    }
+}
+
+/// Connections to one server, as one request sees them.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct PoolShare {
     /// Open, idle ones included.
     pub open: usize,
-    /// Open and not in use.
+    /// Not in use, and of the request's account.
     pub idle: usize,
+    /// Not in use, and of another account that could do without: one of them can be
+    /// closed to make room.
+    pub replaceable: usize,
+    /// Open or being opened for the request's account.
+    pub own: usize,
     /// Being opened.
     pub opening: usize,
     /// Most that may be open.
@@ -71,15 +107,29 @@
 const LEADER_RESERVE: usize = 2;
 
 impl PoolShare {
+    fn has_room(&self) -> bool {
+        self.open + self.opening < self.budget
+    }
+
+    fn opens_more(&self, now: Moment) -> bool {
+        self.opening < MAX_OPENING && self.blocked_until <= now
+    }
+
     fn may_open(&self, now: Moment) -> bool {
-        let room = self.open + self.opening < self.budget;
-        room && self.opening < MAX_OPENING && self.blocked_until <= now
+        self.has_room() && self.opens_more(now)
+    }
+
+    /// Whether a connection of another account may be closed for one of this. Who
+    /// has a connection waits for it instead: a statement takes about as long as a
+    /// new connection, which takes the slot of one.
+    fn may_replace(&self, now: Moment) -> bool {
+        self.replaceable > 0 && self.own == 0 && self.budget > 0 && self.opens_more(now)
     }
 
     /// Connections that are idle or could be opened.
     fn free(&self) -> usize {
         let unopened = self.budget.saturating_sub(self.open + self.opening);
-        self.idle + unopened
+        self.idle + self.replaceable + unopened
     }
 }
 
@@ -90,6 +140,8 @@
     Idle(TargetId),
     /// One can be opened to this server.
     Open(TargetId),
+    /// One can be opened to this server when one of another account is closed.
+    Replace(TargetId),
     /// It has to wait.
     Wait,
 }
@@ -157,8 +209,15 @@
     if let Some(id) = ids.iter().filter(allowed).find(|id| share_of(id).idle > 0) {
         return Choice::Idle(id.clone());
     }
-    match ids.iter().filter(allowed).find(|id| share_of(id).may_open(now)) {
-        Some(id) => Choice::Open(id.clone()),
+    if let Some(id) = ids.iter().filter(allowed).find(|id| share_of(id).may_open(now)) {
+        return Choice::Open(id.clone());
+    }
+    // Only who has no connection to any of them takes one from others.
+    if ids.iter().any(|id| share_of(id).own > 0) {
+        return Choice::Wait;
+    }
+    match ids.iter().filter(allowed).find(|id| share_of(id).may_replace(now)) {
+        Some(id) => Choice::Replace(id.clone()),
         None => Choice::Wait,
     }
 }
--- a/lib/src/protos/chervilwharf.engine.rs
+++ b/lib/src/protos/chervilwharf.engine.rs
@@ -7,7 +7,7 @@
     pub exchange_id: u64,
     #[prost(
         oneof = "engine_frame::Body",
-        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18"
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22"
     )]
     pub body: ::core::option::Option<engine_frame::Body>,
 }
@@ -49,6 +49,14 @@
         SignOfLifeReply(super::SignOfLife),
         #[prost(message, tag = "18")]
         DirectoryTaken(super::DirectoryTaken),
+        #[prost(message, tag = "19")]
+        KeeperVote(super::KeeperVote),
+        #[prost(message, tag = "20")]
+        KeeperVoteReply(super::KeeperVoteReply),
+        #[prost(message, tag = "21")]
+        QuotaQuestion(super::QuotaQuestion),
+        #[prost(message, tag = "22")]
+        QuotaReply(super::QuotaReply),
     }
 }
 /// Asks whether the other instance can be reached, and answers that.
@@ -245,6 +253,15 @@
     pub begin: i32,
     #[prost(bool, tag = "8")]
     pub in_transaction: bool,
+    /// The account that asks; empty for none.
+    #[prost(string, tag = "14")]
+    pub account: ::prost::alloc::string::String,
+    /// Digest of the key that it showed.
+    #[prost(bytes = "vec", tag = "15")]
+    pub key_digest: ::prost::alloc::vec::Vec<u8>,
+    /// Version of the configuration that the sender knows the account from.
+    #[prost(uint64, tag = "16")]
+    pub configuration_version: u64,
     #[prost(oneof = "statement::Work", tags = "9, 10, 11, 12, 13")]
     pub work: ::core::option::Option<statement::Work>,
 }
@@ -304,6 +321,57 @@
         Rollback(bool),
     }
 }
+/// Asks for the vote of the other instance: the sender wants to count the
+/// operations of the accounts of a shard.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct KeeperVote {
+    #[prost(uint32, tag = "1")]
+    pub shard: u32,
+    #[prost(string, tag = "2")]
+    pub instance: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "3")]
+    pub life: u64,
+    /// It does not any more.
+    #[prost(bool, tag = "4")]
+    pub released: bool,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct KeeperVoteReply {
+    #[prost(bool, tag = "1")]
+    pub granted: bool,
+    /// The voter may have voted for another instance in an earlier life.
+    #[prost(bool, tag = "2")]
+    pub fresh: bool,
+}
+/// Operations of an account are about to begin at the sender.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct QuotaQuestion {
+    #[prost(string, tag = "1")]
+    pub account: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "2")]
+    pub wanted: u32,
+    /// The limit that the sender knows, and the configuration that it stands in.
+    #[prost(double, tag = "3")]
+    pub rate_per_s: f64,
+    #[prost(double, tag = "4")]
+    pub burst: f64,
+    #[prost(uint64, tag = "5")]
+    pub configuration_version: u64,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct QuotaReply {
+    /// Whether the other instance counts the operations of the account.
+    #[prost(bool, tag = "1")]
+    pub keeps: bool,
+    /// Operations that may begin; 0 if the account is at its limit.
+    #[prost(uint32, tag = "2")]
+    pub granted: u32,
+    #[prost(uint64, tag = "3")]
+    pub retry_after_ms: u64,
+    /// Where it does not count them: the instance that does; empty if not known.
+    #[prost(string, tag = "4")]
+    pub keeper: ::prost::alloc::string::String,
+}
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct SessionValue {
     #[prost(string, tag = "1")]
@@ -408,6 +476,24 @@
     /// 0 for none.
     #[prost(uint64, tag = "4")]
     pub transaction_idle_ms: u64,
+    /// Whether clients have to show the key of an account.
+    #[prost(bool, tag = "5")]
+    pub has_accounts: bool,
+    #[prost(message, repeated, tag = "6")]
+    pub accounts: ::prost::alloc::vec::Vec<Account>,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Account {
+    #[prost(string, tag = "1")]
+    pub name: ::prost::alloc::string::String,
+    /// SHA-256 digests; keys themselves are not told.
+    #[prost(bytes = "vec", repeated, tag = "2")]
+    pub key_digests: ::prost::alloc::vec::Vec<::prost::alloc::vec::Vec<u8>>,
+    /// Absent if it is not limited.
+    #[prost(double, optional, tag = "3")]
+    pub rate_per_s: ::core::option::Option<f64>,
+    #[prost(double, tag = "4")]
+    pub burst: f64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Route {
@@ -425,6 +511,9 @@
     pub objective_ms: u64,
     #[prost(uint32, tag = "7")]
     pub priority: u32,
+    /// Clients need no key.
+    #[prost(bool, tag = "8")]
+    pub is_public: bool,
 }
 /// Nested message and enum types in `Route`.
 pub mod route {
--- a/lib/src/wait_queue.rs
+++ b/lib/src/wait_queue.rs
@@ -62,6 +62,12 @@
         self.waiting.remove(&place)
     }
 
+    /// The request at a place, if it still waits.
+    #[must_use]
+    pub fn get(&self, place: Place) -> Option<&T> {
+        self.waiting.get(&place)
+    }
+
     /// Requests in the order in which they should be served.
     pub fn iter(&self) -> impl Iterator<Item = (Place, &T)> {
         self.waiting.iter().map(|(place, item)| (*place, item))
--- a/lib/tests/test_peer_contact.rs
+++ b/lib/tests/test_peer_contact.rs
@@ -7,6 +7,7 @@
 
 use chervilwharf_lib::fleet::InstanceRecord;
 use chervilwharf_lib::holder_choice::Candidate;
+use chervilwharf_lib::holder_choice::Meeting;
 use chervilwharf_lib::holder_choice::choose;
 use chervilwharf_lib::holders::holders;
 use chervilwharf_lib::id::GroupId;
@@ -83,9 +84,12 @@
         candidate("able", Contact::Heard, false, false),
     ];
     for key in 0..5 {
-        assert_eq!(&*choose(&candidates, key).expect("one of three").record.id, "able");
+        assert_eq!(
+            &*choose(&candidates, &Meeting::Session(key)).expect("one of three").record.id,
+            "able"
+        );
     }
-    assert!(choose(&[], 0).is_none());
+    assert!(choose(&[], &Meeting::Session(0)).is_none());
 }
 
 /// Instances, groups and requests of the large deployment.
@@ -211,7 +215,7 @@
         let mut tried = Vec::new();
         while self.now < give_up_at {
             let candidates = self.candidates(way, holders, &tried);
-            let Some(chosen) = choose(&candidates, key) else {
+            let Some(chosen) = choose(&candidates, &Meeting::Session(key)) else {
                 return false;
             };
             let id = chosen.record.id.clone();
--- a/testing/testutils/src/experiments/log_line.rs
+++ b/testing/testutils/src/experiments/log_line.rs
@@ -16,6 +16,7 @@
 use chervilwharf_daemon::engine::event_log;
 use chervilwharf_daemon::engine::session::Session;
 use chervilwharf_daemon::engine::shared::Engine;
+use chervilwharf_lib::account::KeyDigest;
 use chervilwharf_lib::catalog::Catalog;
 use chervilwharf_lib::catalog::Consistency;
 use chervilwharf_lib::catalog::Route;
@@ -23,6 +24,7 @@
 use chervilwharf_lib::event::EventKind;
 use chervilwharf_lib::fleet::InstanceRecord;
 use chervilwharf_lib::group::ServerInfo;
+use chervilwharf_lib::id::AccountId;
 use chervilwharf_lib::id::GroupId;
 use chervilwharf_lib::statement::Statement;
 use tokio::net::TcpStream;
@@ -65,6 +67,7 @@
         &self,
         _: TcpStream,
         _: &GroupId,
+        _: Option<&AccountId>,
         _: &ServerInfo,
     ) -> Result<Box<dyn ServerConnection>, ConnectError> {
         Err(ConnectError::Unreachable("there is none".to_owned()))
@@ -88,11 +91,12 @@
         timeout: Duration::from_secs(1),
         objective: Duration::from_millis(200),
         priority: 1,
+        is_public: false,
     };
     let routes = HashMap::from([(route.database.clone(), Arc::new(route))]);
     engine.set_catalog(&Arc::new(Catalog { version: 1, routes, ..Catalog::default() }));
     engine.know_fleet();
-    let begun = Session::begin(engine, "ledger-a").await;
+    let begun = Session::begin(engine, "ledger-a", KeyDigest::of("key")).await;
     begun.unwrap_or_else(|failure| panic!("the name is there: {failure:?}"))
 }
 
