--- a/daemon/src/engine/quota_control.rs
+++ b/daemon/src/engine/quota_control.rs
@@ -32,6 +32,7 @@
 use chervilwharf_lib::quota::Allowance;
 use chervilwharf_lib::quota::QuotaAnswer;
 use chervilwharf_lib::quota::QuotaBook;
+use chervilwharf_lib::quota::QuotaGrant;
 use chervilwharf_lib::quota::ask_again_after;
 use futures::future::join_all;
 
@@ -41,7 +42,7 @@
 use crate::engine::shared::Engine;
 
 /// Time between two looks at the shards: a fraction of the stagger of candidates.
-const ROUND: Duration = Duration::from_millis(100);
+const ROUND: Duration = Duration::from_millis(50);
 
 /// Longest time for a keeper's answer: several round trips, and short against the
 /// objective of any request.
@@ -195,18 +196,17 @@
         let asking = voters.iter().map(|voter| self.ask_vote(number, voter));
         join_all(asking).await;
         let at = now();
-        let (gained, held, probation) = {
+        let (gained, held) = {
             let mut inner = self.quota().lock();
             let shard = inner.shard(number);
             let gained = shard.lease.check(at, &voters);
             if gained {
                 shard.book.begin_again();
             }
-            (gained, shard.lease.is_held(at), shard.lease.is_on_probation(at))
+            (gained, shard.lease.is_held(at))
         };
         if gained {
-            let event = Event::new(EventKind::KeeperGained).with("shard", number);
-            event_log::emit(&event.with("on_probation", probation));
+            event_log::emit(&Event::new(EventKind::KeeperGained).with("shard", number));
         }
         if !held {
             // Others must not wait for votes that were of no use.
@@ -299,8 +299,7 @@
             return QuotaReply { keeps: true, granted: question.wanted, ..QuotaReply::default() };
         };
         let shard = inner.shard(shard_number);
-        let on_probation = shard.lease.is_on_probation(at);
-        match shard.book.ask(at, &account, limit, question.wanted, on_probation) {
+        match shard.book.ask(at, &account, limit, question.wanted) {
             QuotaAnswer::Granted(granted) => {
                 QuotaReply { keeps: true, granted, ..QuotaReply::default() }
             }
@@ -312,12 +311,12 @@
     }
 
     /// What an account with this limit is let begin.
-    fn tolerated(&self, limit: QuotaLimit) -> QuotaLimit {
-        self.quota_tolerance().map_or(limit, |tolerance| tolerance.applied_to(limit))
+    fn tolerated(&self, limit: QuotaLimit) -> QuotaGrant {
+        self.quota_tolerance().map_or(limit.into(), |tolerance| tolerance.applied_to(limit))
     }
 
     /// The limit of an account by the newer one of two configurations.
-    fn newest_limit(&self, account: &AccountId, question: &QuotaQuestion) -> Option<QuotaLimit> {
+    fn newest_limit(&self, account: &AccountId, question: &QuotaQuestion) -> Option<QuotaGrant> {
         let catalog = self.catalog();
         if question.configuration_version > catalog.version {
             let (rate_per_s, burst) = (question.rate_per_s, question.burst);
@@ -331,7 +330,11 @@
     /// # Errors
     ///
     /// When the account is at its limit, or nobody can tell. Nothing has run.
-    pub async fn admit_operation(&self, account: &AccountId) -> Result<(), Failure> {
+    pub async fn admit_operation(
+        &self,
+        account: &AccountId,
+        patience: Duration,
+    ) -> Result<(), Failure> {
         let catalog = self.catalog();
         let Some(limit) = catalog.accounts.as_ref().and_then(|all| all.limit(account)) else {
             return Ok(());
@@ -352,7 +355,7 @@
         };
         let instances = self.with_fleet(|fleet| fleet.others().count() + 1);
         let asked_at = now();
-        let Some(reply) = self.ask_keeper(account, question).await else {
+        let Some(reply) = self.find_keeper(account, question, asked_at + patience).await else {
             let mut inner = self.quota().lock();
             let at = now();
             let instances = if self.is_fleet_listed() { instances } else { UNKNOWN_FLEET };
@@ -380,6 +383,27 @@
         }
     }
 
+    /// Asks the keeper of an account, again and again while there is none; `None` if
+    /// none answers until then.
+    ///
+    /// After all instances were killed the keepers are found some hundred
+    /// milliseconds later than the first clients come back, who would use up their
+    /// tries meanwhile.
+    async fn find_keeper(
+        &self,
+        account: &AccountId,
+        question: QuotaQuestion,
+        until: Moment,
+    ) -> Option<QuotaReply> {
+        loop {
+            let reply = self.ask_keeper(account, question.clone()).await;
+            if reply.is_some() || now() + KEEPER_PAUSE >= until {
+                return reply;
+            }
+            tokio::time::sleep(KEEPER_PAUSE).await;
+        }
+    }
+
     /// Asks the keeper of an account; `None` if none answers.
     async fn ask_keeper(&self, account: &AccountId, question: QuotaQuestion) -> Option<QuotaReply> {
         let shard = shard_of(account);
@@ -421,6 +445,9 @@
     }
 }
 
+/// Pause before a keeper is looked for again.
+const KEEPER_PAUSE: Duration = Duration::from_millis(40);
+
 /// Instances that are assumed where it is not known how many there are.
 const UNKNOWN_FLEET: usize = 64;
 
--- a/daemon/src/engine/session.rs
+++ b/daemon/src/engine/session.rs
@@ -110,6 +110,10 @@
 /// counts as unknown: a few rounds of heartbeats, or a read of a slow store.
 const CONFIRM_LIMIT: Duration = Duration::from_millis(400);
 
+/// How long an operation waits to be counted where nobody counts yet: a few rounds of
+/// votes after all instances were killed.
+const KEEPER_PATIENCE: Duration = Duration::from_millis(500);
+
 /// How long a new session waits for the first configuration and list of
 /// instances. An instance has both some 30 ms after its start; without them for
 /// longer the store is down, and another instance may know more.
@@ -515,7 +519,7 @@
         };
         self.check_caller(&route)?;
         let request = Self::request(id, route);
-        self.count_operation().await?;
+        self.count_operation(request.time_left(now()).min(KEEPER_PATIENCE)).await?;
         let single = self.transaction.is_none();
         let result = self.run_work(&request, &work, writes).await;
         if let (true, Err(failure)) = (single, &result) {
@@ -545,8 +549,9 @@
         }
     }
 
-    /// Counts an operation that begins with the present statement.
-    async fn count_operation(&mut self) -> Result<(), Failure> {
+    /// Counts an operation that begins with the present statement, and waits this long
+    /// for who counts it.
+    async fn count_operation(&mut self, patience: Duration) -> Result<(), Failure> {
         if let Some(transaction) = &mut self.transaction {
             if transaction.is_counted {
                 return Ok(());
@@ -555,7 +560,7 @@
         let Some(account) = self.caller.account.clone() else {
             return Ok(());
         };
-        let counted = self.engine.admit_operation(&account).await;
+        let counted = self.engine.admit_operation(&account, patience).await;
         if let Some(transaction) = &mut self.transaction {
             transaction.is_counted = counted.is_ok();
             if counted.is_err() {
--- a/daemon/src/engine/shard/assign.rs
+++ b/daemon/src/engine/shard/assign.rs
@@ -24,7 +24,7 @@
 /// How long a request whose account has no connection waits while those of others
 /// serve who waits for them, several one after the other. Closed for each account
 /// in turn, connections would serve one statement each.
-const SERVED_IN_TURN: Duration = Duration::from_millis(50);
+const SERVED_IN_TURN: Duration = Duration::from_millis(40);
 
 impl Inner {
     /// Takes the idle connections that are over the budget, to close them.
@@ -128,7 +128,12 @@
             Owner::Anybody => pool.share.open,
             Owner::Account(account) => pool.by_account.get(account).copied().unwrap_or(0),
         };
-        PoolShare { idle, replaceable, own, budget: self.budget, ..pool.share.clone() }
+        // Accounts need new connections all the time, and each takes a slot like a
+        // statement: uncounted, all holders together opened more than a busy server
+        // has slots, and served nothing.
+        let taking_slots = owner.account().map_or(0, |_| pool.share.opening);
+        let budget = self.budget;
+        PoolShare { idle, replaceable, own, taking_slots, budget, ..pool.share.clone() }
     }
 
     /// Index of the idle connection to a server that is least likely to be wanted
--- a/daemon/src/engine/shared.rs
+++ b/daemon/src/engine/shared.rs
@@ -14,6 +14,7 @@
 use chervilwharf_lib::catalog::Catalog;
 use chervilwharf_lib::catalog::Route;
 use chervilwharf_lib::connection_budget::budget;
+use chervilwharf_lib::connection_budget::kept_for_accounts;
 use chervilwharf_lib::engine_protos::DirectoryTaken;
 use chervilwharf_lib::engine_protos::PrimaryNewsTaken;
 use chervilwharf_lib::engine_protos::SignOfLife;
@@ -329,7 +330,11 @@
             let holders: Vec<_> =
                 self.co_holders(group).into_iter().map(|record| record.id).collect();
             let others = self.with_fleet(|fleet| fleet.demands(group, &holders));
-            shard.set_budget(budget(settings.max_connections, shard.demand(at), &others));
+            let connections = match catalog.accounts {
+                Some(_) => kept_for_accounts(settings.max_connections),
+                None => settings.max_connections,
+            };
+            shard.set_budget(budget(connections, shard.demand(at), &others));
         }
     }
 
--- a/lib/src/connection_budget.rs
+++ b/lib/src/connection_budget.rs
@@ -33,6 +33,21 @@
     1 + whole_share(divided, own / (own + others))
 }
 
+/// Part of a server's connections that are kept open where they belong to accounts.
+const KEPT_PART: f64 = 0.75;
+
+/// Connections of a server that all instances together keep where they belong to
+/// accounts.
+///
+/// Shared ones are open when they are needed at once; those of accounts are kept
+/// until another account needs one, so that all are open all the time. A server
+/// drops those of instances that lost power seconds later, and until then would take
+/// none of their next lives.
+#[must_use]
+pub fn kept_for_accounts(max_connections: usize) -> usize {
+    whole_share(max_connections, KEPT_PART)
+}
+
 #[allow(
     clippy::cast_possible_truncation,
     clippy::cast_precision_loss,
--- a/lib/src/keeper_lease.rs
+++ b/lib/src/keeper_lease.rs
@@ -140,13 +140,24 @@
     }
 }
 
+/// A vote for a keeper.
+#[derive(Clone, Copy, Debug)]
+struct Grant {
+    asked_at: Moment,
+    fresh: bool,
+}
+
+impl Grant {
+    fn ends_at(&self) -> Moment {
+        self.asked_at + LEASE - LEASE_MARGIN
+    }
+}
+
 /// A shard at an instance that keeps it, or tries to.
 #[derive(Clone, Debug, Default)]
 pub struct KeeperLease {
-    /// When the voters that granted were asked.
-    granted: HashMap<InstanceId, Moment>,
-    /// An earlier keeper may be at work until then.
-    probation_until: Moment,
+    /// When the voters that granted were asked, and whether they were fresh.
+    granted: HashMap<InstanceId, Grant>,
     /// Until when it was held when last looked at.
     held_until: Moment,
 }
@@ -156,11 +167,7 @@
     pub fn answered(&mut self, asked_at: Moment, voter: &InstanceId, vote: &Vote) {
         match vote {
             Vote::Granted { fresh } => {
-                self.granted.insert(voter.clone(), asked_at);
-                let doubtful = *fresh && !self.is_held(asked_at);
-                if doubtful {
-                    self.probation_until = self.probation_until.max(asked_at + LEASE);
-                }
+                self.granted.insert(voter.clone(), Grant { asked_at, fresh: *fresh });
             }
             Vote::Refused => {
                 self.granted.remove(voter);
@@ -171,17 +178,20 @@
     /// Looks whether more than half of the voters grant it. Returns whether it
     /// was gained now, after it was not held.
     pub fn check(&mut self, now: Moment, voters: &[InstanceRecord]) -> bool {
-        let until = |voter: &InstanceRecord| {
-            let asked_at = self.granted.get(&voter.id)?;
-            Some(*asked_at + LEASE - LEASE_MARGIN)
-        };
-        let mut ends: Vec<_> = voters.iter().filter_map(until).collect();
-        ends.sort_unstable_by(|a, b| b.cmp(a));
         let held_before = self.is_held(now);
+        let grants = voters.iter().filter_map(|voter| self.granted.get(&voter.id));
+        let lasting: Vec<_> = grants.filter(|grant| grant.ends_at() > now).collect();
+        // A fresh voter may have voted for another one in an earlier life. That one
+        // is a voter as well, and refuses while it is at work.
+        let doubtful = lasting.iter().any(|grant| grant.fresh) && lasting.len() < voters.len();
+        if doubtful && !held_before {
+            return false;
+        }
+        let mut ends: Vec<_> = lasting.iter().map(|grant| grant.ends_at()).collect();
+        ends.sort_unstable_by(|a, b| b.cmp(a));
         // The majority lasts until the first of its votes ends.
-        let end = ends.get(voters.len() / 2).copied().unwrap_or(Moment::ZERO);
-        self.held_until = end;
-        end > now && !held_before
+        self.held_until = ends.get(voters.len() / 2).copied().unwrap_or(Moment::ZERO);
+        self.is_held(now) && !held_before
     }
 
     /// Whether it is held.
@@ -190,12 +200,6 @@
         self.held_until > now
     }
 
-    /// Whether an earlier keeper may still be at work.
-    #[must_use]
-    pub fn is_on_probation(&self, now: Moment) -> bool {
-        self.probation_until > now
-    }
-
     /// Whether any voter granted it.
     #[must_use]
     pub fn has_votes(&self) -> bool {
--- a/lib/src/pool_share.rs
+++ b/lib/src/pool_share.rs
@@ -90,6 +90,8 @@
     pub own: usize,
     /// Being opened.
     pub opening: usize,
+    /// Slots of the server that connections being opened may take.
+    pub taking_slots: usize,
     /// Most that may be open.
     pub budget: usize,
     /// No connection is opened before this time.
@@ -204,7 +206,8 @@
 ) -> Choice {
     let allowed = |id: &&TargetId| {
         let running = group.server(id).map_or(0, |view| view.running);
-        share_of(id).limit.allows(running)
+        let share = share_of(id);
+        share.limit.allows(running + share.taking_slots)
     };
     if let Some(id) = ids.iter().filter(allowed).find(|id| share_of(id).idle > 0) {
         return Choice::Idle(id.clone());
--- a/lib/src/quota.rs
+++ b/lib/src/quota.rs
@@ -30,24 +30,54 @@
 const GIVEN_PART: f64 = 0.94;
 
 /// Burst that is given out: part of the account's own, and operations beside it.
-/// What a window may hold beyond it comes evenly, so that a keeper that begins
-/// with nothing never adds to the burst of the one before it.
 const BURST_PART: f64 = 0.25;
 const BURST_TOKENS: f64 = 6.0;
 
+/// What a new keeper lets begin at once: part of the account's burst, and operations
+/// beside it.
+///
+/// It does not know what the one before it let begin: a full burst at each change
+/// of keeper would give an account its burst twice in one window. So the first is
+/// set aside from what a window may hold. With nothing at all those who come back
+/// together, after all instances were killed, would be refused.
+const FIRST_PART: f64 = 0.5;
+const FIRST_TOKENS: f64 = 3.0;
+
+/// What a new keeper of an account with this burst lets begin at once.
+fn first_tokens(burst: f64) -> f64 {
+    (burst * FIRST_PART + FIRST_TOKENS).min(burst)
+}
+
+/// What an account may begin, as its keeper counts it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct QuotaGrant {
+    /// Operations a second, and at once.
+    pub limit: QuotaLimit,
+    /// Operations at once where the keeper is new.
+    pub first: f64,
+}
+
+impl From<QuotaLimit> for QuotaGrant {
+    fn from(limit: QuotaLimit) -> Self {
+        Self { limit, first: first_tokens(limit.burst) }
+    }
+}
+
 impl QuotaTolerance {
     /// The rate and burst that keep an account within the tolerance.
     #[must_use]
-    pub fn applied_to(self, limit: QuotaLimit) -> QuotaLimit {
+    pub fn applied_to(self, limit: QuotaLimit) -> QuotaGrant {
         let window_s = self.window.as_secs_f64();
         if window_s <= 0.0 || limit.rate_per_s <= 0.0 {
-            return limit;
+            return limit.into();
         }
+        let first = first_tokens(limit.burst);
         let allowed =
             (limit.rate_per_s * window_s + limit.burst) * (1.0 + self.excess) + self.slack;
-        let burst = (limit.burst * BURST_PART + BURST_TOKENS).min(limit.burst.max(1.0));
-        let rate_per_s = (allowed * GIVEN_PART - burst) / window_s;
-        QuotaLimit { rate_per_s: rate_per_s.max(0.0), burst }
+        let burst = (limit.burst * BURST_PART + BURST_TOKENS).min(limit.burst.max(1.0)).max(first);
+        let rate_per_s = (allowed * GIVEN_PART - burst - first) / window_s;
+        let limit = QuotaLimit { rate_per_s: rate_per_s.max(0.0), burst };
+        QuotaGrant { limit, first }
     }
 }
 
@@ -91,17 +121,6 @@
     }
 }
 
-/// Operations of an account that a new keeper lets begin at once.
-///
-/// It does not know what the one before it let begin: a full burst at each change
-/// of keeper would give an account its burst twice in one window. With nothing at
-/// all the first operations would be refused.
-const FIRST_TOKENS: f64 = 2.0;
-
-/// Part of the rate that a keeper gives out while an earlier one may still be at
-/// work.
-const PROBATION_PART: f64 = 0.6;
-
 /// Longest time to come back that is told to an account beyond its limit.
 const LONGEST_RETURN: Duration = Duration::from_secs(2);
 
@@ -146,11 +165,10 @@
         &mut self,
         now: Moment,
         id: &AccountId,
-        limit: QuotaLimit,
+        grant: QuotaGrant,
         wanted: u32,
-        on_probation: bool,
     ) -> QuotaAnswer {
-        let first = FIRST_TOKENS.min(limit.burst);
+        let QuotaGrant { limit, first } = grant;
         let counted = self.counts.entry(id.clone()).or_insert_with(|| Counted {
             bucket: TokenBucket::new(now, first),
             refused: 0.0,
@@ -160,16 +178,14 @@
         if std::mem::take(&mut counted.begins_again) {
             counted.bucket = TokenBucket::new(now, counted.bucket.tokens().min(first));
         }
-        let part = if on_probation { PROBATION_PART } else { 1.0 };
-        let refill = QuotaLimit { rate_per_s: limit.rate_per_s * part, ..limit };
-        counted.bucket.refill(now, refill);
+        counted.bucket.refill(now, limit);
         let granted = counted.bucket.take(wanted.max(1));
         if granted > 0 {
             return QuotaAnswer::Granted(granted);
         }
         counted.note_refusal(now);
         let missing = (1.0 - counted.bucket.tokens()) + (counted.refused - 1.0);
-        let retry_after = Duration::try_from_secs_f64(missing / refill.rate_per_s.max(1e-9));
+        let retry_after = Duration::try_from_secs_f64(missing / limit.rate_per_s.max(1e-9));
         let retry_after = retry_after.unwrap_or(LONGEST_RETURN).min(LONGEST_RETURN);
         QuotaAnswer::Exhausted { retry_after }
     }
