--- a/lib/src/connection_budget.rs
+++ b/lib/src/connection_budget.rs
@@ -34,7 +34,7 @@
 }
 
 /// Part of a server's connections that are kept open where they belong to accounts.
-const KEPT_PART: f64 = 0.75;
+const KEPT_PART: f64 = 0.6;
 
 /// Connections of a server that all instances together keep where they belong to
 /// accounts.
--- a/lib/src/quota.rs
+++ b/lib/src/quota.rs
@@ -27,10 +27,10 @@
 /// Part of what a window may hold that is given out. The rest is for operations
 /// that begin later than they were counted, and for those that instances without a
 /// keeper let begin.
-const GIVEN_PART: f64 = 0.94;
+const GIVEN_PART: f64 = 0.96;
 
 /// Burst that is given out: part of the account's own, and operations beside it.
-const BURST_PART: f64 = 0.25;
+const BURST_PART: f64 = 0.1;
 const BURST_TOKENS: f64 = 6.0;
 
 /// What a new keeper lets begin at once: part of the account's burst, and operations
@@ -40,7 +40,7 @@
 /// of keeper would give an account its burst twice in one window. So the first is
 /// set aside from what a window may hold. With nothing at all those who come back
 /// together, after all instances were killed, would be refused.
-const FIRST_PART: f64 = 0.5;
+const FIRST_PART: f64 = 0.1;
 const FIRST_TOKENS: f64 = 3.0;
 
 /// What a new keeper of an account with this burst lets begin at once.
