accounts: tests of keys, quotas and connections; connections kept by demand

Cause: with 0.6 of the connections kept a group whose primary serves alone spent its slots on new connections (0.42 a request), with all of them kept a power loss left no room at the servers. Half are kept while nothing waits, all where requests do. Ruled out: 4 holders, homes in the own failure domain, 0.5 and 0.75 kept always.

--- a/daemon/src/engine/shared.rs
+++ b/daemon/src/engine/shared.rs
@@ -330,11 +330,12 @@
             let holders: Vec<_> =
                 self.co_holders(group).into_iter().map(|record| record.id).collect();
             let others = self.with_fleet(|fleet| fleet.demands(group, &holders));
-            let connections = match catalog.accounts {
-                Some(_) => kept_for_accounts(settings.max_connections),
-                None => settings.max_connections,
-            };
-            shard.set_budget(budget(connections, shard.demand(at), &others));
+            let own = shard.demand(at);
+            let granted = budget(settings.max_connections, own, &others);
+            shard.set_budget(match catalog.accounts {
+                Some(_) => kept_for_accounts(granted, own),
+                None => granted,
+            });
         }
     }
 
--- a/daemon/tests/test_holding_ends.rs
+++ b/daemon/tests/test_holding_ends.rs
@@ -35,7 +35,7 @@
         .expect("the route is there");
     session.run("b".into(), Statement::Begin { read_only: false }).await.result.expect("begun");
     let read = Statement::Read { item: "1".into() };
-    world.shared.expect("r", session.values());
+    world.shared.expect("r", None, session.values());
     session.run("r".into(), read).await.result.expect("it is served");
     engine.take_instances(others());
     engine.share_connections();
--- a/daemon/tests/test_session_values.rs
+++ b/daemon/tests/test_session_values.rs
@@ -12,6 +12,7 @@
 use chervilwharf_daemon::engine::guest::GuestSession;
 use chervilwharf_daemon::engine::peers::Guest;
 use chervilwharf_daemon::engine::records;
+use chervilwharf_daemon::engine::session::Reply;
 use chervilwharf_daemon::engine::session::Session;
 use chervilwharf_lib::account::KeyDigest;
 use chervilwharf_lib::engine_protos;
@@ -19,8 +20,11 @@
 use chervilwharf_lib::engine_protos::SessionValue;
 use chervilwharf_lib::engine_protos::statement::Begin;
 use chervilwharf_lib::engine_protos::statement::Work;
+use chervilwharf_lib::error_kind::ErrorKind;
+use chervilwharf_lib::id::AccountId;
 use chervilwharf_lib::layout::SessionValues;
 use chervilwharf_lib::statement::Statement;
+use chervilwharf_lib::statement::TransactionState;
 use futures::poll;
 use rand::Rng;
 use rand::SeedableRng;
@@ -30,8 +34,8 @@
 use values_world::route;
 
 /// A session on the route, with one value.
-async fn session(world: &ValuesWorld, value: &str) -> (Session, SessionValues) {
-    let mut session = Session::begin(world.engine.clone(), "app", KeyDigest::of("key"))
+async fn session(world: &ValuesWorld, key: &str, value: &str) -> (Session, SessionValues) {
+    let mut session = Session::begin(world.engine.clone(), "app", KeyDigest::of(key))
         .await
         .expect("the route is there");
     let set = Statement::Set { name: "zone".into(), value: value.into() };
@@ -55,10 +59,10 @@
 /// session although the statements that do so had not been sent.
 async fn test_connection_given_back_unused(statement: Statement) {
     let mut world = ValuesWorld::new(1, true).await;
-    let (mut first, first_values) = session(&world, "first").await;
-    let (mut second, second_values) = session(&world, "second").await;
-    world.shared.expect("a", &first_values);
-    world.shared.expect("b", &second_values);
+    let (mut first, first_values) = session(&world, "key", "first").await;
+    let (mut second, second_values) = session(&world, "key", "second").await;
+    world.shared.expect("a", None, &first_values);
+    world.shared.expect("b", None, &second_values);
     {
         let mut running = Box::pin(first.run("a".into(), read()));
         let mut waiting = Box::pin(second.run("b".into(), statement));
@@ -101,45 +105,52 @@
     test_connection_given_back_unused(write()).await;
 }
 
+/// Accounts, each with a key of its own name.
+const ACCOUNTS: [&str; 3] = ["a", "b", "c"];
+
 type Running = Pin<Box<dyn Future<Output = Client>>>;
 
 /// A client that is connected here, or at another instance that sends its
 /// statements on.
 enum Client {
-    Here(Session, SessionValues),
-    There(GuestSession, SessionValues),
+    Here(Session, Option<AccountId>, SessionValues),
+    There(GuestSession, Option<AccountId>, SessionValues),
 }
 
 impl Client {
     async fn new(world: &ValuesWorld, rng: &mut StdRng) -> Self {
         let values: SessionValues =
             BTreeMap::from([("zone".into(), rng.random_range(0..3).to_string().into())]);
+        let has_accounts = world.engine.catalog().accounts.is_some();
+        let account = ACCOUNTS[rng.random_range(0..ACCOUNTS.len())];
+        let key = account;
+        let account = has_accounts.then(|| account.into());
         if rng.random_bool(0.5) {
-            return Self::There(GuestSession::new(world.engine.clone()), values);
+            return Self::There(GuestSession::new(world.engine.clone()), account, values);
         }
-        let (session, values) = session(world, &values["zone"]).await;
-        Self::Here(session, values)
+        let (session, values) = session(world, key, &values["zone"]).await;
+        Self::Here(session, account, values)
     }
 
     /// A statement, or a transaction of two.
     async fn operate(self, shared: Arc<values_world::Shared>, key: u64, kind: u32) -> Self {
         match self {
-            Self::Here(mut session, mut values) => {
+            Self::Here(mut session, account, mut values) => {
                 if kind == 4 {
                     values.insert("unit".into(), key.to_string().into());
                     let set = Statement::Set { name: "unit".into(), value: values["unit"].clone() };
                     session.run("set".into(), set).await.result.expect("a value of the session");
                 }
                 let id = format!("{key}");
-                shared.expect(&id, &values);
+                shared.expect(&id, account.as_ref(), &values);
                 operate_here(&mut session, &id, kind).await;
-                Self::Here(session, values)
+                Self::Here(session, account, values)
             }
-            Self::There(mut guest, values) => {
+            Self::There(mut guest, account, values) => {
                 let id = format!("{key}");
-                shared.expect(&id, &values);
-                operate_there(&mut guest, &id, kind, &values).await;
-                Self::There(guest, values)
+                shared.expect(&id, account.as_ref(), &values);
+                operate_there(&mut guest, &id, kind, account.as_ref(), &values).await;
+                Self::There(guest, account, values)
             }
         }
     }
@@ -158,7 +169,13 @@
     }
 }
 
-async fn operate_there(guest: &mut GuestSession, id: &str, kind: u32, values: &SessionValues) {
+async fn operate_there(
+    guest: &mut GuestSession,
+    id: &str,
+    kind: u32,
+    account: Option<&AccountId>,
+    values: &SessionValues,
+) {
     let execution = Execution { writes: false, shape: "q1".to_owned(), arguments: "1".to_owned() };
     let work = match kind {
         1 => Work::Write("1 x".to_owned()),
@@ -176,6 +193,9 @@
         values: values.collect(),
         begin: begin.into(),
         work: Some(work),
+        account: account.map(ToString::to_string).unwrap_or_default(),
+        key_digest: KeyDigest::of(account.map_or("", |account| account)).as_bytes().to_vec(),
+        configuration_version: 2,
         ..engine_protos::Statement::default()
     };
     let reply = guest.run(statement.clone()).await;
@@ -193,9 +213,12 @@
 /// Runs clients against each other in an order drawn from `seed`: exchanges
 /// that are lost or refused, clients that leave at any moment, a right to use
 /// the primary that ends at any moment.
-async fn explore(seed: u64) -> (usize, Vec<String>) {
+async fn explore(seed: u64, has_accounts: bool) -> (usize, Vec<String>) {
     let mut rng = StdRng::seed_from_u64(seed);
     let mut world = ValuesWorld::new(2, true).await;
+    if has_accounts {
+        world.set_accounts(&ACCOUNTS);
+    }
     let mut clients = Vec::new();
     for _ in 0..5 {
         clients.push(Client::new(&world, &mut rng).await);
@@ -249,12 +272,83 @@
 
 #[tokio::test]
 async fn test_statements_run_with_their_own_values_in_any_order() {
+    test_any_order(false).await;
+}
+
+/// Three accounts share two connections, so that one of another account is closed
+/// time and again.
+#[tokio::test]
+async fn test_statements_run_in_the_name_of_their_own_account_in_any_order() {
+    test_any_order(true).await;
+}
+
+async fn test_any_order(has_accounts: bool) {
     let mut ran = 0;
-    for seed in 0..60 {
-        let (ran_now, violations) = explore(seed).await;
+    // Where connections are opened anew for other accounts less runs on each seed.
+    let seeds = if has_accounts { 90 } else { 60 };
+    for seed in 0..seeds {
+        let (ran_now, violations) = explore(seed, has_accounts).await;
         assert!(violations.is_empty(), "seed {seed}: {violations:?}");
         ran += ran_now;
     }
     // An exploration in which hardly anything runs would show nothing.
     assert!(ran > 1_000, "only {ran} statements ran");
 }
+
+/// Symptom: requests were run for a client whose key had been taken away.
+/// Sequence: a session stands open; a configuration without the key comes into
+/// force; the session goes on. Cause: the key was looked at only at its start.
+#[tokio::test]
+async fn test_key_taken_away_ends_the_service_of_open_sessions() {
+    let world = ValuesWorld::new(2, false).await;
+    world.set_accounts(&ACCOUNTS);
+    let (mut single, _) = session(&world, "a", "1").await;
+    let (mut open, values) = session(&world, "a", "1").await;
+    let (mut other, other_values) = session(&world, "b", "1").await;
+    world.shared.expect("t", Some(&"a".into()), &values);
+    world.shared.expect("o", Some(&"b".into()), &other_values);
+    open.run("begin".into(), Statement::Begin { read_only: false }).await.result.expect("begun");
+    open.run("t".into(), read()).await.result.expect("it runs");
+    world.set_accounts(&["b"]);
+    let kind = |reply: Reply| reply.result.err().map(|failure| failure.kind);
+    assert_eq!(kind(single.run("s".into(), read()).await), Some(ErrorKind::UnknownKey));
+    assert_eq!(kind(open.run("u".into(), read()).await), Some(ErrorKind::UnknownKey));
+    assert_eq!(open.state(), TransactionState::Failed);
+    other.run("o".into(), read()).await.result.expect("the key is still there");
+    let begun = Session::begin(world.engine.clone(), "app", KeyDigest::of("a")).await;
+    assert_eq!(begun.err().map(|failure| failure.kind), Some(ErrorKind::UnknownKey));
+    let (ran, violations) =
+        world.shared.with_ledger(|ledger| (ledger.ran, std::mem::take(&mut ledger.violations)));
+    assert_eq!((ran, violations), (2, Vec::new()));
+}
+
+/// Symptom: as above, on a client of an instance that had not heard of the change.
+/// Sequence: the instance that holds the connections has the newer configuration.
+/// Cause: it took the other instance's word for the account.
+#[tokio::test]
+async fn test_holder_with_a_newer_configuration_decides_on_keys() {
+    let world = ValuesWorld::new(2, false).await;
+    world.set_accounts(&ACCOUNTS);
+    world.set_accounts(&["b"]);
+    let statement = |name: &str, configuration_version| engine_protos::Statement {
+        id: name.to_owned(),
+        route: Some(records::encode_route(&route())),
+        time_left_ms: 500,
+        work: Some(Work::Read("1".to_owned())),
+        account: name.to_owned(),
+        key_digest: KeyDigest::of(name).as_bytes().to_vec(),
+        configuration_version,
+        ..engine_protos::Statement::default()
+    };
+    for name in ["a", "b", "c"] {
+        world.shared.expect(name, Some(&name.into()), &SessionValues::new());
+    }
+    let mut guest = GuestSession::new(world.engine.clone());
+    let reply = guest.run(statement("a", 2)).await;
+    assert_eq!(reply.error, ErrorKind::UnknownKey.name());
+    assert_eq!(guest.run(statement("b", 2)).await.error, "");
+    // A sender with a newer configuration knows accounts that are new.
+    assert_eq!(guest.run(statement("c", 9)).await.error, "");
+    let violations = world.shared.with_ledger(|ledger| ledger.violations.clone());
+    assert!(violations.is_empty(), "{violations:?}");
+}
--- a/daemon/tests/values_world/mod.rs
+++ b/daemon/tests/values_world/mod.rs
@@ -19,6 +19,9 @@
 use chervilwharf_daemon::engine::border::Step;
 use chervilwharf_daemon::engine::border::StepReply;
 use chervilwharf_daemon::engine::shared::Engine;
+use chervilwharf_lib::account::Account;
+use chervilwharf_lib::account::Accounts;
+use chervilwharf_lib::account::KeyDigest;
 use chervilwharf_lib::catalog::Catalog;
 use chervilwharf_lib::catalog::Consistency;
 use chervilwharf_lib::catalog::GroupSettings;
@@ -62,11 +65,20 @@
     LostBefore,
 }
 
+/// How a statement has to run.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Expected {
+    /// In whose name.
+    pub account: Option<AccountId>,
+    /// With which values.
+    pub values: SessionValues,
+}
+
 /// What the checker knows.
 #[derive(Default)]
 pub struct Ledger {
-    /// Values that each statement has to run with.
-    expected: HashMap<Arc<str>, SessionValues>,
+    /// How each statement has to run.
+    expected: HashMap<Arc<str>, Expected>,
     /// How the next exchanges go; answered when there is none.
     script: Vec<Exchange>,
     /// Statements that ran with other values.
@@ -97,9 +109,10 @@
         }
     }
 
-    /// A client is about to run a statement with these values.
-    pub fn expect(&self, id: &str, values: &SessionValues) {
-        self.with_ledger(|ledger| ledger.expected.insert(id.into(), values.clone()));
+    /// A client is about to run a statement like this.
+    pub fn expect(&self, id: &str, account: Option<&AccountId>, values: &SessionValues) {
+        let expected = Expected { account: account.cloned(), values: values.clone() };
+        self.with_ledger(|ledger| ledger.expected.insert(id.into(), expected));
     }
 
     /// The exchange after those already set goes like this.
@@ -116,12 +129,13 @@
         &self,
         stream: TcpStream,
         _group: &GroupId,
-        _account: Option<&AccountId>,
+        account: Option<&AccountId>,
         _server: &ServerInfo,
     ) -> Result<Box<dyn ServerConnection>, ConnectError> {
         Ok(Box::new(ValuesConnection {
             _stream: stream,
             shared: self.0.clone(),
+            account: account.cloned(),
             values: BTreeMap::new(),
             prepared: HashSet::new(),
             state: TransactionState::Idle,
@@ -132,6 +146,7 @@
 struct ValuesConnection {
     _stream: TcpStream,
     shared: Arc<Shared>,
+    account: Option<AccountId>,
     values: SessionValues,
     prepared: HashSet<Arc<str>>,
     state: TransactionState,
@@ -144,8 +159,9 @@
         self.shared.with_ledger(|ledger| {
             ledger.ran += 1;
             let expected = ledger.expected.get(id);
-            if expected != Some(&self.values) {
-                let (expected, found) = (format!("{expected:?}"), format!("{:?}", self.values));
+            let found = Expected { account: self.account.clone(), values: self.values.clone() };
+            if expected != Some(&found) {
+                let (expected, found) = (format!("{expected:?}"), format!("{found:?}"));
                 ledger.violations.push(format!("{id}: {found} in place of {expected}"));
             }
             if unprepared {
@@ -276,6 +292,18 @@
         world
     }
 
+    /// From now on clients show the keys of these accounts, each named like its key.
+    pub fn set_accounts(&self, names: &[&str]) {
+        let mut catalog = (*self.engine.catalog()).clone();
+        catalog.version += 1;
+        let account = |name: &&str| Account { keys: vec![KeyDigest::of(name)], limit: None };
+        let accounts = names.iter().fold(Accounts::default(), |accounts, name| {
+            accounts.with_account((*name).into(), account(name))
+        });
+        catalog.accounts = Some(accounts);
+        assert!(self.engine.set_catalog(&Arc::new(catalog)));
+    }
+
     /// The server leads in the next term, and may be used.
     pub fn lead_again(&mut self) {
         self.term += 1;
--- a/lib/src/connection_budget.rs
+++ b/lib/src/connection_budget.rs
@@ -33,21 +33,33 @@
     1 + whole_share(divided, own / (own + others))
 }
 
-/// Part of a server's connections that are kept open where they belong to accounts.
-const KEPT_PART: f64 = 0.6;
+/// Part of its budget that an instance keeps open where connections belong to
+/// accounts, whatever it needs at once.
+const KEPT_PART: f64 = 0.5;
 
-/// Connections of a server that all instances together keep where they belong to
-/// accounts.
+/// Connections to a server that an instance may hold where they belong to accounts,
+/// of those that `budget` grants it.
 ///
 /// Shared ones are open when they are needed at once; those of accounts are kept
-/// until another account needs one, so that all are open all the time. A server
+/// until another account needs one, so that all would be open all the time. A server
 /// drops those of instances that lost power seconds later, and until then would take
-/// none of their next lives.
+/// none of their next lives. Where requests wait, each connection that is closed for
+/// another account costs a slot that they wait for: there all are kept.
 #[must_use]
-pub fn kept_for_accounts(max_connections: usize) -> usize {
-    whole_share(max_connections, KEPT_PART)
+pub fn kept_for_accounts(budget: usize, own_demand: f64) -> usize {
+    let wanted = own_demand.ceil().clamp(0.0, MOST_WANTED);
+    #[allow(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "not negative, and small"
+    )]
+    let wanted = wanted as usize + 1;
+    wanted.max(whole_share(budget, KEPT_PART)).clamp(budget.min(1), budget)
 }
 
+/// A demand beyond any budget.
+const MOST_WANTED: f64 = 1e6;
+
 #[allow(
     clippy::cast_possible_truncation,
     clippy::cast_precision_loss,
--- a/lib/src/keeper_lease.rs
+++ b/lib/src/keeper_lease.rs
@@ -27,8 +27,9 @@
 /// longer, and accounts wait longer when their keeper dies.
 pub const LEASE: Duration = Duration::from_millis(1_200);
 
-/// Part of the lease that the keeper does not use, for clocks of unlike speed.
-const LEASE_MARGIN: Duration = Duration::from_millis(100);
+/// How much of it a keeper uses, counted from when it asked. The rest is for clocks of
+/// unlike speed.
+const USED_LEASE: Duration = Duration::from_millis(1_100);
 
 /// Time between two rounds of questions of a keeper to the voters.
 pub const RENEWAL: Duration = Duration::from_millis(300);
@@ -149,7 +150,7 @@
 
 impl Grant {
     fn ends_at(&self) -> Moment {
-        self.asked_at + LEASE - LEASE_MARGIN
+        self.asked_at + USED_LEASE
     }
 }
 
--- a/lib/src/loss.rs
+++ b/lib/src/loss.rs
@@ -190,6 +190,12 @@
 
 /// The cause behind the reason of a request's end.
 fn cause_of(line: &LogLine, causes: &Causes<'_>) -> String {
+    match line.text("reason").unwrap_or_default() {
+        "rate_limited" => return "the account was at its limit".to_owned(),
+        "unknown_key" => return "no account holds the key any more".to_owned(),
+        "quota_unknown" => return "nobody counted the account's operations".to_owned(),
+        _ => {}
+    }
     let at_ms = line.at_ms;
     let (group, instance) = (line.text("group").unwrap_or_default(), &*line.instance);
     // Where it went last: a server, or the instance that holds the connections.
--- a/lib/src/story.rs
+++ b/lib/src/story.rs
@@ -223,6 +223,19 @@
         ("request_refused", "unknown_database") => {
             "no configuration in force has its database name".to_owned()
         }
+        ("request_refused", "unknown_key") => {
+            let account = last.text("account").unwrap_or("none");
+            format!("its key is taken away: account {account} does not hold it any more")
+        }
+        ("request_refused", "rate_limited") => {
+            let account = last.text("account").unwrap_or("none");
+            let text = last.text("text").unwrap_or_default();
+            format!("account {account} was at its limit: {text}")
+        }
+        ("request_refused", "quota_unknown") => {
+            let account = last.text("account").unwrap_or("none");
+            format!("no instance that counts the operations of account {account} answered{around}")
+        }
         ("request_refused", "cut_off") if event("primary_out_of_reach").is_some() => {
             "the primary is beyond a partition, and this side has too few votes to replace it"
                 .to_owned()
--- a/lib/tests/test_loss.rs
+++ b/lib/tests/test_loss.rs
@@ -89,3 +89,20 @@
         in_rows == times.len() && in_windows == times.len()
     }
 }
+
+#[test]
+fn test_refusals_of_accounts_are_not_put_down_to_what_happened_beside_them() {
+    let stood_still = Event::new(EventKind::StoodStill);
+    let mut log = vec![line(10_000, "a", &stood_still)];
+    for reason in ["rate_limited", "unknown_key", "quota_unknown"] {
+        log.push(line(10_100, "a", &ended(EventKind::RequestRefused, "db", reason, 1)));
+    }
+    let report = loss::report(&log);
+    let cause = |reason: &str| {
+        let row = report.rows.iter().find(|row| &*row.reason == reason).expect("a row");
+        row.cause.clone()
+    };
+    assert_eq!(cause("rate_limited"), "the account was at its limit");
+    assert_eq!(cause("unknown_key"), "no account holds the key any more");
+    assert_eq!(cause("quota_unknown"), "nobody counted the account's operations");
+}
--- a/lib/tests/test_peer_contact.rs
+++ b/lib/tests/test_peer_contact.rs
@@ -303,3 +303,45 @@
         assert!(by_statement.late > by_signs.late * 5, "seed {seed}: {by_statement:?}");
     }
 }
+
+/// Symptom: each account needed a connection at each of eight holders, and servers
+/// spent their slots on new connections. Cause: sessions of an account went to
+/// whichever holder was near.
+#[test]
+fn test_account_has_one_home_that_moves_only_when_it_goes() {
+    let holders: Vec<_> =
+        (0..8).map(|index| holder(&format!("h{index}"), index % 3 == 0)).collect();
+    let home = |candidates: &[Candidate], account: &str| {
+        let meeting = Meeting::Account(account.into());
+        choose(candidates, &meeting).expect("one of them").record.id.clone()
+    };
+    let mut homes = std::collections::BTreeMap::new();
+    for number in 0..76 {
+        let account = format!("account{number}");
+        let at_home = home(&holders, &account);
+        *homes.entry(at_home.clone()).or_insert(0) += 1;
+        let without: Vec<_> =
+            holders.iter().filter(|other| *other.record.id != *"h3").cloned().collect();
+        let moved = home(&without, &account);
+        assert_eq!(moved != at_home, &*at_home == "h3", "{account}");
+        // A home that is silent, or just could not serve, is passed over.
+        let mut silent = holders.clone();
+        for candidate in silent.iter_mut().filter(|other| other.record.id == at_home) {
+            candidate.contact = Contact::Silent;
+        }
+        assert_ne!(home(&silent, &account), at_home);
+    }
+    assert_eq!(homes.len(), 8, "{homes:?}");
+    assert!(homes.values().all(|count| (3..=20).contains(count)), "{homes:?}");
+}
+
+fn holder(id: &str, near: bool) -> Candidate {
+    let record = InstanceRecord {
+        id: id.into(),
+        life: 1,
+        peer_address: std::net::SocketAddr::from(([127, 0, 0, 1], 1)),
+        failure_domain: "a".into(),
+        capacity_millicores: 120,
+    };
+    Candidate { record, contact: Contact::Heard, unable: false, near }
+}
--- a/lib/tests/test_sharing.rs
+++ b/lib/tests/test_sharing.rs
@@ -7,6 +7,7 @@
 use chervilwharf_lib::concurrency::ConcurrencyLimit;
 use chervilwharf_lib::connection_budget::Demand;
 use chervilwharf_lib::connection_budget::budget;
+use chervilwharf_lib::connection_budget::kept_for_accounts;
 use chervilwharf_lib::fleet::Fleet;
 use chervilwharf_lib::fleet::InstanceRecord;
 use chervilwharf_lib::fleet::SILENT_AFTER;
@@ -346,3 +347,50 @@
         }
     }
 }
+
+fn account_share(open: usize, idle: usize, replaceable: usize, own: usize) -> PoolShare {
+    PoolShare { open, idle, replaceable, own, budget: 3, ..PoolShare::default() }
+}
+
+fn choice(share: &PoolShare) -> Choice {
+    let group = group();
+    choose(&group, at(0), &Need::Server("p".into()), |_| share.clone())
+}
+
+/// Symptom: servers spent more slots on new connections than on statements.
+/// Sequence: requests of many accounts wait for few connections; each closes one of
+/// another account. Cause: also those took one whose account had a connection.
+#[test]
+fn test_only_an_account_without_a_connection_takes_one_from_others() {
+    let server = || "p".into();
+    assert_eq!(choice(&account_share(3, 1, 2, 1)), Choice::Idle(server()));
+    assert_eq!(choice(&account_share(2, 0, 2, 1)), Choice::Open(server()));
+    assert_eq!(choice(&account_share(3, 0, 2, 0)), Choice::Replace(server()));
+    assert_eq!(choice(&account_share(3, 0, 2, 1)), Choice::Wait);
+    assert_eq!(choice(&account_share(3, 0, 0, 0)), Choice::Wait);
+}
+
+/// Symptom: a primary that served alone answered nothing for seconds. Sequence: eight
+/// instances open two connections each to it, one after the other; each takes one of
+/// three slots. Cause: only statements counted toward what may be at a server at once.
+#[test]
+fn test_connections_being_opened_count_as_statements_at_a_server() {
+    let limit = ConcurrencyLimit::default();
+    let allowed = (0..100).find(|running| !limit.allows(*running)).expect("a limit");
+    let room = PoolShare { budget: 200, limit, ..PoolShare::default() };
+    let opening = |taking_slots| PoolShare { taking_slots, ..room.clone() };
+    assert_eq!(choice(&opening(allowed - 1)), Choice::Open("p".into()));
+    assert_eq!(choice(&opening(allowed)), Choice::Wait);
+}
+
+/// Symptom: after all instances had lost power, servers refused the connections of
+/// their next lives for three seconds. Cause: each account kept connections, so that
+/// the dead ones filled the servers.
+#[test]
+fn test_instances_keep_half_of_their_connections_while_nothing_waits() {
+    assert_eq!(kept_for_accounts(10, 0.0), 5);
+    assert_eq!(kept_for_accounts(10, 6.2), 8);
+    assert_eq!(kept_for_accounts(10, 50.0), 10);
+    assert_eq!(kept_for_accounts(1, 0.0), 1);
+    assert_eq!(kept_for_accounts(0, 3.0), 0);
+}
--- a/lib/tests/test_story.rs
+++ b/lib/tests/test_story.rs
@@ -123,3 +123,20 @@
     let cause = story::tell("r2", log).cause.expect("a cause");
     assert!(cause.contains("may have been succeeded"), "{cause}");
 }
+
+#[test]
+fn test_refusals_of_accounts_name_the_account_and_its_limit() {
+    let refused = |reason: &str, text: &str| {
+        request(EventKind::RequestRefused, "r", reason).with("account", "alder").with("text", text)
+    };
+    let cases = [
+        ("rate_limited", "faster than it may: 5 a second", "5 a second"),
+        ("unknown_key", "no account has this key", "does not hold it any more"),
+        ("quota_unknown", "nobody can tell", "counts the operations"),
+    ];
+    for (reason, text, expected) in cases {
+        let log = [line(1_000, "a", &refused(reason, text))];
+        let cause = story::tell("r", log.to_vec()).cause.expect("a cause");
+        assert!(cause.contains("alder") && cause.contains(expected), "{cause}");
+    }
+}
--- a/standin/src/platform/servers.rs
+++ b/standin/src/platform/servers.rs
@@ -37,6 +37,8 @@
     pub server: usize,
     /// Connection it came on.
     pub connection: u64,
+    /// Who opened that connection, as the server was told.
+    pub caller: String,
     /// Its id.
     pub request: String,
     /// Its text, a prepared name replaced by the shape.
@@ -324,7 +326,10 @@
         };
         while let Ok(Some(line)) = lines.next_line().await {
             let answer = match line.split_once(' ') {
-                Some(("START", rest)) => Some(self.answer_start(number, rest)),
+                Some(("START", rest)) => {
+                    session.caller = rest.split(' ').nth(1).unwrap_or_default().to_owned();
+                    Some(self.answer_start(number, rest))
+                }
                 Some(("QUERY", rest)) => {
                     let (id, text) = rest.split_once(' ').unwrap();
                     self.answer_query(number, &mut session, id, text)
@@ -384,6 +389,7 @@
 
 struct Session {
     connection: u64,
+    caller: String,
     state: char,
     plain: bool,
     writes: Vec<(String, String, String)>,
@@ -395,6 +401,7 @@
     fn new(connection: u64) -> Self {
         Self {
             connection,
+            caller: String::new(),
             state: 'I',
             plain: false,
             writes: Vec::new(),
@@ -552,6 +559,7 @@
         self.runs.push(Run {
             server,
             connection: session.connection,
+            caller: session.caller.clone(),
             request: id.to_owned(),
             text: text.to_owned(),
             values: session.values.clone(),
