--- a/daemon/src/engine/shared.rs
+++ b/daemon/src/engine/shared.rs
@@ -50,6 +50,11 @@
 use crate::engine::right_control::VoterLists;
 use crate::engine::shard::Shard;
 
+/// How long servers keep the connections of a caller that lost power. Until then those of
+/// earlier lives may fill them: who opens more than half of its share is refused, and
+/// waits before it tries again.
+const DEAD_FOR: Duration = Duration::from_secs(3);
+
 /// How long a starting instance waits for the store before it asks others:
 /// many times the store's usual answer of 4 ms.
 pub const STORE_FIRST: Duration = Duration::from_millis(250);
@@ -333,7 +338,10 @@
             let own = shard.demand(at);
             let granted = budget(settings.max_connections, own, &others);
             shard.set_budget(match catalog.accounts {
-                Some(_) => kept_for_accounts(granted, own),
+                Some(_) => {
+                    let earlier_lives = at < self.started_at + DEAD_FOR;
+                    kept_for_accounts(granted, if earlier_lives { 0.0 } else { own })
+                }
                 None => granted,
             });
         }
--- a/lib/src/connection_budget.rs
+++ b/lib/src/connection_budget.rs
@@ -53,7 +53,7 @@
         clippy::cast_sign_loss,
         reason = "not negative, and small"
     )]
-    let wanted = wanted as usize + 1;
+    let wanted = (wanted as usize).saturating_sub(1);
     wanted.max(whole_share(budget, KEPT_PART)).clamp(budget.min(1), budget)
 }
 
