--- a/daemon/src/engine/caller.rs
+++ b/daemon/src/engine/caller.rs
@@ -1,5 +1,7 @@
 //! Who a session's client is: the account that holds its key now.
 
+use std::time::Duration;
+
 use chervilwharf_lib::account::KeyDigest;
 use chervilwharf_lib::catalog::Catalog;
 use chervilwharf_lib::catalog::Route;
@@ -14,7 +16,6 @@
 use crate::engine::clock::now;
 use crate::engine::fleet_control;
 use crate::engine::shared::Engine;
-use std::time::Duration;
 
 /// A session's client.
 #[derive(Clone, Debug)]
--- a/daemon/src/engine/quota_control.rs
+++ b/daemon/src/engine/quota_control.rs
@@ -57,7 +57,7 @@
 
 /// What an instance does about one shard of accounts.
 #[derive(Default)]
-struct Shard {
+struct AccountShard {
     voters: Arc<Vec<InstanceRecord>>,
     lease: KeeperLease,
     renewed_at: Moment,
@@ -68,7 +68,7 @@
 
 struct Inner {
     votes: Votes,
-    shards: Vec<Shard>,
+    shards: Vec<AccountShard>,
     /// Records from which the voters were computed.
     recorded: Vec<InstanceRecord>,
     allowances: HashMap<AccountId, Allowance>,
@@ -85,7 +85,7 @@
     #[must_use]
     pub fn new(started_at: Moment) -> Self {
         let mut shards = Vec::new();
-        shards.resize_with(SHARDS as usize, Shard::default);
+        shards.resize_with(SHARDS as usize, AccountShard::default);
         Self {
             inner: Mutex::new(Inner {
                 votes: Votes::new(started_at),
@@ -103,7 +103,7 @@
 }
 
 impl Inner {
-    fn shard(&mut self, number: ShardNumber) -> &mut Shard {
+    fn shard(&mut self, number: ShardNumber) -> &mut AccountShard {
         // Numbers of other instances are checked where they come in.
         &mut self.shards[number as usize]
     }
--- a/daemon/src/engine/session.rs
+++ b/daemon/src/engine/session.rs
@@ -1,6 +1,7 @@
 //! A client's session: its values, prepared names, last own commit and
 //! transaction.
 
+mod account;
 mod rest;
 
 use std::collections::HashMap;
@@ -11,7 +12,6 @@
 use chervilwharf_lib::catalog::Consistency;
 use chervilwharf_lib::catalog::Route;
 use chervilwharf_lib::error_kind::ErrorKind;
-use chervilwharf_lib::error_kind::Outcome;
 use chervilwharf_lib::event::Event;
 use chervilwharf_lib::event::EventKind;
 use chervilwharf_lib::holder_choice::Meeting;
@@ -110,10 +110,6 @@
 /// counts as unknown: a few rounds of heartbeats, or a read of a slow store.
 const CONFIRM_LIMIT: Duration = Duration::from_millis(400);
 
-/// How long an operation waits to be counted where nobody counts yet: a few rounds of
-/// votes after all instances were killed.
-const KEEPER_PATIENCE: Duration = Duration::from_millis(500);
-
 /// How long a new session waits for the first configuration and list of
 /// instances. An instance has both some 30 ms after its start; without them for
 /// longer the store is down, and another instance may know more.
@@ -519,7 +515,7 @@
         };
         self.check_caller(&route)?;
         let request = Self::request(id, route);
-        self.count_operation(request.time_left(now()).min(KEEPER_PATIENCE)).await?;
+        self.count_operation(request.time_left(now())).await?;
         let single = self.transaction.is_none();
         let result = self.run_work(&request, &work, writes).await;
         if let (true, Err(failure)) = (single, &result) {
@@ -528,59 +524,6 @@
         result
     }
 
-    /// Whether the configuration in force still has the client's key. One that was
-    /// taken away is served no more on sessions that stand open, and its transaction
-    /// is rolled back.
-    fn check_caller(&mut self, route: &Route) -> Result<(), Failure> {
-        let checked = self.caller.check_again(&self.engine.catalog(), route);
-        let same_account = |caller: &Caller| caller.account == self.caller.account;
-        match checked {
-            // A transaction's connection belongs to the account that began it.
-            Ok(caller) if self.transaction.is_none() || same_account(&caller) => {
-                self.caller = caller;
-                Ok(())
-            }
-            Ok(_) | Err(_) => {
-                if let Some(transaction) = &mut self.transaction {
-                    transaction.fail();
-                }
-                Err(Failure::new(ErrorKind::UnknownKey))
-            }
-        }
-    }
-
-    /// Counts an operation that begins with the present statement, and waits this long
-    /// for who counts it.
-    async fn count_operation(&mut self, patience: Duration) -> Result<(), Failure> {
-        if let Some(transaction) = &mut self.transaction {
-            if transaction.is_counted {
-                return Ok(());
-            }
-        }
-        let Some(account) = self.caller.account.clone() else {
-            return Ok(());
-        };
-        let counted = self.engine.admit_operation(&account, patience).await;
-        if let Some(transaction) = &mut self.transaction {
-            transaction.is_counted = counted.is_ok();
-            if counted.is_err() {
-                transaction.fail();
-            }
-        }
-        counted
-    }
-
-    /// A single statement that was counted failed: where it has not run, its account
-    /// may begin another one.
-    fn refund_operation(&self, failure: &Failure) {
-        let rule = failure.kind.rule();
-        if let (Some(account), Outcome::NotRun, true) =
-            (&self.caller.account, rule.outcome, rule.burns_budget)
-        {
-            self.engine.refund_operation(account);
-        }
-    }
-
     /// Runs work for a request, in the transaction if there is one.
     ///
     /// # Errors
--- a/daemon/src/engine/shard.rs
+++ b/daemon/src/engine/shard.rs
@@ -2,6 +2,7 @@
 //! connections to them.
 
 mod assign;
+mod pool;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -23,7 +24,6 @@
 use chervilwharf_lib::id::TargetId;
 use chervilwharf_lib::id::Term;
 use chervilwharf_lib::moment::Moment;
-use chervilwharf_lib::pool_share::PoolShare;
 use chervilwharf_lib::server_refusal::RefusalKind;
 use chervilwharf_lib::wait_pace::WaitPace;
 use chervilwharf_lib::wait_queue::WaitQueue;
@@ -40,41 +40,9 @@
 use crate::engine::peers;
 use crate::engine::peers::PeerError;
 use crate::engine::peers::Peers;
+use crate::engine::shard::pool::Pool;
 use crate::engine::waiting::Waiter;
 
-/// Connections to one server.
-#[derive(Default)]
-struct Pool {
-    idle: Vec<PooledConnection>,
-    share: PoolShare,
-    /// Open ones and those being opened, by account.
-    by_account: HashMap<Option<AccountId>, usize>,
-}
-
-impl Pool {
-    fn opening(&mut self, account: Option<&AccountId>) {
-        self.share.opening += 1;
-        *self.by_account.entry(account.cloned()).or_default() += 1;
-    }
-
-    /// A connection is closed, or was not opened after all.
-    fn forget(&mut self, account: Option<&AccountId>) {
-        let account = account.cloned();
-        if let Some(count) = self.by_account.get_mut(&account) {
-            *count -= 1;
-            if *count == 0 {
-                self.by_account.remove(&account);
-            }
-        }
-    }
-
-    /// An open connection is closed.
-    fn closed(&mut self, account: Option<&AccountId>) {
-        self.share.open = self.share.open.saturating_sub(1);
-        self.forget(account);
-    }
-}
-
 #[derive(Default)]
 pub(super) struct Inner {
     pub(super) group: Group,
--- a/daemon/src/engine/shard/assign.rs
+++ b/daemon/src/engine/shard/assign.rs
@@ -18,7 +18,7 @@
 use crate::engine::lease::PooledConnection;
 use crate::engine::shard::Assignments;
 use crate::engine::shard::Inner;
-use crate::engine::shard::Pool;
+use crate::engine::shard::pool::Pool;
 use crate::engine::waiting::Want;
 
 /// How long a request whose account has no connection waits while those of others
--- /dev/null
+++ b/daemon/src/engine/shard/pool.rs
@@ -0,0 +1,42 @@
+//! The connections to one server.
+
+use std::collections::HashMap;
+
+use chervilwharf_lib::id::AccountId;
+use chervilwharf_lib::pool_share::PoolShare;
+
+use crate::engine::lease::PooledConnection;
+
+/// Connections to one server.
+#[derive(Default)]
+pub(super) struct Pool {
+    pub(super) idle: Vec<PooledConnection>,
+    pub(super) share: PoolShare,
+    /// Open ones and those being opened, by account.
+    pub(super) by_account: HashMap<Option<AccountId>, usize>,
+}
+
+impl Pool {
+    /// A connection is being opened for an account.
+    pub(super) fn opening(&mut self, account: Option<&AccountId>) {
+        self.share.opening += 1;
+        *self.by_account.entry(account.cloned()).or_default() += 1;
+    }
+
+    /// A connection is closed, or was not opened after all.
+    pub(super) fn forget(&mut self, account: Option<&AccountId>) {
+        let account = account.cloned();
+        if let Some(count) = self.by_account.get_mut(&account) {
+            *count -= 1;
+            if *count == 0 {
+                self.by_account.remove(&account);
+            }
+        }
+    }
+
+    /// An open connection is closed.
+    pub(super) fn closed(&mut self, account: Option<&AccountId>) {
+        self.share.open = self.share.open.saturating_sub(1);
+        self.forget(account);
+    }
+}
--- a/daemon/src/engine/shared.rs
+++ b/daemon/src/engine/shared.rs
@@ -1,5 +1,6 @@
 //! What all sessions of an instance share.
 
+mod accounts;
 mod known_fleet;
 
 use std::collections::HashMap;
@@ -153,19 +154,6 @@
         }
     }
 
-    /// With the tolerance that the platform grants accounts beyond their limits.
-    #[must_use]
-    pub fn with_quota_tolerance(mut self, tolerance: Option<QuotaTolerance>) -> Self {
-        self.quota_tolerance = tolerance;
-        self
-    }
-
-    /// The tolerance that the platform grants accounts beyond their limits.
-    #[must_use]
-    pub fn quota_tolerance(&self) -> Option<QuotaTolerance> {
-        self.quota_tolerance
-    }
-
     /// This instance.
     #[must_use]
     pub fn me(&self) -> &InstanceRecord {
@@ -184,18 +172,6 @@
         self.peers.clone()
     }
 
-    /// Counts of the accounts' operations.
-    #[must_use]
-    pub fn quota(&self) -> &QuotaControl {
-        &self.quota
-    }
-
-    /// When others were last asked for a newer configuration.
-    #[must_use]
-    pub fn newer_configuration(&self) -> &NewerConfiguration {
-        &self.newer_configuration
-    }
-
     /// Woken when the record of this instance has to be written.
     #[must_use]
     pub fn wants_record(&self) -> &Notify {
