--- a/daemon/src/engine/metrics.rs
+++ b/daemon/src/engine/metrics.rs
@@ -18,6 +18,7 @@
 use prometheus_client::metrics::histogram::exponential_buckets;
 use prometheus_client::registry::Registry;
 
+use crate::engine::account_metrics::AccountMetrics;
 use crate::engine::clock::now;
 use crate::engine::directory::RecordKind;
 use crate::engine::event_log;
@@ -145,6 +146,8 @@
     tries_again: Family<ReasonLabels, Counter>,
     /// Calls to the platform's store.
     pub store: StoreMetrics,
+    /// Statements by client account.
+    pub accounts: AccountMetrics,
     /// Time that each step in the replacement of a primary took here.
     replacement_seconds: HistogramFamily<PhaseLabels>,
     connections: Family<ConnectionLabels, Gauge>,
@@ -174,6 +177,7 @@
             server_seconds: histograms(),
             tries_again: Family::default(),
             store: StoreMetrics::default(),
+            accounts: AccountMetrics::default(),
             replacement_seconds: histograms(),
             connections: Family::default(),
             waiting: Family::default(),
@@ -196,6 +200,8 @@
         registry.register("wait_seconds", "Wait for a connection", self.wait_seconds.clone());
         registry.register("server_seconds", "Time at servers", self.server_seconds.clone());
         registry.register("tries_again", "Tries followed by others", self.tries_again.clone());
+        let statements = self.accounts.statements.clone();
+        registry.register("account_statements", "Statements by account", statements);
         registry.register("store_calls", "Calls to the store", self.store.calls.clone());
         let age = self.store.age_seconds.clone();
         registry.register("store_answer_age_seconds", "Since the store last answered", age);
--- a/daemon/src/engine/mod.rs
+++ b/daemon/src/engine/mod.rs
@@ -5,6 +5,7 @@
 //! the platform's lists. A front decodes what a client sends into
 //! [`chervilwharf_lib::statement::Statement`] and gives it to a [`session`].
 
+pub mod account_metrics;
 pub mod border;
 pub mod caller;
 pub mod clock;
--- a/daemon/src/engine/session.rs
+++ b/daemon/src/engine/session.rs
@@ -385,6 +385,9 @@
         let group = self.shard.id();
         let metrics = self.engine.metrics();
         metrics.ended(group, kind, failure.map(|failure| failure.kind), took);
+        if let Some(account) = &self.caller.account {
+            metrics.accounts.ended(account, failure.map(|failure| failure.kind));
+        }
         if let Some(failure) = failure {
             self.trail.failed(group, failure, took, self.shard.waiting());
             return;
--- a/daemon/tests/test_metrics.rs
+++ b/daemon/tests/test_metrics.rs
@@ -18,6 +18,7 @@
 use chervilwharf_daemon::engine::directory::Revision;
 use chervilwharf_daemon::engine::directory::WriteError;
 use chervilwharf_daemon::engine::shared::Engine;
+use chervilwharf_lib::error_kind::ErrorKind;
 use stubs::NoServer;
 use stubs::instance;
 
@@ -83,3 +84,22 @@
     assert!(text.contains(r#"chervilwharf_store_answer_age_seconds{kind="servers"}"#));
     assert!(!text.contains(r#"chervilwharf_store_answer_age_seconds{kind="instances"}"#));
 }
+
+#[test]
+fn test_accounts_have_counters_up_to_a_number() {
+    let engine = Engine::new(instance("instance"), Arc::new(NoServer));
+    for number in 0..300 {
+        let account = format!("account{number}").into();
+        engine.metrics().accounts.ended(&account, None);
+        engine.metrics().accounts.ended(&account, Some(ErrorKind::RateLimited));
+    }
+    let text = engine.metrics().text(&engine);
+    let counted = |labels: &str, count: u32| {
+        let line = format!("chervilwharf_account_statements_total{{{labels}}} {count}\n");
+        assert!(text.contains(&line), "{line} is not in {text}");
+    };
+    counted(r#"account="account0",outcome="rate_limited""#, 1);
+    counted(r#"account="account255",outcome="ok""#, 1);
+    counted(r#"account="other",outcome="ok""#, 44);
+    assert_eq!(text.matches("chervilwharf_account_statements_total{").count(), 2 * 257);
+}
