quota, guest: the change read again; no behaviour changes

One place builds a vote's question, one turns a number of instances into a rate's divisor, and a statement of another instance is taken apart without a copy of its text.

--- a/daemon/src/engine/guest.rs
+++ b/daemon/src/engine/guest.rs
@@ -50,11 +50,11 @@
         Self { engine, session: None }
     }
 
-    async fn run_inner(&mut self, statement: engine_protos::Statement) -> StatementReply {
+    async fn run_inner(&mut self, mut statement: engine_protos::Statement) -> StatementReply {
         let begin = statement.begin();
         let floor = Position::new(statement.floor_term, statement.floor_index);
         let refusal = |kind| refusal(kind, floor);
-        let Some(work) = decode_work(statement.work.clone()) else {
+        let Some(work) = decode_work(statement.work.take()) else {
             return refusal(ErrorKind::BadStatement);
         };
         if matches!(work, GuestWork::RollBack) {
@@ -62,7 +62,7 @@
             return StatementReply::default();
         }
         let Some(route) =
-            statement.route.clone().map(|route| Arc::new(records::decode_route(route)))
+            statement.route.take().map(|route| Arc::new(records::decode_route(route)))
         else {
             return refusal(ErrorKind::BadStatement);
         };
--- a/daemon/src/engine/quota_control.rs
+++ b/daemon/src/engine/quota_control.rs
@@ -153,6 +153,12 @@
         Candidate { id: self.me().id.clone(), life: self.me().life }
     }
 
+    /// Asks for a vote, or gives it back.
+    fn vote_question(&self, shard: ShardNumber, released: bool) -> KeeperVote {
+        let Candidate { id, life } = self.as_candidate();
+        KeeperVote { shard, instance: id.to_string(), life, released }
+    }
+
     fn update_keeper_voters(&self) {
         let recorded: Vec<_> = self.with_fleet(|fleet| {
             let others = fleet.others().cloned();
@@ -216,12 +222,7 @@
 
     async fn ask_vote(&self, number: ShardNumber, voter: &InstanceRecord) {
         let asked_at = now();
-        let question = KeeperVote {
-            shard: number,
-            instance: self.me().id.to_string(),
-            life: self.me().life,
-            released: false,
-        };
+        let question = self.vote_question(number, false);
         let reply = if voter.id == self.me().id {
             self.keeper_vote(&question)
         } else {
@@ -250,12 +251,7 @@
             inner.shards[number as usize].voters.clone()
         };
         for voter in voters.iter().filter(|voter| voter.id != me.id) {
-            let question = KeeperVote {
-                shard: number,
-                instance: me.id.to_string(),
-                life: me.life,
-                released: true,
-            };
+            let question = self.vote_question(number, true);
             let (peers, address) = (self.shared_peers(), voter.peer_address);
             tokio::spawn(async move {
                 // Without an answer the vote ends by itself.
--- a/lib/src/quota.rs
+++ b/lib/src/quota.rs
@@ -319,7 +319,7 @@
     /// No keeper answers: whether an operation may begin without being counted,
     /// at one of `instances`.
     pub fn admit_alone(&mut self, now: Moment, limit: QuotaLimit, instances: usize) -> bool {
-        let instances = f64::from(u32::try_from(instances.max(1)).unwrap_or(u32::MAX));
+        let instances = number_of(instances);
         let share = QuotaLimit {
             rate_per_s: limit.rate_per_s * ALONE_PART / instances,
             burst: (limit.burst * ALONE_PART / instances).max(1.0),
@@ -332,11 +332,16 @@
     }
 }
 
+/// A number of instances, of which there is one at least.
+fn number_of(instances: usize) -> f64 {
+    f64::from(u32::try_from(instances.max(1)).unwrap_or(u32::MAX))
+}
+
 /// How long an entry does not ask again for an account at its limit: half of
 /// the time in which its equal share of the rate brings one operation.
 #[must_use]
 pub fn ask_again_after(limit: QuotaLimit, instances: usize) -> Duration {
-    let instances = f64::from(u32::try_from(instances.max(1)).unwrap_or(u32::MAX));
+    let instances = number_of(instances);
     let share = Duration::try_from_secs_f64(instances / (2.0 * limit.rate_per_s.max(1e-9)));
     share.unwrap_or(LONGEST_PAUSE).clamp(SHORTEST_PAUSE, LONGEST_PAUSE)
 }
