tests: the platform's store comes back from a copy; two cases fail

The stand-in of the store copies what it keeps, comes back from the copy, tells its era in all answers, refuses a watch from a revision that it does not have, and lets the operator and the servers write again what was lost.

Two instances, three endings of the revision (5 lower, equal, 5 higher than before). On this code both tests fail at the first of the endings where the store is at or beyond the old position when it is reached again: - a configuration written meanwhile is in force nowhere after 30 s, - a server that replaced another one is not used after 30 s.

--- a/standin/src/platform/store.rs
+++ b/standin/src/platform/store.rs
@@ -40,13 +40,33 @@
     Silent,
 }
 
-#[derive(Default)]
-struct Objects {
+/// What the store keeps, and how it came about.
+#[derive(Clone, Default)]
+struct History {
     revision: u64,
     kept: BTreeMap<(String, String), Value>,
     events: Vec<(u64, String, Value)>,
     /// Events up to this revision are forgotten.
     forgotten: u64,
+}
+
+/// A copy of what the store kept at a moment.
+pub struct StoreCopy(History);
+
+/// What a store lost when it came back from a copy, and others write again.
+pub struct LostWrites {
+    written: Vec<(String, String, Value)>,
+    removed: Vec<(String, String)>,
+}
+
+/// Kinds that the operator and the servers write.
+const KINDS_WRITTEN_AGAIN: [&str; 2] = ["config", "servers"];
+
+#[derive(Default)]
+struct Objects {
+    history: History,
+    /// Counts returns from a copy; a store that does not tell it has none.
+    era: Option<u64>,
     mode: Mode,
     /// Highest token seen, by group.
     tokens: HashMap<String, u64>,
@@ -98,9 +118,58 @@
 
     /// Forgets all changes so far.
     pub fn forget_history(&self) {
-        let mut objects = self.lock();
-        objects.forgotten = objects.revision;
-        objects.events.clear();
+        let history = &mut self.lock().history;
+        history.forgotten = history.revision;
+        history.events.clear();
+    }
+
+    /// Tells in all answers from now on how often it came back from a copy.
+    pub fn tell_era(&self, era: u64) {
+        self.lock().era = Some(era);
+    }
+
+    /// Copies what it keeps.
+    #[must_use]
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.lock().history.clone())
+    }
+
+    /// Comes back from a copy. Returns what the operator and the servers wrote
+    /// since it was taken.
+    #[must_use]
+    pub fn restore(&self, copy: &StoreCopy) -> LostWrites {
+        let lost = {
+            let mut objects = self.lock();
+            let lost = LostWrites::between(&copy.0, &objects.history);
+            objects.history = copy.0.clone();
+            objects.era = objects.era.map(|era| era + 1);
+            lost
+        };
+        self.announce();
+        lost
+    }
+
+    /// The operator and the servers write again what was lost.
+    pub fn write_again(&self, lost: &LostWrites) {
+        for (kind, name, spec) in &lost.written {
+            self.put(kind, name, spec);
+        }
+        for (kind, name) in &lost.removed {
+            self.delete(kind, name);
+        }
+    }
+
+    /// Its revision.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.lock().history.revision
+    }
+
+    /// Changes of other kinds bring its revision up to this one.
+    pub fn advance_to(&self, revision: u64) {
+        while self.revision() < revision {
+            self.put("others", "counter", &json!({ "at": self.revision() }));
+        }
     }
 
     /// Orders to promote that were accepted: group, server, token.
@@ -119,7 +188,7 @@
     #[must_use]
     pub fn names(&self, kind: &str) -> Vec<String> {
         let objects = self.lock();
-        let of_kind = objects.kept.keys().filter(|(k, _)| k == kind);
+        let of_kind = objects.history.kept.keys().filter(|(k, _)| k == kind);
         of_kind.map(|(_, name)| name.clone()).collect()
     }
 
@@ -149,40 +218,52 @@
 
     /// Writes an object as the operator would.
     pub fn put(&self, kind: &str, name: &str, spec: &Value) {
-        self.lock().put(kind, name, spec);
+        self.lock().history.put(kind, name, spec);
         self.announce();
     }
 
     /// Keeps anything as an object, as a careless writer could.
     pub fn put_as_it_is(&self, kind: &str, name: &str, object: &Value) {
         {
-            let mut objects = self.lock();
-            objects.revision += 1;
-            let revision = objects.revision;
-            objects.kept.insert((kind.to_owned(), name.to_owned()), object.clone());
+            let history = &mut self.lock().history;
+            history.revision += 1;
+            history.kept.insert((kind.to_owned(), name.to_owned()), object.clone());
             let event = json!({ "removed": false, "object": object });
-            objects.events.push((revision, kind.to_owned(), event));
+            history.events.push((history.revision, kind.to_owned(), event));
         }
         self.announce();
     }
 
     /// Removes an object.
     pub fn delete(&self, kind: &str, name: &str) {
-        self.lock().delete(kind, name);
+        self.lock().history.delete(kind, name);
         self.announce();
     }
 
     fn announce(&self) {
-        self.changes.send_replace(self.lock().revision);
+        self.changes.send_replace(self.revision());
     }
 
-    /// Whether a call is refused. A silent store does not even say that.
-    async fn refuses(&self) -> bool {
+    /// The answer to a call that is refused. A silent store does not even say that.
+    async fn refusal(&self) -> Option<Response> {
         let mode = self.lock().mode;
         if mode == Mode::Silent {
             std::future::pending::<()>().await;
         }
-        mode == Mode::Down
+        (mode == Mode::Down).then(|| self.lock().stamped(StatusCode::SERVICE_UNAVAILABLE))
+    }
+
+    /// Changes an object, if it is at this revision.
+    fn change_at(
+        &self,
+        kind: &str,
+        name: &str,
+        revision: Option<u64>,
+        change: impl FnOnce(&mut History, Value) -> Value,
+    ) -> Response {
+        let mut objects = self.lock();
+        let response = objects.history.change_at(kind, name, revision, change);
+        objects.stamped(response)
     }
 
     /// The answer to a write, unless it is lost.
@@ -195,7 +276,32 @@
     }
 }
 
+impl LostWrites {
+    fn between(copy: &History, lost: &History) -> Self {
+        let written_again =
+            |(kind, _): &&(String, String)| KINDS_WRITTEN_AGAIN.contains(&kind.as_str());
+        let written = lost.kept.iter().filter(|(key, _)| written_again(key));
+        let written = written.filter(|(key, object)| copy.kept.get(*key) != Some(object));
+        let written = written
+            .map(|((kind, name), object)| (kind.clone(), name.clone(), object["spec"].clone()));
+        let removed = copy.kept.keys().filter(written_again);
+        let removed = removed.filter(|key| !lost.kept.contains_key(*key));
+        Self { written: written.collect(), removed: removed.cloned().collect() }
+    }
+}
+
 impl Objects {
+    /// An answer, with the era of the state that it shows.
+    fn stamped(&self, answer: impl IntoResponse) -> Response {
+        let mut response = answer.into_response();
+        if let Some(era) = self.era {
+            response.headers_mut().insert("store-era", era.into());
+        }
+        response
+    }
+}
+
+impl History {
     fn put(&mut self, kind: &str, name: &str, spec: &Value) -> Value {
         self.revision += 1;
         let meta = json!({
@@ -247,18 +353,19 @@
     Path(kind): Path<String>,
     Query(query): Query<HashMap<String, String>>,
 ) -> Response {
-    if store.refuses().await {
-        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    if let Some(refusal) = store.refusal().await {
+        return refusal;
     }
     if let Some(after) = query.get("watch") {
         let wait = query.get("wait_ms").map_or(0, |wait| wait.parse().unwrap());
         return watch_changes(&store, &kind, after.parse().unwrap(), wait).await;
     }
     let objects = store.lock();
-    let of_kind = objects.kept.iter().filter(|((k, _), _)| *k == kind);
+    let of_kind = objects.history.kept.iter().filter(|((k, _), _)| *k == kind);
     let items: Vec<_> = of_kind.map(|(_, object)| object.clone()).collect();
-    let revision = objects.revision;
-    Json(json!({ "items": items, "has_more": false, "store_revision": revision })).into_response()
+    let revision = objects.history.revision;
+    let body = json!({ "items": items, "has_more": false, "store_revision": revision });
+    objects.stamped(Json(body))
 }
 
 async fn watch_changes(store: &Store, kind: &str, after: u64, wait_ms: u64) -> Response {
@@ -267,15 +374,19 @@
     loop {
         {
             let objects = store.lock();
-            if after < objects.forgotten {
-                return StatusCode::GONE.into_response();
+            if objects.mode == Mode::Down {
+                return objects.stamped(StatusCode::SERVICE_UNAVAILABLE);
+            }
+            let history = &objects.history;
+            if after < history.forgotten || after > history.revision {
+                return objects.stamped(StatusCode::GONE);
             }
-            let newer = objects.events.iter().filter(|(at, k, _)| *at > after && k == kind);
+            let newer = history.events.iter().filter(|(at, k, _)| *at > after && k == kind);
             let events: Vec<_> = newer.map(|(_, _, event)| event.clone()).collect();
             if !events.is_empty() || tokio::time::Instant::now() >= until {
-                let revision = objects.revision;
+                let revision = history.revision;
                 let body = json!({ "events": events, "store_revision": revision });
-                return Json(body).into_response();
+                return objects.stamped(Json(body));
             }
         }
         // Either wakes the loop.
@@ -284,12 +395,13 @@
 }
 
 async fn read(State(store): State<Store>, Path((kind, name)): Path<(String, String)>) -> Response {
-    if store.refuses().await {
-        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    if let Some(refusal) = store.refusal().await {
+        return refusal;
     }
-    match store.lock().get(&kind, &name) {
-        Some(object) => Json(object).into_response(),
-        None => StatusCode::NOT_FOUND.into_response(),
+    let objects = store.lock();
+    match objects.history.get(&kind, &name) {
+        Some(object) => objects.stamped(Json(object)),
+        None => objects.stamped(StatusCode::NOT_FOUND),
     }
 }
 
@@ -298,17 +410,18 @@
     Path(kind): Path<String>,
     Json(body): Json<Value>,
 ) -> Response {
-    if store.refuses().await {
-        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    if let Some(refusal) = store.refusal().await {
+        return refusal;
     }
     let name = body["meta"]["name"].as_str().unwrap().to_owned();
     let response = {
         let mut objects = store.lock();
         *objects.creations.entry(kind.clone()).or_default() += 1;
-        match objects.get(&kind, &name) {
+        let response = match objects.history.get(&kind, &name) {
             Some(object) => (StatusCode::CONFLICT, Json(object)).into_response(),
-            None => Json(objects.put(&kind, &name, &body["spec"])).into_response(),
-        }
+            None => Json(objects.history.put(&kind, &name, &body["spec"])).into_response(),
+        };
+        objects.stamped(response)
     };
     store.announce();
     store.answer(response).await
@@ -319,11 +432,11 @@
     Path((kind, name)): Path<(String, String)>,
     Json(body): Json<Value>,
 ) -> Response {
-    if store.refuses().await {
-        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    if let Some(refusal) = store.refusal().await {
+        return refusal;
     }
-    let put = |objects: &mut Objects, _| objects.put(&kind, &name, &body["spec"]);
-    let response = store.lock().change_at(&kind, &name, body["meta"]["rev"].as_u64(), put);
+    let put = |history: &mut History, _| history.put(&kind, &name, &body["spec"]);
+    let response = store.change_at(&kind, &name, body["meta"]["rev"].as_u64(), put);
     store.announce();
     store.answer(response).await
 }
@@ -333,14 +446,14 @@
     Path((kind, name)): Path<(String, String)>,
     Query(query): Query<HashMap<String, String>>,
 ) -> Response {
-    if store.refuses().await {
-        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    if let Some(refusal) = store.refusal().await {
+        return refusal;
     }
-    let delete = |objects: &mut Objects, object| {
-        objects.delete(&kind, &name);
+    let delete = |history: &mut History, object| {
+        history.delete(&kind, &name);
         object
     };
-    let response = store.lock().change_at(&kind, &name, query["rev"].parse().ok(), delete);
+    let response = store.change_at(&kind, &name, query["rev"].parse().ok(), delete);
     store.announce();
     store.answer(response).await
 }
