revision: a position names the history that it belongs to

Cause: a position was a number. A watch went on from its number in a history that has other changes up to it; a list with a lower number was taken for an older answer, and a higher number of the lost history was kept as a maximum.

Change: a revision is an era and a number, compared in that order, in the followers, the list of servers, the duties, conditional writes, and in what instances tell each other. An answer of another era than the position ends the watch, and the records are listed anew; so does the word of another instance. An answer of an earlier era than is known is not taken. Without Store-Era all eras are 0 and nothing changes.

Ruled out: lost history alone (410 led to a list before, too). New tests: a watch that answers of another era, a list of an earlier one, a watch that another instance ends, a copy's list of servers.

--- a/daemon/src/engine/controllers.rs
+++ b/daemon/src/engine/controllers.rs
@@ -39,15 +39,7 @@
 ) {
     let counted = CountedDirectory::new(directory.clone(), engine.metrics().store.clone());
     let directory: Arc<dyn Directory> = Arc::new(counted);
-    let gate = Arc::new(StoreGate::default());
-    tokio::spawn(follow(
-        directory.clone(),
-        gate.clone(),
-        ConfigurationFollower::new(engine.clone()),
-    ));
-    tokio::spawn(follow(directory.clone(), gate.clone(), ServerFollower::new(engine.clone())));
-    tokio::spawn(follow(directory.clone(), gate.clone(), InstanceFollower::new(engine.clone())));
-    tokio::spawn(follow(directory.clone(), gate.clone(), DutyFollower::new(engine.clone())));
+    start_followers(engine, &directory);
     let replacer = Replacer {
         engine: engine.clone(),
         directory: directory.clone(),
@@ -63,6 +55,19 @@
     tokio::spawn(go_on_alone(engine.clone()));
 }
 
+fn start_followers(engine: &Arc<Engine>, directory: &Arc<dyn Directory>) {
+    let gate = Arc::new(StoreGate::default());
+    let surroundings = || (directory.clone(), gate.clone(), engine.store_era().clone());
+    let (directory, gate, era) = surroundings();
+    tokio::spawn(follow(directory, gate, era, ConfigurationFollower::new(engine.clone())));
+    let (directory, gate, era) = surroundings();
+    tokio::spawn(follow(directory, gate, era, ServerFollower::new(engine.clone())));
+    let (directory, gate, era) = surroundings();
+    tokio::spawn(follow(directory, gate, era, InstanceFollower::new(engine.clone())));
+    let (directory, gate, era) = surroundings();
+    tokio::spawn(follow(directory, gate, era, DutyFollower::new(engine.clone())));
+}
+
 /// How long a starting instance waits to hear of others, from the store or from
 /// them: the store answers after 4 ms, or 200 ms when it is slow, and others
 /// are asked after 250 ms.
--- a/daemon/src/engine/directory.rs
+++ b/daemon/src/engine/directory.rs
@@ -10,11 +10,9 @@
 use chervilwharf_lib::fleet::InstanceRecord;
 use chervilwharf_lib::group::ServerInfo;
 use chervilwharf_lib::id::GroupId;
+pub use chervilwharf_lib::revision::Revision;
 use displaydoc::Display;
 
-/// Counts changes of the platform's store.
-pub type Revision = u64;
-
 /// What is kept, by kind.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 #[derive(Display)]
@@ -100,7 +98,7 @@
 #[derive(Clone, Debug)]
 #[derive(Display)]
 pub enum DirectoryError {
-    /// the store has forgotten the changes since that revision
+    /// the store does not have the changes since that revision
     HistoryGone,
     /// the store refused with status {0}
     Refused(u16),
--- a/daemon/src/engine/fleet_control.rs
+++ b/daemon/src/engine/fleet_control.rs
@@ -256,9 +256,11 @@
 
 /// Takes over what another instance knows of the platform's records.
 pub async fn pull_directory(engine: &Engine, peer: &InstanceRecord) {
+    let known_servers = engine.servers_revision();
     let question = Body::DirectoryPull(DirectoryPull {
         configuration_version: engine.catalog().version,
-        servers_revision: engine.servers_revision(),
+        servers_revision: known_servers.number,
+        servers_era: known_servers.era,
         knows_instances: engine.is_fleet_listed(),
     });
     let reason = match engine.peers().ask(peer.peer_address, question).await {
@@ -348,12 +350,15 @@
             wanted: shard.demand(at),
             term: shard.with_group(|group| group.leader().map_or(0, |leader| leader.term)),
         };
+        let changed_at = self.servers_changed_at();
         Heartbeat {
             instance: self.me().id.to_string(),
             life: self.me().life,
             leaving: self.is_stopping(),
             configuration_version: self.catalog().version,
-            servers_revision: self.servers_changed_at(),
+            servers_revision: changed_at.number,
+            servers_era: changed_at.era,
+            store_era: self.store_era().latest(),
             samples: Vec::new(),
             grants: Vec::new(),
             lacks_records: false,
@@ -406,6 +411,7 @@
 
     /// Another instance is alive.
     pub fn take_heartbeat(&self, heartbeat: &Heartbeat) {
+        self.note_store_era(heartbeat.store_era, &heartbeat.instance);
         let demands = heartbeat.demands.iter();
         let demands = demands.map(|demand| (demand.group.as_str().into(), demand.wanted)).collect();
         self.with_fleet(|fleet| {
@@ -418,7 +424,8 @@
     /// store turns this instance away, others may still be served by it.
     #[must_use]
     pub fn wants_directory_of(&self, heartbeat: &Heartbeat) -> bool {
-        let newer_servers = heartbeat.servers_revision > self.servers_revision();
+        let told = Revision::new(heartbeat.servers_era, heartbeat.servers_revision);
+        let newer_servers = told > self.servers_revision();
         let late = self.has_servers_outage() || self.record_currency() == Currency::MayBeOld;
         heartbeat.configuration_version > self.catalog().version || (newer_servers && late)
     }
@@ -438,13 +445,12 @@
         }
         let servers = state.servers.into_iter().filter_map(records::decode_server);
         let servers: Vec<_> = servers.collect();
-        let revision = state.servers_revision;
+        let revision = Revision::new(state.servers_era, state.servers_revision);
         self.update_servers(|list| {
             if revision > list.revision() {
                 let event = Event::new(EventKind::PeerRecords).with("peer", from);
                 event_log::emit(&event.with("servers_revision", revision));
-                list.replace(now(), servers);
-                list.advance(revision);
+                list.replace(now(), revision, servers);
             }
         });
     }
@@ -465,8 +471,10 @@
         if catalog.version > lacks.configuration_version {
             state.configuration = Some(records::encode_catalog(&catalog));
         }
-        if self.servers_changed_at() > lacks.servers_revision {
-            state.servers_revision = self.servers_revision();
+        let known = Revision::new(lacks.servers_era, lacks.servers_revision);
+        if self.servers_changed_at() > known {
+            let revision = self.servers_revision();
+            (state.servers_revision, state.servers_era) = (revision.number, revision.era);
             let listed = self.listed_servers();
             let servers = listed.iter().map(|(group, info)| records::encode_server(group, info));
             state.servers = servers.collect();
--- a/daemon/src/engine/follow.rs
+++ b/daemon/src/engine/follow.rs
@@ -16,6 +16,7 @@
 use crate::engine::directory::RecordKind;
 use crate::engine::directory::Revision;
 use crate::engine::event_log;
+use crate::engine::store_era::StoreEra;
 use crate::engine::store_gate::StoreGate;
 
 /// Takes over what a kind of records says.
@@ -123,6 +124,7 @@
 pub async fn follow(
     directory: Arc<dyn Directory>,
     gate: Arc<StoreGate>,
+    era: Arc<StoreEra>,
     mut follower: impl Follower,
 ) {
     let kind = follower.kind();
@@ -142,13 +144,12 @@
                 } else {
                     first_list(&*directory, &gate, kind, currency).await
                 };
-                listing.map(|listing| {
-                    let revision = listing.revision;
-                    follower.replace(listing);
-                    revision
-                })
+                listing.and_then(|listing| take_listing(&mut follower, &era, listing))
             }
-            Some(after) => watch(&*directory, &mut follower, after).await,
+            Some(after) => tokio::select! {
+                result = watch(&*directory, &mut follower, after) => result,
+                () = era.wait_for_later(after.era) => Err(DirectoryError::HistoryGone),
+            },
         };
         match result {
             Ok(next) => {
@@ -238,6 +239,22 @@
     }
 }
 
+/// Takes all records over, unless the answer is older than the store's return from
+/// a copy.
+fn take_listing(
+    follower: &mut impl Follower,
+    era: &StoreEra,
+    listing: Listing,
+) -> Result<Revision, DirectoryError> {
+    let revision = listing.revision;
+    era.note(revision.era, follower.kind());
+    if revision.era < era.latest() {
+        return Err(DirectoryError::HistoryGone);
+    }
+    follower.replace(listing);
+    Ok(revision)
+}
+
 async fn watch(
     directory: &dyn Directory,
     follower: &mut impl Follower,
@@ -245,6 +262,11 @@
 ) -> Result<Revision, DirectoryError> {
     let wait = follower.wait_limit();
     let changes = directory.watch(follower.kind(), after, wait, follower.currency()).await?;
+    // What changed since the same number of another history is no change of what this
+    // instance knows.
+    if changes.revision.era != after.era {
+        return Err(DirectoryError::HistoryGone);
+    }
     if !changes.changes.is_empty() {
         follower.change(changes.revision, changes.changes);
         tokio::time::sleep(follower.pause_after_change()).await;
--- a/daemon/src/engine/mod.rs
+++ b/daemon/src/engine/mod.rs
@@ -39,6 +39,7 @@
 pub mod single;
 pub mod socket;
 pub mod stop;
+pub mod store_era;
 pub mod store_gate;
 pub mod survey;
 pub mod trail;
--- a/daemon/src/engine/server_control.rs
+++ b/daemon/src/engine/server_control.rs
@@ -74,12 +74,8 @@
         let Listing { entries, unreadable, revision } = listing;
         let mut servers: Vec<_> = entries.into_iter().filter_map(server_of).collect();
         self.missing = self.engine.update_servers(|list| {
-            // An answer that is seconds old must not undo what is known.
-            if revision >= list.revision() {
-                servers.extend(unreadable.iter().filter_map(|id| list.listed(id)));
-                list.replace(now(), servers);
-                list.advance(revision);
-            }
+            servers.extend(unreadable.iter().filter_map(|id| list.listed(id)));
+            list.replace(now(), revision, servers);
         });
     }
 
--- a/daemon/src/engine/shared.rs
+++ b/daemon/src/engine/shared.rs
@@ -50,6 +50,7 @@
 use crate::engine::remote::StatementLinks;
 use crate::engine::right_control::VoterLists;
 use crate::engine::shard::Shard;
+use crate::engine::store_era::StoreEra;
 
 /// How long servers keep the connections of a caller that lost power. Until then those of
 /// earlier lives may fill them: who opens more than half of its share is refused, and
@@ -111,6 +112,7 @@
     quota: QuotaControl,
     quota_tolerance: Option<QuotaTolerance>,
     newer_configuration: NewerConfiguration,
+    store_era: Arc<StoreEra>,
 }
 
 impl Engine {
@@ -151,6 +153,7 @@
             quota: QuotaControl::new(now()),
             quota_tolerance: None,
             newer_configuration: NewerConfiguration::default(),
+            store_era: Arc::default(),
         }
     }
 
@@ -194,6 +197,12 @@
         f(&mut self.duties.lock().expect("never poisoned"))
     }
 
+    /// The latest era of the platform's store.
+    #[must_use]
+    pub fn store_era(&self) -> &Arc<StoreEra> {
+        &self.store_era
+    }
+
     /// Lists of holders, by group.
     #[must_use]
     pub fn holder_lists(&self) -> &Holders {
@@ -381,13 +390,13 @@
 
     /// Revision up to which the list of servers is known.
     #[must_use]
-    pub fn servers_revision(&self) -> u64 {
+    pub fn servers_revision(&self) -> Revision {
         self.servers.lock().expect("never poisoned").revision()
     }
 
     /// Revision at which the list of servers last changed.
     #[must_use]
-    pub fn servers_changed_at(&self) -> u64 {
+    pub fn servers_changed_at(&self) -> Revision {
         self.servers.lock().expect("never poisoned").changed_at()
     }
 
@@ -414,7 +423,7 @@
     /// Whether the list of servers may be behind the store, or is not known.
     #[must_use]
     pub fn has_servers_outage(&self) -> bool {
-        self.servers_outage.load(Ordering::Relaxed) || self.servers_revision() == 0
+        self.servers_outage.load(Ordering::Relaxed) || self.servers_revision().is_unknown()
     }
 
     /// Whether a planned stop has begun.
--- a/daemon/src/engine/shared/known_fleet.rs
+++ b/daemon/src/engine/shared/known_fleet.rs
@@ -1,9 +1,11 @@
 //! Whether it is known which instances there are, and who told.
 
+use std::fmt::Display;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use chervilwharf_lib::fleet::InstanceRecord;
+use chervilwharf_lib::revision::Era;
 
 use crate::engine::clock::now;
 use crate::engine::follow::OTHERS_LISTED;
@@ -33,6 +35,11 @@
         self.fleet_listed.load(Ordering::Relaxed)
     }
 
+    /// An answer of the store, or another instance, told of an era.
+    pub fn note_store_era(&self, era: Era, source: impl Display) {
+        self.store_era.note(era, source);
+    }
+
     /// The store told the configuration, or the instances.
     pub fn note_store_answered(&self) {
         *self.store_answered_at.lock().expect("never poisoned") = Some(now());
@@ -59,7 +66,9 @@
     /// Whether this instance lacks configuration, servers or the other instances.
     #[must_use]
     pub fn lacks_records(&self) -> bool {
-        self.catalog().version == 0 || self.servers_revision() == 0 || !self.is_fleet_listed()
+        self.catalog().version == 0
+            || self.servers_revision().is_unknown()
+            || !self.is_fleet_listed()
     }
 
     /// Whether the one who asks now should tell the records: they are lacking, the
--- a/daemon/tests/test_duty.rs
+++ b/daemon/tests/test_duty.rs
@@ -67,7 +67,7 @@
         if expected != Some(entry.revision) {
             return Err(WriteError::Conflict(Some(entry.clone())));
         }
-        entry.revision += 1;
+        entry.revision.number += 1;
         entry.record = record.clone();
         Ok(entry.revision)
     }
@@ -97,10 +97,11 @@
         token,
         order: Some(order("theirs")),
     };
-    let entry = Entry { name: "db".into(), revision: 5, record: Record::Duty(duty(4)) };
+    let entry =
+        Entry { name: "db".into(), revision: Revision::new(0, 5), record: Record::Duty(duty(4)) };
     let (engine, directory) =
         (Engine::new(instance("me"), Arc::new(NoServer)), OneRecord(Mutex::new(entry)));
-    engine.with_duties(|duties| duties.learn(5, duty(4)));
+    engine.with_duties(|duties| duties.learn(Revision::new(0, 5), duty(4)));
     let ours = || OrderChange::Put(Some(order("ours")));
     assert!(claim(&engine, &directory, &"db".into(), ours(), 3).await.is_none());
     assert_eq!(directory.duty(), duty(4));
--- a/daemon/tests/test_follow.rs
+++ b/daemon/tests/test_follow.rs
@@ -3,6 +3,7 @@
 mod stubs;
 
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -20,6 +21,7 @@
 use chervilwharf_daemon::engine::follow::follow;
 use chervilwharf_daemon::engine::server_control::ServerFollower;
 use chervilwharf_daemon::engine::shared::Engine;
+use chervilwharf_daemon::engine::store_era::StoreEra;
 use chervilwharf_daemon::engine::store_gate::StoreGate;
 use stubs::Listed;
 use stubs::ReadOnly;
@@ -43,7 +45,8 @@
             self.settled.notify_one();
             std::future::pending::<()>().await;
         }
-        let revision = if currency == Currency::Fresh { 10 } else { 1 };
+        let number = if currency == Currency::Fresh { 10 } else { 1 };
+        let revision = Revision::new(0, number);
         Ok(Listing { revision, ..Listing::default() })
     }
 
@@ -54,7 +57,7 @@
         _: Duration,
         _: Currency,
     ) -> Result<Changes, DirectoryError> {
-        if after <= 5 {
+        if after.number <= 5 {
             return Err(DirectoryError::HistoryGone);
         }
         self.settled.notify_one();
@@ -86,7 +89,8 @@
     // Cause: the list showed what is forgotten, so the watch failed at once,
     // and so on without a pause.
     let store = Arc::new(ForgetfulStore::default());
-    let following = tokio::spawn(follow(ReadOnly::new(&store), Arc::default(), Quiet));
+    let following =
+        tokio::spawn(follow(ReadOnly::new(&store), Arc::default(), Arc::default(), Quiet));
     store.settled.notified().await;
     following.abort();
     assert_eq!(store.lists.load(Ordering::SeqCst), 2, "an old one, then a fresh one");
@@ -106,7 +110,7 @@
 }
 
 impl ServersRegister {
-    fn revision(&self) -> Revision {
+    fn revision(&self) -> u64 {
         let watched_for = self.began_at.elapsed().saturating_sub(OTHERS_LISTED);
         let passed = watched_for.as_millis() / BETWEEN_CHANGES.as_millis();
         u64::try_from(passed).expect("a short time").min(REGISTERING) + 1
@@ -116,7 +120,7 @@
 #[async_trait]
 impl Listed for ServersRegister {
     async fn list(&self, _: RecordKind, _: Currency) -> Result<Listing, DirectoryError> {
-        Ok(Listing { revision: 1, ..Listing::default() })
+        Ok(Listing { revision: Revision::new(0, 1), ..Listing::default() })
     }
 
     async fn watch(
@@ -127,15 +131,15 @@
         _: Currency,
     ) -> Result<Changes, DirectoryError> {
         self.watches.fetch_add(1, Ordering::SeqCst);
-        if after > REGISTERING {
+        if after.number > REGISTERING {
             self.all_told.notify_one();
             return std::future::pending().await;
         }
-        while self.revision() <= after {
+        while self.revision() <= after.number {
             tokio::time::sleep(BETWEEN_CHANGES).await;
         }
         let changes = vec![Change::Removed("some server".into())];
-        Ok(Changes { revision: self.revision(), changes })
+        Ok(Changes { revision: Revision::new(0, self.revision()), changes })
     }
 }
 
@@ -150,8 +154,12 @@
         watches: AtomicUsize::new(0),
         all_told: Notify::new(),
     });
-    let following =
-        tokio::spawn(follow(ReadOnly::new(&store), Arc::default(), ServerFollower::new(engine)));
+    let following = tokio::spawn(follow(
+        ReadOnly::new(&store),
+        Arc::default(),
+        Arc::default(),
+        ServerFollower::new(engine),
+    ));
     store.all_told.notified().await;
     following.abort();
     let watches = store.watches.load(Ordering::SeqCst);
@@ -177,7 +185,7 @@
         if self.answered.fetch_add(1, Ordering::SeqCst) + 1 == KINDS.len() {
             self.settled.notify_one();
         }
-        Ok(Listing { revision: 1, ..Listing::default() })
+        Ok(Listing { revision: Revision::new(0, 1), ..Listing::default() })
     }
 
     async fn watch(
@@ -224,7 +232,7 @@
     });
     let gate = Arc::new(StoreGate::default());
     for kind in KINDS {
-        tokio::spawn(follow(ReadOnly::new(&store), gate.clone(), OfKind(kind)));
+        tokio::spawn(follow(ReadOnly::new(&store), gate.clone(), Arc::default(), OfKind(kind)));
     }
     let began_at = tokio::time::Instant::now();
     store.settled.notified().await;
@@ -256,7 +264,7 @@
         if self.answered.fetch_add(1, Ordering::SeqCst) + 1 == KINDS.len() {
             self.settled.notify_one();
         }
-        Ok(Listing { revision: 1, ..Listing::default() })
+        Ok(Listing { revision: Revision::new(0, 1), ..Listing::default() })
     }
 
     async fn watch(
@@ -286,7 +294,7 @@
         });
         let gate = Arc::new(StoreGate::default());
         for kind in KINDS {
-            tokio::spawn(follow(ReadOnly::new(&store), gate.clone(), OfKind(kind)));
+            tokio::spawn(follow(ReadOnly::new(&store), gate.clone(), Arc::default(), OfKind(kind)));
         }
         store.settled.notified().await;
         let took = ends_at.elapsed();
@@ -315,7 +323,7 @@
         let sharing = u32::try_from(sharing).expect("few");
         tokio::time::sleep(LIST_TIME * sharing).await;
         self.under_way.fetch_sub(1, Ordering::SeqCst);
-        Ok(Listing { revision: 1, ..Listing::default() })
+        Ok(Listing { revision: Revision::new(0, 1), ..Listing::default() })
     }
 
     async fn watch(
@@ -330,7 +338,7 @@
         }
         // Something changes all the time while others start.
         tokio::time::sleep(BETWEEN_CHANGES).await;
-        Ok(Changes { revision: 1, changes: Vec::new() })
+        Ok(Changes { revision: Revision::new(0, 1), changes: Vec::new() })
     }
 }
 
@@ -347,7 +355,7 @@
     });
     let gate = Arc::new(StoreGate::default());
     for kind in KINDS {
-        tokio::spawn(follow(ReadOnly::new(&store), gate.clone(), OfKind(kind)));
+        tokio::spawn(follow(ReadOnly::new(&store), gate.clone(), Arc::default(), OfKind(kind)));
     }
     let began_at = tokio::time::Instant::now();
     store.settled.notified().await;
@@ -355,3 +363,114 @@
     let lists = store.lists.load(Ordering::SeqCst);
     assert!(lists <= 3 * KINDS.len(), "{lists} lists");
 }
+
+/// A store that comes back from a copy while it is watched: the history of before ends
+/// at 20, the present one goes on from 10 to 30.
+struct ComesBack {
+    /// Era and revision of the lists, one after the other; the last one stays.
+    lists: Vec<Revision>,
+    listed: AtomicUsize,
+    /// Answer to the first watch.
+    first_watch: Revision,
+    watched_from: Mutex<Vec<Revision>>,
+    settled: Notify,
+}
+
+impl ComesBack {
+    fn new(lists: &[(u64, u64)], first_watch: (u64, u64)) -> Arc<Self> {
+        let revision = |(era, number): (u64, u64)| Revision::new(era, number);
+        Arc::new(Self {
+            lists: lists.iter().copied().map(revision).collect(),
+            listed: AtomicUsize::new(0),
+            first_watch: revision(first_watch),
+            watched_from: Mutex::default(),
+            settled: Notify::new(),
+        })
+    }
+}
+
+#[async_trait]
+impl Listed for ComesBack {
+    async fn list(&self, _: RecordKind, _: Currency) -> Result<Listing, DirectoryError> {
+        let number = self.listed.fetch_add(1, Ordering::SeqCst).min(self.lists.len() - 1);
+        Ok(Listing { revision: self.lists[number], ..Listing::default() })
+    }
+
+    async fn watch(
+        &self,
+        _: RecordKind,
+        after: Revision,
+        _: Duration,
+        _: Currency,
+    ) -> Result<Changes, DirectoryError> {
+        let watches = {
+            let mut watched_from = self.watched_from.lock().unwrap();
+            watched_from.push(after);
+            watched_from.len()
+        };
+        if watches == 1 {
+            let changes = vec![Change::Removed("of another history".into())];
+            return Ok(Changes { revision: self.first_watch, changes });
+        }
+        self.settled.notify_one();
+        std::future::pending().await
+    }
+}
+
+/// Counts the changes that it is told.
+struct Counting(Arc<AtomicUsize>);
+
+impl Follower for Counting {
+    fn kind(&self) -> RecordKind {
+        RecordKind::Servers
+    }
+
+    fn replace(&mut self, _: Listing) {}
+
+    fn change(&mut self, _: Revision, changes: Vec<Change>) {
+        self.0.fetch_add(changes.len(), Ordering::SeqCst);
+    }
+}
+
+/// Guards against changes between equal numbers of two histories that are taken for
+/// changes of what is known, and against a watch that goes on in the new history.
+#[tokio::test(start_paused = true)]
+async fn test_records_are_listed_anew_when_a_watch_answers_of_another_era() {
+    let store = ComesBack::new(&[(1, 20), (2, 25)], (2, 30));
+    let told = Arc::new(AtomicUsize::new(0));
+    let follower = Counting(told.clone());
+    tokio::spawn(follow(ReadOnly::new(&store), Arc::default(), Arc::default(), follower));
+    store.settled.notified().await;
+    assert_eq!(told.load(Ordering::SeqCst), 0);
+    let watched_from = store.watched_from.lock().unwrap().clone();
+    assert_eq!(watched_from, [Revision::new(1, 20), Revision::new(2, 25)]);
+}
+
+/// Guards against an answer that is seconds old, of before the store came back from a
+/// copy, that takes the place of what is known since.
+#[tokio::test(start_paused = true)]
+async fn test_list_of_an_earlier_era_than_others_told_is_not_taken() {
+    let store = ComesBack::new(&[(1, 20), (1, 20), (2, 25)], (2, 25));
+    let era = Arc::new(StoreEra::default());
+    era.note(2, "another instance");
+    let follower = Counting(Arc::default());
+    tokio::spawn(follow(ReadOnly::new(&store), Arc::default(), era, follower));
+    store.settled.notified().await;
+    let watched_from = store.watched_from.lock().unwrap().clone();
+    assert_eq!(watched_from[0], Revision::new(2, 25));
+}
+
+/// Guards against a watch that waits for its end, up to 15 s, while other instances
+/// know that the store came back from a copy.
+#[tokio::test(start_paused = true)]
+async fn test_watch_ends_when_another_instance_tells_of_a_later_era() {
+    let store = ComesBack::new(&[(1, 20), (2, 25)], (1, 20));
+    let era = Arc::new(StoreEra::default());
+    let follower = Counting(Arc::default());
+    tokio::spawn(follow(ReadOnly::new(&store), Arc::default(), era.clone(), follower));
+    store.settled.notified().await;
+    era.note(2, "another instance");
+    store.settled.notified().await;
+    let watched_from = store.watched_from.lock().unwrap().clone();
+    assert_eq!(watched_from.last(), Some(&Revision::new(2, 25)));
+}
--- a/daemon/tests/test_metrics.rs
+++ b/daemon/tests/test_metrics.rs
@@ -70,7 +70,10 @@
         directory.list(RecordKind::Servers, Currency::Fresh).await.unwrap();
     }
     let wait = Duration::from_secs(1);
-    directory.watch(RecordKind::Servers, 7, wait, Currency::Fresh).await.unwrap_err();
+    directory
+        .watch(RecordKind::Servers, Revision::new(0, 7), wait, Currency::Fresh)
+        .await
+        .unwrap_err();
     let own = Record::Instance(instance("instance"));
     directory.write("instance", &own, None).await.unwrap_err();
     let text = engine.metrics().text(&engine);
--- a/daemon/tests/test_start.rs
+++ b/daemon/tests/test_start.rs
@@ -15,6 +15,7 @@
 use chervilwharf_lib::engine_protos::Heartbeat;
 use chervilwharf_lib::fleet::InstanceRecord;
 use chervilwharf_lib::id::GroupId;
+use chervilwharf_lib::revision::Revision;
 use stubs::NoServer;
 use stubs::instance;
 
@@ -97,7 +98,7 @@
     assert!(!asked(), "another one was asked just now");
     let knows = engine(record(3));
     knows.take_instances((1..=72).map(record).collect());
-    knows.update_servers(|list| list.advance(7));
+    knows.update_servers(|list| list.advance(Revision::new(0, 7)));
     started.take_directory(knows.directory_state(DirectoryPull::default()));
     assert!(!started.invites_records());
 }
--- a/daemon/tests/values_world/mod.rs
+++ b/daemon/tests/values_world/mod.rs
@@ -34,6 +34,7 @@
 use chervilwharf_lib::id::GroupId;
 use chervilwharf_lib::layout::SessionValues;
 use chervilwharf_lib::position::Position;
+use chervilwharf_lib::revision::Revision;
 use chervilwharf_lib::server_refusal::RefusalKind;
 use chervilwharf_lib::server_refusal::ServerRefusal;
 use chervilwharf_lib::statement::Answer;
@@ -284,8 +285,8 @@
         assert!(engine.set_catalog(&Arc::new(catalog)));
         let server = primary(SERVER.into(), address);
         engine.update_servers(|list| {
-            list.replace(chervilwharf_daemon::engine::clock::now(), vec![(GROUP.into(), server)]);
-            list.advance(1);
+            let at = chervilwharf_daemon::engine::clock::now();
+            list.replace(at, Revision::new(0, 1), vec![(GROUP.into(), server)]);
         });
         let mut world = Self { engine, shared, term: 0 };
         world.lead_again();
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod primary_right;
 pub mod quota;
 pub mod retry;
+pub mod revision;
 pub mod routing;
 pub mod samples;
 pub mod server_list;
--- a/lib/src/protos/chervilwharf.engine.rs
+++ b/lib/src/protos/chervilwharf.engine.rs
@@ -91,6 +91,13 @@
     /// it; it asks to be told the records.
     #[prost(bool, tag = "9")]
     pub lacks_records: bool,
+    /// How often the store came back from a copy when the list of servers changed; 0
+    /// if it does not tell.
+    #[prost(uint64, tag = "10")]
+    pub servers_era: u64,
+    /// As far as the sender knows.
+    #[prost(uint64, tag = "11")]
+    pub store_era: u64,
 }
 /// A voter grants the use of the primary of a group in all terms above one.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -430,6 +437,8 @@
     /// Whether it knows other instances.
     #[prost(bool, tag = "3")]
     pub knows_instances: bool,
+    #[prost(uint64, tag = "4")]
+    pub servers_era: u64,
 }
 /// Only what is newer than what the question names.
 ///
@@ -449,6 +458,8 @@
     /// The instance that tells.
     #[prost(string, tag = "5")]
     pub sender: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "6")]
+    pub servers_era: u64,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct DirectoryTaken {}
--- a/lib/src/server_list.rs
+++ b/lib/src/server_list.rs
@@ -8,6 +8,7 @@
 use crate::id::GroupId;
 use crate::id::TargetId;
 use crate::moment::Moment;
+use crate::revision::Revision;
 
 /// A server as it was last listed.
 #[derive(Clone, Debug)]
@@ -28,10 +29,10 @@
 pub struct ServerList {
     servers: HashMap<TargetId, ListedServer>,
     /// Revision of the store up to which the list is known.
-    revision: u64,
+    revision: Revision,
     /// Revision at which the list last changed. The store's revision counts
     /// changes of everything it keeps.
-    changed_at: u64,
+    changed_at: Revision,
     /// Groups whose servers changed since they were last taken.
     changed: HashSet<GroupId>,
     /// Whether something changed since the revision was last advanced.
@@ -41,18 +42,18 @@
 impl ServerList {
     /// Revision of the store up to which the list is known.
     #[must_use]
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> Revision {
         self.revision
     }
 
     /// Revision of the store at which the list last changed.
     #[must_use]
-    pub fn changed_at(&self) -> u64 {
+    pub fn changed_at(&self) -> Revision {
         self.changed_at
     }
 
     /// The list is known up to this revision.
-    pub fn advance(&mut self, revision: u64) {
+    pub fn advance(&mut self, revision: Revision) {
         self.revision = self.revision.max(revision);
         if std::mem::take(&mut self.has_news) {
             self.changed_at = self.revision;
@@ -91,8 +92,36 @@
         }
     }
 
-    /// These are all servers that are listed.
-    pub fn replace(&mut self, now: Moment, listed: Vec<(GroupId, ServerInfo)>) {
+    /// These are all servers that are listed at a revision. An answer that is older
+    /// than what is known changes nothing.
+    pub fn replace(
+        &mut self,
+        now: Moment,
+        revision: Revision,
+        mut listed: Vec<(GroupId, ServerInfo)>,
+    ) {
+        if revision < self.revision {
+            return;
+        }
+        if revision.era > self.revision.era {
+            self.keep_draining(&mut listed);
+            // Others may know servers that only the lost history had.
+            self.has_news = true;
+        }
+        self.replace_all(now, listed);
+        self.advance(revision);
+    }
+
+    /// A copy of the store can hold servers as they were before they began to drain.
+    /// Until they write their entries again they get no new work.
+    fn keep_draining(&self, listed: &mut [(GroupId, ServerInfo)]) {
+        for (_, info) in listed {
+            let known = self.servers.get(&info.id).map(|known| &known.info);
+            info.draining |= known.is_some_and(|known| known.draining && known.start == info.start);
+        }
+    }
+
+    fn replace_all(&mut self, now: Moment, listed: Vec<(GroupId, ServerInfo)>) {
         let ids: HashSet<_> = listed.iter().map(|(_, info)| info.id.clone()).collect();
         for (group, info) in listed {
             self.present(group, info);
--- a/lib/tests/test_session_parts.rs
+++ b/lib/tests/test_session_parts.rs
@@ -6,6 +6,7 @@
 use chervilwharf_lib::group::ServerInfo;
 use chervilwharf_lib::layout::ConnectionLayout;
 use chervilwharf_lib::layout::SessionValues;
+use chervilwharf_lib::revision::Revision;
 use chervilwharf_lib::server_list::ServerList;
 use chervilwharf_lib::statement::Access;
 use chervilwharf_lib::statement::Prepared;
@@ -110,6 +111,10 @@
     Duration::from_millis(ms)
 }
 
+fn revision(number: u64) -> Revision {
+    Revision::new(0, number)
+}
+
 #[test]
 fn test_entry_that_expired_during_an_outage_is_kept_for_a_while() {
     // Symptom: no server is left for seconds though all are alive.
@@ -118,7 +123,7 @@
     // Cause: each removal taken for the end of the server.
     let mut list = ServerList::default();
     list.present("db".into(), server("s", false));
-    list.replace(at(1_000), Vec::new());
+    list.replace(at(1_000), revision(1), Vec::new());
     assert!(list.drop_missing(at(3_000)));
     assert_eq!(list.take_changed()["db"].len(), 1);
     list.present("db".into(), server("s", false));
@@ -159,17 +164,40 @@
     let mut list = ServerList::default();
     list.present("db1".into(), server("s1", false));
     list.present("db2".into(), server("s2", false));
-    list.advance(5);
+    list.advance(revision(5));
     assert_eq!(list.take_changed().len(), 2);
     list.present("db1".into(), server("s1", false));
-    list.advance(9);
+    list.advance(revision(9));
     assert!(list.take_changed().is_empty());
-    assert_eq!((list.revision(), list.changed_at()), (9, 5));
+    assert_eq!((list.revision(), list.changed_at()), (revision(9), revision(5)));
     list.present("db2".into(), server("s2", true));
-    list.advance(12);
+    list.advance(revision(12));
     assert_eq!(list.take_changed().into_keys().collect::<Vec<_>>(), ["db2".into()]);
-    assert_eq!(list.changed_at(), 12);
+    assert_eq!(list.changed_at(), revision(12));
     list.missing(at(0), "s2");
-    list.advance(13);
-    assert_eq!(list.changed_at(), 13, "a leaving server is dropped at once");
+    list.advance(revision(13));
+    assert_eq!(list.changed_at(), revision(13), "a leaving server is dropped at once");
+}
+
+/// Guards against a copy of the store that shows a server as it was before it began to
+/// drain, and against one that brings back a list of the lost history.
+#[test]
+fn test_list_of_a_store_that_came_back_from_a_copy_takes_the_place_of_a_later_number() {
+    let mut list = ServerList::default();
+    let listed = |names: &[&str]| {
+        names.iter().map(|name| ("db".into(), server(name, false))).collect::<Vec<_>>()
+    };
+    list.replace(at(0), Revision::new(1, 900), listed(&["drains", "goes"]));
+    list.present("db".into(), server("drains", true));
+    list.advance(Revision::new(1, 901));
+    list.replace(at(10), Revision::new(2, 880), listed(&["drains", "new"]));
+    let draining = |list: &ServerList, id| list.listed(id).map(|(_, info)| info.draining);
+    assert_eq!(draining(&list, "new"), Some(false));
+    assert_eq!(draining(&list, "drains"), Some(true));
+    assert_eq!(draining(&list, "goes"), None);
+    assert_eq!(list.changed_at(), Revision::new(2, 880), "others are told");
+    list.replace(at(20), Revision::new(1, 950), listed(&["goes"]));
+    assert_eq!(draining(&list, "new"), Some(false));
+    list.present("db".into(), server("drains", false));
+    assert_eq!(draining(&list, "drains"), Some(false), "it wrote its entry again");
 }
--- a/standin/src/platform/store.rs
+++ b/standin/src/platform/store.rs
@@ -71,6 +71,8 @@
     /// Highest token seen, by group.
     tokens: HashMap<String, u64>,
     promotions: Vec<(String, String, u64)>,
+    /// Kinds that were watched, and from which revision.
+    watches: Vec<(String, u64)>,
     /// Calls that create an object, by kind.
     creations: HashMap<String, usize>,
 }
@@ -184,6 +186,14 @@
         self.lock().creations.get(kind).copied().unwrap_or_default()
     }
 
+    /// Calls so far that watched a kind from this revision on, or from a later one.
+    #[must_use]
+    pub fn watches(&self, kind: &str, revision: u64) -> usize {
+        let objects = self.lock();
+        let of_kind = objects.watches.iter().filter(|(k, _)| k == kind);
+        of_kind.filter(|(_, after)| *after >= revision).count()
+    }
+
     /// Names of all objects of a kind.
     #[must_use]
     pub fn names(&self, kind: &str) -> Vec<String> {
@@ -369,6 +379,7 @@
 }
 
 async fn watch_changes(store: &Store, kind: &str, after: u64, wait_ms: u64) -> Response {
+    store.lock().watches.push((kind.to_owned(), after));
     let mut changes = store.changes.subscribe();
     let until = tokio::time::Instant::now() + Duration::from_millis(wait_ms);
     loop {
