--- a/daemon/src/engine/directory.rs
+++ b/daemon/src/engine/directory.rs
@@ -106,6 +106,8 @@
     Unreachable(String),
     /// the store's answer cannot be read: {0}
     Unreadable(String),
+    /// the store came back from a copy, and too few tell what was ordered before
+    OrdersUnknown,
     /// the record of revision {0} cannot be read
     RecordUnreadable(Revision),
 }
--- a/daemon/src/engine/duty_control.rs
+++ b/daemon/src/engine/duty_control.rs
@@ -7,12 +7,15 @@
 use chervilwharf_lib::duty::DutyOrder;
 use chervilwharf_lib::duty::DutyRecord;
 use chervilwharf_lib::duty::DutyToken;
+use chervilwharf_lib::duty::is_token_of_era;
 use chervilwharf_lib::duty::next_record;
 use chervilwharf_lib::event::Event;
 use chervilwharf_lib::event::EventKind;
 use chervilwharf_lib::id::GroupId;
 use chervilwharf_lib::id::InstanceId;
 use chervilwharf_lib::moment::Moment;
+use chervilwharf_lib::primary_right::Ending;
+use chervilwharf_lib::revision::Era;
 
 use crate::engine::clock::now;
 use crate::engine::directory::Change;
@@ -37,6 +40,16 @@
     /// unanswered can be carried out seconds later; only a higher token keeps it
     /// from undoing what is ordered after it.
     spent: HashMap<GroupId, DutyToken>,
+    /// The order under the highest token that this instance read or promised, by
+    /// group. A copy of the store may lack it.
+    latest_orders: HashMap<GroupId, LatestOrder>,
+}
+
+/// What was ordered under a token, if anything.
+#[derive(Clone, Debug)]
+struct LatestOrder {
+    token: DutyToken,
+    order: Option<DutyOrder>,
 }
 
 impl DutyBook {
@@ -58,8 +71,49 @@
         if known.is_some_and(|(at, _)| *at >= revision) {
             return false;
         }
+        self.note_order_under(&record.group, record.token, record.order.clone());
+        let record = if revision.era > 0 { self.with_lost_order(record) } else { record };
+        // A copy of the store can hold what is known already.
+        let is_new = self.record(&record.group) != Some(&record);
         self.duties.insert(record.group.clone(), (revision, record));
-        true
+        is_new
+    }
+
+    /// A record of a copy, with the order under a higher token that the copy lacks.
+    fn with_lost_order(&self, record: DutyRecord) -> DutyRecord {
+        let known = self.record(&record.group);
+        let retired = known.map_or(0, |known| known.retired).max(record.retired);
+        let latest = self.latest_orders.get(&record.group);
+        match latest.filter(|latest| latest.token > record.token) {
+            Some(latest) => DutyRecord { order: latest.order.clone(), retired, ..record },
+            None => record,
+        }
+    }
+
+    fn note_order_under(&mut self, group: &GroupId, token: DutyToken, order: Option<DutyOrder>) {
+        let known = self.latest_orders.get(group);
+        if known.is_none_or(|known| known.token <= token) {
+            self.latest_orders.insert(group.clone(), LatestOrder { token, order });
+        }
+    }
+
+    /// This instance promised an order.
+    pub fn note_promised(&mut self, group: &GroupId, ending: &Ending) {
+        let order = DutyOrder { server: ending.successor.clone(), term: ending.term + 1 };
+        self.note_order_under(group, ending.token, Some(order));
+    }
+
+    /// An order was not given, and never will be.
+    pub fn forget_promised(&mut self, group: &GroupId, token: DutyToken) {
+        if self.latest_orders.get(group).is_some_and(|latest| latest.token == token) {
+            self.latest_orders.remove(group);
+        }
+    }
+
+    /// Whether somebody took the duty of a group in an era of the store.
+    #[must_use]
+    pub fn is_taken_in(&self, group: &GroupId, era: Era) -> bool {
+        self.record(group).is_some_and(|record| is_token_of_era(record.token, era))
     }
 
     /// A token must not be used again.
@@ -160,6 +214,8 @@
     pub duty: DutyRecord,
     /// When the store had taken it; `None` for a token kept from before.
     pub written_at: Option<Moment>,
+    /// Era of the store that took it.
+    pub written_era: Option<Era>,
 }
 
 /// Takes the duty of a group under a new token, unless another instance took it
@@ -174,7 +230,7 @@
     since: DutyToken,
 ) -> Option<Claim> {
     match claim_new(engine, directory, group, order.clone(), since).await {
-        Ok(duty) => Some(Claim { duty, written_at: Some(now()) }),
+        Ok((duty, era)) => Some(Claim { duty, written_at: Some(now()), written_era: Some(era) }),
         Err(error) => {
             let me = engine.me();
             let kept = engine.with_duties(|duties| duties.usable(group, &me.id, me.life));
@@ -187,7 +243,7 @@
                 WriteError::NotDone(_) | WriteError::Unanswered(_) => {
                     let duty = kept?;
                     engine.with_duties(|duties| duties.note_order(group, order));
-                    Some(Claim { duty, written_at: None })
+                    Some(Claim { duty, written_at: None, written_era: None })
                 }
             }
         }
@@ -200,7 +256,7 @@
     group: &GroupId,
     order: OrderChange,
     since: DutyToken,
-) -> Result<DutyRecord, WriteError> {
+) -> Result<(DutyRecord, Era), WriteError> {
     let (present, expected) = match directory.get(RecordKind::Duties, group).await {
         Ok(present) => {
             let expected = present.as_ref().map(|entry| entry.revision);
@@ -210,12 +266,10 @@
         Err(DirectoryError::RecordUnreadable(revision)) => (None, Some(revision)),
         Err(error) => return Err(WriteError::NotDone(error)),
     };
-    let last = match &present {
-        Some(Entry { record: Record::Duty(record), .. }) => Some(record.clone()),
-        _ => engine.with_duties(|duties| duties.record(group).cloned()),
-    };
-    if let (Some(record), Some(entry)) = (&last, &present) {
-        engine.with_duties(|duties| duties.learn(entry.revision, record.clone()));
+    engine.note_store_era(expected.unwrap_or_default().era, RecordKind::Duties);
+    let era = engine.store_era().latest();
+    if let Some(Entry { record: Record::Duty(record), revision, .. }) = &present {
+        engine.with_duties(|duties| duties.learn(*revision, record.clone()));
         // Somebody took the duty since this instance decided to act, and acts
         // now. Two that replace a primary at once undo each other's work, and an
         // order that is overwritten is seen by nobody who reads the store.
@@ -223,11 +277,14 @@
             return Err(WriteError::Conflict(present));
         }
     }
-    let next = next_record(group, engine.me(), last.as_ref(), None);
+    let last = engine.with_duties(|duties| duties.record(group).cloned());
+    let next = next_record(group, engine.me(), last.as_ref(), None, era);
     let next = match order {
         OrderChange::Keep => next,
         OrderChange::Put(order) => DutyRecord { order, ..next },
     };
+    let next = with_word_of_most(engine, next, era)
+        .ok_or(WriteError::NotDone(DirectoryError::OrdersUnknown))?;
     let record = Record::Duty(next.clone());
     let written = match directory.write(group, &record, expected).await {
         // The write may have been done: then the record says so.
@@ -241,7 +298,24 @@
         result => result?,
     };
     engine.with_duties(|duties| duties.learn(written, next.clone()));
+    // The store came back from a copy meanwhile: it may hold another record under the
+    // revision that was expected, and a higher token was given out before.
+    if written.era != era {
+        engine.note_store_era(written.era, RecordKind::Duties);
+        return Err(WriteError::Conflict(None));
+    }
     let event = Event::new(EventKind::DutyTaken).with("group", group);
     event_log::emit(&event.with("holder", &next.holder).with("token", next.token));
-    Ok(next)
+    Ok((next, era))
+}
+
+/// The first record of an era, with the terms that most voters have retired; `None` if
+/// too few told. A copy of the store can lack the order for which they did so, and
+/// nobody else may know it.
+fn with_word_of_most(engine: &Engine, next: DutyRecord, era: Era) -> Option<DutyRecord> {
+    if era == 0 || engine.with_duties(|duties| duties.is_taken_in(&next.group, era)) {
+        return Some(next);
+    }
+    let told = engine.retired_by_most(&next.group)?;
+    Some(DutyRecord { retired: next.retired.max(told), ..next })
 }
--- a/daemon/src/engine/fleet_control.rs
+++ b/daemon/src/engine/fleet_control.rs
@@ -14,12 +14,16 @@
 use chervilwharf_lib::engine_protos::engine_frame::Body;
 use chervilwharf_lib::event::Event;
 use chervilwharf_lib::event::EventKind;
+use chervilwharf_lib::fleet::Fleet;
 use chervilwharf_lib::fleet::HEARTBEAT_INTERVAL;
 use chervilwharf_lib::fleet::InstanceRecord;
 use chervilwharf_lib::id::GroupId;
 use chervilwharf_lib::id::InstanceId;
 use chervilwharf_lib::moment::Moment;
 use chervilwharf_lib::position::Position;
+use chervilwharf_lib::revision::Era;
+use futures::future::join_all;
+use rand::seq::IndexedRandom;
 
 use crate::engine::clock::now;
 use crate::engine::configuration_control::ConfigurationSource;
@@ -43,13 +47,49 @@
 /// Tells an engine which instances there are.
 pub struct InstanceFollower {
     engine: Arc<Engine>,
+    /// Era of the last list; `None` before the first one.
+    listed_era: Option<Era>,
 }
 
 impl InstanceFollower {
     /// Feeds an engine.
     #[must_use]
     pub fn new(engine: Arc<Engine>) -> Self {
-        Self { engine }
+        Self { engine, listed_era: None }
+    }
+
+    fn take_all(&mut self, records: Vec<InstanceRecord>, era: Era) {
+        let before = self.listed_era.replace(era);
+        let update = if before.is_some_and(|before| before < era) {
+            Fleet::replace_by_copy
+        } else {
+            Fleet::replace
+        };
+        self.engine.list_instances(records, update);
+        if era == 0 || self.engine.is_fleet_known() {
+            self.engine.know_fleet();
+        } else {
+            tokio::spawn(go_on_with_newest_records(self.engine.clone()));
+        }
+    }
+}
+
+/// Instances that one asks for newer records when it starts.
+const ASKED_AT_START: usize = 3;
+
+/// Asks some of the others what they know before this instance goes on.
+///
+/// A store that came back from a copy can hold a configuration that others have
+/// succeeded already; until it is written again, one that starts would serve by it.
+async fn go_on_with_newest_records(engine: Arc<Engine>) {
+    let others: Vec<_> = engine.with_fleet(|fleet| fleet.others().cloned().collect());
+    // Until one of them answers; without any the instance goes on alone.
+    while !engine.is_fleet_known() {
+        let asked = others.choose_multiple(&mut rand::rng(), ASKED_AT_START);
+        let answered = join_all(asked.map(|peer| pull_directory(&engine, peer))).await;
+        if others.is_empty() || answered.contains(&true) {
+            engine.know_fleet();
+        }
     }
 }
 
@@ -83,7 +123,7 @@
             self.engine.set_earlier_record(earlier);
             self.engine.wants_record().notify_one();
         }
-        self.engine.take_instances(records);
+        self.take_all(records, listing.revision.era);
     }
 
     fn change(&mut self, _revision: Revision, changes: Vec<Change>) {
@@ -204,6 +244,7 @@
         engine.share_connections();
         engine.close_unused_links();
         remove_lost(&engine, &directory, at);
+        restore_unlisted(&engine, &directory, at);
     }
 }
 
@@ -225,7 +266,7 @@
     };
     engine.contacts().heard(asked_at, &peer.id);
     engine.take_heartbeat(&reply);
-    engine.take_grants(asked_at, &peer.id, &reply.grants);
+    engine.take_grants(asked_at, &peer.id, &reply.grants, reply.store_era);
     engine.take_samples(asked_at, &reply.samples);
     if reply.lacks_records {
         tell_records(engine, peer).await;
@@ -254,8 +295,9 @@
     }
 }
 
-/// Takes over what another instance knows of the platform's records.
-pub async fn pull_directory(engine: &Engine, peer: &InstanceRecord) {
+/// Takes over what another instance knows of the platform's records. Returns whether
+/// it answered.
+pub async fn pull_directory(engine: &Engine, peer: &InstanceRecord) -> bool {
     let known_servers = engine.servers_revision();
     let question = Body::DirectoryPull(DirectoryPull {
         configuration_version: engine.catalog().version,
@@ -264,12 +306,16 @@
         knows_instances: engine.is_fleet_listed(),
     });
     let reason = match engine.peers().ask(peer.peer_address, question).await {
-        Ok(Body::DirectoryState(state)) => return engine.take_directory(state),
+        Ok(Body::DirectoryState(state)) => {
+            engine.take_directory(state);
+            return true;
+        }
         Ok(_) => "it answered something else than was asked".to_owned(),
         Err(error) => error.to_string(),
     };
     let event = Event::new(EventKind::PeerFailed).with("peer", &peer.id);
     event_log::emit(&event.with("asked", "records").with("reason", reason));
+    false
 }
 
 fn remove_lost(engine: &Arc<Engine>, directory: &Arc<dyn Directory>, at: Moment) {
@@ -280,6 +326,23 @@
     }
 }
 
+/// Writes the records of living instances that a copy of the store lacks.
+fn restore_unlisted(engine: &Arc<Engine>, directory: &Arc<dyn Directory>, at: Moment) {
+    let unlisted = engine.with_fleet(|fleet| {
+        fleet.forget_unlisted(at);
+        fleet.restorable(at)
+    });
+    for record in unlisted {
+        let directory = directory.clone();
+        tokio::spawn(async move {
+            let event = Event::new(EventKind::InstanceRestored).with("peer", &record.id);
+            let id = record.id.clone();
+            let written = directory.write(&id, &Record::Instance(record), None).await;
+            event_log::emit(&event.with_some("failed", written.err()));
+        });
+    }
+}
+
 async fn remove_record(directory: &dyn Directory, lost: InstanceRecord) {
     let Ok(Some(entry)) = directory.get(RecordKind::Instances, &lost.id).await else {
         return;
--- a/daemon/src/engine/leader_control.rs
+++ b/daemon/src/engine/leader_control.rs
@@ -282,6 +282,11 @@
     /// Whether nobody holds the duty of a group who could act on it.
     #[must_use]
     pub fn is_duty_vacant(&self, group: &GroupId) -> bool {
+        let era = self.store_era().latest();
+        if era > 0 && !self.with_duties(|duties| duties.is_taken_in(group, era)) {
+            // Until most voters tell what the store's copy may lack it cannot be taken.
+            return self.retired_by_most(group).is_some();
+        }
         let record = self.with_duties(|duties| duties.record(group).cloned());
         let Some(record) = record else {
             return true;
--- a/daemon/src/engine/replacement.rs
+++ b/daemon/src/engine/replacement.rs
@@ -30,6 +30,7 @@
 use chervilwharf_lib::primary_right::Agreement;
 use chervilwharf_lib::primary_right::Readiness;
 use chervilwharf_lib::primary_right::STORE_LEASE;
+use chervilwharf_lib::revision::Era;
 use futures::future::join_all;
 
 use crate::engine::clock::now;
@@ -127,6 +128,8 @@
     withdrawn: DutyToken,
     /// When the store took the order; `None` if an old token has to do.
     written_at: Option<Moment>,
+    /// Era of the store that took it.
+    written_era: Option<Era>,
 }
 
 /// Replaces a primary. Returns whether another server leads now.
@@ -184,6 +187,7 @@
         successor: target.id.clone(),
         withdrawn: 0,
         written_at: claim.written_at,
+        written_era: claim.written_era,
     };
     let result = replacement.carry_out(target).await;
     match result {
@@ -230,6 +234,7 @@
         self.metrics_step("agree", began_at);
         let began_at = now();
         let target = self.choose_successor(first).await?;
+        self.check_written()?;
         self.metrics_step("choose", began_at);
         let began_at = now();
         // One order a token: with an old one under the same token nobody could
@@ -243,6 +248,16 @@
         self.finish(&target.id, promoted).await
     }
 
+    /// Whether the store still holds the order, as far as is known: silent instances are
+    /// to read it there.
+    fn check_written(&self) -> Result<(), Dropped> {
+        let latest = self.replacer.engine.store_era().latest();
+        if self.written_era.is_some_and(|era| era < latest) {
+            return Err(Dropped::BeforeOrder("the store came back from a copy"));
+        }
+        Ok(())
+    }
+
     fn is_planned(&self) -> bool {
         self.reason == ReplaceReason::Leaving
     }
@@ -319,6 +334,7 @@
             token: self.duty.token,
             successor: self.successor.to_string(),
             withdrawn_token: self.withdrawn,
+            written_era: self.written_era,
         };
         let asking = participants.iter().map(async |record| {
             if record.id == engine.me().id {
@@ -349,6 +365,7 @@
             for (id, reply) in self.ask(&left, false).await {
                 self.take_reply(&mut agreement, &id, &reply)?;
             }
+            self.check_written()?;
             let at = now();
             let why = match agreement.readiness(last_resort) {
                 Readiness::From(from) if from <= at => {
@@ -378,6 +395,10 @@
         if reply.higher_token > self.duty.token {
             return Err(Dropped::BeforeOrder("another instance has a higher token"));
         }
+        if reply.later_era > 0 {
+            self.replacer.engine.note_store_era(reply.later_era, id);
+            return self.check_written();
+        }
         if !reply.other_successor.is_empty() {
             return Err(Dropped::BeforeOrder("an order for another server is outstanding"));
         }
@@ -437,9 +458,10 @@
         let order = DutyOrder { server: target.id.clone(), term: self.term + 1 };
         let (change, since) = (OrderChange::Put(Some(order)), self.duty.token);
         let claim = claim(self.replacer, self.shard.id(), change, since).await;
-        let Some(Claim { duty, written_at: Some(_) }) = claim else {
+        let Some(Claim { duty, written_at: Some(_), written_era }) = claim else {
             return false;
         };
+        self.written_era = written_era;
         self.withdrawn = std::mem::replace(&mut self.duty, duty).token;
         self.successor = target.id.clone();
         // Those that promised have to know whom they may not promote besides.
--- a/daemon/src/engine/right_control.rs
+++ b/daemon/src/engine/right_control.rs
@@ -21,9 +21,11 @@
 use chervilwharf_lib::id::Term;
 use chervilwharf_lib::moment::Moment;
 use chervilwharf_lib::primary_right::Ending;
+use chervilwharf_lib::primary_right::FORGETFUL;
 use chervilwharf_lib::primary_right::Objection;
 use chervilwharf_lib::primary_right::PrimaryRight;
 use chervilwharf_lib::primary_right::Promise;
+use chervilwharf_lib::revision::Era;
 
 use crate::engine::clock::now;
 use crate::engine::directory::Currency;
@@ -59,6 +61,10 @@
 /// An answer of a primary proves contact for this long.
 const REACHED_WITHIN: Duration = Duration::from_millis(400);
 
+/// How long after the store came back from a copy a duty is taken without the word of
+/// most voters: they are gone, and what they promised was carried out or never will be.
+const ERA_SETTLED: Duration = Duration::from_secs(8);
+
 /// Who votes, by group.
 #[derive(Default)]
 pub struct VoterLists(Mutex<VoterListsInner>);
@@ -83,7 +89,11 @@
             () = answered_elsewhere(&engine, failed) => continue,
         };
         let Err(error) = result else {
-            break;
+            if engine.vote_where_orders_are_known() {
+                break;
+            }
+            tokio::time::sleep(ORDERS_PAUSE).await;
+            continue;
         };
         if !failed {
             event_log::emit(&Event::new(EventKind::OrdersUnknown).with("reason", error));
@@ -111,22 +121,23 @@
 async fn read_orders(engine: &Engine, directory: &dyn Directory) -> Result<(), DirectoryError> {
     let asked_at = now();
     let listing = directory.list(RecordKind::Duties, Currency::Fresh).await?;
-    let mut ordered: HashMap<GroupId, Term> = HashMap::new();
+    let era = listing.revision.era;
+    engine.note_store_era(era, RecordKind::Duties);
+    let mut ended: HashMap<GroupId, Term> = HashMap::new();
     for Entry { revision, record, .. } in listing.entries {
         let Record::Duty(record) = record else {
             continue;
         };
-        let term = record.order.as_ref().map_or(0, |order| order.term);
-        ordered.insert(record.group.clone(), term);
+        ended.insert(record.group.clone(), record.ended_term());
         // Known from now on, also if the configuration comes later.
         let _shard = engine.shard(&record.group);
         engine.with_duties(|duties| duties.learn(revision, record));
     }
     for shard in engine.shards() {
-        let term = ordered.get(shard.id()).copied().unwrap_or_default();
+        let term = ended.get(shard.id()).copied().unwrap_or_default();
         shard.change_right(|right| {
-            right.take_order(term);
-            right.granted_by_store(asked_at, term.saturating_sub(1));
+            right.take_ended(term);
+            right.granted_by_store(asked_at, term, era);
         });
     }
     Ok(())
@@ -165,6 +176,38 @@
         self.renewal().notify_one();
     }
 
+    /// Votes on the groups whose orders are known. Returns whether that is so of all.
+    ///
+    /// A copy of the store can lack an order that an earlier life of this instance
+    /// promised. It has it where somebody took the duty since, with the word of most
+    /// voters; and it matters no more when the instance has run for long enough.
+    fn vote_where_orders_are_known(&self) -> bool {
+        let era = self.store_era().latest();
+        if era == 0 || self.runs_for(FORGETFUL) {
+            return true;
+        }
+        let shards = self.shards();
+        let is_known =
+            |shard: &&Arc<Shard>| self.with_duties(|duties| duties.is_taken_in(shard.id(), era));
+        let known: Vec<_> = shards.iter().filter(is_known).collect();
+        for shard in &known {
+            shard.change_right(PrimaryRight::knows_orders);
+        }
+        known.len() == shards.len() && self.catalog().version > 0
+    }
+
+    /// The highest term of a group that is retired, as most voters told since they know
+    /// the latest era of the store.
+    #[must_use]
+    pub fn retired_by_most(&self, group: &GroupId) -> Option<Term> {
+        let shard = self.shard(group);
+        let settled = self.store_era().is_known_for(now(), ERA_SETTLED);
+        shard.with_group(|group| {
+            let right = group.right();
+            right.retired_by_most().or_else(|| settled.then(|| right.retired()))
+        })
+    }
+
     /// Instances that vote on a group.
     #[must_use]
     pub fn voters(&self, group: &GroupId) -> Arc<Vec<InstanceId>> {
@@ -229,10 +272,17 @@
     }
 
     /// A voter answered a heartbeat of `asked_at`.
-    pub fn take_grants(&self, asked_at: Moment, voter: &InstanceId, grants: &[TermGrant]) {
+    pub fn take_grants(
+        &self,
+        asked_at: Moment,
+        voter: &InstanceId,
+        grants: &[TermGrant],
+        era: Era,
+    ) {
         for grant in grants {
             let shard = self.shard(&grant.group.as_str().into());
-            shard.change_right(|right| right.granted(voter, asked_at, grant.retired_term));
+            let retired = grant.retired_term;
+            shard.change_right(|right| right.granted(voter, asked_at, retired, era));
         }
     }
 
@@ -260,7 +310,9 @@
             token: end.token,
             successor: end.successor.as_str().into(),
             withdrawn: end.withdrawn_token,
+            written_era: end.written_era,
         };
+        self.note_store_era(end.written_era.unwrap_or_default(), "a replacement");
         let result = shard.with_group(|group| {
             group.right_mut().see_token(token);
             group.retire(at, &ending)
@@ -270,6 +322,7 @@
         let event = event.with("term", end.term).with("token", end.token);
         match result {
             Ok(promise) => {
+                self.with_duties(|duties| duties.note_promised(&group_id, &ending));
                 event_log::emit(&event.with("outcome", "promised"));
                 TermEndReply { promised: true, given: encode_given(promise), ..reply }
             }
@@ -284,6 +337,9 @@
     pub fn take_primary_news(&self, news: &PrimaryNews) {
         let shard = self.shard(&news.group.as_str().into());
         let id = news.server.as_str().into();
+        if news.server.is_empty() {
+            self.with_duties(|duties| duties.forget_promised(shard.id(), news.token));
+        }
         let changed = shard.with_group(|group| {
             group.right_mut().settle(news.token);
             group.hear_of_leader(now(), &id, news.term)
@@ -329,6 +385,7 @@
     match objection {
         Objection::LaterTerm(later_term) => TermEndReply { later_term, ..reply },
         Objection::HigherToken(higher_token) => TermEndReply { higher_token, ..reply },
+        Objection::LaterEra(later_era) => TermEndReply { later_era, ..reply },
         Objection::OtherSuccessor(server) => {
             TermEndReply { other_successor: server.to_string(), ..reply }
         }
--- a/daemon/src/engine/shared/known_fleet.rs
+++ b/daemon/src/engine/shared/known_fleet.rs
@@ -4,7 +4,9 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use chervilwharf_lib::fleet::Fleet;
 use chervilwharf_lib::fleet::InstanceRecord;
+use chervilwharf_lib::moment::Moment;
 use chervilwharf_lib::revision::Era;
 
 use crate::engine::clock::now;
@@ -19,12 +21,21 @@
 impl Engine {
     /// Takes a list of all instances over.
     pub fn take_instances(&self, records: Vec<InstanceRecord>) {
+        self.list_instances(records, Fleet::replace);
+        self.know_fleet();
+    }
+
+    /// Lists all instances, each as `update` takes it over, without going on with them.
+    pub fn list_instances(
+        &self,
+        records: Vec<InstanceRecord>,
+        update: fn(&mut Fleet, Moment, Vec<InstanceRecord>),
+    ) {
         if records.iter().any(|record| record.id == self.me.id) {
             self.registered.store(true, Ordering::Relaxed);
         }
-        self.with_fleet(|fleet| fleet.replace(now(), records));
+        self.with_fleet(|fleet| update(fleet, now(), records));
         self.fleet_listed.store(true, Ordering::Relaxed);
-        self.know_fleet();
     }
 
     /// Whether the store, or an instance that had it from there, told of all
@@ -37,7 +48,20 @@
 
     /// An answer of the store, or another instance, told of an era.
     pub fn note_store_era(&self, era: Era, source: impl Display) {
-        self.store_era.note(era, source);
+        if !self.store_era.note(era, source) {
+            return;
+        }
+        for shard in self.shards() {
+            shard.with_group(|group| group.right_mut().note_era(era));
+        }
+        // Grants of this era are wanted.
+        self.renewal.notify_one();
+    }
+
+    /// Whether this instance runs for as long as this.
+    #[must_use]
+    pub fn runs_for(&self, time: Duration) -> bool {
+        self.started_at + time <= now()
     }
 
     /// The store told the configuration, or the instances.
--- a/daemon/tests/test_duty.rs
+++ b/daemon/tests/test_duty.rs
@@ -17,11 +17,15 @@
 use chervilwharf_daemon::engine::directory::RecordKind;
 use chervilwharf_daemon::engine::directory::Revision;
 use chervilwharf_daemon::engine::directory::WriteError;
+use chervilwharf_daemon::engine::duty_control::DutyBook;
 use chervilwharf_daemon::engine::duty_control::OrderChange;
 use chervilwharf_daemon::engine::duty_control::claim;
 use chervilwharf_daemon::engine::shared::Engine;
 use chervilwharf_lib::duty::DutyOrder;
 use chervilwharf_lib::duty::DutyRecord;
+use chervilwharf_lib::duty::first_token;
+use chervilwharf_lib::duty::is_token_of_era;
+use chervilwharf_lib::primary_right::Ending;
 use stubs::NoServer;
 use stubs::instance;
 
@@ -96,6 +100,7 @@
         life: 9,
         token,
         order: Some(order("theirs")),
+        retired: 0,
     };
     let entry =
         Entry { name: "db".into(), revision: Revision::new(0, 5), record: Record::Duty(duty(4)) };
@@ -109,3 +114,92 @@
     let claimed = claim(&engine, &directory, &"db".into(), ours(), 4).await.unwrap();
     assert_eq!((claimed.duty.token, claimed.duty.order), (5, Some(order("ours"))));
 }
+
+fn duty_of(holder: &str, token: u64, order: Option<DutyOrder>) -> DutyRecord {
+    DutyRecord { group: "db".into(), holder: holder.into(), life: 9, token, order, retired: 0 }
+}
+
+/// Guards against an order, unsettled still, that is forgotten since the copy of the
+/// store does not have it.
+#[test]
+fn test_order_that_a_copy_lacks_stays_known() {
+    let mut duties = DutyBook::default();
+    duties.learn(Revision::new(1, 50), duty_of("a", 7, Some(order("theirs"))));
+    assert!(duties.learn(Revision::new(2, 40), duty_of("b", 5, None)));
+    let known = duties.record(&"db".into()).unwrap();
+    assert_eq!((&*known.holder, known.order.clone()), ("b", Some(order("theirs"))));
+    // The record of the new era tells what became of it.
+    let token = first_token(2);
+    duties.learn(Revision::new(2, 41), duty_of("b", token, None));
+    assert_eq!(duties.record(&"db".into()).unwrap().order, None);
+    assert!(duties.is_taken_in(&"db".into(), 2));
+}
+
+/// Guards against an order that was promised to another instance and whose record was
+/// never read here.
+#[test]
+fn test_promised_order_that_a_copy_lacks_is_known() {
+    let mut duties = DutyBook::default();
+    let ending = Ending {
+        term: 1,
+        token: 7,
+        successor: "theirs".into(),
+        withdrawn: 0,
+        written_era: Some(1),
+    };
+    duties.note_promised(&"db".into(), &ending);
+    duties.learn(Revision::new(2, 40), duty_of("b", 5, None));
+    assert_eq!(duties.record(&"db".into()).unwrap().order, Some(order("theirs")));
+    duties.learn(Revision::new(3, 30), duty_of("b", 6, None));
+    let known = duties.record(&"db".into()).unwrap();
+    assert_eq!(known.order, Some(order("theirs")), "a second copy lacks it as well");
+    duties.forget_promised(&"db".into(), 7);
+    duties.learn(Revision::new(4, 30), duty_of("b", 6, None));
+    assert_eq!(duties.record(&"db".into()).unwrap().order, None, "it was not given");
+}
+
+/// An engine in a fleet of its own, in an era of the store, that votes.
+fn engine_in(era: u64, votes: bool) -> Engine {
+    let engine = Engine::new(instance("me"), Arc::new(NoServer));
+    engine.take_instances(vec![instance("me")]);
+    engine.note_store_era(era, "the test");
+    let shard = engine.shard(&"db".into());
+    if votes {
+        shard.with_group(|group| {
+            group.right_mut().set_voters(&"me".into(), &["me".into()]);
+            group.right_mut().knows_orders();
+        });
+    }
+    engine
+}
+
+fn store_in(era: u64, token: u64) -> OneRecord {
+    let record = Record::Duty(duty_of("other", token, None));
+    OneRecord(Mutex::new(Entry { name: "db".into(), revision: Revision::new(era, 5), record }))
+}
+
+/// Guards against a token that was given out before in the lost history.
+#[tokio::test]
+async fn test_duty_taken_after_a_copy_has_a_token_of_its_era() {
+    let (engine, directory) = (engine_in(2, true), store_in(2, 4));
+    let claimed = claim(&engine, &directory, &"db".into(), OrderChange::Keep, 4).await.unwrap();
+    assert!(is_token_of_era(claimed.duty.token, 2));
+    assert_eq!(claimed.written_era, Some(2));
+}
+
+/// Guards against a duty taken after a copy by one that cannot know what the copy lacks.
+#[tokio::test]
+async fn test_duty_is_not_taken_after_a_copy_without_the_word_of_most_voters() {
+    let (engine, directory) = (engine_in(2, false), store_in(2, 4));
+    assert!(claim(&engine, &directory, &"db".into(), OrderChange::Keep, 4).await.is_none());
+    assert_eq!(directory.duty().token, 4);
+}
+
+/// Guards against a duty that is held under a token of an era which ended while it was
+/// taken: its record may have replaced another one of the same number.
+#[tokio::test]
+async fn test_duty_written_into_another_history_than_was_read_is_not_held() {
+    let (engine, directory) = (engine_in(3, true), store_in(2, 4));
+    let before = engine.with_duties(|duties| duties.token(&"db".into()));
+    assert!(claim(&engine, &directory, &"db".into(), OrderChange::Keep, before).await.is_none());
+}
--- a/lib/src/event.rs
+++ b/lib/src/event.rs
@@ -97,6 +97,9 @@
     InstanceRegistered, "instance_registered", State;
     /// The record of this instance could not be written or removed.
     InstanceRecordFailed, "instance_record_failed", State;
+    /// The record of another instance, which a copy of the store lacks, was written
+    /// again, or could not be.
+    InstanceRestored, "instance_restored", State;
     /// The record of another instance was removed, or could not be.
     InstanceRemoved, "instance_removed", State;
     /// Another instance did not answer as it should.
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -45,6 +45,10 @@
 /// instance usually wakes up before and finds its record in place.
 const REMOVED_AFTER: Duration = Duration::from_secs(8);
 
+/// An instance that reaches the store has written its record again within this time
+/// after it came back from a copy: it learns of that with a heartbeat.
+const RESTORED_AFTER: Duration = Duration::from_millis(1_500);
+
 /// Relays of a failure domain, so that one can be lost.
 const RELAYS_PER_DOMAIN: usize = 2;
 
@@ -63,6 +67,8 @@
     leaving: bool,
     /// Connections that it wants, by group.
     demands: HashMap<GroupId, f64>,
+    /// Since when a copy of the store lacks its record.
+    unlisted_since: Option<Moment>,
 }
 
 /// Those with the highest score are the relays of their failure domain.
@@ -89,13 +95,21 @@
         if record.id == self.me {
             return;
         }
-        let known = self.members.get(&record.id);
-        if known.is_some_and(|member| member.record == record) {
-            return;
+        if let Some(known) = self.members.get_mut(&record.id) {
+            known.unlisted_since = None;
+            if known.record == record {
+                return;
+            }
         }
         let id = record.id.clone();
-        self.members
-            .insert(id, Member { record, heard_at: now, leaving: false, demands: HashMap::new() });
+        let member = Member {
+            record,
+            heard_at: now,
+            leaving: false,
+            demands: HashMap::new(),
+            unlisted_since: None,
+        };
+        self.members.insert(id, member);
     }
 
     /// A record is gone.
@@ -105,12 +119,57 @@
 
     /// These are all records.
     pub fn replace(&mut self, now: Moment, records: Vec<InstanceRecord>) {
-        self.members.retain(|id, _| records.iter().any(|record| record.id == *id));
+        let is_listed = |id: &InstanceId| records.iter().any(|record| record.id == *id);
+        self.members.retain(|id, member| member.unlisted_since.is_some() || is_listed(id));
         for record in records {
             self.present(now, record);
         }
     }
 
+    /// These are all records of a copy of the store, which lacks the latest ones.
+    /// Instances that it does not list may be alive, and write their records again; until
+    /// then they hold connections and vote as before.
+    pub fn replace_by_copy(&mut self, now: Moment, records: Vec<InstanceRecord>) {
+        let is_listed = |id: &InstanceId| records.iter().any(|record| record.id == *id);
+        for (id, member) in &mut self.members {
+            if !is_listed(id) {
+                member.unlisted_since.get_or_insert(now);
+            }
+        }
+        self.replace(now, records);
+    }
+
+    /// Forgets instances that a copy of the store lacked, and whose records nobody has
+    /// written again.
+    pub fn forget_unlisted(&mut self, now: Moment) {
+        let over = |since: Moment| since + REMOVED_AFTER <= now;
+        self.members.retain(|_, member| !member.unlisted_since.is_some_and(over));
+    }
+
+    /// Instances whose record this one should write again: it watches them, they are
+    /// alive and do not do it themselves, since they do not reach the store; and it is
+    /// the one chosen for it.
+    #[must_use]
+    pub fn restorable(&self, now: Moment) -> Vec<InstanceRecord> {
+        let unlisted = |record: &InstanceRecord| {
+            let member = self.members.get(&record.id);
+            let heard = member.filter(|member| member.heard_at + SILENT_AFTER > now);
+            let since = heard.and_then(|member| member.unlisted_since);
+            since.is_some_and(|since| since + RESTORED_AFTER <= now)
+        };
+        let mut records = self.watched();
+        records.retain(unlisted);
+        let live = if records.is_empty() { Vec::new() } else { self.live(now) };
+        records.retain(|record| self.is_chosen_for(record, &live));
+        records
+    }
+
+    /// Whether this instance is the one of those alive that changes another one's record.
+    fn is_chosen_for(&self, record: &InstanceRecord, live: &[InstanceId]) -> bool {
+        let others = live.iter().filter(|id| **id != record.id);
+        others.max_by_key(|id| stable_hash(&[&record.id, id])) == Some(&self.me)
+    }
+
     /// An instance answered, or asked something.
     pub fn heard(&mut self, now: Moment, id: &str, leaving: bool) {
         if let Some(member) = self.members.get_mut(id) {
@@ -247,15 +306,11 @@
             return Vec::new();
         }
         let live = self.live(now);
-        let chosen = |record: &InstanceRecord| {
-            let first = live.iter().max_by_key(|id| stable_hash(&[&record.id, id]));
-            first == Some(&self.me)
-        };
         let long_silent = |record: &InstanceRecord| {
             let member = self.members.get(&record.id);
             member.is_some_and(|member| member.heard_at + REMOVED_AFTER <= now)
         };
         let watched = self.watched().into_iter();
-        watched.filter(|record| long_silent(record) && chosen(record)).collect()
+        watched.filter(|record| long_silent(record) && self.is_chosen_for(record, &live)).collect()
     }
 }
--- a/lib/src/primary_right.rs
+++ b/lib/src/primary_right.rs
@@ -18,6 +18,7 @@
 use crate::id::TargetId;
 use crate::id::Term;
 use crate::moment::Moment;
+use crate::revision::Era;
 
 /// How long a grant of another instance lasts, from when it was asked for.
 ///
@@ -35,11 +36,13 @@
 /// enough for a round of heartbeats and a read of a slow store.
 const CUT_OFF_AFTER: Duration = Duration::from_millis(350);
 
-/// A voter's answer: it grants every term above `retired`.
+/// An answer: every term above `retired` is granted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Grant {
     asked_at: Moment,
     retired: Term,
+    /// The latest era that a voter knew when it answered, or the store's own.
+    era: Era,
 }
 
 /// The right to use the primary of one group, as held by this instance and as
@@ -61,6 +64,8 @@
     paused_until: Moment,
     grants: BTreeMap<InstanceId, Grant>,
     store_grant: Option<Grant>,
+    /// Latest era of the store that this instance knows.
+    era: Era,
     /// Readings of the store before this time grant nothing.
     store_from: Moment,
     /// Until when a lease can last that this instance helped to grant.
@@ -76,7 +81,7 @@
 /// How long after a start it matters what an earlier life may have promised: a
 /// replacement that collected the promise has sent its order by then, or never
 /// will, and the new term can be seen.
-const FORGETFUL: Duration = Duration::from_secs(4);
+pub const FORGETFUL: Duration = Duration::from_secs(4);
 
 /// How long an order that got no answer may still be carried out. The platform
 /// does so within seconds; until then only the server that it names may be
@@ -95,6 +100,8 @@
     /// Token of an order by the same instance that was not given, and never
     /// will be; 0 if there is none.
     pub withdrawn: DutyToken,
+    /// Era of the store that holds the order; `None` if it is not written there.
+    pub written_era: Option<Era>,
 }
 
 /// Why a voter does not promise.
@@ -107,6 +114,9 @@
     HigherToken(DutyToken),
     /// An order for this server may still be carried out.
     OtherSuccessor(TargetId),
+    /// The store came back from a copy since the order was written there, and may not
+    /// have it.
+    LaterEra(Era),
 }
 
 /// An order that this instance voted for.
@@ -145,6 +155,7 @@
             paused_until: Moment::ZERO,
             grants: BTreeMap::new(),
             store_grant: None,
+            era: 0,
             store_from: Moment::ZERO,
             given: BTreeMap::new(),
             missing_since: None,
@@ -186,11 +197,11 @@
         self.knows_orders = true;
     }
 
-    /// The store holds an order under which a server leads in `term`. An
+    /// The store holds an order that ends `term`, or tells that it is retired. An
     /// instance that has just started takes it for a promise of its own.
-    pub fn take_order(&mut self, term: Term) {
+    pub fn take_ended(&mut self, term: Term) {
         if !self.knows_orders {
-            self.retired = self.retired.max(term.saturating_sub(1));
+            self.retired = self.retired.max(term);
         }
     }
 
@@ -209,13 +220,19 @@
         Some(self.retired)
     }
 
-    /// A voter answered a question of `asked_at`: it grants all terms above
-    /// `retired`.
-    pub fn granted(&mut self, voter: &InstanceId, asked_at: Moment, retired: Term) {
+    /// The store came back from a copy, for the `era`th time.
+    pub fn note_era(&mut self, era: Era) {
+        self.era = self.era.max(era);
+    }
+
+    /// A voter answered a question of `asked_at`, when the latest era that it knew was
+    /// `era`: it grants all terms above `retired`.
+    pub fn granted(&mut self, voter: &InstanceId, asked_at: Moment, retired: Term, era: Era) {
         if !self.others.contains(voter) {
             return;
         }
-        self.grants.insert(voter.clone(), Grant { asked_at, retired });
+        self.note_era(era);
+        self.grants.insert(voter.clone(), Grant { asked_at, retired, era });
         if !self.knows_orders && self.grants.len() >= self.majority() {
             // One of them promised whatever an earlier life of this instance
             // helped to end.
@@ -225,9 +242,11 @@
         }
     }
 
-    /// The store was read at `asked_at` and held no order beyond `retired` + 1.
-    pub fn granted_by_store(&mut self, asked_at: Moment, retired: Term) {
-        self.store_grant = Some(Grant { asked_at, retired });
+    /// The store was read at `asked_at`, in an era, and held no order beyond `retired`
+    /// + 1.
+    pub fn granted_by_store(&mut self, asked_at: Moment, retired: Term, era: Era) {
+        self.note_era(era);
+        self.store_grant = Some(Grant { asked_at, retired, era });
     }
 
     /// Until when a term may be used; `None` if it may not.
@@ -244,9 +263,40 @@
     fn end_by_store(&self, term: Term) -> Option<Moment> {
         let grant = self.store_grant.filter(|grant| self.votes && grant.retired < term);
         let grant = grant.filter(|grant| grant.asked_at >= self.store_from);
+        let grant = grant.filter(|grant| self.store_tells_all_orders(grant, term));
         grant.map(|grant| grant.asked_at + STORE_LEASE)
     }
 
+    /// Whether the store has each order to end a term that a majority promised.
+    ///
+    /// One that came back from a copy may have lost an order that was written before.
+    /// Half of the voters granted the term since they know of its return: whoever
+    /// collects the promises of a majority for such an order finds one of them, which
+    /// objects.
+    fn store_tells_all_orders(&self, reading: &Grant, term: Term) -> bool {
+        if self.era == 0 {
+            return true;
+        }
+        let in_era = self.retired_by(self.half());
+        reading.era == self.era && in_era.is_some_and(|retired| retired < term)
+    }
+
+    /// The highest term that voters have retired, as at least `count` of them told
+    /// since they know the latest era of the store; `None` if fewer did.
+    fn retired_by(&self, count: usize) -> Option<Term> {
+        let others = self.grants.values().filter(|grant| grant.era == self.era);
+        let mine = (self.votes && self.knows_orders).then_some(self.retired);
+        let told: Vec<_> = others.map(|grant| grant.retired).chain(mine).collect();
+        (told.len() >= count).then(|| told.into_iter().max().unwrap_or_default())
+    }
+
+    /// The highest term that is retired, as most voters told since they know the
+    /// latest era of the store; `None` if fewer did.
+    #[must_use]
+    pub fn retired_by_most(&self) -> Option<Term> {
+        self.retired_by(self.majority())
+    }
+
     fn end_by_voters(&self, term: Term) -> Option<Moment> {
         let valid = self.grants.values().filter(|grant| grant.retired < term);
         let mut ends: Vec<_> = valid.map(|grant| grant.asked_at + LEASE).collect();
@@ -308,12 +358,16 @@
     ///
     /// When another change may be under way, or be over.
     pub fn promise(&mut self, now: Moment, ending: &Ending) -> Result<Promise, Objection> {
+        self.note_era(ending.written_era.unwrap_or_default());
         if self.used > ending.term {
             return Err(Objection::LaterTerm(self.used));
         }
         if self.highest_token > ending.token {
             return Err(Objection::HigherToken(self.highest_token));
         }
+        if ending.written_era.is_some_and(|era| era < self.era) {
+            return Err(Objection::LaterEra(self.era));
+        }
         self.voted.retain(|voted| {
             voted.voted_at + ORDER_OUTSTANDING > now && voted.token != ending.withdrawn
         });
--- a/lib/src/protos/chervilwharf.engine.rs
+++ b/lib/src/protos/chervilwharf.engine.rs
@@ -133,6 +133,10 @@
     /// Token of an order by the sender that was not given; 0 if there is none.
     #[prost(uint64, tag = "8")]
     pub withdrawn_token: u64,
+    /// How often the store that holds the order had come back from a copy; absent if
+    /// the order is not written there.
+    #[prost(uint64, optional, tag = "9")]
+    pub written_era: ::core::option::Option<u64>,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct TermEndReply {
@@ -154,6 +158,10 @@
     /// A server whose promotion may still be carried out; empty if there is none.
     #[prost(string, tag = "6")]
     pub other_successor: ::prost::alloc::string::String,
+    /// How often the store came back from a copy, if that was since the order was
+    /// written there; else 0.
+    #[prost(uint64, tag = "7")]
+    pub later_era: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct GivenLease {
--- a/lib/tests/right_world/mod.rs
+++ b/lib/tests/right_world/mod.rs
@@ -8,6 +8,8 @@
 use std::collections::BTreeMap;
 
 use chervilwharf_lib::duty::DutyOrder;
+use chervilwharf_lib::duty::first_token;
+use chervilwharf_lib::duty::is_token_of_era;
 use chervilwharf_lib::duty::order_permits;
 use chervilwharf_lib::group::Group;
 use chervilwharf_lib::group::ServerStatus;
@@ -17,10 +19,13 @@
 use chervilwharf_lib::position::Position;
 use chervilwharf_lib::primary_right::Agreement;
 use chervilwharf_lib::primary_right::Ending;
+use chervilwharf_lib::primary_right::FORGETFUL;
 use chervilwharf_lib::primary_right::Objection;
 use chervilwharf_lib::primary_right::PrimaryRight;
 use chervilwharf_lib::primary_right::Promise;
 use chervilwharf_lib::primary_right::Readiness;
+use chervilwharf_lib::primary_right::STORE_LEASE;
+use chervilwharf_lib::revision::Era;
 use std::time::Duration;
 
 use servers::Servers;
@@ -68,17 +73,25 @@
     OrdersBeforeVotes,
     /// The successor in a planned change need not have received everything.
     WaitForReceived,
+    /// A reading of the store counts whether voters granted since its last copy or not.
+    GrantsBeforeStore,
+    /// The duty is taken after a copy without the word of most voters.
+    WordOfMost,
+    /// An instance that has just started trusts a copy's orders.
+    OrdersOfTheEra,
+    /// Tokens are counted on from the copy.
+    TokensOfTheEra,
 }
 
 #[derive(Clone)]
 enum Message {
-    Heartbeat { from: usize, asked_ms: u64, term: Term },
-    Grant { from: usize, asked_ms: u64, retired: Term },
+    Heartbeat { from: usize, asked_ms: u64, term: Term, era: Era },
+    Grant { from: usize, asked_ms: u64, retired: Term, era: Era },
     TermEnd { from: usize, life: u64, ending: Ending, planned: bool },
     Promised { from: usize, life: u64, token: u64, reply: Result<Promise, Objection> },
     Settled { token: u64 },
     StoreRead { asked_ms: u64 },
-    StoreAnswer { asked_ms: u64, ordered: Term },
+    StoreAnswer { asked_ms: u64, stored: StoredOrder, era: Era },
     Write { server: usize, term: Term },
     Written { entry: usize, term: Term },
     Read { server: usize, arrived_ms: u64 },
@@ -103,7 +116,14 @@
     planned: bool,
     target: usize,
     token: u64,
-    written_ms: Option<u64>,
+    written: Option<Written>,
+}
+
+/// When the store took an order, and in which era.
+#[derive(Clone, Copy)]
+struct Written {
+    at_ms: u64,
+    era: Era,
 }
 
 /// The order as the store holds it.
@@ -113,6 +133,13 @@
     holder: Option<(usize, u64)>,
     target: usize,
     term: Term,
+    retired: Term,
+}
+
+impl StoredOrder {
+    fn ended_term(&self) -> Term {
+        self.term.saturating_sub(1).max(self.retired)
+    }
 }
 
 struct Instance {
@@ -126,6 +153,12 @@
     side: usize,
     /// The last token that it gave an order under.
     spent: u64,
+    /// Latest era of the store that it knows.
+    era: Era,
+    /// The order with the highest token that it knows of.
+    known: StoredOrder,
+    /// Its last reading of the store.
+    reading: Option<(u64, StoredOrder)>,
 }
 
 /// An acknowledged commit.
@@ -145,10 +178,19 @@
     mail: BTreeMap<(u64, u64), (usize, Message)>,
     sent: u64,
     stored: StoredOrder,
+    /// What the store kept, by time.
+    copies: BTreeMap<u64, StoredOrder>,
+    /// 0 for a store that never comes back from a copy and tells no era.
+    era: Era,
+    /// When it comes back from a copy that lacks a certain order, and that copy.
+    order_lost: Option<(u64, StoredOrder)>,
     store_up: bool,
+    /// Who gave an order under a token.
+    orders: BTreeMap<u64, (usize, u64)>,
     acknowledged: Vec<Acknowledged>,
     pub promotions: usize,
     pub served: usize,
+    pub copies_restored: usize,
     pub violation: Option<String>,
 }
 
@@ -175,10 +217,16 @@
             mail: BTreeMap::new(),
             sent: 0,
             stored: StoredOrder::default(),
+            copies: BTreeMap::new(),
+            // Every other run has a store that does not tell its era.
+            era: seed % 2,
+            order_lost: None,
             store_up: true,
+            orders: BTreeMap::new(),
             acknowledged: Vec::new(),
             promotions: 0,
             served: 0,
+            copies_restored: 0,
             violation: None,
         };
         for _ in 0..INSTANCES {
@@ -205,6 +253,9 @@
             reaches_store: true,
             side: 0,
             spent: 0,
+            era: 0,
+            known: StoredOrder::default(),
+            reading: None,
         }
     }
 
@@ -271,6 +322,9 @@
         if self.random.per_mille(1) {
             self.store_up ^= true;
         }
+        if self.era > 0 {
+            self.disturb_store();
+        }
         if self.random.per_mille(3) {
             let whole = self.random.per_mille(500);
             for number in 0..INSTANCES {
@@ -281,6 +335,45 @@
         self.servers.disturb(&mut self.random);
     }
 
+    fn disturb_store(&mut self) {
+        self.copies.insert(self.now_ms, self.stored.clone());
+        if self.random.per_mille(1) {
+            let copied_ms = self.now_ms - self.random.below(5_000).min(self.now_ms);
+            let copy = self.copies.range(..=copied_ms).next_back();
+            let copy = copy.map(|(_, stored)| stored.clone()).unwrap_or_default();
+            self.come_back_from(copy);
+        }
+        if let Some((_, copy)) = self.order_lost.take_if(|(due_ms, _)| *due_ms <= self.now_ms) {
+            self.come_back_from(copy);
+            if self.random.per_mille(700) {
+                self.restart_behind_a_partition();
+            }
+        }
+    }
+
+    /// Who promised the lost order starts anew, with others that know nothing of it.
+    fn restart_behind_a_partition(&mut self) {
+        for number in 0..INSTANCES {
+            self.instances[number].side = usize::from(self.random.per_mille(500));
+        }
+        let number = usize::try_from(self.random.below(INSTANCES as u64)).unwrap();
+        let Instance { reaches_store, side, .. } = self.instances[number];
+        self.instances[number] = Instance { reaches_store, side, ..self.start_instance() };
+    }
+
+    /// What the store kept before takes the place of what it keeps.
+    fn come_back_from(&mut self, copy: StoredOrder) {
+        self.stored = copy;
+        self.era += 1;
+        self.copies_restored += 1;
+    }
+
+    fn note_era(&mut self, number: usize, era: Era) {
+        let me = &mut self.instances[number];
+        me.era = me.era.max(era);
+        me.group.right_mut().note_era(me.era);
+    }
+
     fn act(&mut self, number: usize) {
         let now_ms = self.now_ms;
         let ids: Vec<_> = (0..INSTANCES).map(instance_id).collect();
@@ -296,14 +389,17 @@
         if self.random.per_mille(150) {
             self.use_primary(number);
         }
+        if self.random.per_mille(20) {
+            self.renew_duty(number);
+        }
         self.replace(number);
     }
 
     fn heartbeat(&mut self, number: usize) {
         let term = self.instances[number].group.leader().map_or(0, |leader| leader.term);
-        let asked_ms = self.now_ms;
+        let (asked_ms, era) = (self.now_ms, self.instances[number].era);
         for other in (0..INSTANCES).filter(|other| *other != number) {
-            self.send_peer(number, other, Message::Heartbeat { from: number, asked_ms, term });
+            self.send_peer(number, other, Message::Heartbeat { from: number, asked_ms, term, era });
         }
         if self.store_up && self.instances[number].reaches_store {
             self.send(number, Message::StoreRead { asked_ms });
@@ -322,8 +418,10 @@
     fn use_primary(&mut self, number: usize) {
         let now = at(self.now_ms);
         let group = &self.instances[number].group;
-        let leader = if self.taken_out == TakenOut::Right {
-            group.leader().filter(|leader| leader.term > 0)
+        let leader = group.leader().filter(|leader| leader.term > 0);
+        let trusts_store = leader.is_some_and(|leader| self.trusts_store(number, leader.term));
+        let leader = if self.taken_out == TakenOut::Right || trusts_store {
+            leader
         } else {
             group.usable_leader(now)
         };
@@ -343,15 +441,19 @@
     fn receive(&mut self, to: usize, message: Message) {
         let now = at(self.now_ms);
         match message {
-            Message::Heartbeat { from, asked_ms, term } => {
+            Message::Heartbeat { from, asked_ms, term, era } => {
+                self.note_era(to, era);
+                let era = self.instances[to].era;
                 let right = self.instances[to].group.right_mut();
                 if let Some(retired) = right.grant(now, &instance_id(from), term) {
-                    self.send_peer(to, from, Message::Grant { from: to, asked_ms, retired });
+                    let grant = Message::Grant { from: to, asked_ms, retired, era };
+                    self.send_peer(to, from, grant);
                 }
             }
-            Message::Grant { from, asked_ms, retired } => {
+            Message::Grant { from, asked_ms, retired, era } => {
+                self.note_era(to, era);
                 let right = self.instances[to].group.right_mut();
-                right.granted(&instance_id(from), at(asked_ms), retired);
+                right.granted(&instance_id(from), at(asked_ms), retired, era);
             }
             Message::TermEnd { from, life, ending, planned } => {
                 let side = self.instances[to].side;
@@ -360,6 +462,9 @@
                 }
                 let token = ending.token;
                 let reply = self.instances[to].group.retire(now, &ending);
+                if reply.is_ok() {
+                    self.know_order(to, &ending);
+                }
                 self.send_peer(to, from, Message::Promised { from: to, life, token, reply });
             }
             Message::Promised { from, life, token, reply } => {
@@ -369,18 +474,14 @@
             }
             Message::Settled { token } => self.instances[to].group.right_mut().settle(token),
             Message::StoreRead { asked_ms } => {
-                let ordered = self.stored.term;
+                let (stored, era) = (self.stored.clone(), self.era);
                 if self.store_up {
-                    self.send(to, Message::StoreAnswer { asked_ms, ordered });
+                    self.send(to, Message::StoreAnswer { asked_ms, stored, era });
                 }
             }
-            Message::StoreAnswer { asked_ms, ordered } => {
-                let right = self.instances[to].group.right_mut();
-                right.take_order(ordered);
-                right.granted_by_store(at(asked_ms), ordered.saturating_sub(1));
-                if at(asked_ms) >= at(self.instances[to].started_ms) {
-                    self.instances[to].group.right_mut().knows_orders();
-                }
+            Message::StoreAnswer { asked_ms, stored, era } => {
+                self.note_era(to, era);
+                self.take_reading(to, asked_ms, stored, era);
             }
             Message::Write { server, term } => {
                 if let Some(entry) = self.servers.commit(server) {
@@ -392,8 +493,55 @@
         }
     }
 
+    fn take_reading(&mut self, to: usize, asked_ms: u64, stored: StoredOrder, era: Era) {
+        let me = &mut self.instances[to];
+        let ended = stored.ended_term();
+        let right = me.group.right_mut();
+        right.take_ended(ended);
+        right.granted_by_store(at(asked_ms), ended, era);
+        let settled = at(self.now_ms) >= at(me.started_ms) + FORGETFUL;
+        let trusted = is_token_of_era(stored.token, era)
+            || settled
+            || self.taken_out == TakenOut::OrdersOfTheEra;
+        if asked_ms >= me.started_ms && trusted {
+            right.knows_orders();
+        }
+        if stored.token > me.known.token {
+            me.known = stored.clone();
+        }
+        me.reading = Some((asked_ms, stored));
+    }
+
+    /// Whether an instance counts on its last reading of the store alone, with the rule
+    /// on grants taken out.
+    fn trusts_store(&self, number: usize, term: Term) -> bool {
+        let me = &self.instances[number];
+        let fresh = me.reading.as_ref().filter(|(asked_ms, _)| {
+            at(*asked_ms) + STORE_LEASE > at(self.now_ms)
+                && at(*asked_ms) >= at(me.started_ms) + FORGETFUL
+        });
+        let granted = fresh.is_some_and(|(_, stored)| stored.ended_term() < term);
+        let taken_out = self.taken_out == TakenOut::GrantsBeforeStore;
+        taken_out && granted && term > me.group.right().retired()
+    }
+
+    /// An instance promised an order, which a copy of the store may lack.
+    fn know_order(&mut self, number: usize, ending: &Ending) {
+        let known = &mut self.instances[number].known;
+        if ending.token > known.token {
+            *known = StoredOrder {
+                token: ending.token,
+                target: number_of(&ending.successor),
+                term: ending.term + 1,
+                holder: None,
+                ..known.clone()
+            };
+        }
+    }
+
     fn acknowledge(&mut self, to: usize, entry: usize, term: Term) {
-        let holds = self.instances[to].group.right().holds(at(self.now_ms), term);
+        let holds = self.instances[to].group.right().holds(at(self.now_ms), term)
+            || self.trusts_store(to, term);
         if !holds && self.taken_out != TakenOut::CheckOfAcknowledgements {
             return;
         }
@@ -462,8 +610,7 @@
         let until_ms = self.now_ms + 20 + self.random.below(40);
         let step = Step::Claim { until_ms };
         let token = self.stored.token;
-        let replacement =
-            Replacement { step, term, from, planned, target, token, written_ms: None };
+        let replacement = Replacement { step, term, from, planned, target, token, written: None };
         self.instances[number].replacement = Some(replacement);
     }
 
@@ -487,37 +634,88 @@
     fn claim(&mut self, number: usize, replacement: &mut Replacement) -> bool {
         let me = (number, self.instances[number].life);
         let seen_term = self.instances[number].group.seen_term();
-        let order = DutyOrder { server: server_id(self.stored.target), term: self.stored.term };
+        let last = self.last_order(number);
+        let order = DutyOrder { server: server_id(last.target), term: last.term };
         if !order_permits(Some(&order), &server_id(replacement.target), seen_term) {
             return false;
         }
         // Somebody else took the duty since this instance decided to act.
         let news = self.stored.token != replacement.token && self.stored.holder != Some(me);
         if self.store_up && self.instances[number].reaches_store {
-            if news {
+            let Some(next) = self.next_order(number).filter(|_| !news) else {
                 return false;
-            }
-            self.stored = StoredOrder {
-                token: self.stored.token + 1,
-                holder: Some(me),
-                target: replacement.target,
-                term: replacement.term + 1,
             };
+            self.note_era(number, self.era);
+            let (target, term) = (replacement.target, replacement.term + 1);
+            if self.era > 0 && self.random.per_mille(500) {
+                let due_ms = self.now_ms + self.random.below(2_500);
+                self.order_lost = Some((due_ms, self.stored.clone()));
+            }
+            self.stored = StoredOrder { target, term, ..next };
+            self.instances[number].known = self.stored.clone();
             replacement.token = self.stored.token;
-            replacement.written_ms = Some(self.now_ms);
-        } else if self.stored.holder != Some(me)
-            || self.instances[number].spent == replacement.token
-        {
-            return false;
+            replacement.written = Some(Written { at_ms: self.now_ms, era: self.era });
+        } else {
+            let Some(token) = self.kept_token(number) else {
+                return false;
+            };
+            replacement.token = token;
         }
         let ids: Vec<_> = (0..INSTANCES).map(instance_id).collect();
-        let written_at = replacement.written_ms.map(at);
+        let written_at = replacement.written.map(|written| at(written.at_ms));
         let agreement = Agreement::new(ids.clone(), ids, written_at);
         let until_ms = self.now_ms + PROMISE_LIMIT_MS;
         replacement.step = Step::Collect { agreement, until_ms, asked_ms: 0 };
         true
     }
 
+    /// A token of this life under which nothing was ordered, as far as it knows.
+    fn kept_token(&self, number: usize) -> Option<u64> {
+        let me = &self.instances[number];
+        let ours = me.known.holder == Some((number, me.life)) && me.spent < me.known.token;
+        ours.then_some(me.known.token)
+    }
+
+    /// The last order: the store's, or one that its copy lacks.
+    fn last_order(&self, number: usize) -> StoredOrder {
+        let known = &self.instances[number].known;
+        if known.token > self.stored.token { known.clone() } else { self.stored.clone() }
+    }
+
+    /// What an instance writes when it takes the duty, with the last order; `None` if
+    /// it may not.
+    fn next_order(&self, number: usize) -> Option<StoredOrder> {
+        let me = &self.instances[number];
+        let last = self.last_order(number);
+        let mut retired = last.retired;
+        let word_is_needed = !is_token_of_era(self.stored.token, self.era);
+        if word_is_needed && self.taken_out != TakenOut::WordOfMost {
+            // It was told in the era that it knows.
+            let told = me.group.right().retired_by_most().filter(|_| me.era == self.era)?;
+            retired = retired.max(told);
+        }
+        let token = if self.taken_out == TakenOut::TokensOfTheEra {
+            self.stored.token + 1
+        } else {
+            (self.stored.token + 1).max(first_token(self.era))
+        };
+        Some(StoredOrder { token, holder: Some((number, me.life)), retired, ..last })
+    }
+
+    /// Takes the duty again after the store came back from a copy, with what is known
+    /// of orders.
+    fn renew_duty(&mut self, number: usize) {
+        let me = &self.instances[number];
+        let reaches = self.store_up && me.reaches_store && me.era == self.era;
+        if !reaches || me.replacement.is_some() || is_token_of_era(self.stored.token, self.era) {
+            return;
+        }
+        if let Some(next) = self.next_order(number) {
+            self.stored = next;
+            self.instances[number].known = self.stored.clone();
+        }
+    }
+
     fn collect(
         &mut self,
         number: usize,
@@ -532,7 +730,8 @@
             }
             Readiness::SomeSilent => self.taken_out == TakenOut::WaitForSilent,
             Readiness::TooFewVotes => {
-                let waited = replacement.written_ms.is_some_and(|ms| ms + 900 <= self.now_ms);
+                let written = replacement.written;
+                let waited = written.is_some_and(|written| written.at_ms + 900 <= self.now_ms);
                 self.taken_out == TakenOut::Majority && waited
             }
         };
@@ -559,6 +758,7 @@
             token: replacement.token,
             successor: server_id(replacement.target),
             withdrawn: 0,
+            written_era: replacement.written.map(|written| written.era),
         };
         for other in others {
             let ending = ending.clone();
@@ -611,6 +811,12 @@
         let effect_ms = self.now_ms + 200 + self.random.below(800) + late;
         let planned = replacement.planned && (has >= old.received || !waits);
         self.instances[number].spent = replacement.token;
+        let me = (number, self.instances[number].life);
+        let before = self.orders.insert(replacement.token, me);
+        if before.is_some_and(|before| before != me) {
+            self.violation =
+                Some(format!("ONE: two instances order under token {}", replacement.token));
+        }
         self.servers.order(target, replacement.term + 1, effect_ms, planned);
         if !unanswered {
             for other in 0..INSTANCES {
--- a/lib/tests/test_replacement.rs
+++ b/lib/tests/test_replacement.rs
@@ -366,11 +366,14 @@
     // Cause: both orders had the same token, so the platform could not tell
     // that the first one was outdated.
     let group = "db".into();
-    let first = duty::next_record(&group, &instance("a", 1), None, None);
-    let second = duty::next_record(&group, &instance("a", 1), Some(&first), None);
-    let third = duty::next_record(&group, &instance("b", 7), Some(&second), None);
+    let first = duty::next_record(&group, &instance("a", 1), None, None, 0);
+    let second = duty::next_record(&group, &instance("a", 1), Some(&first), None, 0);
+    let third = duty::next_record(&group, &instance("b", 7), Some(&second), None, 0);
     assert_eq!([first.token, second.token, third.token], [1, 2, 3]);
-    assert_eq!(third, DutyRecord { group, holder: "b".into(), life: 7, token: 3, order: None });
+    assert_eq!(
+        third,
+        DutyRecord { group, holder: "b".into(), life: 7, token: 3, order: None, retired: 0 }
+    );
 }
 
 #[test]
--- a/lib/tests/test_replacement_exploration.rs
+++ b/lib/tests/test_replacement_exploration.rs
@@ -259,7 +259,7 @@
         }
         let order = DutyOrder { server: server_id(best), term: term + 1 };
         let (group, me) = ("db".into(), record(instance));
-        let next = duty::next_record(&group, &me, self.duty.as_ref(), Some(order));
+        let next = duty::next_record(&group, &me, self.duty.as_ref(), Some(order), 0);
         assert!(next.token > self.highest_token, "each order has a token of its own");
         self.highest_token = next.token;
         self.duty = Some(next.clone());
--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -1,5 +1,6 @@
 //! The processes, stand-ins and proxies of one run.
 
+use std::collections::VecDeque;
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
@@ -14,7 +15,9 @@
 use chervilwharf_standin::fault_proxy::FaultProxy;
 use chervilwharf_standin::platform::servers;
 use chervilwharf_standin::platform::servers::Group;
+use chervilwharf_standin::platform::store::Mode;
 use chervilwharf_standin::platform::store::Store;
+use chervilwharf_standin::platform::store::StoreCopy;
 use chervilwharf_testutils::cluster::wait_for;
 use chervilwharf_testutils::process::Process;
 use chervilwharf_testutils::process::program;
@@ -24,6 +27,7 @@
 use crate::history::History;
 use crate::history::Leaving;
 use crate::history::Stop;
+use crate::series::Selection;
 use crate::series::Shape;
 
 /// Replication delay when nothing is wrong.
@@ -38,9 +42,12 @@
 /// Connections that each server takes.
 const CONNECTIONS: usize = 22;
 
-/// A server that left stays away for this long.
+/// A server that left, or a store that is about to come back, stays away for this long.
 const AWAY: Duration = Duration::from_millis(500);
 
+/// Era that a store tells before it came back from a copy.
+const FIRST_ERA: u64 = 1;
+
 /// Pause between two looks whether something has happened.
 pub const LOOK_AGAIN: Duration = Duration::from_millis(20);
 
@@ -156,6 +163,8 @@
     folder: PathBuf,
     /// Databases added so far.
     added: AtomicU64,
+    /// Copies of the store that it has not come back from yet.
+    copies: Mutex<VecDeque<StoreCopy>>,
 }
 
 impl Deployment {
@@ -193,7 +202,11 @@
             ports,
             folder,
             added: AtomicU64::new(0),
+            copies: Mutex::default(),
         };
+        if shape.selection == Selection::StoreCopies {
+            deployment.store.tell_era(FIRST_ERA);
+        }
         deployment.write_configuration();
         for number in 0..shape.instances {
             deployment.start(number);
@@ -277,6 +290,24 @@
         self.store.put("config", "main", &spec);
     }
 
+    /// Copies what the store keeps.
+    pub fn copy_store(&self) {
+        self.copies.lock().expect("never poisoned").push_back(self.store.copy());
+    }
+
+    /// The store is away for a moment and comes back from a copy. The operator and the
+    /// servers write again what it lost.
+    pub async fn restore_store(&self) {
+        let copy = self.copies.lock().expect("never poisoned").pop_front();
+        let copy = copy.expect("it was taken at the beginning of the fault");
+        self.store.set_mode(Mode::Down);
+        let lost = self.store.restore(&copy);
+        tokio::time::sleep(AWAY).await;
+        self.store.set_mode(Mode::Up);
+        tokio::time::sleep(AWAY).await;
+        self.store.write_again(&lost);
+    }
+
     /// A server says that it leaves.
     pub fn begin_leaving(&self, server: usize) {
         self.group.set_leaving(server, true);
--- a/soak/src/fault.rs
+++ b/soak/src/fault.rs
@@ -57,6 +57,8 @@
     StoreForgets,
     /// The operator writes a configuration with one more database.
     Configuration,
+    /// At its end the store comes back from a copy of its beginning.
+    StoreComesBack,
 }
 
 /// One-way delay of a slow server.
@@ -111,6 +113,7 @@
             Self::StoreLosesAnswers => deployment.store.set_mode(Mode::AnswersLost),
             Self::StoreForgets => deployment.store.forget_history(),
             Self::Configuration => deployment.add_database(),
+            Self::StoreComesBack => deployment.copy_store(),
         }
     }
 
@@ -142,6 +145,7 @@
             Self::StoreDown | Self::StoreSilent | Self::StoreLosesAnswers => {
                 deployment.store.set_mode(Mode::Up);
             }
+            Self::StoreComesBack => deployment.restore_store().await,
             Self::ForgetStoreConnections(_)
             | Self::ForgetServerConnections(_)
             | Self::StoreForgets
@@ -164,6 +168,7 @@
                 | Self::StoreSilent
                 | Self::StoreLosesAnswers
                 | Self::StoreForgets
+                | Self::StoreComesBack
         )
     }
 }
--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -113,6 +113,20 @@
     }
 }
 
+/// No token is used for two orders of a group: group, server, token of each.
+#[must_use]
+pub fn judge_promotions(promotions: &[(String, String, u64)]) -> Vec<String> {
+    let mut ordered: HashMap<(&str, u64), &str> = HashMap::new();
+    let mut broken = Vec::new();
+    for (group, server, token) in promotions {
+        let before = ordered.insert((group, *token), server);
+        if before.is_some_and(|before| before != server) {
+            broken.push(format!("two servers of {group} were ordered under token {token}"));
+        }
+    }
+    broken
+}
+
 /// A server that leaves gets nothing new. Only for series that neither hide
 /// the platform from an instance nor take other servers away.
 #[must_use]
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -17,9 +17,10 @@
     /// number of seeds (default: 10)
     #[argh(option, default = "10")]
     seeds: u64,
-    /// only what operators do on purpose: stops, servers that leave, configurations
-    #[argh(switch)]
-    planned: bool,
+    /// faults: any (default), planned (only what operators do on purpose: stops, servers
+    /// that leave, configurations), or copies (any, and the store comes back from copies)
+    #[argh(option, default = "Selection::Any", from_str_fn(selection))]
+    faults: Selection,
     /// check promises about time as well, which a busy machine can break
     #[argh(switch)]
     timed: bool,
@@ -31,11 +32,19 @@
     verbose: bool,
 }
 
+fn selection(name: &str) -> Result<Selection, String> {
+    match name {
+        "any" => Ok(Selection::Any),
+        "planned" => Ok(Selection::PlannedWork),
+        "copies" => Ok(Selection::StoreCopies),
+        _ => Err(format!("'{name}' is none of any, planned, copies")),
+    }
+}
+
 #[tokio::main]
 async fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
-    let selection = if arguments.planned { Selection::PlannedWork } else { Selection::Any };
-    let shape = Shape { selection, ..Shape::default() };
+    let shape = Shape { selection: arguments.faults, ..Shape::default() };
     let mut failed = 0;
     let holds = |seed: &u64| {
         let mut faults = series(*seed, shape).into_iter();
--- a/soak/src/series.rs
+++ b/soak/src/series.rs
@@ -27,6 +27,8 @@
     Any,
     /// Only what operators do on purpose.
     PlannedWork,
+    /// All of them, and the store comes back from copies.
+    StoreCopies,
 }
 
 /// How a deployment under test looks, and what is done to it.
@@ -55,6 +57,9 @@
 /// How long a fault lasts: from a blink to beyond all time-outs of the proxy.
 const LASTS_MS: std::ops::RangeInclusive<u64> = 200..=3_500;
 
+/// Share of the faults that are copies, where there are some.
+const COPIES: f64 = 0.4;
+
 /// The series of a seed, in order of time.
 #[must_use]
 pub fn series(seed: u64, shape: Shape) -> Vec<Timed> {
@@ -106,8 +111,11 @@
         Fault::StoreForgets,
         Fault::Configuration,
     ];
+    if shape.selection == Selection::StoreCopies && random.random_bool(COPIES) {
+        return Fault::StoreComesBack;
+    }
     let faults = match shape.selection {
-        Selection::Any => any.as_slice(),
+        Selection::Any | Selection::StoreCopies => any.as_slice(),
         Selection::PlannedWork => planned.as_slice(),
     };
     faults[random.random_range(0..faults.len())]
--- a/soak/src/soak.rs
+++ b/soak/src/soak.rs
@@ -1,9 +1,11 @@
 //! One run: callers at work while a series of faults goes by.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Instant;
 
+use chervilwharf_standin::platform::client::Client;
 use chervilwharf_testutils::cluster::PATIENCE;
 use tokio::task::JoinSet;
 
@@ -12,6 +14,7 @@
 use crate::caller::look_for_databases;
 use crate::deployment::Deployment;
 use crate::deployment::LOOK_AGAIN;
+use crate::deployment::added_name;
 use crate::fault::Fault;
 use crate::history::Heard;
 use crate::judge;
@@ -62,6 +65,7 @@
     let faults = series(seed, shape);
     bring_about(&deployment, &faults).await;
     wait_for_progress(&crowd, "after the faults", &mut broken).await;
+    wait_for_configuration(&deployment, &mut broken).await;
     crowd.stop.store(true, Ordering::SeqCst);
     while let Some(ended) = callers.join_next().await {
         if let Err(error) = ended {
@@ -76,6 +80,7 @@
     let log = deployment.group.log(deployment.group.leader());
     let runs = deployment.group.runs();
     broken.extend(judge::judge(&deployment.history, &log, &runs));
+    broken.extend(judge::judge_promotions(&deployment.store.promotions()));
     if timed && leaves_undisturbed(&faults) {
         let leaving = deployment.history.leaving.lock().expect("never poisoned").clone();
         broken.extend(judge::judge_leaving(&leaving, &runs));
@@ -130,6 +135,31 @@
     }
 }
 
+/// A configuration that is written when the faults are over is in force everywhere.
+async fn wait_for_configuration(deployment: &Deployment, broken: &mut Vec<String>) {
+    deployment.add_database();
+    let database = added_name(deployment.added());
+    let until = Instant::now() + PATIENCE;
+    for instance in &deployment.instances {
+        while !knows_database(instance.front, &database).await {
+            if Instant::now() >= until {
+                broken.push(format!("{} does not know {database}", instance.name));
+                break;
+            }
+            tokio::time::sleep(LOOK_AGAIN).await;
+        }
+    }
+}
+
+/// Whether sessions on a database can be begun.
+async fn knows_database(front: SocketAddr, database: &str) -> bool {
+    let Some(mut client) = Client::try_connect(front, "new").await else {
+        return false;
+    };
+    let answer = client.start_session(database).await;
+    answer.is_some_and(|answer| answer.code() == "DONE")
+}
+
 /// Whether a server that leaves can be replaced and is seen to leave.
 fn leaves_undisturbed(faults: &[Timed]) -> bool {
     let servers = faults.iter().filter(|timed| {
--- a/soak/tests/test_soak.rs
+++ b/soak/tests/test_soak.rs
@@ -19,6 +19,14 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn test_promises_hold_when_the_store_comes_back_from_copies() {
+    let shape = Shape { selection: Selection::StoreCopies, ..Shape::default() };
+    let report = soak::run(1, shape, false).await;
+    println!("{report:?}");
+    assert!(report.broken.is_empty(), "{:#?}", report.broken);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn test_planned_work_cuts_off_nothing() {
     let shape = Shape { selection: Selection::PlannedWork, ..Shape::default() };
