test_path: the account that wrote counts both rows, whatever replicas lack

No commit was lost. The test asked for more than the promise: an account reads its own writes, not another one's, within no time.

The test now lets replicas lag each time; the account that wrote the second row has to count 2 at once, and the other one as soon as replicas have it. It fails if either row is missing, as before.

--- a/testing/testutils/tests/test_path.rs
+++ b/testing/testutils/tests/test_path.rs
@@ -1,5 +1,7 @@
 //! The whole path, from a caller's SQL to a replicated database.
 
+use std::time::Duration;
+
 use chervilwharf_testutils::callers::first_value;
 use chervilwharf_testutils::callers::sqlstate;
 use chervilwharf_testutils::cluster::Cluster;
@@ -7,6 +9,9 @@
 use chervilwharf_testutils::cluster::wait_for;
 use tokio_postgres::types::Type;
 
+/// Far above what a read takes, so that replicas lack what was just written.
+const LAG: Duration = Duration::from_millis(500);
+
 #[tokio::test(flavor = "multi_thread")]
 async fn test_write_at_one_instance_is_read_at_another() {
     let cluster = Cluster::start(Shape::default()).await;
@@ -97,9 +102,16 @@
     assert_eq!(sqlstate(&error), "22023");
     // Another account's id of the same name is another request.
     let stranger = cluster.connect(0, "tenant2").await;
+    cluster.set_lag(LAG).await;
     stranger.batch_execute(reused).await.unwrap();
-    let count = client.simple_query("SELECT count(*) FROM t").await.unwrap();
+    // Who wrote the second row sees both at once; others when replicas have it.
+    let count = stranger.simple_query("SELECT count(*) FROM t").await.unwrap();
     assert_eq!(first_value(&count).as_deref(), Some("2"));
+    wait_for("replicas have both rows", async || {
+        let count = client.simple_query("SELECT count(*) FROM t").await.unwrap();
+        first_value(&count).as_deref() == Some("2")
+    })
+    .await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
