fleet_control: who starts after a copy of the store learns from others whom it lacks

Cause: an instance that started meanwhile took the few that the copy lists for all, and its own vote for most. The same would give it the right to a primary.

An instance that starts where eras are told takes over whom others know besides; if none of them knows all, it waits until somebody has taken a duty in this era (2 s after it began at the earliest), 3 s at most.

--- a/daemon/src/engine/controllers.rs
+++ b/daemon/src/engine/controllers.rs
@@ -75,7 +75,8 @@
 
 /// Without the store and without others an instance serves all by itself.
 async fn go_on_alone(engine: Arc<Engine>) {
-    if engine.wait_for_fleet(OTHERS_WAIT).await {
+    // Once they are listed, others are asked whom the list lacks.
+    if engine.wait_for_fleet(OTHERS_WAIT).await || engine.is_fleet_listed() {
         return;
     }
     event_log::emit(&Event::new(EventKind::FleetUnknown).with_ms("waited_ms", OTHERS_WAIT));
--- a/daemon/src/engine/duty_control.rs
+++ b/daemon/src/engine/duty_control.rs
@@ -110,6 +110,12 @@
         }
     }
 
+    /// Whether somebody took the duty of any group in an era of the store.
+    #[must_use]
+    pub fn is_any_taken_in(&self, era: Era) -> bool {
+        self.duties.values().any(|(_, record)| is_token_of_era(record.token, era))
+    }
+
     /// Whether somebody took the duty of a group in an era of the store.
     #[must_use]
     pub fn is_taken_in(&self, group: &GroupId, era: Era) -> bool {
--- a/daemon/src/engine/fleet_control.rs
+++ b/daemon/src/engine/fleet_control.rs
@@ -77,19 +77,30 @@
 /// Instances that one asks for newer records when it starts.
 const ASKED_AT_START: usize = 3;
 
+/// How long an instance waits at its start for another one that knows all, after a
+/// copy of the store that may lack some: those that are alive are listed again by then.
+const LISTED_AGAIN: Duration = Duration::from_secs(3);
+
+/// Pause between two rounds of asking others at the start.
+const ASK_PAUSE: Duration = Duration::from_millis(100);
+
 /// Asks some of the others what they know before this instance goes on.
 ///
 /// A store that came back from a copy can hold a configuration that others have
-/// succeeded already; until it is written again, one that starts would serve by it.
+/// succeeded already, and lack instances that vote; until they are written again, one
+/// that starts would serve by it, and take fewer votes for most.
 async fn go_on_with_newest_records(engine: Arc<Engine>) {
-    let others: Vec<_> = engine.with_fleet(|fleet| fleet.others().cloned().collect());
-    // Until one of them answers; without any the instance goes on alone.
     while !engine.is_fleet_known() {
+        let others: Vec<_> = engine.with_fleet(|fleet| fleet.others().cloned().collect());
         let asked = others.choose_multiple(&mut rand::rng(), ASKED_AT_START);
-        let answered = join_all(asked.map(|peer| pull_directory(&engine, peer))).await;
-        if others.is_empty() || answered.contains(&true) {
-            engine.know_fleet();
+        let told = join_all(asked.map(|peer| pull_directory(&engine, peer))).await;
+        // A duty is taken in an era when all that are alive are listed again.
+        let is_settled =
+            engine.with_duties(|duties| duties.is_any_taken_in(engine.store_era().latest()));
+        if told.contains(&true) || is_settled || engine.runs_for(LISTED_AGAIN) {
+            return engine.know_fleet();
         }
+        tokio::time::sleep(ASK_PAUSE).await;
     }
 }
 
@@ -296,19 +307,20 @@
 }
 
 /// Takes over what another instance knows of the platform's records. Returns whether
-/// it answered.
+/// it told which instances there are.
 pub async fn pull_directory(engine: &Engine, peer: &InstanceRecord) -> bool {
     let known_servers = engine.servers_revision();
     let question = Body::DirectoryPull(DirectoryPull {
         configuration_version: engine.catalog().version,
         servers_revision: known_servers.number,
         servers_era: known_servers.era,
-        knows_instances: engine.is_fleet_listed(),
+        knows_instances: engine.is_fleet_listed() && engine.is_fleet_known(),
     });
     let reason = match engine.peers().ask(peer.peer_address, question).await {
         Ok(Body::DirectoryState(state)) => {
+            let tells_instances = !state.instances.is_empty();
             engine.take_directory(state);
-            return true;
+            return tells_instances;
         }
         Ok(_) => "it answered something else than was asked".to_owned(),
         Err(error) => error.to_string(),
@@ -500,12 +512,8 @@
             let catalog = Arc::new(records::decode_catalog(configuration));
             self.take_configuration(&catalog, &ConfigurationSource::Peer(from.as_str().into()));
         }
-        // Only a start without the store needs them; the store's list is newer.
         let instances = state.instances.into_iter().filter_map(records::decode_instance);
-        let instances: Vec<_> = instances.collect();
-        if !instances.is_empty() && !self.is_fleet_listed() {
-            self.take_instances(instances);
-        }
+        self.take_told_instances(instances.collect());
         let servers = state.servers.into_iter().filter_map(records::decode_server);
         let servers: Vec<_> = servers.collect();
         let revision = Revision::new(state.servers_era, state.servers_revision);
@@ -518,6 +526,19 @@
         });
     }
 
+    /// Takes over which instances another one knows. Only a start needs them, without
+    /// the store or with a copy of it; later the store's list is newer.
+    fn take_told_instances(&self, instances: Vec<InstanceRecord>) {
+        if instances.is_empty() {
+            return;
+        }
+        if !self.is_fleet_listed() {
+            self.take_instances(instances);
+        } else if !self.is_fleet_known() {
+            self.with_fleet(|fleet| fleet.add_unlisted(now(), instances));
+        }
+    }
+
     /// How current this instance's own view of configuration and servers is.
     #[must_use]
     pub fn record_currency(&self) -> Currency {
@@ -542,7 +563,7 @@
             let servers = listed.iter().map(|(group, info)| records::encode_server(group, info));
             state.servers = servers.collect();
         }
-        if !lacks.knows_instances && self.is_fleet_listed() {
+        if !lacks.knows_instances && self.is_fleet_listed() && self.is_fleet_known() {
             state.instances = self.with_fleet(|fleet| {
                 let others = fleet.others().map(records::encode_instance);
                 others.chain([records::encode_instance(self.me())]).collect()
--- a/daemon/src/engine/leader_control.rs
+++ b/daemon/src/engine/leader_control.rs
@@ -199,6 +199,9 @@
 /// starting together, 140 of 170 claims were refused and all had to be read.
 const CLAIM_AFTER: Duration = Duration::from_secs(3);
 
+/// How long after the store came back from a copy vacant duties are taken again.
+const DUTY_TAKEN_AFTER: Duration = Duration::from_secs(2);
+
 /// Pause after a duty could not be taken.
 const CLAIM_PAUSE: Duration = Duration::from_millis(500);
 
@@ -284,8 +287,10 @@
     pub fn is_duty_vacant(&self, group: &GroupId) -> bool {
         let era = self.store_era().latest();
         if era > 0 && !self.with_duties(|duties| duties.is_taken_in(group, era)) {
-            // Until most voters tell what the store's copy may lack it cannot be taken.
-            return self.retired_by_most(group).is_some();
+            // Until most voters tell what the store's copy may lack it cannot be taken,
+            // and it tells others that all who are alive are listed again.
+            let settled = self.store_era().is_known_for(now(), DUTY_TAKEN_AFTER);
+            return settled && self.retired_by_most(group).is_some();
         }
         let record = self.with_duties(|duties| duties.record(group).cloned());
         let Some(record) = record else {
--- a/daemon/src/engine/quota_control.rs
+++ b/daemon/src/engine/quota_control.rs
@@ -137,7 +137,7 @@
         tokio::time::sleep(ROUND).await;
         let counts = engine.catalog().accounts.is_some();
         // Who knows no others would take itself for a majority.
-        if !counts || !engine.is_fleet_listed() {
+        if !counts || !engine.is_fleet_listed() || !engine.is_fleet_known() {
             continue;
         }
         engine.update_keeper_voters();
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -139,6 +139,21 @@
         self.replace(now, records);
     }
 
+    /// Another instance told of these records. Those that the store does not list are
+    /// taken for lacking in its copy.
+    pub fn add_unlisted(&mut self, now: Moment, records: Vec<InstanceRecord>) {
+        for record in records {
+            let id = record.id.clone();
+            if self.members.contains_key(&id) {
+                continue;
+            }
+            self.present(now, record);
+            if let Some(member) = self.members.get_mut(&id) {
+                member.unlisted_since = Some(now);
+            }
+        }
+    }
+
     /// Forgets instances that a copy of the store lacked, and whose records nobody has
     /// written again.
     pub fn forget_unlisted(&mut self, now: Moment) {
--- a/lib/tests/quota_world/mod.rs
+++ b/lib/tests/quota_world/mod.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use chervilwharf_lib::account::QuotaLimit;
+use chervilwharf_lib::fleet::Fleet;
 use chervilwharf_lib::fleet::InstanceRecord;
 use chervilwharf_lib::id::AccountId;
 use chervilwharf_lib::keeper_lease::Candidate;
@@ -39,6 +40,12 @@
     BeginsWithLittle,
     /// Who finds no keeper lets little begin.
     AloneLittle,
+    /// Instances that a copy of the store lacks count on.
+    UnlistedCount,
+    /// An instance that starts is told by others whom a copy lacks.
+    OthersTell,
+    /// An instance that starts soon after a copy, and is told by nobody, waits.
+    WaitAfterCopy,
 }
 
 /// The shard of the account; any will do.
@@ -62,11 +69,24 @@
     renewed_at: Moment,
     book: QuotaBook,
     allowance: Allowance,
+    fleet: Fleet,
+    /// Whether it knows the others.
+    knows_fleet: bool,
+    started_at: Moment,
 }
 
+/// By then all that are alive are listed again.
+const LISTED_AGAIN: Duration = Duration::from_millis(2_500);
+
+/// How long an instance waits that nobody told of the others.
+const START_LIMIT: Duration = Duration::from_secs(3);
+
 impl Instance {
     fn new(now: Moment, record: InstanceRecord) -> Self {
         Self {
+            fleet: Fleet::new(record.id.clone()),
+            knows_fleet: false,
+            started_at: now,
             record,
             down_until: now,
             votes: Votes::new(now),
@@ -106,6 +126,9 @@
     /// Instances cut off from the others, who reach each other.
     cut_off: HashSet<usize>,
     heals_at: Moment,
+    /// When each instance is listed again that the store's copy lacks.
+    listed_from: Vec<Moment>,
+    copied_at: Moment,
     window: VecDeque<Moment>,
     seen: Seen,
 }
@@ -131,6 +154,8 @@
             instances,
             cut_off: HashSet::new(),
             heals_at: Moment::ZERO,
+            listed_from: vec![Moment::ZERO; count],
+            copied_at: Moment::ZERO,
             window: VecDeque::new(),
             seen: Seen::default(),
         }
@@ -164,7 +189,73 @@
         self.seen
     }
 
+    /// The store comes back from a copy that lacks some of the instances, which write
+    /// their records again.
+    fn come_back_from_a_copy(&mut self) {
+        for index in 0..self.instances.len() {
+            if self.rng.random_bool(0.5) {
+                let after = self.rng.random_range(Duration::ZERO..LISTED_AGAIN);
+                self.listed_from[index] = self.now + after;
+            }
+        }
+        let (now, listed) = (self.now, self.listed());
+        self.copied_at = now;
+        for one in &mut self.instances {
+            if self.without == Some(Rule::UnlistedCount) {
+                one.fleet.replace(now, listed.clone());
+            } else {
+                one.fleet.replace_by_copy(now, listed.clone());
+            }
+        }
+    }
+
+    /// What the store lists now.
+    fn listed(&self) -> Vec<InstanceRecord> {
+        let all = self.instances.iter().zip(&self.listed_from);
+        let listed = all.filter(|(_, from)| **from <= self.now);
+        listed.map(|(one, _)| one.record.clone()).collect()
+    }
+
+    /// An instance learns what is listed, at its start also from others that it reaches.
+    fn learn_fleet(&mut self, index: usize) {
+        let (now, listed) = (self.now, self.listed());
+        if self.instances[index].knows_fleet {
+            let me = &mut self.instances[index];
+            for record in listed {
+                me.fleet.present(now, record);
+            }
+            me.fleet.forget_unlisted(now);
+            return;
+        }
+        let knows = |other: &usize| {
+            *other != index && self.reaches(index, *other) && self.instances[*other].knows_fleet
+        };
+        let told = (0..self.instances.len()).find(knows);
+        let waits = self.copied_at + LISTED_AGAIN > now
+            && self.instances[index].started_at + START_LIMIT > now
+            && self.without != Some(Rule::WaitAfterCopy);
+        if told.is_none() && waits {
+            return;
+        }
+        let told = told.map(|other| self.recorded(other)).unwrap_or_default();
+        let me = &mut self.instances[index];
+        me.fleet.replace(now, listed);
+        if self.without != Some(Rule::OthersTell) {
+            me.fleet.add_unlisted(now, told);
+        }
+        me.knows_fleet = true;
+    }
+
+    /// The instances that one knows, itself included.
+    fn recorded(&self, index: usize) -> Vec<InstanceRecord> {
+        let me = &self.instances[index];
+        me.fleet.others().chain([&me.record]).cloned().collect()
+    }
+
     fn strike(&mut self) {
+        if self.rng.random_bool(0.003) {
+            self.come_back_from_a_copy();
+        }
         if self.now >= self.heals_at {
             self.cut_off.clear();
         }
@@ -213,8 +304,11 @@
         if !self.is_up(index) {
             return;
         }
-        let records: Vec<_> = self.instances.iter().map(|one| one.record.clone()).collect();
-        let voters = voters(SHARD, &records);
+        self.learn_fleet(index);
+        if !self.instances[index].knows_fleet {
+            return;
+        }
+        let voters = voters(SHARD, &self.recorded(index));
         let me = &mut self.instances[index];
         let Some(rank) = voters.iter().position(|voter| voter.id == me.record.id) else {
             return;
@@ -230,7 +324,8 @@
         }
         me.renewed_at = self.now;
         for voter in &voters {
-            let to = records.iter().position(|record| record.id == voter.id).expect("listed");
+            let is_voter = |one: &Instance| one.record.id == voter.id;
+            let to = self.instances.iter().position(is_voter).expect("one of them");
             self.ask_vote(index, to);
         }
         let me = &mut self.instances[index];
--- a/lib/tests/test_quota_exploration.rs
+++ b/lib/tests/test_quota_exploration.rs
@@ -65,8 +65,16 @@
 
 #[test]
 fn test_each_rule_taken_out_is_noticed() {
-    let rules =
-        [Rule::Majority, Rule::OneVote, Rule::LeaseEnds, Rule::BeginsWithLittle, Rule::AloneLittle];
+    let rules = [
+        Rule::Majority,
+        Rule::OneVote,
+        Rule::LeaseEnds,
+        Rule::BeginsWithLittle,
+        Rule::AloneLittle,
+        Rule::UnlistedCount,
+        Rule::OthersTell,
+        Rule::WaitAfterCopy,
+    ];
     for rule in rules {
         assert!(is_noticed(rule), "{rule:?} is not noticed");
     }
--- a/lib/tests/test_replacement_exploration.rs
+++ b/lib/tests/test_replacement_exploration.rs
@@ -19,6 +19,7 @@
 use chervilwharf_lib::leader_watch::WatchAction;
 use chervilwharf_lib::moment::Moment;
 use chervilwharf_lib::position::Position;
+use chervilwharf_lib::revision::Era;
 
 const INSTANCES: usize = 5;
 const SERVERS: usize = 3;
@@ -58,7 +59,7 @@
 struct World {
     random: Random,
     now_ms: u64,
-    /// When the partition or a server last changed.
+    /// When the partition, a server or the primary last changed.
     changed_ms: u64,
     servers: Vec<Server>,
     leader: usize,
@@ -67,6 +68,12 @@
     instance_side: Vec<usize>,
     server_side: Vec<usize>,
     duty: Option<DutyRecord>,
+    /// The duty as it was, for copies of the store.
+    earlier_duties: Vec<DutyRecord>,
+    /// How often the store came back from a copy.
+    era: Era,
+    /// Whether it does.
+    has_copies: bool,
     highest_token: u64,
     /// When the promotion of a server takes effect.
     pending: Option<(u64, usize)>,
@@ -110,6 +117,9 @@
             instance_side: vec![0; INSTANCES],
             server_side: vec![0; SERVERS],
             duty: None,
+            earlier_duties: Vec::new(),
+            era: 0,
+            has_copies: seed % 2 == 1,
             highest_token: 0,
             pending: None,
             ordered_by: None,
@@ -144,6 +154,9 @@
     }
 
     fn disturb(&mut self) {
+        if self.has_copies && self.random.chance(1) {
+            self.come_back_from_a_copy();
+        }
         if self.random.chance(3) {
             self.changed_ms = self.now_ms;
             for side in self.instance_side.iter_mut().chain(&mut self.server_side) {
@@ -259,22 +272,37 @@
         }
         let order = DutyOrder { server: server_id(best), term: term + 1 };
         let (group, me) = ("db".into(), record(instance));
-        let next = duty::next_record(&group, &me, self.duty.as_ref(), Some(order), 0);
+        let next = duty::next_record(&group, &me, self.duty.as_ref(), Some(order), self.era);
         assert!(next.token > self.highest_token, "each order has a token of its own");
         self.highest_token = next.token;
-        self.duty = Some(next.clone());
+        self.earlier_duties.extend(self.duty.replace(next.clone()));
         self.instances[instance].duty = Some(next);
         let now = self.now();
         self.instances[instance].watch.replacing(now);
         let reaching = (0..INSTANCES).filter(|other| self.reaches(*other, self.leader)).count();
-        // Votes are up to one round of questions old: a network that changed
-        // since then can make any decision wrong.
+        // Votes are up to one round of questions old: a network or a primary that
+        // changed since then can make any decision wrong. Whoever promises an order
+        // finds the later term.
         let stable = self.now_ms >= self.changed_ms + VOTE_AGE_MS;
         self.replaced_in_use |= stable && reaching * 2 > INSTANCES && best != self.leader;
         self.pending = Some((self.now_ms + PROMOTE_MS, best));
         self.ordered_by = Some(instance);
     }
 
+    /// The store comes back with the duty as it was before. The last order stays known.
+    fn come_back_from_a_copy(&mut self) {
+        let Some(latest) = self.duty.clone() else {
+            return;
+        };
+        if self.earlier_duties.is_empty() {
+            return;
+        }
+        let number = self.random.below(self.earlier_duties.len() as u64);
+        let earlier = self.earlier_duties[usize::try_from(number).unwrap()].clone();
+        self.duty = Some(DutyRecord { order: latest.order, ..earlier });
+        self.era += 1;
+    }
+
     fn promote_due(&mut self) {
         let Some((due_ms, number)) = self.pending else {
             return;
@@ -296,6 +324,7 @@
         let term = self.servers[self.leader].term + 1;
         self.leader = number;
         self.servers[number].term = term;
+        self.changed_ms = self.now_ms;
     }
 
     fn step(&mut self) {
@@ -341,7 +370,8 @@
 #[test]
 fn test_no_run_loses_what_a_majority_could_still_use() {
     let mut promotions = 0;
-    for seed in 0..400 {
+    // The last one once took effect as another instance acted on an older answer.
+    for seed in (0..400).chain([5_572]) {
         let mut world = World::new(seed);
         for _ in 0..400 {
             world.step();
