right_control: rights learn of an era where they are used

Read again: a follower that learned of an era told nobody else, and the right of a group heard of it with the next grant only. Until then a voter promised for an order that the copy may lack. The test of it failed before (promised), it names a list as the source.

Each use now takes the latest era that is known: promises, readings of the store, the word of most voters.

--- a/daemon/src/engine/right_control.rs
+++ b/daemon/src/engine/right_control.rs
@@ -135,7 +135,9 @@
     }
     for shard in engine.shards() {
         let term = ended.get(shard.id()).copied().unwrap_or_default();
+        let latest = engine.store_era().latest();
         shard.change_right(|right| {
+            right.note_era(latest);
             right.take_ended(term);
             right.granted_by_store(asked_at, term, era);
         });
@@ -202,8 +204,10 @@
     pub fn retired_by_most(&self, group: &GroupId) -> Option<Term> {
         let shard = self.shard(group);
         let settled = self.store_era().is_known_for(now(), ERA_SETTLED);
+        let latest = self.store_era().latest();
         shard.with_group(|group| {
-            let right = group.right();
+            let right = group.right_mut();
+            right.note_era(latest);
             right.retired_by_most().or_else(|| settled.then(|| right.retired()))
         })
     }
@@ -313,7 +317,9 @@
             written_era: end.written_era,
         };
         self.note_store_era(end.written_era.unwrap_or_default(), "a replacement");
+        let latest = self.store_era().latest();
         let result = shard.with_group(|group| {
+            group.right_mut().note_era(latest);
             group.right_mut().see_token(token);
             group.retire(at, &ending)
         });
--- a/daemon/src/engine/shared.rs
+++ b/daemon/src/engine/shared.rs
@@ -346,7 +346,6 @@
             let shard = shard.with_renewal(self.renewal.clone());
             shard.with_group(|group| {
                 *group.right_mut() = PrimaryRight::unknown().with_start(self.started_at);
-                group.right_mut().note_era(self.store_era.latest());
                 if self.knows_orders.load(Ordering::Relaxed) {
                     group.right_mut().knows_orders();
                 }
--- a/daemon/src/engine/shared/known_fleet.rs
+++ b/daemon/src/engine/shared/known_fleet.rs
@@ -48,14 +48,10 @@
 
     /// An answer of the store, or another instance, told of an era.
     pub fn note_store_era(&self, era: Era, source: impl Display) {
-        if !self.store_era.note(era, source) {
-            return;
+        if self.store_era.note(era, source) {
+            // Grants of this era are wanted.
+            self.renewal.notify_one();
         }
-        for shard in self.shards() {
-            shard.with_group(|group| group.right_mut().note_era(era));
-        }
-        // Grants of this era are wanted.
-        self.renewal.notify_one();
     }
 
     /// Whether this instance runs for as long as this.
--- a/daemon/tests/test_duty.rs
+++ b/daemon/tests/test_duty.rs
@@ -25,6 +25,7 @@
 use chervilwharf_lib::duty::DutyRecord;
 use chervilwharf_lib::duty::first_token;
 use chervilwharf_lib::duty::is_token_of_era;
+use chervilwharf_lib::engine_protos::TermEnd;
 use chervilwharf_lib::primary_right::Ending;
 use stubs::NoServer;
 use stubs::instance;
@@ -203,3 +204,22 @@
     let before = engine.with_duties(|duties| duties.token(&"db".into()));
     assert!(claim(&engine, &directory, &"db".into(), OrderChange::Keep, before).await.is_none());
 }
+
+/// Guards against a promise, for an order that a copy may lack, of an instance that knows
+/// of the copy from a list alone.
+#[test]
+fn test_order_of_an_earlier_era_than_is_known_gets_no_promise() {
+    let engine = engine_in(1, true);
+    let end = |written_era| TermEnd {
+        group: "db".into(),
+        term: 1,
+        token: 7,
+        successor: "theirs".into(),
+        written_era: Some(written_era),
+        ..TermEnd::default()
+    };
+    engine.store_era().note(2, "a list of servers");
+    let reply = engine.end_term(&end(1));
+    assert_eq!((reply.promised, reply.later_era), (false, 2));
+    assert!(engine.end_term(&end(2)).promised);
+}
