--- a/daemon/src/engine/caller.rs
+++ b/daemon/src/engine/caller.rs
@@ -14,7 +14,7 @@
 use tokio::sync::Mutex;
 
 use crate::engine::clock::now;
-use crate::engine::fleet_control;
+use crate::engine::peer_records::pull_directory;
 use crate::engine::shared::Engine;
 
 /// A session's client.
@@ -95,7 +95,7 @@
             return;
         }
         let relays = self.relays_to_ask();
-        join_all(relays.iter().map(|peer| fleet_control::pull_directory(self, peer))).await;
+        join_all(relays.iter().map(|peer| pull_directory(self, peer))).await;
         *asked_at = Some(now());
     }
 
--- a/daemon/src/engine/controllers.rs
+++ b/daemon/src/engine/controllers.rs
@@ -16,9 +16,11 @@
 use crate::engine::duty_control::DutyFollower;
 use crate::engine::event_log;
 use crate::engine::fleet_control;
-use crate::engine::fleet_control::InstanceFollower;
 use crate::engine::follow::follow;
+use crate::engine::instance_control;
+use crate::engine::instance_control::InstanceFollower;
 use crate::engine::leader_control;
+use crate::engine::peer_records::pull_directory;
 use crate::engine::peers;
 use crate::engine::promoter::Promoter;
 use crate::engine::quota_control;
@@ -47,7 +49,7 @@
     };
     tokio::spawn(leader_control::run(replacer));
     tokio::spawn(right_control::learn_orders(engine.clone(), directory.clone()));
-    tokio::spawn(fleet_control::keep_record(engine.clone(), directory.clone()));
+    tokio::spawn(instance_control::keep_record(engine.clone(), directory.clone()));
     tokio::spawn(fleet_control::send_heartbeats(engine.clone(), directory.clone()));
     tokio::spawn(quota_control::keep_shards(engine.clone()));
     tokio::spawn(peers::serve(engine.clone(), peer_listener));
@@ -103,7 +105,7 @@
                 failure_domain: "".into(),
                 capacity_millicores: 0,
             };
-            fleet_control::pull_directory(&engine, &record).await;
+            pull_directory(&engine, &record).await;
         }
         tokio::time::sleep(SEED_PAUSE).await;
     }
--- a/daemon/src/engine/stop.rs
+++ b/daemon/src/engine/stop.rs
@@ -9,7 +9,7 @@
 use crate::engine::clock::now;
 use crate::engine::directory::Directory;
 use crate::engine::event_log;
-use crate::engine::fleet_control;
+use crate::engine::instance_control;
 use crate::engine::shared::Engine;
 
 /// Stops an engine within the time that the platform grants.
@@ -29,7 +29,7 @@
         event_log::emit(&event.with("reason", "sessions are left at the end of the stop"));
     }
     let left = plan.ends_at().saturating_sub(now());
-    let withdrawn = fleet_control::withdraw_record(engine, directory);
+    let withdrawn = instance_control::withdraw_record(engine, directory);
     if tokio::time::timeout(left, withdrawn).await.is_err() {
         let event = Event::new(EventKind::InstanceRecordFailed);
         event_log::emit(&event.with("reason", "no time is left to remove it"));
