right_world, engine: the change read again; the product behaves as before

The exploration of rights treated a store that tells no era more carefully than the product: it waited for a duty, or 4 s, before it voted, and wanted the word of most for the first duty. So its runs without eras tested less than before.

One question, may_lack_order, in place of three spellings of it; the era is read once for all groups; a loop is any().

--- a/daemon/src/engine/duty_control.rs
+++ b/daemon/src/engine/duty_control.rs
@@ -122,6 +122,13 @@
         self.record(group).is_some_and(|record| is_token_of_era(record.token, era))
     }
 
+    /// Whether the store, in an era, may lack an order of a group: it came back from a
+    /// copy, and nobody has taken the duty since.
+    #[must_use]
+    pub fn may_lack_order(&self, group: &GroupId, era: Era) -> bool {
+        era > 0 && !self.is_taken_in(group, era)
+    }
+
     /// A token must not be used again.
     pub fn spend(&mut self, duty: &DutyRecord) {
         self.spent.insert(duty.group.clone(), duty.token);
@@ -319,7 +326,7 @@
 /// too few told. A copy of the store can lack the order for which they did so, and
 /// nobody else may know it.
 fn with_word_of_most(engine: &Engine, next: DutyRecord, era: Era) -> Option<DutyRecord> {
-    if era == 0 || engine.with_duties(|duties| duties.is_taken_in(&next.group, era)) {
+    if !engine.with_duties(|duties| duties.may_lack_order(&next.group, era)) {
         return Some(next);
     }
     let told = engine.retired_by_most(&next.group)?;
--- a/daemon/src/engine/instance_control.rs
+++ b/daemon/src/engine/instance_control.rs
@@ -79,16 +79,9 @@
     while !engine.is_fleet_known() {
         let others: Vec<_> = engine.with_fleet(|fleet| fleet.others().cloned().collect());
         let asked = others.choose_multiple(&mut rand::rng(), ASKED_AT_START);
-        let mut pulls: FuturesUnordered<_> =
-            asked.map(|peer| pull_directory(&engine, peer)).collect();
+        let pulls: FuturesUnordered<_> = asked.map(|peer| pull_directory(&engine, peer)).collect();
         // The first one that knows all will do: those that are gone never answer.
-        let mut told = false;
-        while let Some(tells) = pulls.next().await {
-            told |= tells;
-            if told {
-                break;
-            }
-        }
+        let told = pulls.any(std::future::ready).await;
         // A duty is taken in an era when all that are alive are listed again.
         let is_settled =
             engine.with_duties(|duties| duties.is_any_taken_in(engine.store_era().latest()));
--- a/daemon/src/engine/leader_control.rs
+++ b/daemon/src/engine/leader_control.rs
@@ -286,7 +286,7 @@
     #[must_use]
     pub fn is_duty_vacant(&self, group: &GroupId) -> bool {
         let era = self.store_era().latest();
-        if era > 0 && !self.with_duties(|duties| duties.is_taken_in(group, era)) {
+        if self.with_duties(|duties| duties.may_lack_order(group, era)) {
             // Until most voters tell what the store's copy may lack it cannot be taken,
             // and it tells others that all who are alive are listed again.
             let settled = self.store_era().is_known_for(now(), DUTY_TAKEN_AFTER);
--- a/daemon/src/engine/right_control.rs
+++ b/daemon/src/engine/right_control.rs
@@ -133,9 +133,9 @@
         let _shard = engine.shard(&record.group);
         engine.with_duties(|duties| duties.learn(revision, record));
     }
+    let latest = engine.store_era().latest();
     for shard in engine.shards() {
         let term = ended.get(shard.id()).copied().unwrap_or_default();
-        let latest = engine.store_era().latest();
         shard.change_right(|right| {
             right.note_era(latest);
             right.take_ended(term);
@@ -189,8 +189,9 @@
             return true;
         }
         let shards = self.shards();
-        let is_known =
-            |shard: &&Arc<Shard>| self.with_duties(|duties| duties.is_taken_in(shard.id(), era));
+        let is_known = |shard: &&Arc<Shard>| {
+            !self.with_duties(|duties| duties.may_lack_order(shard.id(), era))
+        };
         let known: Vec<_> = shards.iter().filter(is_known).collect();
         for shard in &known {
             shard.change_right(PrimaryRight::knows_orders);
--- a/lib/tests/right_world/mod.rs
+++ b/lib/tests/right_world/mod.rs
@@ -500,7 +500,8 @@
         right.take_ended(ended);
         right.granted_by_store(at(asked_ms), ended, era);
         let settled = at(self.now_ms) >= at(me.started_ms) + FORGETFUL;
-        let trusted = is_token_of_era(stored.token, era)
+        let trusted = era == 0
+            || is_token_of_era(stored.token, era)
             || settled
             || self.taken_out == TakenOut::OrdersOfTheEra;
         if asked_ms >= me.started_ms && trusted {
@@ -688,7 +689,7 @@
         let me = &self.instances[number];
         let last = self.last_order(number);
         let mut retired = last.retired;
-        let word_is_needed = !is_token_of_era(self.stored.token, self.era);
+        let word_is_needed = self.era > 0 && !is_token_of_era(self.stored.token, self.era);
         if word_is_needed && self.taken_out != TakenOut::WordOfMost {
             // It was told in the era that it knows.
             let told = me.group.right().retired_by_most().filter(|_| me.era == self.era)?;
@@ -706,7 +707,7 @@
     /// of orders.
     fn renew_duty(&mut self, number: usize) {
         let me = &self.instances[number];
-        let reaches = self.store_up && me.reaches_store && me.era == self.era;
+        let reaches = self.store_up && me.reaches_store && me.era == self.era && me.era > 0;
         if !reaches || me.replacement.is_some() || is_token_of_era(self.stored.token, self.era) {
             return;
         }
