--- a/daemon/src/engine/controllers.rs
+++ b/daemon/src/engine/controllers.rs
@@ -9,6 +9,7 @@
 
 use chervilwharf_lib::fleet::InstanceRecord;
 use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
 
 use crate::engine::configuration_control::ConfigurationFollower;
 use crate::engine::counted_directory::CountedDirectory;
@@ -41,7 +42,8 @@
 ) {
     let counted = CountedDirectory::new(directory.clone(), engine.metrics().store.clone());
     let directory: Arc<dyn Directory> = Arc::new(counted);
-    start_followers(engine, &directory);
+    // They run until the program ends.
+    let _followers = start_followers(engine, &directory);
     let replacer = Replacer {
         engine: engine.clone(),
         directory: directory.clone(),
@@ -57,17 +59,27 @@
     tokio::spawn(go_on_alone(engine.clone()));
 }
 
-fn start_followers(engine: &Arc<Engine>, directory: &Arc<dyn Directory>) {
+/// Starts following what the store keeps.
+pub fn start_followers(
+    engine: &Arc<Engine>,
+    directory: &Arc<dyn Directory>,
+) -> Vec<JoinHandle<()>> {
     let gate = Arc::new(StoreGate::default());
     let surroundings = || (directory.clone(), gate.clone(), engine.store_era().clone());
+    let mut followers = Vec::new();
     let (directory, gate, era) = surroundings();
-    tokio::spawn(follow(directory, gate, era, ConfigurationFollower::new(engine.clone())));
+    let configuration = ConfigurationFollower::new(engine.clone());
+    followers.push(tokio::spawn(follow(directory, gate, era, configuration)));
     let (directory, gate, era) = surroundings();
-    tokio::spawn(follow(directory, gate, era, ServerFollower::new(engine.clone())));
+    let servers = ServerFollower::new(engine.clone());
+    followers.push(tokio::spawn(follow(directory, gate, era, servers)));
     let (directory, gate, era) = surroundings();
-    tokio::spawn(follow(directory, gate, era, InstanceFollower::new(engine.clone())));
+    let instances = InstanceFollower::new(engine.clone());
+    followers.push(tokio::spawn(follow(directory, gate, era, instances)));
     let (directory, gate, era) = surroundings();
-    tokio::spawn(follow(directory, gate, era, DutyFollower::new(engine.clone())));
+    let duties = DutyFollower::new(engine.clone());
+    followers.push(tokio::spawn(follow(directory, gate, era, duties)));
+    followers
 }
 
 /// How long a starting instance waits to hear of others, from the store or from
