follow: silence of the store is noticed by signs of life

Cause: a call that the store swallowed held up the record for longer than the record's bound. A watch that is never answered ended after 5 s, and was followed by another long one, which was swallowed as well; the watches of all instances ran in step, so nobody had news for the others. Why this works: one question for a sign of life is always under way, so a silence swallows one whenever it begins and however short it is. Without an answer within its wait and 0.5 s all watches are given up; the store is asked every 0.4 s, beside calls under way, and watched anew once it answers. A sign also tells of a change that a watch missed, if only its connection is silent.

--- a/daemon/src/engine/controllers.rs
+++ b/daemon/src/engine/controllers.rs
@@ -17,6 +17,7 @@
 use crate::engine::duty_control::DutyFollower;
 use crate::engine::event_log;
 use crate::engine::fleet_control;
+use crate::engine::follow::StoreState;
 use crate::engine::follow::follow;
 use crate::engine::instance_control;
 use crate::engine::instance_control::InstanceFollower;
@@ -30,7 +31,7 @@
 use crate::engine::server_control::ServerFollower;
 use crate::engine::shared::Engine;
 use crate::engine::shared::STORE_FIRST;
-use crate::engine::store_gate::StoreGate;
+use crate::engine::store_signs;
 
 /// Starts all controllers. They run until the program ends.
 pub fn start(
@@ -64,22 +65,19 @@
     engine: &Arc<Engine>,
     directory: &Arc<dyn Directory>,
 ) -> Vec<JoinHandle<()>> {
-    let gate = Arc::new(StoreGate::default());
-    let surroundings = || (directory.clone(), gate.clone(), engine.store_era().clone());
-    let mut followers = Vec::new();
-    let (directory, gate, era) = surroundings();
+    let state = StoreState { era: engine.store_era().clone(), ..StoreState::default() };
+    let signs = store_signs::ask_for_ever(engine.clone(), directory.clone(), state.clone());
     let configuration = ConfigurationFollower::new(engine.clone());
-    followers.push(tokio::spawn(follow(directory, gate, era, configuration)));
-    let (directory, gate, era) = surroundings();
     let servers = ServerFollower::new(engine.clone());
-    followers.push(tokio::spawn(follow(directory, gate, era, servers)));
-    let (directory, gate, era) = surroundings();
     let instances = InstanceFollower::new(engine.clone());
-    followers.push(tokio::spawn(follow(directory, gate, era, instances)));
-    let (directory, gate, era) = surroundings();
     let duties = DutyFollower::new(engine.clone());
-    followers.push(tokio::spawn(follow(directory, gate, era, duties)));
-    followers
+    vec![
+        tokio::spawn(signs),
+        tokio::spawn(follow(directory.clone(), state.clone(), configuration)),
+        tokio::spawn(follow(directory.clone(), state.clone(), servers)),
+        tokio::spawn(follow(directory.clone(), state.clone(), instances)),
+        tokio::spawn(follow(directory.clone(), state.clone(), duties)),
+    ]
 }
 
 /// How long a starting instance waits to hear of others, from the store or from
--- a/daemon/src/engine/counted_directory.rs
+++ b/daemon/src/engine/counted_directory.rs
@@ -19,6 +19,7 @@
 use crate::engine::directory::Record;
 use crate::engine::directory::RecordKind;
 use crate::engine::directory::Revision;
+use crate::engine::directory::Sign;
 use crate::engine::directory::WriteError;
 use crate::engine::event_log;
 use crate::engine::metrics::StoreMetrics;
@@ -106,6 +107,17 @@
         self.counted(&call, self.inner.watch(kind, after, wait, currency).await)
     }
 
+    async fn ask_for_sign(
+        &self,
+        kind: RecordKind,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<Sign, DirectoryError> {
+        let result = self.inner.ask_for_sign(kind, after, wait).await;
+        self.metrics.asked_for_sign(result.is_ok());
+        result
+    }
+
     async fn get(&self, kind: RecordKind, name: &str) -> Result<Option<Entry>, DirectoryError> {
         let call = Call::new(kind, "get");
         self.counted(&call, self.inner.get(kind, name).await)
--- a/daemon/src/engine/directory.rs
+++ b/daemon/src/engine/directory.rs
@@ -10,6 +10,7 @@
 use chervilwharf_lib::fleet::InstanceRecord;
 use chervilwharf_lib::group::ServerInfo;
 use chervilwharf_lib::id::GroupId;
+use chervilwharf_lib::revision::Era;
 pub use chervilwharf_lib::revision::Revision;
 use displaydoc::Display;
 
@@ -94,6 +95,26 @@
     pub revision: Revision,
 }
 
+/// A sign of life of the store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Sign {
+    /// The newest change of the kind asked for, if there was one.
+    pub newest_change: Option<Revision>,
+    /// Era of the history that the store shows.
+    pub era: Era,
+}
+
+impl From<Changes> for Sign {
+    fn from(changes: Changes) -> Self {
+        let at = |change: &Change| match change {
+            Change::Present(entry) => entry.revision,
+            Change::Removed(_) => changes.revision,
+        };
+        let newest_change = changes.changes.iter().map(at).max();
+        Self { newest_change, era: changes.revision.era }
+    }
+}
+
 /// Why the platform's store gave no result.
 #[derive(Clone, Debug)]
 #[derive(Display)]
@@ -159,6 +180,18 @@
         currency: Currency,
     ) -> Result<Changes, DirectoryError>;
 
+    /// Waits for a sign of life, at most for `wait`: for a change of a kind after a
+    /// revision, or for nothing. It may be seconds old.
+    async fn ask_for_sign(
+        &self,
+        kind: RecordKind,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<Sign, DirectoryError> {
+        let changes = self.watch(kind, after, wait, Currency::MayBeOld).await?;
+        Ok(changes.into())
+    }
+
     /// Reads one record as it is now.
     async fn get(&self, kind: RecordKind, name: &str) -> Result<Option<Entry>, DirectoryError>;
 
--- a/daemon/src/engine/follow.rs
+++ b/daemon/src/engine/follow.rs
@@ -7,8 +7,10 @@
 use chervilwharf_lib::event::EventKind;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
+use tokio::time::Instant;
 
 use crate::engine::directory::Change;
+use crate::engine::directory::Changes;
 use crate::engine::directory::Currency;
 use crate::engine::directory::Directory;
 use crate::engine::directory::DirectoryError;
@@ -16,6 +18,7 @@
 use crate::engine::directory::RecordKind;
 use crate::engine::directory::Revision;
 use crate::engine::event_log;
+use crate::engine::store_contact::StoreContact;
 use crate::engine::store_era::StoreEra;
 use crate::engine::store_gate::StoreGate;
 
@@ -59,12 +62,16 @@
 
 /// Longest wait of one watch.
 ///
-/// A store that goes silent for a while never answers the watches it received
-/// meanwhile, and their connections stay open: only the end of the wait tells.
-/// With 10 s all instances missed a configuration that had to be in force
-/// within 3 s, nine seconds after such an outage. With 4 s they are back
-/// within 5 s of its end, before the first bound holds again.
-pub const WATCH_WAIT: Duration = Duration::from_secs(4);
+/// Signs of life tell of a store that is silent. Where only the connection of a watch
+/// is, and no sign tells what it missed, the end of the wait does.
+pub const WATCH_WAIT: Duration = Duration::from_millis(4_500);
+
+/// Wait of a watch after a call without an answer. A long one could be swallowed as
+/// well, and would tell nothing for all its time.
+const PROVING_WAIT: Duration = Duration::from_millis(100);
+
+/// How long a follower relies on signs of life alone while the store is lost.
+const SIGNS_LIMIT: Duration = Duration::from_secs(5);
 
 /// Longest wait where a late answer costs little: instances and duties change
 /// seldom, and heartbeats tell of what is newer. Each call is paid for.
@@ -120,13 +127,20 @@
 /// each other.
 pub const ANSWERED_TOGETHER: Duration = Duration::from_millis(100);
 
+/// What the followers of an instance know of the store together.
+#[derive(Clone, Default)]
+pub struct StoreState {
+    /// Who tries a store that refuses.
+    pub gate: Arc<StoreGate>,
+    /// The latest era.
+    pub era: Arc<StoreEra>,
+    /// Whether the store answers.
+    pub contact: Arc<StoreContact>,
+}
+
 /// Follows a kind of records for ever.
-pub async fn follow(
-    directory: Arc<dyn Directory>,
-    gate: Arc<StoreGate>,
-    era: Arc<StoreEra>,
-    mut follower: impl Follower,
-) {
+pub async fn follow(directory: Arc<dyn Directory>, state: StoreState, mut follower: impl Follower) {
+    let StoreState { gate, era, contact } = state;
     let kind = follower.kind();
     let mut pause = FIRST_PAUSE;
     let mut failing = false;
@@ -136,6 +150,7 @@
     let mut forgotten = false;
     let mut listed = false;
     loop {
+        let losses = contact.losses();
         let result = match revision {
             None => {
                 let currency = if forgotten { Currency::Fresh } else { follower.currency() };
@@ -146,14 +161,27 @@
                 };
                 listing.and_then(|listing| take_listing(&mut follower, &era, listing))
             }
-            Some(after) => tokio::select! {
-                result = watch(&*directory, &mut follower, after) => result,
-                () = era.wait_for_later(after.era) => Err(DirectoryError::HistoryGone),
-            },
+            Some(after) => {
+                let wait = if failing { PROVING_WAIT } else { follower.wait_limit() };
+                let called_at = Instant::now();
+                let changes = tokio::select! {
+                    changes = directory.watch(kind, after, wait, follower.currency()) => changes,
+                    () = era.wait_for_later(after.era) => Err(DirectoryError::HistoryGone),
+                    () = contact.wait_for_loss(losses) => {
+                        report_given_up(kind, called_at);
+                        Err(DirectoryError::Silent)
+                    }
+                };
+                match changes {
+                    Ok(changes) => take_changes(&mut follower, after, changes).await,
+                    Err(error) => Err(error),
+                }
+            }
         };
         match result {
             Ok(next) => {
                 gate.answered();
+                contact.note_followed(kind, next);
                 if std::mem::take(&mut failing) {
                     let event = Event::new(EventKind::StoreRegained).with("kind", kind);
                     event_log::emit(&event.with("revision", next));
@@ -182,6 +210,13 @@
                     event_log::emit(&event.with("reason", error).with_some("revision", revision));
                     follower.outage(true);
                 }
+                if contact.losses() > losses {
+                    // Over either way: it is tried again.
+                    let regained = contact.wait_until_regained();
+                    let _waited = tokio::time::timeout(SIGNS_LIMIT, regained).await;
+                    follower.tick();
+                    continue;
+                }
                 // Who reads the present state, for others as well, tries by itself.
                 // Until something is known only the configuration is tried.
                 let longest = match (follower.currency(), listed) {
@@ -205,6 +240,12 @@
     }
 }
 
+fn report_given_up(kind: RecordKind, called_at: Instant) {
+    let event = Event::new(EventKind::StoreUnanswered).with("kind", kind).with("call", "watch");
+    let event = event.with("reason", "given up, as the store gives no sign of life");
+    event_log::emit(&event.with_ms("waited_ms", called_at.elapsed()));
+}
+
 /// The first list, without which an instance serves nobody.
 ///
 /// A store that goes silent never answers what it received meanwhile. The call
@@ -255,15 +296,14 @@
     Ok(revision)
 }
 
-async fn watch(
-    directory: &dyn Directory,
+/// Takes changes over that came after a revision, unless they are of another history:
+/// what changed since the same number of another one is no change of what this instance
+/// knows.
+async fn take_changes(
     follower: &mut impl Follower,
     after: Revision,
+    changes: Changes,
 ) -> Result<Revision, DirectoryError> {
-    let wait = follower.wait_limit();
-    let changes = directory.watch(follower.kind(), after, wait, follower.currency()).await?;
-    // What changed since the same number of another history is no change of what this
-    // instance knows.
     if changes.revision.era != after.era {
         return Err(DirectoryError::HistoryGone);
     }
--- a/daemon/src/engine/metrics.rs
+++ b/daemon/src/engine/metrics.rs
@@ -87,7 +87,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
 pub struct StoreLabels {
-    /// Kind of the records.
+    /// Kind of the records, or `signs` for signs of life.
     pub kind: String,
     /// `ok` or `failed`.
     pub outcome: &'static str,
@@ -117,14 +117,27 @@
 pub struct StoreMetrics {
     calls: Family<StoreLabels, Counter>,
     answers: Arc<Mutex<HashMap<RecordKind, LastAnswer>>>,
+    last_sign: Arc<Mutex<Option<Moment>>>,
     age_seconds: Family<KindLabels, SecondsGauge>,
 }
 
 impl StoreMetrics {
+    fn count(&self, kind: String, succeeded: bool) {
+        let outcome = if succeeded { "ok" } else { "failed" };
+        self.calls.get_or_create(&StoreLabels { kind, outcome }).inc();
+    }
+
+    /// A question for a sign of life ended.
+    pub fn asked_for_sign(&self, succeeded: bool) {
+        self.count("signs".to_owned(), succeeded);
+        if succeeded {
+            *self.last_sign.lock().expect("never poisoned") = Some(now());
+        }
+    }
+
     /// A call about a kind of records ended.
     pub fn called(&self, kind: RecordKind, succeeded: bool) {
-        let outcome = if succeeded { "ok" } else { "failed" };
-        self.calls.get_or_create(&StoreLabels { kind: kind.to_string(), outcome }).inc();
+        self.count(kind.to_string(), succeeded);
         if succeeded {
             let at = now();
             let mut answers = self.answers.lock().expect("never poisoned");
@@ -133,11 +146,12 @@
         }
     }
 
-    /// Time since the last answer about any kind of records; `None` before the first.
+    /// Time since the last answer of any kind; `None` before the first.
     #[must_use]
     pub fn answer_age(&self) -> Option<Duration> {
+        let sign = *self.last_sign.lock().expect("never poisoned");
         let answers = self.answers.lock().expect("never poisoned");
-        let newest = answers.values().map(|answer| answer.at).max()?;
+        let newest = answers.values().map(|answer| answer.at).chain(sign).max()?;
         Some(now().saturating_sub(newest))
     }
 
--- a/daemon/src/engine/shared.rs
+++ b/daemon/src/engine/shared.rs
@@ -29,6 +29,7 @@
 use chervilwharf_lib::primary_right::PrimaryRight;
 use chervilwharf_lib::quota::QuotaTolerance;
 use chervilwharf_lib::server_list::ServerList;
+use chervilwharf_lib::silence::SilenceLimits;
 use chervilwharf_lib::stop_plan::StopPlan;
 use tokio::sync::Notify;
 use tokio::sync::watch;
@@ -61,6 +62,9 @@
 /// many times the store's usual answer of 4 ms.
 pub const STORE_FIRST: Duration = Duration::from_millis(250);
 
+/// Time in which a configuration is in force where the platform sets none.
+const CONFIGURATION_BOUND: Duration = Duration::from_secs(3);
+
 /// What all sessions of an instance share.
 pub struct Engine {
     connector: Arc<dyn Connector>,
@@ -113,6 +117,7 @@
     quota_tolerance: Option<QuotaTolerance>,
     newer_configuration: NewerConfiguration,
     store_era: Arc<StoreEra>,
+    silence_limits: SilenceLimits,
 }
 
 impl Engine {
@@ -154,9 +159,23 @@
             quota_tolerance: None,
             newer_configuration: NewerConfiguration::default(),
             store_era: Arc::default(),
+            silence_limits: SilenceLimits::within(CONFIGURATION_BOUND),
         }
     }
 
+    /// With the time in which a configuration has to be in force.
+    #[must_use]
+    pub fn with_configuration_bound(mut self, bound: Duration) -> Self {
+        self.silence_limits = SilenceLimits::within(bound);
+        self
+    }
+
+    /// How soon silence of the store is noticed.
+    #[must_use]
+    pub fn silence_limits(&self) -> SilenceLimits {
+        self.silence_limits
+    }
+
     /// This instance.
     #[must_use]
     pub fn me(&self) -> &InstanceRecord {
--- /dev/null
+++ b/daemon/src/engine/store_contact.rs
@@ -0,0 +1,79 @@
+//! Whether the platform's store answers this instance.
+
+use std::collections::HashMap;
+use std::sync::Mutex;
+
+use tokio::sync::watch;
+
+use crate::engine::directory::RecordKind;
+use crate::engine::directory::Revision;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct State {
+    is_lost: bool,
+    /// Counts the moments before which calls under way are given up.
+    losses: u64,
+}
+
+/// Whether the store answers, and up to where its records are followed.
+#[derive(Debug, Default)]
+pub struct StoreContact {
+    state: watch::Sender<State>,
+    followed: Mutex<HashMap<RecordKind, Revision>>,
+}
+
+impl StoreContact {
+    /// Whether the store does not answer.
+    #[must_use]
+    pub fn is_lost(&self) -> bool {
+        self.state.borrow().is_lost
+    }
+
+    /// How often calls under way were given up.
+    #[must_use]
+    pub fn losses(&self) -> u64 {
+        self.state.borrow().losses
+    }
+
+    /// The store does not answer: calls under way are given up.
+    pub fn lose(&self) {
+        self.state.send_modify(|state| {
+            state.is_lost = true;
+            state.losses += 1;
+        });
+    }
+
+    /// The store answers, but not a call under way: all are made anew.
+    pub fn renew_calls(&self) {
+        self.state.send_modify(|state| state.losses += 1);
+    }
+
+    /// The store answers again.
+    pub fn regain(&self) {
+        self.state.send_modify(|state| state.is_lost = false);
+    }
+
+    /// Returns when calls under way since `losses` are to be given up.
+    pub async fn wait_for_loss(&self, losses: u64) {
+        let mut state = self.state.subscribe();
+        // Fails only when this is gone, and then nobody waits.
+        let _lost = state.wait_for(|state| state.losses > losses).await;
+    }
+
+    /// Returns when the store answers.
+    pub async fn wait_until_regained(&self) {
+        let mut state = self.state.subscribe();
+        let _regained = state.wait_for(|state| !state.is_lost).await;
+    }
+
+    /// Records of a kind are known up to a revision.
+    pub fn note_followed(&self, kind: RecordKind, revision: Revision) {
+        self.followed.lock().expect("never poisoned").insert(kind, revision);
+    }
+
+    /// Up to which revision records of a kind are known; `None` before the first list.
+    #[must_use]
+    pub fn followed(&self, kind: RecordKind) -> Option<Revision> {
+        self.followed.lock().expect("never poisoned").get(&kind).copied()
+    }
+}
--- /dev/null
+++ b/daemon/src/engine/store_signs.rs
@@ -0,0 +1,131 @@
+//! Asks the platform's store for signs of life, one question after the other.
+//!
+//! One question is always under way, so that silence of the store, or of all connections
+//! to it, swallows one and is noticed when it stays without an answer. It may be
+//! answered with old data, which costs a tenth of other calls.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilwharf_lib::event::Event;
+use chervilwharf_lib::event::EventKind;
+use chervilwharf_lib::silence::ASKED_AGAIN_AFTER;
+use chervilwharf_lib::silence::SilenceLimits;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use tokio::time::Instant;
+
+use crate::engine::directory::Currency;
+use crate::engine::directory::Directory;
+use crate::engine::directory::DirectoryError;
+use crate::engine::directory::RecordKind;
+use crate::engine::directory::Revision;
+use crate::engine::directory::Sign;
+use crate::engine::event_log;
+use crate::engine::follow::StoreState;
+use crate::engine::shared::Engine;
+
+/// The records that a sign tells changes of: those that have to be known soonest.
+const KIND: RecordKind = RecordKind::Configuration;
+
+/// Pause of an instance that needs no signs: it hears from others what matters soon.
+const UNNEEDED_PAUSE: Duration = Duration::from_millis(500);
+
+/// A watch has told a change this long after a sign, which may be seconds old, did.
+const TOLD_WITHIN: Duration = Duration::from_millis(250);
+
+/// Questions to a silent store that are under way together.
+const QUESTIONS_AT_ONCE: usize = 3;
+
+/// Pause between two questions to a store that refuses.
+const REFUSED_PAUSE: Duration = Duration::from_millis(600);
+
+/// Asks for signs of life for ever.
+pub async fn ask_for_ever(engine: Arc<Engine>, directory: Arc<dyn Directory>, state: StoreState) {
+    let mut signs = Signs { directory, state, limits: engine.silence_limits(), seen: None };
+    loop {
+        if signs.state.contact.is_lost() {
+            signs.regain().await;
+            continue;
+        }
+        let followed = signs.state.contact.followed(KIND);
+        match followed {
+            Some(followed) if engine.record_currency() == Currency::Fresh => {
+                signs.ask(followed).await;
+            }
+            _ => tokio::time::sleep(UNNEEDED_PAUSE).await,
+        }
+    }
+}
+
+struct Signs {
+    directory: Arc<dyn Directory>,
+    state: StoreState,
+    limits: SilenceLimits,
+    /// The newest change that a sign told.
+    seen: Option<Revision>,
+}
+
+impl Signs {
+    /// Asks once. Without an answer the store is lost.
+    async fn ask(&mut self, followed: Revision) {
+        let asked_at = Instant::now();
+        let after = self.seen.map_or(followed, |seen| seen.max(followed));
+        let question = self.directory.ask_for_sign(KIND, after, self.limits.sign_wait);
+        let answer = tokio::time::timeout(self.limits.noticed_after(), question).await;
+        match answer.unwrap_or(Err(DirectoryError::Silent)) {
+            Ok(sign) => self.take(sign),
+            // An answer that is seconds old does not know the revision yet.
+            Err(DirectoryError::HistoryGone) => {
+                tokio::time::sleep_until(asked_at + self.limits.sign_wait).await;
+            }
+            Err(error) => {
+                let event = Event::new(EventKind::StoreUnanswered).with("kind", KIND);
+                let event = event.with("call", "sign").with("reason", error);
+                event_log::emit(&event.with_ms("waited_ms", asked_at.elapsed()));
+                self.state.contact.lose();
+            }
+        }
+    }
+
+    fn take(&mut self, sign: Sign) {
+        self.state.era.note(sign.era, "a sign of life");
+        let Some(changed_at) = sign.newest_change else {
+            return;
+        };
+        self.seen = Some(changed_at);
+        let contact = self.state.contact.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(TOLD_WITHIN).await;
+            if contact.followed(KIND).is_some_and(|followed| followed < changed_at) {
+                contact.renew_calls();
+            }
+        });
+    }
+
+    /// Asks a silent store until it answers. Questions that it swallowed are not waited
+    /// for: a new one is sent beside them.
+    async fn regain(&self) {
+        let after = self.state.contact.followed(KIND).unwrap_or_default();
+        let mut questions = FuturesUnordered::new();
+        let mut asked_again_at = Instant::now();
+        loop {
+            tokio::select! {
+                Some(answer) = questions.next() => match answer {
+                    Ok(_) | Err(DirectoryError::HistoryGone) => break,
+                    Err(DirectoryError::Refused(_)) => {
+                        asked_again_at = Instant::now() + REFUSED_PAUSE;
+                    }
+                    Err(_) => {}
+                },
+                () = tokio::time::sleep_until(asked_again_at),
+                    if questions.len() < QUESTIONS_AT_ONCE =>
+                {
+                    questions.push(self.directory.ask_for_sign(KIND, after, Duration::ZERO));
+                    asked_again_at += ASKED_AGAIN_AFTER;
+                }
+            }
+        }
+        self.state.contact.regain();
+    }
+}
--- a/daemon/tests/test_follow.rs
+++ b/daemon/tests/test_follow.rs
@@ -18,11 +18,11 @@
 use chervilwharf_daemon::engine::directory::Revision;
 use chervilwharf_daemon::engine::follow::Follower;
 use chervilwharf_daemon::engine::follow::OTHERS_LISTED;
+use chervilwharf_daemon::engine::follow::StoreState;
 use chervilwharf_daemon::engine::follow::follow;
 use chervilwharf_daemon::engine::server_control::ServerFollower;
 use chervilwharf_daemon::engine::shared::Engine;
 use chervilwharf_daemon::engine::store_era::StoreEra;
-use chervilwharf_daemon::engine::store_gate::StoreGate;
 use stubs::Listed;
 use stubs::ReadOnly;
 use tokio::sync::Notify;
@@ -89,8 +89,7 @@
     // Cause: the list showed what is forgotten, so the watch failed at once,
     // and so on without a pause.
     let store = Arc::new(ForgetfulStore::default());
-    let following =
-        tokio::spawn(follow(ReadOnly::new(&store), Arc::default(), Arc::default(), Quiet));
+    let following = tokio::spawn(follow(ReadOnly::new(&store), StoreState::default(), Quiet));
     store.settled.notified().await;
     following.abort();
     assert_eq!(store.lists.load(Ordering::SeqCst), 2, "an old one, then a fresh one");
@@ -156,8 +155,7 @@
     });
     let following = tokio::spawn(follow(
         ReadOnly::new(&store),
-        Arc::default(),
-        Arc::default(),
+        StoreState::default(),
         ServerFollower::new(engine),
     ));
     store.all_told.notified().await;
@@ -230,9 +228,9 @@
         answered: AtomicUsize::new(0),
         settled: Notify::new(),
     });
-    let gate = Arc::new(StoreGate::default());
+    let state = StoreState::default();
     for kind in KINDS {
-        tokio::spawn(follow(ReadOnly::new(&store), gate.clone(), Arc::default(), OfKind(kind)));
+        tokio::spawn(follow(ReadOnly::new(&store), state.clone(), OfKind(kind)));
     }
     let began_at = tokio::time::Instant::now();
     store.settled.notified().await;
@@ -292,9 +290,9 @@
             answered: AtomicUsize::new(0),
             settled: Notify::new(),
         });
-        let gate = Arc::new(StoreGate::default());
+        let state = StoreState::default();
         for kind in KINDS {
-            tokio::spawn(follow(ReadOnly::new(&store), gate.clone(), Arc::default(), OfKind(kind)));
+            tokio::spawn(follow(ReadOnly::new(&store), state.clone(), OfKind(kind)));
         }
         store.settled.notified().await;
         let took = ends_at.elapsed();
@@ -353,9 +351,9 @@
         lists: AtomicUsize::new(0),
         settled: Notify::new(),
     });
-    let gate = Arc::new(StoreGate::default());
+    let state = StoreState::default();
     for kind in KINDS {
-        tokio::spawn(follow(ReadOnly::new(&store), gate.clone(), Arc::default(), OfKind(kind)));
+        tokio::spawn(follow(ReadOnly::new(&store), state.clone(), OfKind(kind)));
     }
     let began_at = tokio::time::Instant::now();
     store.settled.notified().await;
@@ -417,6 +415,10 @@
     }
 }
 
+fn with_era(era: &Arc<StoreEra>) -> StoreState {
+    StoreState { era: era.clone(), ..StoreState::default() }
+}
+
 /// Counts the changes that it is told.
 struct Counting(Arc<AtomicUsize>);
 
@@ -439,7 +441,7 @@
     let store = ComesBack::new(&[(1, 20), (2, 25)], (2, 30));
     let told = Arc::new(AtomicUsize::new(0));
     let follower = Counting(told.clone());
-    tokio::spawn(follow(ReadOnly::new(&store), Arc::default(), Arc::default(), follower));
+    tokio::spawn(follow(ReadOnly::new(&store), StoreState::default(), follower));
     store.settled.notified().await;
     assert_eq!(told.load(Ordering::SeqCst), 0);
     let watched_from = store.watched_from.lock().unwrap().clone();
@@ -454,7 +456,7 @@
     let era = Arc::new(StoreEra::default());
     era.note(2, "another instance");
     let follower = Counting(Arc::default());
-    tokio::spawn(follow(ReadOnly::new(&store), Arc::default(), era, follower));
+    tokio::spawn(follow(ReadOnly::new(&store), with_era(&era), follower));
     store.settled.notified().await;
     let watched_from = store.watched_from.lock().unwrap().clone();
     assert_eq!(watched_from[0], Revision::new(2, 25));
@@ -467,7 +469,7 @@
     let store = ComesBack::new(&[(1, 20), (2, 25)], (1, 20));
     let era = Arc::new(StoreEra::default());
     let follower = Counting(Arc::default());
-    tokio::spawn(follow(ReadOnly::new(&store), Arc::default(), era.clone(), follower));
+    tokio::spawn(follow(ReadOnly::new(&store), with_era(&era), follower));
     store.settled.notified().await;
     era.note(2, "another instance");
     store.settled.notified().await;
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod server_list;
 pub mod server_refusal;
 pub mod settings;
+pub mod silence;
 pub mod statement;
 pub mod stop_plan;
 pub mod story;
