remote, peers: links between instances that went silent

Cause, the class of the incident: who waits for one answer on a kept connection learns nothing from its silence. A heartbeat without an answer on a kept link made a living instance count as silent, so nobody was left to serve (546 refusals holder_silent in 2.5 s); and a statement on a kept link waited for all its time, though the instance answered other questions. Ruled out: servers (no connection_dropped), the store (refusals begin before anything is asked of it). Why this works: what an instance says is asked again on a new link before it counts as silent, signs of life always are. A statement carries a ticket; the sender asks on a new link whether it arrived. What has not is withdrawn: it never runs, and is sent again on a new link, writes too. A read whose answer was lost is sent again as well.

What is left are transactions that were open, and writes whose answer was on the way.

--- a/daemon/src/engine/contacts.rs
+++ b/daemon/src/engine/contacts.rs
@@ -3,8 +3,12 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::time::Duration;
 
+use chervilwharf_lib::arrivals::Fate;
+use chervilwharf_lib::arrivals::StatementTicket;
 use chervilwharf_lib::engine_protos::SignOfLife;
+use chervilwharf_lib::engine_protos::SignOfLifeReply;
 use chervilwharf_lib::engine_protos::engine_frame::Body;
 use chervilwharf_lib::event::Event;
 use chervilwharf_lib::event::EventKind;
@@ -76,16 +80,55 @@
 impl Engine {
     /// Asks another instance for a sign of life. Returns whether it gave one.
     pub async fn ask_for_sign(&self, peer: &InstanceRecord) -> bool {
+        self.ask_sign(peer, SignOfLife::default()).await.is_some()
+    }
+
+    /// Asks another instance whether a statement arrived there that was sent at
+    /// `sent_at`; one that has not is withdrawn. `None` without a sign of life.
+    pub async fn ask_for_statement(
+        &self,
+        peer: &InstanceRecord,
+        ticket: StatementTicket,
+        sent_at: Moment,
+    ) -> Option<Fate> {
+        let sent_ago = now().saturating_sub(sent_at);
+        let sent_ms_ago = u64::try_from(sent_ago.as_millis()).unwrap_or(u64::MAX).saturating_add(1);
+        let reply = self.ask_sign(peer, SignOfLife { ticket, sent_ms_ago }).await?;
+        Some(match reply {
+            SignOfLifeReply { withdrawn: true, .. } => Fate::Withdrawn,
+            SignOfLifeReply { ended: true, .. } => Fate::Ended,
+            _ => Fate::Open,
+        })
+    }
+
+    /// Asks on a new link: an old one that went silent must not make a living instance
+    /// look silent.
+    async fn ask_sign(
+        &self,
+        peer: &InstanceRecord,
+        question: SignOfLife,
+    ) -> Option<SignOfLifeReply> {
         let asked_at = now();
-        let asking = self.peers().ask(peer.peer_address, Body::SignOfLife(SignOfLife {}));
-        let answer = tokio::time::timeout(SIGN_LIMIT, asking).await;
-        let heard = matches!(answer, Ok(Ok(_)));
-        if heard {
-            self.contacts().heard(asked_at, &peer.id);
-        } else {
+        let question = Body::SignOfLife(question);
+        let answer = self.peers().ask_anew(peer.peer_address, question, SIGN_LIMIT).await;
+        let Ok(Body::SignOfLifeReply(reply)) = answer else {
             self.contacts().missed(asked_at, &peer.id);
+            return None;
+        };
+        self.contacts().heard(asked_at, &peer.id);
+        Some(reply)
+    }
+
+    /// The answer to a question for a sign of life.
+    #[must_use]
+    pub fn sign_of_life(&self, question: SignOfLife) -> SignOfLifeReply {
+        if question.ticket == 0 {
+            return SignOfLifeReply::default();
         }
-        heard
+        let sent_ago = Duration::from_millis(question.sent_ms_ago);
+        let fate =
+            self.with_arrivals(|arrivals| arrivals.withdraw(now(), question.ticket, sent_ago));
+        SignOfLifeReply { withdrawn: fate == Fate::Withdrawn, ended: fate == Fate::Ended }
     }
 
     /// A holder of a group that can be reached, but for those that were tried;
--- a/daemon/src/engine/guest.rs
+++ b/daemon/src/engine/guest.rs
@@ -6,6 +6,7 @@
 
 use async_trait::async_trait;
 use chervilwharf_lib::account::KeyDigest;
+use chervilwharf_lib::arrivals::StatementTicket;
 use chervilwharf_lib::catalog::Route;
 use chervilwharf_lib::engine_protos;
 use chervilwharf_lib::engine_protos::StatementReply;
@@ -132,9 +133,35 @@
     }
 }
 
+/// A statement of another instance is under way as long as it lives.
+struct ArrivedGuard {
+    engine: Arc<Engine>,
+    ticket: StatementTicket,
+}
+
+impl ArrivedGuard {
+    /// `None` if the statement must not run: its sender was told that it never will.
+    fn new(engine: &Arc<Engine>, ticket: StatementTicket) -> Option<Self> {
+        let may_run = ticket == 0 || engine.with_arrivals(|arrivals| arrivals.begin(now(), ticket));
+        may_run.then(|| Self { engine: engine.clone(), ticket })
+    }
+}
+
+impl Drop for ArrivedGuard {
+    fn drop(&mut self) {
+        if self.ticket != 0 {
+            self.engine.with_arrivals(|arrivals| arrivals.end(now(), self.ticket));
+        }
+    }
+}
+
 #[async_trait]
 impl Guest for GuestSession {
     async fn run(&mut self, statement: engine_protos::Statement) -> StatementReply {
+        let Some(_arrived) = ArrivedGuard::new(&self.engine, statement.ticket) else {
+            let floor = Position::new(statement.floor_term, statement.floor_index);
+            return refusal(ErrorKind::NotOwner, floor);
+        };
         self.run_inner(statement).await
     }
 }
--- a/daemon/src/engine/peers.rs
+++ b/daemon/src/engine/peers.rs
@@ -17,12 +17,14 @@
 use chervilwharf_lib::engine_protos::engine_frame::Body;
 use chervilwharf_lib::event::Event;
 use chervilwharf_lib::event::EventKind;
+use chervilwharf_lib::peer_contact::SIGN_LIMIT;
 use displaydoc::Display;
 use futures::SinkExt;
 use futures::StreamExt;
 use prost::Message;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::time::error::Elapsed;
 use tokio_util::codec::Framed;
 use tokio_util::codec::LengthDelimitedCodec;
 
@@ -148,29 +150,82 @@
 /// Links to other instances, opened when they are needed.
 #[derive(Default)]
 pub struct Peers {
-    links: Mutex<HashMap<SocketAddr, Arc<tokio::sync::Mutex<PeerLink>>>>,
+    links: Mutex<HashMap<SocketAddr, SharedLink>>,
+}
+
+type SharedLink = Arc<tokio::sync::Mutex<PeerLink>>;
+
+fn flatten(answer: Result<Result<Body, LinkError>, Elapsed>) -> Result<Body, PeerError> {
+    match answer {
+        Ok(Ok(answer)) => Ok(answer),
+        Ok(Err(LinkError::NotConnected(error) | LinkError::Failed(error))) => Err(error),
+        Err(_) => Err(PeerError::Silent),
+    }
+}
+
+/// Asks on the kept link, and on a new one as well if that gives no answer.
+async fn ask_twice(link: &SharedLink, address: SocketAddr, body: Body) -> Result<Body, LinkError> {
+    let is_kept = link.try_lock().is_ok_and(|link| link.is_open());
+    let mut asking = Box::pin(async { link.lock().await.exchange(address, body.clone()).await });
+    if !is_kept {
+        return asking.await;
+    }
+    if let Ok(answer) = tokio::time::timeout(SIGN_LIMIT, &mut asking).await {
+        return answer;
+    }
+    let mut fresh = PeerLink::default();
+    let answer = tokio::select! {
+        Ok(answer) = &mut asking => return Ok(answer),
+        answer = fresh.exchange(address, body.clone()) => answer?,
+    };
+    // Closes the link that gave no answer.
+    drop(asking);
+    keep(link, fresh);
+    Ok(answer)
+}
+
+/// Keeps a new link in place of the one before, unless that is in use.
+fn keep(link: &SharedLink, fresh: PeerLink) {
+    if let Ok(mut kept) = link.try_lock() {
+        *kept = fresh;
+    }
 }
 
 impl Peers {
     /// Asks another instance.
     ///
+    /// A kept link can go silent without a reset. So that a living instance does not look
+    /// silent, the question is asked again on a new link.
+    ///
     /// # Errors
     ///
     /// When no answer came in time.
     pub async fn ask(&self, address: SocketAddr, body: Body) -> Result<Body, PeerError> {
-        let link = {
-            let mut links = self.links.lock().expect("never poisoned");
-            links.entry(address).or_default().clone()
-        };
-        let exchange = async {
-            let mut link = link.lock().await;
-            link.exchange(address, body).await
-        };
-        match tokio::time::timeout(ASK_TIMEOUT, exchange).await {
-            Ok(Ok(answer)) => Ok(answer),
-            Ok(Err(LinkError::NotConnected(error) | LinkError::Failed(error))) => Err(error),
-            Err(_) => Err(PeerError::Silent),
-        }
+        let link = self.link(address);
+        flatten(tokio::time::timeout(ASK_TIMEOUT, ask_twice(&link, address, body)).await)
+    }
+
+    /// Asks another instance on a new link, within `limit`.
+    ///
+    /// # Errors
+    ///
+    /// When no answer came in time.
+    pub async fn ask_anew(
+        &self,
+        address: SocketAddr,
+        body: Body,
+        limit: Duration,
+    ) -> Result<Body, PeerError> {
+        let mut fresh = PeerLink::default();
+        let exchange = fresh.exchange(address, body);
+        let answer = flatten(tokio::time::timeout(limit, exchange).await)?;
+        keep(&self.link(address), fresh);
+        Ok(answer)
+    }
+
+    fn link(&self, address: SocketAddr) -> SharedLink {
+        let mut links = self.links.lock().expect("never poisoned");
+        links.entry(address).or_default().clone()
     }
 
     /// Opens a stream to a server through another instance that reaches it.
--- a/daemon/src/engine/remote.rs
+++ b/daemon/src/engine/remote.rs
@@ -7,6 +7,8 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use chervilwharf_lib::arrivals::Fate;
+use chervilwharf_lib::arrivals::StatementTicket;
 use chervilwharf_lib::engine_protos;
 use chervilwharf_lib::engine_protos::Execution;
 use chervilwharf_lib::engine_protos::SessionValue;
@@ -15,8 +17,11 @@
 use chervilwharf_lib::engine_protos::statement::Begin;
 use chervilwharf_lib::engine_protos::statement::Work as WireWork;
 use chervilwharf_lib::error_kind::ErrorKind;
+use chervilwharf_lib::event::Event;
+use chervilwharf_lib::event::EventKind;
 use chervilwharf_lib::fleet::InstanceRecord;
 use chervilwharf_lib::id::InstanceId;
+use chervilwharf_lib::moment::Moment;
 use chervilwharf_lib::peer_contact::SIGN_AFTER;
 use chervilwharf_lib::peer_contact::SIGN_LIMIT;
 use chervilwharf_lib::position::Position;
@@ -25,6 +30,7 @@
 use chervilwharf_lib::statement::Statement;
 
 use crate::engine::clock::now;
+use crate::engine::event_log;
 use crate::engine::peers::LinkError;
 use crate::engine::peers::PeerLink;
 use crate::engine::records;
@@ -67,6 +73,11 @@
         PeerLink::default()
     }
 
+    /// Closes idle links to an address: one went silent, and they are as old.
+    fn close_idle(&self, address: SocketAddr) {
+        self.idle.lock().expect("never poisoned").remove(&address);
+    }
+
     /// Closes links to addresses that are not in use any more.
     pub fn keep_only(&self, addresses: &[SocketAddr]) {
         let mut idle = self.idle.lock().expect("never poisoned");
@@ -121,14 +132,14 @@
     while let Some(holder) = search.next(session, request).await {
         let statement = encode(session, request, work, Begin::No);
         let mut link = session.engine().statement_links().take(holder.peer_address);
-        match send(session, request, &holder, &mut link, statement, leaving).await {
+        match send_first(session, request, &holder, &mut link, statement, leaving).await {
             Ok(reply) if is_elsewhere(&reply) => search.refused(session, &holder, reply),
             Ok(reply) => {
                 session.engine().statement_links().give_back(holder.peer_address, link);
                 return decode(session, reply);
             }
             Err(SendError::Lost) if writes => return Err(Failure::new(ErrorKind::OutcomeUnknown)),
-            Err(SendError::NotSent | SendError::Lost) => search.silent(session, &holder),
+            Err(_) => search.silent(session, &holder),
         }
     }
     Err(search.into_failure())
@@ -167,7 +178,7 @@
         let links = session.engine().statement_links().clone();
         let mut link = links.take(holder.peer_address);
         let leaving = Leaving::LosesNothing;
-        match send(session, request, &holder, &mut link, statement, leaving).await {
+        match send_first(session, request, &holder, &mut link, statement, leaving).await {
             Ok(reply) if is_elsewhere(&reply) => search.refused(session, &holder, reply),
             Ok(reply) => {
                 let remote = RemoteTransaction { links, holder, link };
@@ -175,7 +186,7 @@
             }
             // Where it did get there it is rolled back when the link ends: only
             // a COMMIT keeps anything.
-            Err(SendError::NotSent | SendError::Lost) => search.silent(session, &holder),
+            Err(_) => search.silent(session, &holder),
         }
     }
     transaction.fail();
@@ -195,11 +206,15 @@
     let may_be_kept = work.statement == Statement::Commit && transaction.may_have_written();
     let leaving = if may_be_kept { Leaving::LosesOutcome } else { Leaving::LosesNothing };
     let sent = send(session, request, &holder, &mut remote.link, statement, leaving).await;
-    if let Ok(reply) = sent {
-        return settle(session, transaction, reply, remote);
-    }
+    let error = match sent {
+        Ok(reply) => return settle(session, transaction, reply, remote),
+        Err(error) => error,
+    };
     transaction.fail();
-    let kind = if may_be_kept { ErrorKind::OutcomeUnknown } else { ErrorKind::TransactionLost };
+    let kind = match error {
+        SendError::Lost if may_be_kept => ErrorKind::OutcomeUnknown,
+        _ => ErrorKind::TransactionLost,
+    };
     Err(Failure::new(kind))
 }
 
@@ -278,6 +293,9 @@
 enum SendError {
     /// The statement cannot have reached the other instance.
     NotSent,
+    /// The link went silent. The other instance lives, and the statement will not run
+    /// there, or can be sent again though it did.
+    LinkSilent,
     /// It may have.
     Lost,
 }
@@ -291,6 +309,26 @@
     LosesOutcome,
 }
 
+/// Sends a statement that is bound to no link. Where the link went silent it is sent
+/// again on a new one.
+async fn send_first(
+    session: &mut Session,
+    request: &Request,
+    holder: &InstanceRecord,
+    link: &mut PeerLink,
+    statement: engine_protos::Statement,
+    leaving: Leaving,
+) -> Result<StatementReply, SendError> {
+    let sent = send(session, request, holder, link, statement.clone(), leaving).await;
+    let Err(SendError::LinkSilent) = sent else {
+        return sent;
+    };
+    session.engine().statement_links().close_idle(holder.peer_address);
+    *link = PeerLink::default();
+    let statement = engine_protos::Statement { ticket: rand::random(), ..statement };
+    send(session, request, holder, link, statement, leaving).await
+}
+
 async fn send(
     session: &mut Session,
     request: &Request,
@@ -323,14 +361,18 @@
         engine.contacts().missed(sent_at, &holder.id);
         return Err(SendError::NotSent);
     };
+    let ticket = statement.ticket;
     let exchange = link.exchange(holder.peer_address, Body::Statement(statement));
     let time_left = request.time_left(now());
     let mut exchange = std::pin::pin!(tokio::time::timeout(time_left, exchange));
     let result = tokio::select! {
         result = &mut exchange => result,
-        () = silence_of(engine, holder) => match leaving {
-            Leaving::LosesNothing => return Err(SendError::Lost),
-            Leaving::LosesOutcome => exchange.await,
+        fate = silence_of(engine, holder, ticket, sent_at) => match (fate, leaving) {
+            (Some(Fate::Withdrawn), _) | (Some(_), Leaving::LosesNothing) => {
+                return Err(SendError::LinkSilent);
+            }
+            (None, Leaving::LosesNothing) => return Err(SendError::Lost),
+            (_, Leaving::LosesOutcome) => exchange.await,
         },
     };
     match result {
@@ -340,11 +382,28 @@
     }
 }
 
-/// Ends when an instance at which a statement is gives no sign of life.
-async fn silence_of(engine: &Engine, holder: &InstanceRecord) {
+/// Ends when the link to an instance is silent, with what became of the statement that
+/// was sent on it; `None` if the instance gives no sign of life.
+async fn silence_of(
+    engine: &Engine,
+    holder: &InstanceRecord,
+    ticket: StatementTicket,
+    sent_at: Moment,
+) -> Option<Fate> {
     tokio::time::sleep(SIGN_AFTER).await;
-    while engine.ask_for_sign(holder).await {
-        tokio::time::sleep(SIGN_AGAIN).await;
+    loop {
+        let fate = engine.ask_for_statement(holder, ticket, sent_at).await?;
+        if fate == Fate::Open {
+            tokio::time::sleep(SIGN_AGAIN).await;
+            continue;
+        }
+        if fate == Fate::Ended {
+            // Its answer may be on the way.
+            tokio::time::sleep(SIGN_LIMIT).await;
+        }
+        let event = Event::new(EventKind::PeerFailed).with("peer", &holder.id);
+        event_log::emit(&event.with("reason", "a link went silent"));
+        return Some(fate);
     }
 }
 
@@ -373,6 +432,7 @@
         account: session.caller().account.as_deref().unwrap_or_default().to_owned(),
         key_digest: session.caller().key.as_bytes().to_vec(),
         configuration_version: session.caller().configuration_version,
+        ticket: rand::random(),
     }
 }
 
--- a/daemon/src/engine/shared.rs
+++ b/daemon/src/engine/shared.rs
@@ -12,13 +12,13 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use chervilwharf_lib::arrivals::Arrivals;
 use chervilwharf_lib::catalog::Catalog;
 use chervilwharf_lib::catalog::Route;
 use chervilwharf_lib::connection_budget::budget;
 use chervilwharf_lib::connection_budget::kept_for_accounts;
 use chervilwharf_lib::engine_protos::DirectoryTaken;
 use chervilwharf_lib::engine_protos::PrimaryNewsTaken;
-use chervilwharf_lib::engine_protos::SignOfLife;
 use chervilwharf_lib::engine_protos::Tunnel;
 use chervilwharf_lib::engine_protos::engine_frame::Body;
 use chervilwharf_lib::fleet::Fleet;
@@ -118,6 +118,7 @@
     newer_configuration: NewerConfiguration,
     store_era: Arc<StoreEra>,
     silence_limits: SilenceLimits,
+    arrivals: Mutex<Arrivals>,
 }
 
 impl Engine {
@@ -160,6 +161,7 @@
             newer_configuration: NewerConfiguration::default(),
             store_era: Arc::default(),
             silence_limits: SilenceLimits::within(CONFIGURATION_BOUND),
+            arrivals: Mutex::new(Arrivals::new(now())),
         }
     }
 
@@ -170,6 +172,11 @@
         self
     }
 
+    /// Reads or updates which statements of other instances have arrived.
+    pub fn with_arrivals<R>(&self, f: impl FnOnce(&mut Arrivals) -> R) -> R {
+        f(&mut self.arrivals.lock().expect("never poisoned"))
+    }
+
     /// How soon silence of the store is noticed.
     #[must_use]
     pub fn silence_limits(&self) -> SilenceLimits {
@@ -520,7 +527,7 @@
             }
             Body::KeeperVote(vote) => Some(Body::KeeperVoteReply(self.keeper_vote(&vote))),
             Body::QuotaQuestion(question) => Some(Body::QuotaReply(self.quota_reply(&question))),
-            Body::SignOfLife(_) => Some(Body::SignOfLifeReply(SignOfLife {})),
+            Body::SignOfLife(sign) => Some(Body::SignOfLifeReply(self.sign_of_life(sign))),
             Body::DirectoryPull(pull) => Some(Body::DirectoryState(self.directory_state(pull))),
             _ => None,
         }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod account_rates;
 pub mod admission;
 pub mod arrival;
+pub mod arrivals;
 pub mod burn;
 pub mod catalog;
 pub mod classify;
--- a/lib/src/protos/chervilwharf.engine.rs
+++ b/lib/src/protos/chervilwharf.engine.rs
@@ -46,7 +46,7 @@
         #[prost(message, tag = "16")]
         SignOfLife(super::SignOfLife),
         #[prost(message, tag = "17")]
-        SignOfLifeReply(super::SignOfLife),
+        SignOfLifeReply(super::SignOfLifeReply),
         #[prost(message, tag = "18")]
         DirectoryTaken(super::DirectoryTaken),
         #[prost(message, tag = "19")]
@@ -59,9 +59,26 @@
         QuotaReply(super::QuotaReply),
     }
 }
-/// Asks whether the other instance can be reached, and answers that.
+/// Asks whether the other instance can be reached, and whether a statement reached it.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct SignOfLife {}
+pub struct SignOfLife {
+    /// Ticket of a statement that was sent; 0 if none is asked for. One that is not there
+    /// is withdrawn: it must not run if it comes later.
+    #[prost(uint64, tag = "1")]
+    pub ticket: u64,
+    /// How long ago it was sent, rounded up.
+    #[prost(uint64, tag = "2")]
+    pub sent_ms_ago: u64,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct SignOfLifeReply {
+    /// The statement is not there, and never runs.
+    #[prost(bool, tag = "1")]
+    pub withdrawn: bool,
+    /// It ran, and its answer was sent.
+    #[prost(bool, tag = "2")]
+    pub ended: bool,
+}
 /// Liveness, and what the sender knows of the platform's records.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Heartbeat {
@@ -277,6 +294,9 @@
     /// Version of the configuration that the sender knows the account from.
     #[prost(uint64, tag = "16")]
     pub configuration_version: u64,
+    /// Unique to this statement, to ask whether it has arrived; 0 if nobody will.
+    #[prost(uint64, tag = "17")]
+    pub ticket: u64,
     #[prost(oneof = "statement::Work", tags = "9, 10, 11, 12, 13")]
     pub work: ::core::option::Option<statement::Work>,
 }
