shard: idle connections to a server are closed when one went silent

What callers see: after the open connections to a server went silent, one statement after the other waits out its time on one of them, a write until its deadline. Cause, as of links between instances: a kept connection takes the next call though nothing speaks for it. The connections of a server go silent together; when one gives no answer, idle ones that have not answered since are closed, and the next statement opens a new one.

--- a/daemon/src/engine/lease.rs
+++ b/daemon/src/engine/lease.rs
@@ -6,10 +6,12 @@
 use chervilwharf_lib::id::TargetId;
 use chervilwharf_lib::layout::ConnectionLayout;
 use chervilwharf_lib::layout::SessionValues;
+use chervilwharf_lib::moment::Moment;
 use chervilwharf_lib::statement::Prepared;
 
 use crate::engine::border::ServerConnection;
 use crate::engine::border::Step;
+use crate::engine::clock::now;
 use crate::engine::shard::Shard;
 
 /// An open connection and what is set up on it.
@@ -21,13 +23,16 @@
     layout: ConnectionLayout,
     /// Whether statements that the layout counts as done may not have run.
     unsettled: bool,
+    /// When the server last answered on it.
+    answered_at: Moment,
 }
 
 impl PooledConnection {
     /// A connection that was just opened.
     #[must_use]
     pub fn new(account: Option<AccountId>, connection: Box<dyn ServerConnection>) -> Self {
-        Self { account, connection, layout: ConnectionLayout::default(), unsettled: false }
+        let (layout, answered_at) = (ConnectionLayout::default(), now());
+        Self { account, connection, layout, unsettled: false, answered_at }
     }
 
     /// How many statements it takes to set it up for a session.
@@ -47,6 +52,13 @@
     /// All that was sent to the server has been answered.
     pub fn settle(&mut self) {
         self.unsettled = false;
+        self.answered_at = now();
+    }
+
+    /// Whether the server has answered on it since a moment.
+    #[must_use]
+    pub fn has_answered_since(&self, moment: Moment) -> bool {
+        self.answered_at >= moment
     }
 }
 
--- a/daemon/src/engine/probe.rs
+++ b/daemon/src/engine/probe.rs
@@ -125,6 +125,7 @@
     let asking = lease.connection().connection.status();
     match tokio::time::timeout(probe_timeout(shard, id), asking).await {
         Ok(Ok(answer)) => {
+            lease.connection().settle();
             lease.give_back();
             if let Ok(status) = answer {
                 shard.observe_status(asked_at, id, status);
@@ -136,6 +137,7 @@
         }
         Err(_) => {
             report_failure(shard, id, "no answer in time");
+            shard.close_unproven(id, asked_at);
             shard.with_group(|group| group.observe_failure(now(), id));
         }
     }
--- a/daemon/src/engine/shard.rs
+++ b/daemon/src/engine/shard.rs
@@ -330,6 +330,18 @@
         self.pump();
     }
 
+    /// A connection to a server gave no answer to what was sent at a moment. Connections
+    /// can go silent together, without a reset: idle ones that have not answered since
+    /// are closed, so that they do not take one statement after the other.
+    pub fn close_unproven(self: &Arc<Self>, server: &TargetId, sent_at: Moment) {
+        let closing = {
+            let mut inner = self.lock();
+            inner.pools.get_mut(server).map(|pool| pool.take_unproven(sent_at))
+        };
+        drop(closing);
+        self.pump();
+    }
+
     /// Hands idle connections to those who wait, in their order, and opens
     /// connections for those who can have one.
     pub fn pump(self: &Arc<Self>) {
--- a/daemon/src/engine/shard/pool.rs
+++ b/daemon/src/engine/shard/pool.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 
 use chervilwharf_lib::id::AccountId;
+use chervilwharf_lib::moment::Moment;
 use chervilwharf_lib::pool_share::PoolShare;
 
 use crate::engine::lease::PooledConnection;
@@ -34,6 +35,18 @@
         }
     }
 
+    /// Takes out idle connections on which the server has not answered since a moment.
+    pub(super) fn take_unproven(&mut self, since: Moment) -> Vec<PooledConnection> {
+        let idle = std::mem::take(&mut self.idle).into_iter();
+        let (proven, unproven) = idle.partition(|idle| idle.has_answered_since(since));
+        self.idle = proven;
+        let unproven: Vec<PooledConnection> = unproven;
+        for connection in &unproven {
+            self.closed(connection.account.as_ref());
+        }
+        unproven
+    }
+
     /// An open connection is closed.
     pub(super) fn closed(&mut self, account: Option<&AccountId>) {
         self.share.open = self.share.open.saturating_sub(1);
--- a/daemon/src/engine/single.rs
+++ b/daemon/src/engine/single.rs
@@ -80,6 +80,9 @@
         Err(error) => {
             session.shard().with_group(|group| group.observe_failure(now(), open.server()));
             session.shard().doubt();
+            if matches!(error, ExchangeError::Silent) {
+                session.shard().close_unproven(open.server(), sent_at);
+            }
             let event = Event::new(EventKind::ConnectionDropped);
             let event = event.with("group", session.shard().id()).with("server", open.server());
             event_log::emit(&event.with("reason", &error));
--- a/daemon/tests/test_session_values.rs
+++ b/daemon/tests/test_session_values.rs
@@ -352,3 +352,50 @@
     let violations = world.shared.with_ledger(|ledger| ledger.violations.clone());
     assert!(violations.is_empty(), "{violations:?}");
 }
+
+/// Connections that are open before they go silent.
+const OPEN: usize = 3;
+
+/// Guards against connections that went silent together and take one statement after
+/// the other.
+#[tokio::test]
+async fn test_idle_connections_are_closed_when_one_went_silent() {
+    let world = ValuesWorld::new(OPEN, true).await;
+    let mut sessions = Vec::new();
+    for number in 0..OPEN {
+        sessions.push(session(&world, "key", &format!("{number}")).await);
+    }
+    let reads = sessions.iter_mut().map(|(session, values)| {
+        let id = format!("read-{}", values["zone"]);
+        world.shared.expect(&id, None, values);
+        session.run(id.as_str().into(), read())
+    });
+    let reads = futures::future::join_all(reads);
+    let lent = async {
+        let all_lent = || {
+            let shard = world.engine.shard(&values_world::GROUP.into());
+            shard.with_group(|group| {
+                group.server(values_world::SERVER).is_some_and(|s| s.running == OPEN)
+            })
+        };
+        while !all_lent() {
+            tokio::task::yield_now().await;
+        }
+        (0..OPEN).for_each(|_| world.shared.let_one_end());
+    };
+    futures::join!(reads, lent);
+    assert_eq!(idle(&world), OPEN);
+    world.shared.next_exchange(Exchange::Silent);
+    (0..2).for_each(|_| world.shared.let_one_end());
+    let (session, values) = &mut sessions[0];
+    world.shared.expect("again", None, values);
+    session.run("again".into(), read()).await.result.expect("a new connection works");
+    assert_eq!(idle(&world), 1, "only the new one");
+}
+
+/// Idle connections to the server.
+fn idle(world: &ValuesWorld) -> usize {
+    let counts = world.engine.shard(&values_world::GROUP.into()).connection_counts();
+    let states = counts.iter().flat_map(|counts| counts.by_state());
+    states.filter(|(state, _)| *state == "idle").map(|(_, count)| count).sum()
+}
--- a/daemon/tests/values_world/mod.rs
+++ b/daemon/tests/values_world/mod.rs
@@ -70,6 +70,8 @@
     LostAfter,
     /// The connection ends before they ran.
     LostBefore,
+    /// Nothing arrives, and nothing is answered.
+    Silent,
 }
 
 /// How a statement has to run.
@@ -220,6 +222,9 @@
         if how == Exchange::LostBefore {
             return Err(ExchangeError::Ended("lost on the way there".to_owned()));
         }
+        if how == Exchange::Silent {
+            return Err(ExchangeError::Silent);
+        }
         let replies = steps.iter().map(|step| self.run_one(step, how == Exchange::Busy)).collect();
         if how == Exchange::LostAfter {
             return Err(ExchangeError::Ended("lost on the way back".to_owned()));
