soak: silences of the store, and of open connections to it

A selection of its own (--faults silences), so that the seeds of the others keep their series: the store answers nothing, nor on connections of before its return, when the operator writes a configuration; or open connections go silent just before it does.

--- a/daemon/tests/test_session_values.rs
+++ b/daemon/tests/test_session_values.rs
@@ -14,6 +14,7 @@
 use chervilwharf_daemon::engine::records;
 use chervilwharf_daemon::engine::session::Reply;
 use chervilwharf_daemon::engine::session::Session;
+use chervilwharf_daemon::engine::shard::ConnectionCounts;
 use chervilwharf_lib::account::KeyDigest;
 use chervilwharf_lib::engine_protos;
 use chervilwharf_lib::engine_protos::Execution;
@@ -396,6 +397,6 @@
 /// Idle connections to the server.
 fn idle(world: &ValuesWorld) -> usize {
     let counts = world.engine.shard(&values_world::GROUP.into()).connection_counts();
-    let states = counts.iter().flat_map(|counts| counts.by_state());
+    let states = counts.iter().flat_map(ConnectionCounts::by_state);
     states.filter(|(state, _)| *state == "idle").map(|(_, count)| count).sum()
 }
--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -12,7 +12,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use chervilwharf_standin::fault_proxy::Behaviour;
 use chervilwharf_standin::fault_proxy::FaultProxy;
+use chervilwharf_standin::platform::client::Client;
 use chervilwharf_standin::platform::servers;
 use chervilwharf_standin::platform::servers::Group;
 use chervilwharf_standin::platform::store::Mode;
@@ -165,6 +167,8 @@
     added: AtomicU64,
     /// Copies of the store that it has not come back from yet.
     copies: Mutex<VecDeque<StoreCopy>>,
+    /// Counts beginnings and ends of silences.
+    silences: AtomicU64,
 }
 
 impl Deployment {
@@ -203,6 +207,7 @@
             folder,
             added: AtomicU64::new(0),
             copies: Mutex::default(),
+            silences: AtomicU64::new(0),
         };
         if shape.selection == Selection::StoreCopies {
             deployment.store.tell_era(FIRST_ERA);
@@ -265,6 +270,51 @@
         self.write_configuration();
     }
 
+    /// All ways to the store go silent, and the connections on them for good.
+    pub fn silence_store(&self) {
+        self.forget_store_connections();
+        for instance in &self.instances {
+            instance.store_proxy.set(Behaviour::silent());
+        }
+    }
+
+    /// New connections to the store work again.
+    pub fn end_silence_of_store(&self) {
+        self.forget_store_connections();
+        for instance in &self.instances {
+            instance.store_proxy.set(Behaviour::default());
+        }
+    }
+
+    /// Open connections to the store go silent for good.
+    pub fn forget_store_connections(&self) {
+        self.silences.fetch_add(1, Ordering::SeqCst);
+        for instance in &self.instances {
+            instance.store_proxy.forget_open_connections();
+        }
+    }
+
+    /// Adds a database, and measures when all instances know it.
+    pub fn add_measured_database(self: &Arc<Self>) {
+        self.add_database();
+        let (added_at, number) = (Instant::now(), self.added());
+        let silences = self.silences.load(Ordering::SeqCst);
+        let deployment = self.clone();
+        tokio::spawn(async move {
+            for instance in &deployment.instances {
+                while !knows_database(instance.front, &added_name(number)).await {
+                    tokio::time::sleep(LOOK_AGAIN).await;
+                }
+            }
+            // Another silence began before all could know it.
+            if deployment.silences.load(Ordering::SeqCst) == silences {
+                let mut measured =
+                    deployment.history.in_force_after.lock().expect("never poisoned");
+                measured.push(added_at.elapsed());
+            }
+        });
+    }
+
     /// Databases added so far; the newest has this number.
     #[must_use]
     pub fn added(&self) -> u64 {
@@ -346,6 +396,15 @@
 /// Age that reads of what others wrote may have, on the route of own writes.
 pub const OWN_MS: u64 = 2_500;
 
+/// Whether sessions on a database can be begun.
+pub async fn knows_database(front: SocketAddr, database: &str) -> bool {
+    let Some(mut client) = Client::try_connect(front, "new").await else {
+        return false;
+    };
+    let answer = client.start_session(database).await;
+    answer.is_some_and(|answer| answer.code() == "DONE")
+}
+
 /// Name of a database that was added.
 #[must_use]
 pub fn added_name(number: u64) -> String {
--- a/soak/src/fault.rs
+++ b/soak/src/fault.rs
@@ -1,5 +1,6 @@
 //! Every fault that a series can hold.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use chervilwharf_standin::fault_proxy::Behaviour;
@@ -59,6 +60,12 @@
     Configuration,
     /// At its end the store comes back from a copy of its beginning.
     StoreComesBack,
+    /// The store answers nothing that it receives, nor on connections of before its
+    /// return, when the operator writes a configuration.
+    StoreSwallows,
+    /// Open connections of all instances to the store go silent for good, just before
+    /// the operator writes a configuration.
+    ForgetAllStoreConnections,
 }
 
 /// One-way delay of a slow server.
@@ -72,7 +79,7 @@
 
 impl Fault {
     /// Brings it about.
-    pub fn begin(self, deployment: &Deployment) {
+    pub fn begin(self, deployment: &Arc<Deployment>) {
         let instances = &deployment.instances;
         match self {
             Self::KillInstance(number) => instances[number].kill(),
@@ -114,11 +121,16 @@
             Self::StoreForgets => deployment.store.forget_history(),
             Self::Configuration => deployment.add_database(),
             Self::StoreComesBack => deployment.copy_store(),
+            Self::StoreSwallows => deployment.silence_store(),
+            Self::ForgetAllStoreConnections => {
+                deployment.forget_store_connections();
+                deployment.add_measured_database();
+            }
         }
     }
 
     /// Ends it.
-    pub async fn end(self, deployment: &Deployment) {
+    pub async fn end(self, deployment: &Arc<Deployment>) {
         let instances = &deployment.instances;
         match self {
             Self::KillInstance(number) => deployment.start(number),
@@ -146,10 +158,15 @@
                 deployment.store.set_mode(Mode::Up);
             }
             Self::StoreComesBack => deployment.restore_store().await,
+            Self::StoreSwallows => {
+                deployment.end_silence_of_store();
+                deployment.add_measured_database();
+            }
             Self::ForgetStoreConnections(_)
             | Self::ForgetServerConnections(_)
             | Self::StoreForgets
-            | Self::Configuration => {}
+            | Self::Configuration
+            | Self::ForgetAllStoreConnections => {}
         }
     }
 
@@ -169,6 +186,8 @@
                 | Self::StoreLosesAnswers
                 | Self::StoreForgets
                 | Self::StoreComesBack
+                | Self::StoreSwallows
+                | Self::ForgetAllStoreConnections
         )
     }
 }
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -1,6 +1,7 @@
 //! What callers were told, for the check afterwards.
 
 use std::sync::Mutex;
+use std::time::Duration;
 use std::time::Instant;
 
 /// What a caller may conclude from the end of an operation.
@@ -115,6 +116,8 @@
     pub cuts: Mutex<Vec<Cut>>,
     /// Planned stops.
     pub stops: Mutex<Vec<Stop>>,
+    /// Time from each configuration after a silence until it was in force everywhere.
+    pub in_force_after: Mutex<Vec<Duration>>,
 }
 
 impl History {
--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -113,6 +113,16 @@
     }
 }
 
+/// By then a configuration has to be in force at all instances.
+const CONFIGURATION_LIMIT: Duration = Duration::from_secs(3);
+
+/// A configuration that the store took after a silence is in force soon.
+#[must_use]
+pub fn judge_configurations(in_force_after: &[Duration]) -> Vec<String> {
+    let late = in_force_after.iter().filter(|after| **after >= CONFIGURATION_LIMIT);
+    late.map(|after| format!("a configuration was in force after {after:.2?}")).collect()
+}
+
 /// No token is used for two orders of a group: group, server, token of each.
 #[must_use]
 pub fn judge_promotions(promotions: &[(String, String, u64)]) -> Vec<String> {
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -18,7 +18,8 @@
     #[argh(option, default = "10")]
     seeds: u64,
     /// faults: any (default), planned (only what operators do on purpose: stops, servers
-    /// that leave, configurations), or copies (any, and the store comes back from copies)
+    /// that leave, configurations), copies (any, and the store comes back from copies), or
+    /// silences (the store or connections to it go silent, beside planned work)
     #[argh(option, default = "Selection::Any", from_str_fn(selection))]
     faults: Selection,
     /// check promises about time as well, which a busy machine can break
@@ -37,7 +38,8 @@
         "any" => Ok(Selection::Any),
         "planned" => Ok(Selection::PlannedWork),
         "copies" => Ok(Selection::StoreCopies),
-        _ => Err(format!("'{name}' is none of any, planned, copies")),
+        "silences" => Ok(Selection::Silences),
+        _ => Err(format!("'{name}' is none of any, planned, copies, silences")),
     }
 }
 
@@ -55,9 +57,16 @@
     for seed in (arguments.first..last).filter(holds).take(wanted) {
         let report = soak::run(seed, shape, arguments.timed).await;
         let verdict = if report.broken.is_empty() { "held" } else { "BROKEN" };
+        let in_force = report.in_force_after.iter().max();
+        let in_force = in_force.map_or_else(String::new, |after| {
+            format!(
+                ", {} configurations in force after {after:.2?} at most",
+                report.in_force_after.len()
+            )
+        });
         println!(
             "seed {seed}: {verdict}; {} faults, {} writes kept, {} not, {} unknown, {} reads, \
-             {} promotions",
+             {} promotions{in_force}",
             report.series.len(),
             report.kept,
             report.not_kept,
--- a/soak/src/series.rs
+++ b/soak/src/series.rs
@@ -29,6 +29,8 @@
     PlannedWork,
     /// All of them, and the store comes back from copies.
     StoreCopies,
+    /// The store or connections to it go silent, beside planned work.
+    Silences,
 }
 
 /// How a deployment under test looks, and what is done to it.
@@ -60,6 +62,9 @@
 /// Share of the faults that are copies, where there are some.
 const COPIES: f64 = 0.4;
 
+/// Share of the faults that are silences, where there are some.
+const SILENCES: f64 = 0.7;
+
 /// The series of a seed, in order of time.
 #[must_use]
 pub fn series(seed: u64, shape: Shape) -> Vec<Timed> {
@@ -114,9 +119,14 @@
     if shape.selection == Selection::StoreCopies && random.random_bool(COPIES) {
         return Fault::StoreComesBack;
     }
+    if shape.selection == Selection::Silences && random.random_bool(SILENCES) {
+        let silences = [Fault::StoreSwallows, Fault::ForgetAllStoreConnections];
+        return silences[random.random_range(0..silences.len())];
+    }
     let faults = match shape.selection {
         Selection::Any | Selection::StoreCopies => any.as_slice(),
         Selection::PlannedWork => planned.as_slice(),
+        Selection::Silences => &[Fault::LeavingServer(server), Fault::Configuration],
     };
     faults[random.random_range(0..faults.len())]
 }
--- a/soak/src/soak.rs
+++ b/soak/src/soak.rs
@@ -1,11 +1,10 @@
 //! One run: callers at work while a series of faults goes by.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 use std::time::Instant;
 
-use chervilwharf_standin::platform::client::Client;
 use chervilwharf_testutils::cluster::PATIENCE;
 use tokio::task::JoinSet;
 
@@ -15,6 +14,7 @@
 use crate::deployment::Deployment;
 use crate::deployment::LOOK_AGAIN;
 use crate::deployment::added_name;
+use crate::deployment::knows_database;
 use crate::fault::Fault;
 use crate::history::Heard;
 use crate::judge;
@@ -46,6 +46,9 @@
     pub reads: usize,
     /// Primaries that were replaced.
     pub promotions: usize,
+    /// Time from each configuration after a silence until it was in force at all
+    /// instances, unless another silence began meanwhile.
+    pub in_force_after: Vec<Duration>,
     /// Promises that were broken.
     pub broken: Vec<String>,
 }
@@ -85,6 +88,10 @@
         let leaving = deployment.history.leaving.lock().expect("never poisoned").clone();
         broken.extend(judge::judge_leaving(&leaving, &runs));
     }
+    if timed {
+        let in_force_after = deployment.history.in_force_after.lock().expect("never poisoned");
+        broken.extend(judge::judge_configurations(&in_force_after));
+    }
     if shape.selection == Selection::PlannedWork {
         let cuts = deployment.history.cuts.lock().expect("never poisoned").clone();
         let stops = deployment.history.stops.lock().expect("never poisoned").clone();
@@ -151,15 +158,6 @@
     }
 }
 
-/// Whether sessions on a database can be begun.
-async fn knows_database(front: SocketAddr, database: &str) -> bool {
-    let Some(mut client) = Client::try_connect(front, "new").await else {
-        return false;
-    };
-    let answer = client.start_session(database).await;
-    answer.is_some_and(|answer| answer.code() == "DONE")
-}
-
 /// Whether a server that leaves can be replaced and is seen to leave.
 fn leaves_undisturbed(faults: &[Timed]) -> bool {
     let servers = faults.iter().filter(|timed| {
@@ -190,6 +188,7 @@
         unknown: count(Heard::Unknown),
         reads: deployment.history.reads.lock().expect("never poisoned").len(),
         promotions: deployment.store.promotions().len(),
+        in_force_after: deployment.history.in_force_after.lock().expect("never poisoned").clone(),
         broken,
     }
 }
--- a/soak/tests/test_soak.rs
+++ b/soak/tests/test_soak.rs
@@ -27,6 +27,16 @@
     assert!(report.broken.is_empty(), "{:#?}", report.broken);
 }
 
+/// Guards against a configuration that waits for a call that the store swallowed.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_configurations_are_in_force_after_silences_of_the_store() {
+    let shape = Shape { selection: Selection::Silences, ..Shape::default() };
+    let report = soak::run(1, shape, false).await;
+    println!("{report:?}");
+    assert!(report.broken.is_empty(), "{:#?}", report.broken);
+    assert!(!report.in_force_after.is_empty(), "no silence was followed to its end");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn test_planned_work_cuts_off_nothing() {
     let shape = Shape { selection: Selection::PlannedWork, ..Shape::default() };
