remote, peers: a statement is encoded where it is sent, and copied no more

A statement was copied each time it went to another instance, for the rare case that its link had gone silent; a question was copied twice on a kept link, and once where there is none. The statement is now encoded anew for the second try, which also carries the time that is left then, and both callers no longer take their link and encode by themselves. Nothing else changes.

--- a/daemon/src/engine/peers.rs
+++ b/daemon/src/engine/peers.rs
@@ -166,17 +166,18 @@
 /// Asks on the kept link, and on a new one as well if that gives no answer.
 async fn ask_twice(link: &SharedLink, address: SocketAddr, body: Body) -> Result<Body, LinkError> {
     let is_kept = link.try_lock().is_ok_and(|link| link.is_open());
-    let mut asking = Box::pin(async { link.lock().await.exchange(address, body.clone()).await });
     if !is_kept {
-        return asking.await;
+        return link.lock().await.exchange(address, body).await;
     }
+    let on_kept = body.clone();
+    let mut asking = Box::pin(async move { link.lock().await.exchange(address, on_kept).await });
     if let Ok(answer) = tokio::time::timeout(SIGN_LIMIT, &mut asking).await {
         return answer;
     }
     let mut fresh = PeerLink::default();
     let answer = tokio::select! {
         Ok(answer) = &mut asking => return Ok(answer),
-        answer = fresh.exchange(address, body.clone()) => answer?,
+        answer = fresh.exchange(address, body) => answer?,
     };
     // Closes the link that gave no answer.
     drop(asking);
--- a/daemon/src/engine/remote.rs
+++ b/daemon/src/engine/remote.rs
@@ -130,11 +130,9 @@
     let leaving = if writes { Leaving::LosesOutcome } else { Leaving::LosesNothing };
     let mut search = Search::default();
     while let Some(holder) = search.next(session, request).await {
-        let statement = encode(session, request, work, Begin::No);
-        let mut link = session.engine().statement_links().take(holder.peer_address);
-        match send_first(session, request, &holder, &mut link, statement, leaving).await {
-            Ok(reply) if is_elsewhere(&reply) => search.refused(session, &holder, reply),
-            Ok(reply) => {
+        match send_first(session, request, &holder, work, Begin::No, leaving).await {
+            Ok((reply, _)) if is_elsewhere(&reply) => search.refused(session, &holder, reply),
+            Ok((reply, link)) => {
                 session.engine().statement_links().give_back(holder.peer_address, link);
                 return decode(session, reply);
             }
@@ -174,13 +172,11 @@
     let mode = if transaction.is_read_only() { Begin::ReadOnly } else { Begin::ReadWrite };
     let mut search = Search::default();
     while let Some(holder) = search.next(session, request).await {
-        let statement = encode(session, request, work, mode);
-        let links = session.engine().statement_links().clone();
-        let mut link = links.take(holder.peer_address);
         let leaving = Leaving::LosesNothing;
-        match send_first(session, request, &holder, &mut link, statement, leaving).await {
-            Ok(reply) if is_elsewhere(&reply) => search.refused(session, &holder, reply),
-            Ok(reply) => {
+        match send_first(session, request, &holder, work, mode, leaving).await {
+            Ok((reply, _)) if is_elsewhere(&reply) => search.refused(session, &holder, reply),
+            Ok((reply, link)) => {
+                let links = session.engine().statement_links().clone();
                 let remote = RemoteTransaction { links, holder, link };
                 return settle(session, transaction, reply, remote);
             }
@@ -310,23 +306,26 @@
 }
 
 /// Sends a statement that is bound to no link. Where the link went silent it is sent
-/// again on a new one.
+/// again on a new one. Returns the link as well.
 async fn send_first(
     session: &mut Session,
     request: &Request,
     holder: &InstanceRecord,
-    link: &mut PeerLink,
-    statement: engine_protos::Statement,
+    work: &Work,
+    begin: Begin,
     leaving: Leaving,
-) -> Result<StatementReply, SendError> {
-    let sent = send(session, request, holder, link, statement.clone(), leaving).await;
-    let Err(SendError::LinkSilent) = sent else {
-        return sent;
-    };
-    session.engine().statement_links().close_idle(holder.peer_address);
-    *link = PeerLink::default();
-    let statement = engine_protos::Statement { ticket: rand::random(), ..statement };
-    send(session, request, holder, link, statement, leaving).await
+) -> Result<(StatementReply, PeerLink), SendError> {
+    let links = session.engine().statement_links().clone();
+    let mut link = links.take(holder.peer_address);
+    let statement = encode(session, request, work, begin);
+    let mut sent = send(session, request, holder, &mut link, statement, leaving).await;
+    if matches!(sent, Err(SendError::LinkSilent)) {
+        links.close_idle(holder.peer_address);
+        link = PeerLink::default();
+        let statement = encode(session, request, work, begin);
+        sent = send(session, request, holder, &mut link, statement, leaving).await;
+    }
+    sent.map(|reply| (reply, link))
 }
 
 async fn send(
