--- a/daemon/src/engine/counted_directory.rs
+++ b/daemon/src/engine/counted_directory.rs
@@ -5,8 +5,6 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use chervilwharf_lib::event::Event;
-use chervilwharf_lib::event::EventKind;
 use chervilwharf_lib::moment::Moment;
 
 use crate::engine::clock::now;
@@ -23,6 +21,7 @@
 use crate::engine::directory::WriteError;
 use crate::engine::event_log;
 use crate::engine::metrics::StoreMetrics;
+use crate::engine::store_contact::unanswered;
 
 /// A directory whose calls are counted.
 pub struct CountedDirectory {
@@ -60,11 +59,9 @@
     }
 
     fn report_unanswered(&self, error: &DirectoryError, answered: Option<Duration>) {
-        let event = Event::new(EventKind::StoreUnanswered).with("kind", self.kind);
-        let event = event.with("call", self.name);
-        let event = event.with_ms("waited_ms", now().saturating_sub(self.sent_at));
-        let event = event.with_some_ms("store_answered_ms", answered);
-        event_log::emit(&event.with("reason", error));
+        let waited = now().saturating_sub(self.sent_at);
+        let event = unanswered(self.kind, self.name, waited, error);
+        event_log::emit(&event.with_some_ms("store_answered_ms", answered));
     }
 }
 
--- a/daemon/src/engine/follow.rs
+++ b/daemon/src/engine/follow.rs
@@ -19,6 +19,7 @@
 use crate::engine::directory::Revision;
 use crate::engine::event_log;
 use crate::engine::store_contact::StoreContact;
+use crate::engine::store_contact::unanswered;
 use crate::engine::store_era::StoreEra;
 use crate::engine::store_gate::StoreGate;
 
@@ -70,6 +71,9 @@
 /// well, and would tell nothing for all its time.
 const PROVING_WAIT: Duration = Duration::from_millis(100);
 
+/// Why a watch under way is not waited for any more.
+const GIVEN_UP: &str = "given up, as the store gives no sign of life";
+
 /// How long a follower relies on signs of life alone while the store is lost.
 const SIGNS_LIMIT: Duration = Duration::from_secs(5);
 
@@ -169,7 +173,7 @@
                     changes = directory.watch(kind, after, wait, follower.currency()) => changes,
                     () = era.wait_for_later(after.era) => Err(DirectoryError::HistoryGone),
                     () = contact.wait_for_loss(losses) => {
-                        report_given_up(kind, called_at);
+                        event_log::emit(&unanswered(kind, "watch", called_at.elapsed(), GIVEN_UP));
                         Err(DirectoryError::Silent)
                     }
                 };
@@ -249,12 +253,6 @@
     event_log::emit(&event.with("revision", revision));
 }
 
-fn report_given_up(kind: RecordKind, called_at: Instant) {
-    let event = Event::new(EventKind::StoreUnanswered).with("kind", kind).with("call", "watch");
-    let event = event.with("reason", "given up, as the store gives no sign of life");
-    event_log::emit(&event.with_ms("waited_ms", called_at.elapsed()));
-}
-
 /// The first list, without which an instance serves nobody.
 ///
 /// A store that goes silent never answers what it received meanwhile. The call
--- a/daemon/src/engine/store_contact.rs
+++ b/daemon/src/engine/store_contact.rs
@@ -1,13 +1,24 @@
 //! Whether the platform's store answers this instance.
 
 use std::collections::HashMap;
+use std::fmt::Display;
 use std::sync::Mutex;
+use std::time::Duration;
 
+use chervilwharf_lib::event::Event;
+use chervilwharf_lib::event::EventKind;
 use tokio::sync::watch;
 
 use crate::engine::directory::RecordKind;
 use crate::engine::directory::Revision;
 
+/// The event of a call to the store that got no answer.
+#[must_use]
+pub fn unanswered(kind: RecordKind, call: &str, waited: Duration, reason: impl Display) -> Event {
+    let event = Event::new(EventKind::StoreUnanswered).with("kind", kind).with("call", call);
+    event.with_ms("waited_ms", waited).with("reason", reason)
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct State {
     is_lost: bool,
--- a/daemon/src/engine/store_signs.rs
+++ b/daemon/src/engine/store_signs.rs
@@ -7,8 +7,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chervilwharf_lib::event::Event;
-use chervilwharf_lib::event::EventKind;
 use chervilwharf_lib::silence::ASKED_AGAIN_AFTER;
 use chervilwharf_lib::silence::SilenceLimits;
 use futures::StreamExt;
@@ -24,6 +22,7 @@
 use crate::engine::event_log;
 use crate::engine::follow::StoreState;
 use crate::engine::shared::Engine;
+use crate::engine::store_contact::unanswered;
 
 /// The records that a sign tells changes of: those that have to be known soonest.
 const KIND: RecordKind = RecordKind::Configuration;
@@ -80,9 +79,7 @@
                 tokio::time::sleep_until(asked_at + self.limits.sign_wait).await;
             }
             Err(error) => {
-                let event = Event::new(EventKind::StoreUnanswered).with("kind", KIND);
-                let event = event.with("call", "sign").with("reason", error);
-                event_log::emit(&event.with_ms("waited_ms", asked_at.elapsed()));
+                event_log::emit(&unanswered(KIND, "sign", asked_at.elapsed(), error));
                 self.state.contact.lose();
             }
         }
