settings: one default for the time in which a configuration is in force

The three seconds stood in the settings and in the engine. Settings without config_apply_ms now say so, and the engine has the default, as with the tolerance of quotas. Nothing else changes.

--- a/daemon/src/engine/shared.rs
+++ b/daemon/src/engine/shared.rs
@@ -165,10 +165,10 @@
         }
     }
 
-    /// With the time in which a configuration has to be in force.
+    /// With the time in which a configuration has to be in force, if there is one.
     #[must_use]
-    pub fn with_configuration_bound(mut self, bound: Duration) -> Self {
-        self.silence_limits = SilenceLimits::within(bound);
+    pub fn with_configuration_bound(mut self, bound: Option<Duration>) -> Self {
+        self.silence_limits = SilenceLimits::within(bound.unwrap_or(CONFIGURATION_BOUND));
         self
     }
 
