--- a/daemon/tests/stubs/mod.rs
+++ b/daemon/tests/stubs/mod.rs
@@ -132,6 +132,26 @@
     ) -> Result<Changes, DirectoryError>;
 }
 
+/// Lists nothing, and answers every watch with this error.
+pub struct ListsOnly(pub DirectoryError);
+
+#[async_trait]
+impl Listed for ListsOnly {
+    async fn list(&self, _: RecordKind, _: Currency) -> Result<Listing, DirectoryError> {
+        Ok(Listing::default())
+    }
+
+    async fn watch(
+        &self,
+        _: RecordKind,
+        _: Revision,
+        _: Duration,
+        _: Currency,
+    ) -> Result<Changes, DirectoryError> {
+        Err(self.0.clone())
+    }
+}
+
 /// A store that nobody writes to.
 pub struct ReadOnly<T>(Arc<T>);
 
--- a/daemon/tests/test_metrics.rs
+++ b/daemon/tests/test_metrics.rs
@@ -5,67 +5,28 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use async_trait::async_trait;
 use chervilwharf_daemon::engine::counted_directory::CountedDirectory;
-use chervilwharf_daemon::engine::directory::Changes;
 use chervilwharf_daemon::engine::directory::Currency;
 use chervilwharf_daemon::engine::directory::Directory;
 use chervilwharf_daemon::engine::directory::DirectoryError;
-use chervilwharf_daemon::engine::directory::Entry;
-use chervilwharf_daemon::engine::directory::Listing;
 use chervilwharf_daemon::engine::directory::Record;
 use chervilwharf_daemon::engine::directory::RecordKind;
 use chervilwharf_daemon::engine::directory::Revision;
-use chervilwharf_daemon::engine::directory::WriteError;
 use chervilwharf_daemon::engine::shared::Engine;
 use chervilwharf_lib::error_kind::ErrorKind;
+use stubs::ListsOnly;
 use stubs::NoServer;
+use stubs::ReadOnly;
 use stubs::instance;
 
-/// A store that lists nothing and refuses everything else.
-struct ListsOnly;
-
-#[async_trait]
-impl Directory for ListsOnly {
-    async fn list(&self, _: RecordKind, _: Currency) -> Result<Listing, DirectoryError> {
-        Ok(Listing::default())
-    }
-
-    async fn watch(
-        &self,
-        _: RecordKind,
-        _: Revision,
-        _: Duration,
-        _: Currency,
-    ) -> Result<Changes, DirectoryError> {
-        Err(DirectoryError::Refused(503))
-    }
-
-    async fn get(&self, _: RecordKind, _: &str) -> Result<Option<Entry>, DirectoryError> {
-        Err(DirectoryError::Refused(503))
-    }
-
-    async fn write(
-        &self,
-        _: &str,
-        _: &Record,
-        _: Option<Revision>,
-    ) -> Result<Revision, WriteError> {
-        Err(WriteError::NotDone(DirectoryError::Refused(503)))
-    }
-
-    async fn remove(&self, _: RecordKind, _: &str, _: Revision) -> Result<(), WriteError> {
-        Err(WriteError::NotDone(DirectoryError::Refused(503)))
-    }
-}
-
 /// Symptom: calls to the store are paid for, and the metric that counts them
 /// says none. Sequence: calls end, well or not. Cause: the counter was
 /// registered, and nobody counted.
 #[tokio::test]
 async fn test_calls_to_the_store_are_counted_by_kind_and_outcome() {
     let engine = Engine::new(instance("instance"), Arc::new(NoServer));
-    let directory = CountedDirectory::new(Arc::new(ListsOnly), engine.metrics().store.clone());
+    let refusing = ReadOnly::new(&Arc::new(ListsOnly(DirectoryError::Refused(503))));
+    let directory = CountedDirectory::new(refusing, engine.metrics().store.clone());
     for _ in 0..2 {
         directory.list(RecordKind::Servers, Currency::Fresh).await.unwrap();
     }
--- a/daemon/tests/test_store_lines.rs
+++ b/daemon/tests/test_store_lines.rs
@@ -8,13 +8,10 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use async_trait::async_trait;
 use chervilwharf_daemon::engine::counted_directory::CountedDirectory;
-use chervilwharf_daemon::engine::directory::Changes;
 use chervilwharf_daemon::engine::directory::Currency;
 use chervilwharf_daemon::engine::directory::Directory;
 use chervilwharf_daemon::engine::directory::DirectoryError;
-use chervilwharf_daemon::engine::directory::Listing;
 use chervilwharf_daemon::engine::directory::RecordKind;
 use chervilwharf_daemon::engine::directory::Revision;
 use chervilwharf_daemon::engine::event_log;
@@ -25,7 +22,7 @@
 use chervilwharf_lib::catalog::Catalog;
 use chervilwharf_lib::story::LogLine;
 use chervilwharf_lib::story::parse_line;
-use stubs::Listed;
+use stubs::ListsOnly;
 use stubs::NoServer;
 use stubs::ReadOnly;
 
@@ -58,26 +55,6 @@
     }
 }
 
-/// Answers lists, and no watch.
-struct AnswersLists;
-
-#[async_trait]
-impl Listed for AnswersLists {
-    async fn list(&self, _: RecordKind, _: Currency) -> Result<Listing, DirectoryError> {
-        Ok(Listing::default())
-    }
-
-    async fn watch(
-        &self,
-        _: RecordKind,
-        _: Revision,
-        _: Duration,
-        _: Currency,
-    ) -> Result<Changes, DirectoryError> {
-        Err(DirectoryError::Silent)
-    }
-}
-
 /// Guards against a refused session that cannot be traced: neither to its client, nor
 /// to a call to the store that got no answer.
 #[tokio::test]
@@ -87,7 +64,7 @@
     let engine = Arc::new(Engine::new(stubs::instance("a"), Arc::new(NoServer)));
     engine.set_catalog(&Arc::new(Catalog { version: 7, ..Catalog::default() }));
     engine.know_fleet();
-    let store = ReadOnly::new(&Arc::new(AnswersLists));
+    let store = ReadOnly::new(&Arc::new(ListsOnly(DirectoryError::Silent)));
     let directory = CountedDirectory::new(store, engine.metrics().store.clone());
     let kind = RecordKind::Configuration;
     directory.list(kind, Currency::Fresh).await.expect("lists are answered");
