soak: one wait for a database that was added

The measured configuration waited in a loop of its own, and for ever where an instance never knew it, which kept the processes of the run alive. Both now wait for the same time; one that never got known still counts, with that time.

--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -20,6 +20,7 @@
 use chervilwharf_standin::platform::store::Mode;
 use chervilwharf_standin::platform::store::Store;
 use chervilwharf_standin::platform::store::StoreCopy;
+use chervilwharf_testutils::cluster::PATIENCE;
 use chervilwharf_testutils::cluster::wait_for;
 use chervilwharf_testutils::process::Process;
 use chervilwharf_testutils::process::program;
@@ -301,12 +302,9 @@
         let silences = self.silences.load(Ordering::SeqCst);
         let deployment = self.clone();
         tokio::spawn(async move {
-            for instance in &deployment.instances {
-                while !knows_database(instance.front, &added_name(number)).await {
-                    tokio::time::sleep(LOOK_AGAIN).await;
-                }
-            }
-            // Another silence began before all could know it.
+            // How long it took is judged, also where some never knew it.
+            let _unaware = deployment.unaware_of(number, added_at + PATIENCE).await;
+            // Else another silence began before all could know it.
             if deployment.silences.load(Ordering::SeqCst) == silences {
                 let mut measured =
                     deployment.history.in_force_after.lock().expect("never poisoned");
@@ -315,6 +313,22 @@
         });
     }
 
+    /// Instances that do not get to know an added database until a moment.
+    pub async fn unaware_of(&self, number: u64, until: Instant) -> Vec<&Instance> {
+        let database = added_name(number);
+        let mut unaware = Vec::new();
+        for instance in &self.instances {
+            while !knows_database(instance.front, &database).await {
+                if Instant::now() >= until {
+                    unaware.push(instance);
+                    break;
+                }
+                tokio::time::sleep(LOOK_AGAIN).await;
+            }
+        }
+        unaware
+    }
+
     /// Databases added so far; the newest has this number.
     #[must_use]
     pub fn added(&self) -> u64 {
@@ -397,7 +411,7 @@
 pub const OWN_MS: u64 = 2_500;
 
 /// Whether sessions on a database can be begun.
-pub async fn knows_database(front: SocketAddr, database: &str) -> bool {
+async fn knows_database(front: SocketAddr, database: &str) -> bool {
     let Some(mut client) = Client::try_connect(front, "new").await else {
         return false;
     };
--- a/soak/src/soak.rs
+++ b/soak/src/soak.rs
@@ -14,7 +14,6 @@
 use crate::deployment::Deployment;
 use crate::deployment::LOOK_AGAIN;
 use crate::deployment::added_name;
-use crate::deployment::knows_database;
 use crate::fault::Fault;
 use crate::history::Heard;
 use crate::judge;
@@ -145,16 +144,9 @@
 /// A configuration that is written when the faults are over is in force everywhere.
 async fn wait_for_configuration(deployment: &Deployment, broken: &mut Vec<String>) {
     deployment.add_database();
-    let database = added_name(deployment.added());
-    let until = Instant::now() + PATIENCE;
-    for instance in &deployment.instances {
-        while !knows_database(instance.front, &database).await {
-            if Instant::now() >= until {
-                broken.push(format!("{} does not know {database}", instance.name));
-                break;
-            }
-            tokio::time::sleep(LOOK_AGAIN).await;
-        }
+    let number = deployment.added();
+    for instance in deployment.unaware_of(number, Instant::now() + PATIENCE).await {
+        broken.push(format!("{} does not know {}", instance.name, added_name(number)));
     }
 }
 
