store: log how much of an answer had arrived when its time ran out

store_unanswered read "the store did not answer in time" both for a store that is silent and for one whose answer was still arriving, so the hypotheses on the late configuration could not be told apart. No decision changes.

--- a/daemon/src/engine/directory.rs
+++ b/daemon/src/engine/directory.rs
@@ -132,6 +132,8 @@
     Unreachable(String),
     /// the store did not answer in time
     TimedOut,
+    /// the store's answer was incomplete when its time ran out: {0} bytes had arrived
+    Incomplete(u64),
     /// the store's answer cannot be decoded: {0}
     Unreadable(String),
     /// the store was restored from a backup, and too few voters reported their retired terms
@@ -141,10 +143,10 @@
 }
 
 impl DirectoryError {
-    /// Whether no answer arrived, as opposed to a refusal or an unusable answer.
+    /// Whether no complete answer arrived, as opposed to a refusal or an unusable answer.
     #[must_use]
     pub fn is_unanswered(&self) -> bool {
-        matches!(self, Self::Unreachable(_) | Self::TimedOut)
+        matches!(self, Self::Unreachable(_) | Self::TimedOut | Self::Incomplete(_))
     }
 }
 
