transfer: records that are arriving from another instance are not aborted

Callers saw: refusals by an older version at instances that did not read the store, or whose link was busy, for as long as the configuration was long.

Cause: a pull of records had 0.3 s in all, as a heartbeat has, and after 0.1 s was sent once more on a second link, where the same answer arrived a second time. A configuration of 2,500 routes is a message of 75 KB, and several of those that pull share a link of 10 Mbit/s. A pull that was aborted began anew with the next heartbeat. The push of records to an instance that lacks them had the same limit.

Ruled out: the instance asked not being reached (heartbeats on the same links were answered).

Change: records are exchanged on a link of their own, for as long as parts arrive every 0.5 s. A client whose key is not known waits for a pull 0.3 s at most as before; the pull goes on.

--- a/daemon/src/engine/caller.rs
+++ b/daemon/src/engine/caller.rs
@@ -1,6 +1,7 @@
 //! The client of a session, identified by its key: which account has that key in the
 //! configuration in force.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use chervilwharf_lib::account::KeyDigest;
@@ -62,6 +63,9 @@
 /// a flood of unknown keys does not cause a flood of requests to them.
 const PULL_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Longest time that a client waits for a pull. A longer pull goes on in the background.
+const PULL_WAIT: Duration = Duration::from_millis(300);
+
 /// Number of instances that are asked for a newer configuration.
 const PULL_PEERS: usize = 2;
 
@@ -79,7 +83,11 @@
     /// # Errors
     ///
     /// When no account has the key.
-    pub async fn caller(&self, route: &Route, key: KeyDigest) -> Result<Caller, ErrorKind> {
+    pub async fn caller(
+        self: &Arc<Self>,
+        route: &Route,
+        key: KeyDigest,
+    ) -> Result<Caller, ErrorKind> {
         match Caller::new(&self.catalog(), route, key) {
             Err(ErrorKind::UnknownKey) => {
                 self.pull_newer_configuration().await;
@@ -89,14 +97,22 @@
         }
     }
 
-    async fn pull_newer_configuration(&self) {
+    async fn pull_newer_configuration(self: &Arc<Self>) {
         // Concurrent callers wait at the lock for the result of the first one.
         let mut asked_at = self.last_configuration_pull().0.lock().await;
         if asked_at.is_some_and(|at| at + PULL_INTERVAL > now()) {
             return;
         }
-        let relays = self.relays_to_ask();
-        join_all(relays.iter().map(|peer| pull_directory(self, peer))).await;
+        if let Some(pulling) = self.begin_pull() {
+            let engine = self.clone();
+            tokio::spawn(async move {
+                let _pulling = pulling;
+                let relays = engine.relays_to_ask();
+                join_all(relays.iter().map(|peer| pull_directory(&engine, peer))).await;
+            });
+        }
+        // Whether the pull ended in time shows in the configuration in force.
+        let _ended = tokio::time::timeout(PULL_WAIT, self.pull_ended()).await;
         *asked_at = Some(now());
     }
 
--- a/daemon/src/engine/mod.rs
+++ b/daemon/src/engine/mod.rs
@@ -52,4 +52,5 @@
 pub mod survey;
 pub mod trace;
 pub mod transaction;
+pub mod transfer;
 pub mod waiting;
--- a/daemon/src/engine/peer_records.rs
+++ b/daemon/src/engine/peer_records.rs
@@ -19,6 +19,7 @@
 use crate::engine::event_log;
 use crate::engine::records;
 use crate::engine::shared::Engine;
+use crate::engine::transfer::transfer;
 
 /// Sends all known records to an instance that reported that it lacks some, because it
 /// started while the store was unavailable.
@@ -30,7 +31,7 @@
         return;
     }
     let state = engine.directory_state(DirectoryPull::default());
-    if let Err(error) = engine.peers().ask(peer.peer_address, Body::DirectoryState(state)).await {
+    if let Err(error) = transfer(peer.peer_address, Body::DirectoryState(state)).await {
         let event = Event::new(EventKind::PeerFailed).with("peer", &peer.id);
         event_log::emit(&event.with("told", "records").with("reason", error));
     }
@@ -46,7 +47,7 @@
         servers_era: known_servers.era,
         knows_instances: engine.is_fleet_listed() && engine.is_fleet_known(),
     });
-    let reason = match engine.peers().ask(peer.peer_address, request).await {
+    let reason = match transfer(peer.peer_address, request).await {
         Ok(Body::DirectoryState(state)) => {
             let has_instances = !state.instances.is_empty();
             engine.apply_directory_state(state);
--- a/daemon/src/engine/peers.rs
+++ b/daemon/src/engine/peers.rs
@@ -44,7 +44,8 @@
 /// short enough that several attempts fit into the time to detect a failed primary.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(300);
 
-type Frames = Framed<TcpStream, LengthDelimitedCodec>;
+/// A connection to another instance.
+pub(super) type Frames = Framed<TcpStream, LengthDelimitedCodec>;
 
 /// Why another instance gave no answer.
 #[derive(Clone, Debug)]
@@ -54,16 +55,20 @@
     Unreachable(String),
     /// no answer in time
     TimedOut,
+    /// no more of the answer arrived after {0} bytes
+    Incomplete(usize),
     /// the answer cannot be decoded, or belongs to another request
     Unreadable,
 }
 
-fn frames(stream: TcpStream) -> Frames {
+/// Wraps a connection to another instance.
+pub(super) fn frames(stream: TcpStream) -> Frames {
     let codec = LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec();
     Framed::new(stream, codec)
 }
 
-fn unreachable(error: &std::io::Error) -> PeerError {
+/// The error of a failed connection.
+pub(super) fn unreachable(error: &std::io::Error) -> PeerError {
     PeerError::Unreachable(error.to_string())
 }
 
@@ -144,7 +149,8 @@
     }
 }
 
-async fn read_frame(frames: &mut Frames) -> Result<EngineFrame, PeerError> {
+/// Reads one message. A call that is cancelled loses no bytes.
+pub(super) async fn read_frame(frames: &mut Frames) -> Result<EngineFrame, PeerError> {
     let bytes: BytesMut = match frames.next().await {
         Some(Ok(bytes)) => bytes,
         Some(Err(error)) => return Err(unreachable(&error)),
--- a/daemon/src/engine/session.rs
+++ b/daemon/src/engine/session.rs
@@ -166,7 +166,7 @@
     }
 
     async fn check_start(
-        engine: &Engine,
+        engine: &Arc<Engine>,
         start: &SessionStart<'_>,
     ) -> Result<(Arc<Route>, Caller), ErrorKind> {
         if !engine.wait_until_prepared(FIRST_RECORDS_LIMIT).await {
--- a/daemon/src/engine/shared.rs
+++ b/daemon/src/engine/shared.rs
@@ -81,7 +81,7 @@
     /// Whether the store currently fails to serve the list of servers.
     servers_outage: AtomicBool,
     /// Whether records are being pulled from another instance.
-    pulling: AtomicBool,
+    pulling: watch::Sender<bool>,
     me: InstanceRecord,
     started_at: Moment,
     fleet: Mutex<Fleet>,
@@ -139,7 +139,7 @@
             shards: RwLock::default(),
             servers: Mutex::default(),
             servers_outage: AtomicBool::new(false),
-            pulling: AtomicBool::new(false),
+            pulling: watch::Sender::new(false),
             fleet: Mutex::new(Fleet::new(me.id.clone())),
             fleet_known: watch::Sender::new(false),
             fleet_listed: AtomicBool::new(false),
@@ -453,8 +453,15 @@
     /// `None` while another pull is in progress.
     #[must_use]
     pub fn begin_pull(self: &Arc<Self>) -> Option<PullGuard> {
-        let idle = !self.pulling.swap(true, Ordering::Relaxed);
-        idle.then(|| PullGuard(self.clone()))
+        let was_idle = self.pulling.send_if_modified(|pulling| !std::mem::replace(pulling, true));
+        was_idle.then(|| PullGuard(self.clone()))
+    }
+
+    /// Waits until no pull of records from another instance is in progress.
+    pub async fn pull_ended(&self) {
+        let mut pulling = self.pulling.subscribe();
+        // Fails only if the sender is dropped, which this borrow of the engine excludes.
+        let _ended = pulling.wait_for(|pulling| !pulling).await;
     }
 
     /// Sets whether the store currently fails to serve the list of servers.
@@ -512,7 +519,7 @@
 
 impl Drop for PullGuard {
     fn drop(&mut self) {
-        self.0.pulling.store(false, Ordering::Relaxed);
+        self.0.pulling.send_replace(false);
     }
 }
 
