--- a/daemon/src/engine/configuration_control.rs
+++ b/daemon/src/engine/configuration_control.rs
@@ -95,6 +95,10 @@
         self.engine.store_read_currency()
     }
 
+    fn follows_relays(&self) -> bool {
+        true
+    }
+
     fn pause_after_first_listing(&self) -> Duration {
         PEER_LISTING_TIME
     }
--- a/daemon/src/engine/fleet_control.rs
+++ b/daemon/src/engine/fleet_control.rs
@@ -163,6 +163,7 @@
             term: shard.with_group(|group| group.leader().map_or(0, |leader| leader.term)),
         };
         let changed_at = self.servers_changed_at();
+        let read_ms_ago = u64::try_from(self.store_reading_age().as_millis()).unwrap_or(u64::MAX);
         Heartbeat {
             instance: self.me().id.to_string(),
             life: self.me().life,
@@ -171,6 +172,7 @@
             servers_revision: changed_at.number,
             servers_era: changed_at.era,
             store_era: self.store_era().latest(),
+            store_read_ms_ago: Some(read_ms_ago.saturating_add(1)),
             samples: Vec::new(),
             grants: Vec::new(),
             lacks_records: false,
@@ -225,6 +227,10 @@
     /// Applies a heartbeat or the reply to one, and records that its sender responds.
     pub fn apply_heartbeat(&self, heartbeat: &Heartbeat) {
         self.note_store_era(heartbeat.store_era, &heartbeat.instance);
+        let read_ago = heartbeat.store_read_ms_ago.map(Duration::from_millis);
+        if let Some(read_at) = read_ago.and_then(|ago| now().checked_sub(ago)) {
+            self.note_store_reading(read_at);
+        }
         let demands = heartbeat.demands.iter();
         let demands = demands.map(|demand| (demand.group.as_str().into(), demand.wanted)).collect();
         self.with_fleet(|fleet| {
--- a/daemon/src/engine/peer_records.rs
+++ b/daemon/src/engine/peer_records.rs
@@ -111,16 +111,6 @@
         }
     }
 
-    /// How current the configuration and the servers have to be that this instance reads
-    /// from the store. Relays, a few instances of each failure domain, read them as they
-    /// are now; all others read them at a lower price, possibly seconds old, and pull
-    /// later versions from the relays.
-    #[must_use]
-    pub fn store_read_currency(&self) -> Currency {
-        let is_relay = self.with_fleet(|fleet| fleet.is_relay(now(), &self.me().failure_domain));
-        if is_relay { Currency::Fresh } else { Currency::MayBeStale }
-    }
-
     /// The records that this instance has and another one lacks.
     #[must_use]
     pub fn directory_state(&self, lacks: DirectoryPull) -> DirectoryState {
--- a/daemon/src/engine/record_watch.rs
+++ b/daemon/src/engine/record_watch.rs
@@ -63,6 +63,12 @@
         Currency::Fresh
     }
 
+    /// Whether this instance needs current data of the kind once it is a relay, or replaces
+    /// the relays.
+    fn follows_relays(&self) -> bool {
+        false
+    }
+
     /// Longest time that one watch waits, and so until the next [`RecordWatcher::tick`].
     fn wait_limit(&self) -> Duration {
         watch_wait(self.currency())
@@ -165,7 +171,7 @@
     state: StoreState,
     mut watcher: impl RecordWatcher,
 ) {
-    let StoreState { gate, era, availability } = state;
+    let StoreState { gate, era, availability } = &state;
     let kind = watcher.kind();
     let mut pause = FIRST_RETRY_PAUSE;
     let mut failing = false;
@@ -183,23 +189,13 @@
                 let listing = if listed {
                     directory.list(kind, currency).await
                 } else {
-                    fetch_first_listing(&*directory, &gate, kind, currency).await
+                    fetch_first_listing(&*directory, gate, kind, currency).await
                 };
-                listing.and_then(|listing| apply_listing(&mut watcher, &era, listing))
+                listing.and_then(|listing| apply_listing(&mut watcher, era, listing))
             }
             Some(after) => {
                 let wait = if failing { WATCH_WAIT_AFTER_FAILURE } else { watcher.wait_limit() };
-                let called_at = Instant::now();
-                availability.note_watched_revision(kind, after);
-                let changes = tokio::select! {
-                    changes = directory.watch(kind, after, wait, watcher.currency()) => changes,
-                    () = era.wait_for_later(after.era) => Err(DirectoryError::HistoryGone),
-                    () = availability.wait_for_abort(aborts) => {
-                        event_log::emit(&unanswered_event(kind, "watch", called_at.elapsed(), WATCH_ABORTED));
-                        Err(DirectoryError::TimedOut)
-                    }
-                };
-                match changes {
+                match watch_once(&*directory, &state, &watcher, after, wait).await {
                     Ok(changes) => apply_changes(&mut watcher, after, changes).await,
                     Err(error) => Err(error),
                 }
@@ -272,6 +268,34 @@
     }
 }
 
+/// Watches for changes after a revision, at most for `wait`. Returns none if a current
+/// answer is needed while a stale one is awaited, which may take longer than a change may.
+async fn watch_once(
+    directory: &dyn Directory,
+    state: &StoreState,
+    watcher: &impl RecordWatcher,
+    after: Revision,
+    wait: Duration,
+) -> Result<Changes, DirectoryError> {
+    let StoreState { era, availability, .. } = state;
+    let (kind, currency) = (watcher.kind(), watcher.currency());
+    let aborts = availability.aborts();
+    let called_at = Instant::now();
+    availability.note_watched_revision(kind, after);
+    let waits_for_stale = watcher.follows_relays() && currency == Currency::MayBeStale;
+    tokio::select! {
+        changes = directory.watch(kind, after, wait, currency) => changes,
+        () = era.wait_for_later(after.era) => Err(DirectoryError::HistoryGone),
+        () = availability.wait_until_current_needed(), if waits_for_stale => {
+            Ok(Changes { revision: after, ..Changes::default() })
+        }
+        () = availability.wait_for_abort(aborts) => {
+            event_log::emit(&unanswered_event(kind, "watch", called_at.elapsed(), WATCH_ABORTED));
+            Err(DirectoryError::TimedOut)
+        }
+    }
+}
+
 /// Logs why the records are listed again.
 fn report_relisting(kind: RecordKind, error: &DirectoryError, since: Option<Revision>) {
     let event = if let DirectoryError::ChangesTooLong(bytes) = error {
--- a/daemon/src/engine/server_control.rs
+++ b/daemon/src/engine/server_control.rs
@@ -59,6 +59,10 @@
         self.engine.store_read_currency()
     }
 
+    fn follows_relays(&self) -> bool {
+        true
+    }
+
     /// Many servers register and report their roles at the same time. Without a pause each
     /// change ended a watch of every relay: of the 722 watches of a day without load, with
     /// 60 servers and ten relays, 602 were made while the servers started.
--- a/daemon/src/engine/shared.rs
+++ b/daemon/src/engine/shared.rs
@@ -8,6 +8,7 @@
 
 mod accounts;
 mod known_fleet;
+mod store_currency;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -36,6 +37,7 @@
 use chervilwharf_lib::received_statements::ReceivedStatements;
 use chervilwharf_lib::server_list::ServerList;
 use chervilwharf_lib::stop_plan::StopPlan;
+use chervilwharf_lib::store_reading::StoreReading;
 use chervilwharf_lib::store_timeouts::StoreTimeouts;
 use tokio::sync::Notify;
 use tokio::sync::watch;
@@ -126,6 +128,8 @@
     last_configuration_pull: LastConfigurationPull,
     store_era: Arc<StoreEra>,
     store_timeouts: StoreTimeouts,
+    /// When the current state of the store was last read, by any instance.
+    store_reading: Mutex<StoreReading>,
     received_statements: Mutex<ReceivedStatements>,
 }
 
@@ -169,6 +173,7 @@
             last_configuration_pull: LastConfigurationPull::default(),
             store_era: Arc::default(),
             store_timeouts: StoreTimeouts::within(DEFAULT_CONFIGURATION_BOUND),
+            store_reading: Mutex::new(StoreReading::new(now())),
             received_statements: Mutex::new(ReceivedStatements::new(now())),
         }
     }
--- a/daemon/src/engine/store_availability.rs
+++ b/daemon/src/engine/store_availability.rs
@@ -33,6 +33,8 @@
     is_unavailable: bool,
     /// How often all calls in progress were aborted.
     aborts: u64,
+    /// Whether this instance needs current data, not stale answers.
+    needs_current: bool,
 }
 
 /// Whether the store responds, and the revisions from which its records are watched.
@@ -81,6 +83,20 @@
         let _aborted = state.wait_for(|state| state.aborts > aborts).await;
     }
 
+    /// Records whether this instance needs current data. Returns whether that is new.
+    pub fn set_needs_current(&self, needs_current: bool) -> bool {
+        self.state.send_if_modified(|state| {
+            std::mem::replace(&mut state.needs_current, needs_current) != needs_current
+        })
+    }
+
+    /// Returns when this instance begins to need current data.
+    pub async fn wait_until_current_needed(&self) {
+        let mut state = self.state.subscribe();
+        drop(state.wait_for(|state| !state.needs_current).await);
+        drop(state.wait_for(|state| state.needs_current).await);
+    }
+
     /// Returns when the store responds; at once if it does already.
     pub async fn wait_until_available(&self) {
         let mut state = self.state.subscribe();
--- a/daemon/src/engine/store_liveness.rs
+++ b/daemon/src/engine/store_liveness.rs
@@ -10,12 +10,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chervilwharf_lib::event::Event;
+use chervilwharf_lib::event::EventKind;
+use chervilwharf_lib::store_timeouts::CURRENCY_CHECK_INTERVAL;
 use chervilwharf_lib::store_timeouts::STORE_RETRY_INTERVAL;
 use chervilwharf_lib::store_timeouts::StoreTimeouts;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use tokio::time::Instant;
 
+use crate::engine::clock::now;
 use crate::engine::directory::Currency;
 use crate::engine::directory::Directory;
 use crate::engine::directory::DirectoryError;
@@ -31,10 +35,6 @@
 /// are the most urgent ones.
 const KIND: RecordKind = RecordKind::Configuration;
 
-/// Interval in which an instance that makes no liveness checks determines whether it has to
-/// begin. Such an instance gets urgent changes from other instances.
-const NOT_CHECKING_PAUSE: Duration = Duration::from_millis(500);
-
 /// Time in which a watch reports a change after a liveness reply did, although the data
 /// of the reply may be seconds old.
 const WATCH_DELAY_LIMIT: Duration = Duration::from_millis(250);
@@ -51,19 +51,38 @@
 
 /// Checks the store and updates `state`. Never returns.
 pub async fn monitor_store(engine: Arc<Engine>, directory: Arc<dyn Directory>, state: StoreState) {
-    let mut monitor =
-        StoreMonitor { directory, state, limits: engine.store_timeouts(), newest_change: None };
+    let mut monitor = StoreMonitor {
+        directory,
+        state,
+        limits: engine.store_timeouts(),
+        newest_change: None,
+        has_checked: false,
+    };
     loop {
         if monitor.state.availability.is_unavailable() {
+            monitor.state.availability.set_needs_current(false);
             monitor.wait_until_available().await;
             continue;
         }
+        let needs_current = engine.store_read_currency() == Currency::Fresh;
+        if monitor.state.availability.set_needs_current(needs_current) {
+            let event = Event::new(EventKind::StoreCurrency).with("current", needs_current);
+            event_log::emit(&event.with_ms("read_ms_ago", engine.store_reading_age()));
+        }
         let watched = monitor.state.availability.watched_revision(KIND);
         match watched {
-            Some(watched) if engine.store_read_currency() == Currency::Fresh => {
-                monitor.check(watched).await;
+            Some(watched) if needs_current => {
+                if !std::mem::replace(&mut monitor.has_checked, true) {
+                    // The first watch follows the first listing, which was a reading. Others
+                    // would hear of the first check too late.
+                    engine.note_store_reading(now());
+                }
+                // The store may answer checks and refuse the reads of current data.
+                if monitor.check(watched).await && !engine.has_servers_outage() {
+                    engine.note_store_reading(now());
+                }
             }
-            _ => tokio::time::sleep(NOT_CHECKING_PAUSE).await,
+            _ => tokio::time::sleep(CURRENCY_CHECK_INTERVAL).await,
         }
     }
 }
@@ -74,11 +93,14 @@
     limits: StoreTimeouts,
     /// The newest change that a liveness reply contained.
     newest_change: Option<Revision>,
+    /// Whether a check has begun.
+    has_checked: bool,
 }
 
 impl StoreMonitor {
     /// Checks the store once, and marks it as unavailable if it gives no usable answer.
-    async fn check(&mut self, watched: Revision) {
+    /// Returns whether it answered.
+    async fn check(&mut self, watched: Revision) -> bool {
         let checked_at = Instant::now();
         let after = self.newest_change.map_or(watched, |newest| newest.max(watched));
         let check = self.directory.check_liveness(KIND, after, self.limits.liveness_wait);
@@ -96,8 +118,10 @@
             Err(error) => {
                 event_log::emit(&unanswered_event(KIND, "sign", checked_at.elapsed(), error));
                 self.state.availability.mark_unavailable();
+                return false;
             }
         }
+        true
     }
 
     /// Applies a reply. If the watch does not report in time the change that the reply
--- a/lib/src/event.rs
+++ b/lib/src/event.rs
@@ -100,6 +100,8 @@
     StoreHistoryGone, "store_history_gone", State;
     /// The changes of a kind of records were longer than a listing, which is read instead.
     StoreChangesSkipped, "store_changes_skipped", State;
+    /// This instance begins or ceases to read current data from the store.
+    StoreCurrency, "store_currency", State;
     /// A record in the store is invalid.
     RecordUnreadable, "record_unreadable", State;
     /// The record of this instance was written to the store.
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -55,6 +55,7 @@
 pub mod statement;
 pub mod statement_timing;
 pub mod stop_plan;
+pub mod store_reading;
 pub mod store_timeouts;
 pub mod succession;
 pub mod verifier;
--- a/lib/src/protos/chervilwharf.engine.rs
+++ b/lib/src/protos/chervilwharf.engine.rs
@@ -113,6 +113,10 @@
     /// Latest era of the store that the sender has learned of.
     #[prost(uint64, tag = "11")]
     pub store_era: u64,
+    /// How long ago an instance read the current state of the store, as far as the sender
+    /// knows.
+    #[prost(uint64, optional, tag = "12")]
+    pub store_read_ms_ago: ::core::option::Option<u64>,
 }
 /// Grants a lease on the primary of a group in all terms above `retired_term`.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/lib/src/store_timeouts.rs
+++ b/lib/src/store_timeouts.rs
@@ -21,6 +21,12 @@
 /// for processes that are scheduled late.
 const LIVENESS_WAIT_EIGHTHS: u32 = 5;
 
+/// Heartbeats in which the time of a reading reaches an instance through others.
+const READING_HEARTBEATS: u32 = 2;
+
+/// Interval in which an instance determines how current its own reads have to be.
+pub const CURRENCY_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
 const MIN_LIVENESS_WAIT: Duration = Duration::from_millis(200);
 const MAX_LIVENESS_WAIT: Duration = Duration::from_secs(4);
 
@@ -47,6 +53,20 @@
         self.liveness_wait + ANSWER_TIMEOUT
     }
 
+    /// Longest age of the latest reading of the current state that an instance knows of, while
+    /// some relay reads it.
+    #[must_use]
+    pub fn reading_known_after(&self) -> Duration {
+        self.detected_after() + HEARTBEAT_INTERVAL * READING_HEARTBEATS
+    }
+
+    /// Longest time until an instance reads the current state itself, counted from the last
+    /// reading of a relay.
+    #[must_use]
+    pub fn relays_replaced_after(&self) -> Duration {
+        self.reading_known_after() + CURRENCY_CHECK_INTERVAL
+    }
+
     /// Longest time until all instances have a change, counted from when the store reports
     /// it or stopped responding. After the detection this includes one more request to a
     /// store that is back, and a heartbeat to instances that get the change from others.
