ownership: an unheard primary is not promoted again before a slow replica answers

Callers saw: no write was acknowledged for as long as the primary was cut off from its replicas and one of these answered some 20 ms later than the others: 60 s and more.

Cause: once a majority has granted the new term the owner waited 20 ms for the rest. With the primary and one replica as the majority the primary must not be passed over, since it may be the only server with an acknowledged write. So it was promoted again, was unheard again, and so on. Class: a choice that a later answer would make better, taken after a time that has nothing to do with how long answers may take.

Ruled out: a replica that never heard the primary (following counts as a contact).

Change: while only a server to be avoided could be promoted and a server that may still grant has not answered, the owner waits for the time of a whole attempt (0.4 s) before it promotes that one.

Evidence: test_unheard_primary_is_not_promoted_again_before_a_slow_replica_answers fails before.

--- a/lib/src/ownership/fencing.rs
+++ b/lib/src/ownership/fencing.rs
@@ -145,10 +145,12 @@
     }
 
     /// Promotes a server if a majority granted the term and the remaining
-    /// servers have answered, are unreachable or had enough time to answer.
+    /// servers have answered, are unreachable or had enough time to answer. They have more
+    /// time if only a server to avoid could be promoted.
     pub(super) fn choose_if_ready(&mut self, now: Instant) -> Vec<OwnershipAction> {
         let majority = self.majority();
-        let Phase::Fencing { term, majority_at, granted, failed, cause, .. } = &self.phase else {
+        let Phase::Fencing { term, since, majority_at, granted, failed, cause } = &self.phase
+        else {
             return Vec::new();
         };
         let answered = granted.len() + failed.len();
@@ -170,6 +172,13 @@
         }
         let (term, cause) = (*term, *cause);
         let candidate = self.choose(granted, majority);
+        // With the answer of a slow server, another one may be safe to promote. Without it,
+        // the server to avoid would be promoted and replaced again and again.
+        let others_may_grant = answered < self.servers.len() && !rest_is_unreachable;
+        let has_time = now.saturating_duration_since(*since) < self.timing.fence_timeout;
+        if self.should_avoid(&candidate) && others_may_grant && has_time {
+            return Vec::new();
+        }
         self.phase =
             Phase::Promoting { term, candidate: candidate.clone(), since: now, majority_at, cause };
         vec![OwnershipAction::Promote { server: candidate, term }]
--- a/lib/tests/test_ownership.rs
+++ b/lib/tests/test_ownership.rs
@@ -14,6 +14,9 @@
 use chervilwharf_lib::ownership_types::TakeCause;
 use chervilwharf_lib::position::Position;
 
+/// The servers of the group.
+const SERVERS: [&str; 3] = ["a", "b", "c"];
+
 fn new_ownership(incarnation: &str) -> Ownership {
     let server =
         |id: &str| GroupServer { id: id.into(), failure_domain: "domain".into(), leaving: false };
@@ -145,3 +148,93 @@
     }
     assert!(!fenced.is_empty());
 }
+
+/// A serving owner whose primary no replica hears any more. Returns it with its primary, at
+/// the moment at which it fences the servers in term 2.
+fn owner_that_replaces_an_unheard_primary(start: Instant) -> (Ownership, String) {
+    let mut ownership = new_ownership("2");
+    ownership.handle(start, OwnershipEvent::Take(TakeCause::Vacant));
+    let mut primary = String::new();
+    for server in SERVERS {
+        let result = Ok(granted(1, Position::ZERO));
+        let event = OwnershipEvent::Fenced { server: server.into(), term: 1, result };
+        for action in ownership.handle(start, event) {
+            if let OwnershipAction::Promote { server, .. } = action {
+                primary = server.to_string();
+            }
+        }
+    }
+    let result = Ok(Position::new(1, 1));
+    let event = OwnershipEvent::Promoted { server: primary.as_str().into(), term: 1, result };
+    ownership.handle(start, event);
+    ownership.requested(start);
+    for action in ownership.handle(start, OwnershipEvent::Tick) {
+        let OwnershipAction::Probe { server, sequence } = action else {
+            continue;
+        };
+        let mut state = granted(1, Position::new(1, 1));
+        if *server != *primary {
+            state.follows = Some(primary.as_str().into());
+            state.since_primary_contact = Some(OwnershipTiming::default().replication_timeout);
+        }
+        let state = Some(state);
+        ownership.handle(start, OwnershipEvent::Probed { server, sequence, state });
+    }
+    let actions = ownership.handle(start, OwnershipEvent::Tick);
+    assert_eq!(fence_terms(&actions), [2, 2, 2]);
+    (ownership, primary)
+}
+
+/// Position of the log of replicas that the primary does not reach, and of the primary.
+const REPLICA_POSITION: Position = Position { term: 1, index: 1 };
+const PRIMARY_POSITION: Position = Position { term: 1, index: 9 };
+
+/// Lets a server grant term 2, and returns the server that is promoted then, if any.
+fn promoted_after_grant(
+    ownership: &mut Ownership,
+    now: Instant,
+    server: &str,
+    received: Position,
+) -> Option<String> {
+    let result = Ok(granted(2, received));
+    let event = OwnershipEvent::Fenced { server: server.into(), term: 2, result };
+    promoted(&ownership.handle(now, event))
+}
+
+fn promoted(actions: &[OwnershipAction]) -> Option<String> {
+    actions.iter().find_map(|action| match action {
+        OwnershipAction::Promote { server, .. } => Some(server.to_string()),
+        _ => None,
+    })
+}
+
+/// Guards against a primary without replicas that is promoted again and again, while no write
+/// is acknowledged: one of the replicas grants the term later than the others, and without
+/// it the primary may be the only server with an acknowledged write.
+#[test]
+fn test_unheard_primary_is_not_promoted_again_before_a_slow_replica_answers() {
+    let start = Instant::now();
+    let (mut ownership, primary) = owner_that_replaces_an_unheard_primary(start);
+    let replicas: Vec<_> = SERVERS.into_iter().filter(|server| *server != primary).collect();
+    let at = |at_ms| start + Duration::from_millis(at_ms);
+    assert_eq!(promoted_after_grant(&mut ownership, at(1), &primary, PRIMARY_POSITION), None);
+    assert_eq!(promoted_after_grant(&mut ownership, at(5), replicas[0], REPLICA_POSITION), None);
+    for at_ms in (20..300).step_by(20) {
+        assert_eq!(promoted(&ownership.handle(at(at_ms), OwnershipEvent::Tick)), None);
+    }
+    let promoted = promoted_after_grant(&mut ownership, at(300), replicas[1], REPLICA_POSITION);
+    assert!(promoted.is_some_and(|server| replicas.contains(&&*server)));
+}
+
+/// Guards against a database that is not served at all because a replica never answers: the
+/// primary may be the only server with an acknowledged write, so no other may be promoted.
+#[test]
+fn test_unheard_primary_is_promoted_again_if_a_replica_never_answers() {
+    let start = Instant::now();
+    let (mut ownership, primary) = owner_that_replaces_an_unheard_primary(start);
+    let replica = SERVERS.into_iter().find(|server| *server != primary).unwrap();
+    assert_eq!(promoted_after_grant(&mut ownership, start, &primary, PRIMARY_POSITION), None);
+    assert_eq!(promoted_after_grant(&mut ownership, start, replica, REPLICA_POSITION), None);
+    let end = start + OwnershipTiming::default().fence_timeout;
+    assert_eq!(promoted(&ownership.handle(end, OwnershipEvent::Tick)), Some(primary));
+}
--- a/testing/testutils/tests/test_failover.rs
+++ b/testing/testutils/tests/test_failover.rs
@@ -1,6 +1,8 @@
 //! Failover of primaries and owners under a client workload. The owner of a database is
 //! the instance that serves it; the primary is the server that executes its writes.
 
+use std::time::Duration;
+
 use chervilwharf_standin::fault_proxy::Behaviour;
 use chervilwharf_standin::fault_proxy::Flow;
 use chervilwharf_standin::store::StoreFaults;
@@ -15,6 +17,9 @@
 /// Writes that each writer has to get acknowledged before the fault, and again after it.
 const PROGRESS: usize = 20;
 
+/// Network delay in each direction to a slow replica. It still answers probes in time.
+const SLOW_REPLICA_DELAY: Duration = Duration::from_millis(25);
+
 /// Starts a workload, injects a fault, waits until all writers make progress again, and
 /// compares the outcomes reported to the clients with the contents of the database.
 async fn check_recovery(style: WriteKind, fault: impl AsyncFnOnce(&mut Cluster)) -> Cluster {
@@ -106,6 +111,19 @@
     .await;
 }
 
+/// Guards against a primary without replicas that is promoted again and again, because one
+/// of the replicas answers later than the others, and the new primary is chosen without it.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_primary_that_no_replica_hears_is_replaced_although_a_replica_is_slow() {
+    check_recovery(WriteKind::Statement, async |cluster| {
+        let index = primary(cluster).await;
+        let slow = (0..cluster.targets.len()).find(|other| *other != index).unwrap();
+        cluster.targets[slow].sql_proxy.set(Behaviour::delayed(SLOW_REPLICA_DELAY));
+        cluster.targets[index].log_proxy.set(Behaviour::cut());
+    })
+    .await;
+}
+
 /// Guards against duplicate writes when the answers of the primary are dropped, so that
 /// COMMITs succeed without an answer: a write without an answer is sent again without a
 /// look-up in the ledger.
@@ -269,7 +287,7 @@
     let (_, before, _) = cluster.serving("db1").await.unwrap();
     // The last commits of the primary reach no replica.
     cluster.targets[index].log_proxy.set(Behaviour::unresponsive());
-    tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+    tokio::time::sleep(Duration::from_millis(100)).await;
     cluster.targets[index].process.as_mut().unwrap().kill();
     wait_for("another server is primary", async || {
         cluster.serving("db1").await.is_some_and(|(_, term, _)| term > before)
