--- a/testing/testutils/tests/test_failover.rs
+++ b/testing/testutils/tests/test_failover.rs
@@ -17,9 +17,13 @@
 /// Writes that each writer has to get acknowledged before the fault, and again after it.
 const PROGRESS: usize = 20;
 
-/// Network delay in each direction to a slow replica. It still answers probes in time.
+/// Network delay in each direction to a slow replica, which still answers in time.
 const SLOW_REPLICA_DELAY: Duration = Duration::from_millis(25);
 
+/// Network delay in each direction to a replica whose answers take longer than the interval
+/// between two probes.
+const VERY_SLOW_REPLICA_DELAY: Duration = Duration::from_millis(40);
+
 /// Starts a workload, injects a fault, waits until all writers make progress again, and
 /// compares the outcomes reported to the clients with the contents of the database.
 async fn check_recovery(style: WriteKind, fault: impl AsyncFnOnce(&mut Cluster)) -> Cluster {
@@ -111,19 +115,32 @@
     .await;
 }
 
-/// Guards against a primary without replicas that is promoted again and again, because one
-/// of the replicas answers later than the others, and the new primary is chosen without it.
-#[tokio::test(flavor = "multi_thread")]
-async fn test_primary_that_no_replica_hears_is_replaced_although_a_replica_is_slow() {
+/// Cuts the primary off from its replicas, one of which is slow, and waits until it is
+/// replaced.
+async fn check_unheard_primary_with_slow_replica(delay: Duration) {
     check_recovery(WriteKind::Statement, async |cluster| {
         let index = primary(cluster).await;
         let slow = (0..cluster.targets.len()).find(|other| *other != index).unwrap();
-        cluster.targets[slow].sql_proxy.set(Behaviour::delayed(SLOW_REPLICA_DELAY));
+        cluster.targets[slow].sql_proxy.set(Behaviour::delayed(delay));
         cluster.targets[index].log_proxy.set(Behaviour::cut());
     })
     .await;
 }
 
+/// Guards against a primary without replicas that is promoted again and again, because one
+/// of the replicas answers later than the others, and the new primary is chosen without it.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_primary_that_no_replica_hears_is_replaced_although_a_replica_is_slow() {
+    check_unheard_primary_with_slow_replica(SLOW_REPLICA_DELAY).await;
+}
+
+/// Guards against a server that counts as unreachable although it answers, because its
+/// answers take longer than the interval between two probes.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_primary_that_no_replica_hears_is_replaced_although_answers_take_long() {
+    check_unheard_primary_with_slow_replica(VERY_SLOW_REPLICA_DELAY).await;
+}
+
 /// Guards against duplicate writes when the answers of the primary are dropped, so that
 /// COMMITs succeed without an answer: a write without an answer is sent again without a
 /// look-up in the ledger.
