--- a/daemon/src/engine/fleet_control.rs
+++ b/daemon/src/engine/fleet_control.rs
@@ -30,6 +30,7 @@
 use crate::engine::peer_records::pull_directory;
 use crate::engine::peer_records::push_records;
 use crate::engine::primary_lease_control;
+use crate::engine::records;
 use crate::engine::shard::Shard;
 use crate::engine::shared::Engine;
 
@@ -163,7 +164,6 @@
             term: shard.with_group(|group| group.leader().map_or(0, |leader| leader.term)),
         };
         let changed_at = self.servers_changed_at();
-        let read_ms_ago = u64::try_from(self.store_reading_age().as_millis()).unwrap_or(u64::MAX);
         Heartbeat {
             instance: self.me().id.to_string(),
             life: self.me().life,
@@ -172,7 +172,7 @@
             servers_revision: changed_at.number,
             servers_era: changed_at.era,
             store_era: self.store_era().latest(),
-            store_read_ms_ago: Some(read_ms_ago.saturating_add(1)),
+            store_read_ms_ago: Some(records::milliseconds_above(self.store_reading_age())),
             samples: Vec::new(),
             grants: Vec::new(),
             lacks_records: false,
@@ -195,8 +195,7 @@
         let at = now();
         let sample = |shard: &Arc<Shard>| {
             let (asked_at, position) = shard.with_group(|group| group.newest_sample())?;
-            let age = at.saturating_sub(asked_at);
-            let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX).saturating_add(1);
+            let age_ms = records::milliseconds_above(at.saturating_sub(asked_at));
             let group = shard.id().to_string();
             Some(PositionSample { group, term: position.term, index: position.index, age_ms })
         };
--- a/daemon/src/engine/peer_contacts.rs
+++ b/daemon/src/engine/peer_contacts.rs
@@ -32,6 +32,7 @@
 
 use crate::engine::clock::now;
 use crate::engine::event_log;
+use crate::engine::records;
 use crate::engine::shared::Engine;
 
 /// The liveness of the other instances, as far as their answers show it.
@@ -101,8 +102,7 @@
         ticket: StatementTicket,
         sent_at: Moment,
     ) -> Option<DeliveryState> {
-        let sent_ago = now().saturating_sub(sent_at);
-        let sent_ms_ago = u64::try_from(sent_ago.as_millis()).unwrap_or(u64::MAX).saturating_add(1);
+        let sent_ms_ago = records::milliseconds_above(now().saturating_sub(sent_at));
         let reply = self.send_check(peer, SignOfLife { ticket, sent_ms_ago }).await?;
         Some(match reply {
             SignOfLifeReply { withdrawn: true, .. } => DeliveryState::Withdrawn,
--- a/daemon/src/engine/primary_lease_control.rs
+++ b/daemon/src/engine/primary_lease_control.rs
@@ -42,6 +42,7 @@
 use crate::engine::directory::RecordKind;
 use crate::engine::event_log;
 use crate::engine::record_watch::ANSWER_TIME_SPREAD;
+use crate::engine::records;
 use crate::engine::shard::Shard;
 use crate::engine::shared::Engine;
 
@@ -423,7 +424,7 @@
 fn encode_grants(promise: Promise) -> Vec<GivenLease> {
     let grants = promise.unexpired_grants.into_iter().map(|(instance, lasting)| GivenLease {
         instance: instance.to_string(),
-        lasting_ms: u64::try_from(lasting.as_millis()).unwrap_or(u64::MAX).saturating_add(1),
+        lasting_ms: records::milliseconds_above(lasting),
     });
     grants.collect()
 }
--- a/daemon/src/engine/quota_control.rs
+++ b/daemon/src/engine/quota_control.rs
@@ -44,6 +44,7 @@
 
 use crate::engine::clock::now;
 use crate::engine::event_log;
+use crate::engine::records;
 use crate::engine::request::Failure;
 use crate::engine::shared::Engine;
 
@@ -316,7 +317,7 @@
                 QuotaReply { keeps: true, granted, ..QuotaReply::default() }
             }
             QuotaAnswer::Exhausted { retry_after } => {
-                let retry_after_ms = u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX);
+                let retry_after_ms = records::milliseconds(retry_after);
                 QuotaReply { keeps: true, retry_after_ms, ..QuotaReply::default() }
             }
         }
--- a/daemon/src/engine/records.rs
+++ b/daemon/src/engine/records.rs
@@ -21,10 +21,19 @@
 use chervilwharf_lib::id::AccountId;
 use chervilwharf_lib::id::GroupId;
 
-fn milliseconds(duration: Duration) -> u64 {
+/// Encodes a duration, rounded down to whole milliseconds.
+#[must_use]
+pub fn milliseconds(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
+/// Encodes a duration that must not be taken for a shorter one, in more milliseconds than it
+/// has.
+#[must_use]
+pub fn milliseconds_above(duration: Duration) -> u64 {
+    milliseconds(duration).saturating_add(1)
+}
+
 fn shared_str(text: String) -> Arc<str> {
     text.into()
 }
--- a/daemon/src/engine/remote.rs
+++ b/daemon/src/engine/remote.rs
@@ -428,7 +428,7 @@
     engine_protos::Statement {
         id: request.id.to_string(),
         route: Some(records::encode_route(&request.route)),
-        time_left_ms: u64::try_from(time_left.as_millis()).unwrap_or(u64::MAX),
+        time_left_ms: records::milliseconds(time_left),
         values: values.collect(),
         floor_term: floor.term,
         floor_index: floor.index,
