ownership: one condition for servers that may still grant a term

It was written twice in choose_if_ready. The same but for a server that leaves the group during an attempt, whose grant no longer counts as the answer of another. The test uses one look-up of the promoted server.

--- a/lib/src/ownership/fencing.rs
+++ b/lib/src/ownership/fencing.rs
@@ -153,9 +153,8 @@
         else {
             return Vec::new();
         };
-        let answered = granted.len() + failed.len();
         let Some(majority_at) = *majority_at else {
-            if answered == self.servers.len() {
+            if granted.len() + failed.len() == self.servers.len() {
                 return self.back_off(now);
             }
             return Vec::new();
@@ -163,18 +162,17 @@
         // A server that has not answered yet may be down or only slow. A short
         // wait avoids promoting a replica although the old primary still works.
         let waited = now.saturating_duration_since(majority_at) >= self.timing.straggler_wait;
-        let rest_is_unreachable =
-            self.servers.iter().filter(|(id, _)| !granted.contains_key(*id)).all(|(id, view)| {
-                failed.contains(id) || view.detector.misses() >= self.timing.misses_to_suspect
-            });
-        if answered < self.servers.len() && !waited && !rest_is_unreachable {
+        let others_may_grant = self.servers.iter().any(|(id, view)| {
+            let has_answered = granted.contains_key(id) || failed.contains(id);
+            !has_answered && view.detector.misses() < self.timing.misses_to_suspect
+        });
+        if others_may_grant && !waited {
             return Vec::new();
         }
         let (term, cause) = (*term, *cause);
         let candidate = self.choose(granted, majority);
         // With the answer of a slow server, another one may be safe to promote. Without it,
         // the server to avoid would be promoted and replaced again and again.
-        let others_may_grant = answered < self.servers.len() && !rest_is_unreachable;
         let has_time = now.saturating_duration_since(*since) < self.timing.fence_timeout;
         if self.should_avoid(&candidate) && others_may_grant && has_time {
             return Vec::new();
--- a/lib/tests/test_ownership.rs
+++ b/lib/tests/test_ownership.rs
@@ -77,11 +77,15 @@
         let event = OwnershipEvent::Fenced { server: server.into(), term: 1, result };
         actions.extend(ownership.handle(now, event));
     }
-    let promote = actions.iter().find_map(|action| match action {
+    promoted(&actions).unwrap()
+}
+
+/// The server that an action promotes, if any.
+fn promoted(actions: &[OwnershipAction]) -> Option<String> {
+    actions.iter().find_map(|action| match action {
         OwnershipAction::Promote { server, .. } => Some(server.to_string()),
         _ => None,
-    });
-    promote.unwrap()
+    })
 }
 
 /// Guards against the loss of acknowledged writes by a failover that compares logs by
@@ -154,16 +158,12 @@
 fn owner_that_replaces_an_unheard_primary(start: Instant) -> (Ownership, String) {
     let mut ownership = new_ownership("2");
     ownership.handle(start, OwnershipEvent::Take(TakeCause::Vacant));
-    let mut primary = String::new();
-    for server in SERVERS {
+    let grants = SERVERS.into_iter().flat_map(|server| {
         let result = Ok(granted(1, Position::ZERO));
         let event = OwnershipEvent::Fenced { server: server.into(), term: 1, result };
-        for action in ownership.handle(start, event) {
-            if let OwnershipAction::Promote { server, .. } = action {
-                primary = server.to_string();
-            }
-        }
-    }
+        ownership.handle(start, event)
+    });
+    let primary = promoted(&grants.collect::<Vec<_>>()).expect("all servers granted the term");
     let result = Ok(Position::new(1, 1));
     let event = OwnershipEvent::Promoted { server: primary.as_str().into(), term: 1, result };
     ownership.handle(start, event);
@@ -201,13 +201,6 @@
     promoted(&ownership.handle(now, event))
 }
 
-fn promoted(actions: &[OwnershipAction]) -> Option<String> {
-    actions.iter().find_map(|action| match action {
-        OwnershipAction::Promote { server, .. } => Some(server.to_string()),
-        _ => None,
-    })
-}
-
 /// Guards against a primary without replicas that is promoted again and again, while no write
 /// is acknowledged: one of the replicas grants the term later than the others, and without
 /// it the primary may be the only server with an acknowledged write.
