--- a/daemon/src/engine/server_control.rs
+++ b/daemon/src/engine/server_control.rs
@@ -64,8 +64,8 @@
     }
 
     /// Many servers register and report their roles at the same time. Without a pause each
-    /// change ended a watch of every relay: of the 722 watches of a day without load, with
-    /// 60 servers and ten relays, 602 were made while the servers started.
+    /// change would end a watch of every relay, and most watches of a day without load would
+    /// be made while the servers start.
     fn pause_after_change(&self) -> Duration {
         change_pause(self.currency()).max(CHANGE_BATCH_PAUSE)
     }
--- a/daemon/src/engine/store_gate.rs
+++ b/daemon/src/engine/store_gate.rs
@@ -1,9 +1,8 @@
 //! Limits the retries to a store that refuses the calls of this instance: one
 //! watcher retries, and the others wait until it succeeds.
 //!
-//! Refused calls cost the full price. While the store refused 67 of 195
-//! instances for nine seconds, each of which retried with four watchers,
-//! refused calls were 1,700 of the 6,100 calls of a day.
+//! Refused calls cost the full price. If each of the four watchers retried, the
+//! refused calls of a few seconds could be a large part of all calls of a day.
 
 use std::sync::Mutex;
 use std::time::Duration;
--- a/daemon/tests/test_record_watch.rs
+++ b/daemon/tests/test_record_watch.rs
@@ -143,9 +143,8 @@
     }
 }
 
-/// Guards against one watch per registering server. When 60 servers registered while the
-/// relays watched the list, each change ended a watch of each relay: 602 of the 2,250
-/// calls of a day without load came in its first seconds.
+/// Guards against one watch per registering server: when many servers register while the
+/// relays watch the list, each change ends a watch of each relay.
 #[tokio::test(start_paused = true)]
 async fn test_servers_that_register_together_are_read_together() {
     let engine = Arc::new(Engine::new(stubs::instance("one"), Arc::new(stubs::NoServer)));
@@ -218,8 +217,7 @@
 }
 
 /// Guards against retries of all four watchers of an instance while the store refuses it.
-/// When the store refused a third of the instances for nine seconds, 1,700 of the 6,100
-/// calls of a day were refused ones, which the platform charges for.
+/// The platform charges for refused calls too.
 #[tokio::test(start_paused = true)]
 async fn test_one_watcher_retries_a_store_that_refuses() {
     let outage = Duration::from_secs(9);
