--- a/daemon/tests/stubs/mod.rs
+++ b/daemon/tests/stubs/mod.rs
@@ -22,9 +22,11 @@
 use chervilwharf_daemon::engine::server_connection::Connector;
 use chervilwharf_daemon::engine::server_connection::ServerConnection;
 use chervilwharf_daemon::engine::shard::Shard;
+use chervilwharf_lib::catalog::Catalog;
 use chervilwharf_lib::fleet::InstanceRecord;
 use chervilwharf_lib::group::ServerInfo;
 use chervilwharf_lib::id::AccountId;
+use chervilwharf_lib::id::ConfigVersion;
 use chervilwharf_lib::id::GroupId;
 use chervilwharf_lib::id::TargetId;
 use chervilwharf_lib::server_refusal::RefusalKind;
@@ -92,6 +94,12 @@
     }
 }
 
+/// The configuration of a version, changed at a revision of this number.
+pub fn configuration((version, number): (ConfigVersion, u64)) -> Entry {
+    let record = Record::Configuration(Arc::new(Catalog { version, ..Catalog::default() }));
+    Entry { name: "main".into(), revision: Revision::new(0, number), record }
+}
+
 /// A primary as the platform lists it.
 pub fn primary(id: TargetId, address: SocketAddr) -> ServerInfo {
     ServerInfo {
--- a/daemon/tests/test_silent_store.rs
+++ b/daemon/tests/test_silent_store.rs
@@ -15,11 +15,9 @@
 use chervilwharf_daemon::engine::directory::DirectoryError;
 use chervilwharf_daemon::engine::directory::Entry;
 use chervilwharf_daemon::engine::directory::Listing;
-use chervilwharf_daemon::engine::directory::Record;
 use chervilwharf_daemon::engine::directory::RecordKind;
 use chervilwharf_daemon::engine::directory::Revision;
 use chervilwharf_daemon::engine::shared::Engine;
-use chervilwharf_lib::catalog::Catalog;
 use chervilwharf_lib::id::ConfigVersion;
 use stubs::NoServer;
 use stubs::ReadOnly;
@@ -80,10 +78,7 @@
     }
 
     fn entry(&self) -> Entry {
-        let (version, number) = self.present();
-        let catalog = Catalog { version, ..Catalog::default() };
-        let record = Record::Configuration(Arc::new(catalog));
-        Entry { name: "main".into(), revision: Revision::new(0, number), record }
+        stubs::configuration(self.present())
     }
 }
 
--- a/daemon/tests/test_stale_answers.rs
+++ b/daemon/tests/test_stale_answers.rs
@@ -24,7 +24,6 @@
 use chervilwharf_daemon::engine::directory::RecordKind;
 use chervilwharf_daemon::engine::directory::Revision;
 use chervilwharf_daemon::engine::shared::Engine;
-use chervilwharf_lib::catalog::Catalog;
 use chervilwharf_lib::engine_protos::Heartbeat;
 use chervilwharf_lib::id::ConfigVersion;
 use chervilwharf_lib::store_reading::StoreReading;
@@ -75,19 +74,13 @@
     }
 }
 
-fn entry((version, number): (ConfigVersion, u64)) -> Entry {
-    let catalog = Catalog { version, ..Catalog::default() };
-    let record = Record::Configuration(Arc::new(catalog));
-    Entry { name: "main".into(), revision: Revision::new(0, number), record }
-}
-
 #[async_trait]
 impl StoreReads for StaleStore {
     async fn list(&self, kind: RecordKind, currency: Currency) -> Result<Listing, DirectoryError> {
         tokio::time::sleep(ANSWER_TIME).await;
         let state = self.state(currency);
         let entries = match kind {
-            RecordKind::Configuration => vec![entry(state)],
+            RecordKind::Configuration => vec![stubs::configuration(state)],
             RecordKind::Instances => instances(),
             _ => Vec::new(),
         };
@@ -113,7 +106,8 @@
         tokio::time::sleep(ANSWER_TIME).await;
         let state = self.state(currency);
         let is_shown = is_watched && state == AFTER;
-        let changes = is_shown.then(|| Change::Present(entry(state))).into_iter().collect();
+        let changes =
+            is_shown.then(|| Change::Present(stubs::configuration(state))).into_iter().collect();
         Ok(Changes { changes, revision: Revision::new(0, state.1.max(after.number)) })
     }
 }
@@ -129,12 +123,16 @@
     others.chain([record("one")]).collect()
 }
 
+fn engine() -> Arc<Engine> {
+    let engine = Engine::new(stubs::instance("one"), Arc::new(NoServer));
+    Arc::new(engine.with_configuration_bound(Some(CONFIGURATION_BOUND)))
+}
+
 /// Guards against an instance that depends on others to read the current configuration, and
 /// does not notice that none of them reaches the store.
 #[tokio::test]
 async fn test_configuration_is_in_force_while_no_relay_reads_the_store() {
-    let engine = Engine::new(stubs::instance("one"), Arc::new(NoServer));
-    let engine = Arc::new(engine.with_configuration_bound(Some(CONFIGURATION_BOUND)));
+    let engine = engine();
     let store = Arc::new(StaleStore::default());
     let directory: Arc<dyn Directory> = ReadOnly::new(&store);
     let _watchers = controllers::start_record_watchers(&engine, &directory);
@@ -150,8 +148,7 @@
 /// and reads current data at ten times the price.
 #[tokio::test]
 async fn test_stale_answers_are_enough_while_a_relay_reads_the_store() {
-    let engine = Engine::new(stubs::instance("one"), Arc::new(NoServer));
-    let engine = Arc::new(engine.with_configuration_bound(Some(CONFIGURATION_BOUND)));
+    let engine = engine();
     let directory: Arc<dyn Directory> = ReadOnly::new(&Arc::new(StaleStore::default()));
     let _watchers = controllers::start_record_watchers(&engine, &directory);
     let reading = StoreReading::new(now());
