return: instances that are being started get statements as soon as they accept connections

Cause: after a power loss of all instances clients come back to instances that start some ten milliseconds before the holders. A refused connection counted like a missing answer: the holder got no statements for 400 ms, all others had to pass a liveness check, and requests were refused at once as holder_silent. Change: a refused connection marks an instance as starting; it is checked every 40 ms for 2 s, raises no suspicion of others, and a request waits for the first holder that starts for at most half of its objective. A starting holder waits as long for its configuration before it refuses. The first pull ends after two others without records. Tests: test_peer_contact (two), test_forwarded_session (one); they do not compile or fail before.

--- a/daemon/src/engine/forwarded_session.rs
+++ b/daemon/src/engine/forwarded_session.rs
@@ -18,6 +18,7 @@
 use chervilwharf_lib::statement::Prepared;
 use chervilwharf_lib::statement::Statement;
 use chervilwharf_lib::statement::TransactionState;
+use chervilwharf_lib::statement_timing;
 
 use crate::engine::caller::Caller;
 use crate::engine::clock::now;
@@ -73,6 +74,12 @@
             return refusal(ErrorKind::TransactionLost);
         }
         if !continues {
+            if !self.engine.is_prepared() {
+                // An instance that has just started does not know yet which groups it holds.
+                // After a refusal it would get no statements of the group for half a second.
+                let limit = statement_timing::max_start_wait(route.objective);
+                self.engine.wait_until_prepared(limit).await;
+            }
             if !self.engine.is_holder(&route.group) {
                 return refusal(ErrorKind::NotOwner);
             }
--- a/daemon/src/engine/peer_contacts.rs
+++ b/daemon/src/engine/peer_contacts.rs
@@ -25,6 +25,7 @@
 use chervilwharf_lib::peer_contact::LIVENESS_TIMEOUT;
 use chervilwharf_lib::peer_contact::PeerContacts;
 use chervilwharf_lib::peer_contact::Reachability;
+use chervilwharf_lib::peer_contact::STARTING_RECHECK_INTERVAL;
 use chervilwharf_lib::received_statements::DeliveryState;
 use chervilwharf_lib::received_statements::StatementTicket;
 use futures::StreamExt;
@@ -32,6 +33,7 @@
 
 use crate::engine::clock::now;
 use crate::engine::event_log;
+use crate::engine::peers::PeerError;
 use crate::engine::records;
 use crate::engine::shared::Engine;
 
@@ -64,9 +66,24 @@
     pub fn record_no_answer(&self, asked_at: Moment, id: &InstanceId) {
         let at = now();
         let has_changed = self.lock().record_no_answer(at, asked_at, id);
+        Self::log_unreachable(has_changed, at.saturating_sub(asked_at), id);
+    }
+
+    /// Records that an exchange of `asked_at` with an instance failed, and logs if the instance
+    /// becomes unreachable by that.
+    pub fn record_failure(&self, asked_at: Moment, id: &InstanceId, error: Option<&PeerError>) {
+        if !matches!(error, Some(PeerError::Refused)) {
+            return self.record_no_answer(asked_at, id);
+        }
+        let at = now();
+        let has_changed = self.lock().record_refused_connection(at, id);
+        Self::log_unreachable(has_changed, at.saturating_sub(asked_at), id);
+    }
+
+    fn log_unreachable(has_changed: bool, after: Duration, id: &InstanceId) {
         if has_changed {
             let event = Event::new(EventKind::PeerSilent).with("peer", id);
-            event_log::emit(&event.with_ms("for_ms", at.saturating_sub(asked_at)));
+            event_log::emit(&event.with_ms("for_ms", after));
         }
     }
 
@@ -81,6 +98,10 @@
         self.lock().keep_only(exists);
     }
 
+    fn is_starting(&self, at: Moment, id: &InstanceId) -> bool {
+        self.lock().is_starting(at, id)
+    }
+
     /// Whether a liveness check of an instance is due; if so, it counts as sent.
     fn take_due_liveness_check(&self, id: &InstanceId) -> bool {
         self.lock().take_due_liveness_check(now(), id)
@@ -123,7 +144,7 @@
         let answer =
             self.peers().ask_on_new_link(peer.peer_address, request, LIVENESS_TIMEOUT).await;
         let Ok(Body::SignOfLifeReply(reply)) = answer else {
-            self.peer_contacts().record_no_answer(asked_at, &peer.id);
+            self.peer_contacts().record_failure(asked_at, &peer.id, answer.as_ref().err());
             return None;
         };
         self.peer_contacts().record_answer(asked_at, &peer.id);
@@ -149,11 +170,16 @@
 
     /// Picks a reachable holder of a group, other than those in `tried`. `None` if there
     /// is none. Unreachable holders are checked once more, unless that was done just now.
+    ///
+    /// While all of them are unreachable and some are starting, waits for those until
+    /// `start_wait_until`. After a restart of all instances, the first clients arrive at
+    /// instances that start some ten milliseconds before the holders do.
     pub async fn find_holder(
         self: &Arc<Self>,
         group: &GroupId,
         affinity: &Affinity,
         tried: &[InstanceId],
+        start_wait_until: Moment,
     ) -> Option<Candidate> {
         loop {
             let candidates = self.candidates(group, tried);
@@ -171,9 +197,17 @@
                     }
                 }
                 Reachability::Unreachable => {
-                    if !self.check_unreachable(&candidates).await {
+                    if self.check_unreachable(&candidates).await {
+                        continue;
+                    }
+                    let at = now();
+                    let starting =
+                        |c: &Candidate| self.peer_contacts().is_starting(at, &c.record.id);
+                    let recheck_at = at + STARTING_RECHECK_INTERVAL;
+                    if recheck_at > start_wait_until || !candidates.iter().any(starting) {
                         return None;
                     }
+                    tokio::time::sleep(STARTING_RECHECK_INTERVAL).await;
                 }
             }
         }
--- a/daemon/src/engine/peer_records.rs
+++ b/daemon/src/engine/peer_records.rs
@@ -89,24 +89,41 @@
     false
 }
 
+/// Number of other instances without records after which a starting instance gives up: most
+/// of the fleet then starts with it, and the store has the records sooner.
+const MAX_PEERS_WITHOUT_RECORDS: usize = 2;
+
 /// Pulls the records that this instance lacks from the first of several other instances that
-/// accepts a connection, then from the next, until one has them. Returns whether one did.
+/// accepts a connection, then from the next, until one has them or
+/// [`MAX_PEERS_WITHOUT_RECORDS`] have answered without. Returns whether one did.
 pub async fn pull_from_first_reachable(engine: &Engine, peers: &[InstanceRecord]) -> bool {
     let connect = async |peer: InstanceRecord| (peers::connect(peer.peer_address).await, peer);
     let mut connecting: FuturesUnordered<_> = peers.iter().cloned().map(connect).collect();
+    let mut without_records = 0;
     while let Some((connected, peer)) = connecting.next().await {
         let answer = match connected {
             Ok(stream) => transfer_on(peers::frames(stream), engine.directory_pull()).await,
             Err(error) => Err(error),
         };
+        let has_none = matches!(&answer, Ok(Body::DirectoryState(state)) if has_no_records(state));
         apply_pulled(engine, &peer, answer);
         if !engine.lacks_records() {
             return true;
         }
+        without_records += usize::from(has_none);
+        if without_records >= MAX_PEERS_WITHOUT_RECORDS {
+            return false;
+        }
     }
     false
 }
 
+/// Whether an instance answered a pull without a configuration, since it has none yet. An
+/// answer without a sender means that the instance is busy.
+fn has_no_records(state: &DirectoryState) -> bool {
+    !state.sender.is_empty() && state.configuration.is_none()
+}
+
 impl Engine {
     /// The request for the records that another instance has and this one lacks.
     fn directory_pull(&self) -> Body {
--- a/daemon/src/engine/peers.rs
+++ b/daemon/src/engine/peers.rs
@@ -56,6 +56,8 @@
 pub enum PeerError {
     /// unreachable: {0}
     Unreachable(String),
+    /// unreachable: the connection was refused
+    Refused,
     /// no answer in time
     TimedOut,
     /// the other instance sends as many lists as it can
@@ -74,7 +76,10 @@
 
 /// The error of a failed connection.
 pub(super) fn unreachable(error: &std::io::Error) -> PeerError {
-    PeerError::Unreachable(error.to_string())
+    match error.kind() {
+        std::io::ErrorKind::ConnectionRefused => PeerError::Refused,
+        _ => PeerError::Unreachable(error.to_string()),
+    }
 }
 
 /// Why an exchange on a link gave no answer, by whether the request was sent.
--- a/daemon/src/engine/remote.rs
+++ b/daemon/src/engine/remote.rs
@@ -28,6 +28,7 @@
 use chervilwharf_lib::statement::Access;
 use chervilwharf_lib::statement::Answer;
 use chervilwharf_lib::statement::Statement;
+use chervilwharf_lib::statement_timing;
 
 use crate::engine::clock::now;
 use crate::engine::event_log;
@@ -248,7 +249,12 @@
             return None;
         }
         let group = &request.route.group;
-        let found = session.engine().find_holder(group, &session.affinity(), &self.tried).await?;
+        let objective = request.route.objective;
+        let start_wait_until = request.arrived_at + statement_timing::max_start_wait(objective);
+        let found = session
+            .engine()
+            .find_holder(group, &session.affinity(), &self.tried, start_wait_until)
+            .await?;
         // If the chosen holder recently refused statements of this group, all reachable ones
         // that are left did. Only one of them is tried, since the client can retry at another
         // instance, which may be able to serve the request.
@@ -362,10 +368,12 @@
 ) -> Result<StatementReply, SendError> {
     let sent_at = now();
     let limit = LIVENESS_TIMEOUT.min(request.time_left(sent_at));
-    let Ok(Ok(())) = tokio::time::timeout(limit, link.open(holder.peer_address)).await else {
-        engine.peer_contacts().record_no_answer(sent_at, &holder.id);
+    let opened = tokio::time::timeout(limit, link.open(holder.peer_address)).await;
+    if !matches!(opened, Ok(Ok(()))) {
+        let error = opened.ok().and_then(Result::err);
+        engine.peer_contacts().record_failure(sent_at, &holder.id, error.as_ref());
         return Err(SendError::NotSent);
-    };
+    }
     let ticket = statement.ticket;
     let exchange = link.exchange(holder.peer_address, Body::Statement(statement));
     let time_left = request.time_left(now());
--- a/daemon/src/engine/shared.rs
+++ b/daemon/src/engine/shared.rs
@@ -484,8 +484,7 @@
     /// instances and at least one server, and is not stopping.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        let prepared = self.catalog().version > 0 && self.is_fleet_known();
-        if self.is_stopping() || !prepared {
+        if self.is_stopping() || !self.is_prepared() {
             return false;
         }
         let shards = self.shards();
--- a/daemon/src/engine/shared/known_fleet.rs
+++ b/daemon/src/engine/shared/known_fleet.rs
@@ -163,6 +163,12 @@
         tokio::time::timeout(limit, fleet_known.wait_for(|known| *known)).await.is_ok()
     }
 
+    /// Whether this instance has a configuration and knows the other instances.
+    #[must_use]
+    pub fn is_prepared(&self) -> bool {
+        self.catalog().version > 0 && self.is_fleet_known()
+    }
+
     /// Waits until there is a configuration and the fleet is known, at most for `limit`.
     /// Returns whether both hold.
     pub async fn wait_until_prepared(&self, limit: Duration) -> bool {
--- a/daemon/tests/test_forwarded_session.rs
+++ b/daemon/tests/test_forwarded_session.rs
@@ -9,7 +9,9 @@
 use chervilwharf_daemon::engine::peers::ForwardedStatementHandler;
 use chervilwharf_daemon::engine::records;
 use chervilwharf_daemon::engine::shared::Engine;
+use chervilwharf_lib::catalog::Catalog;
 use chervilwharf_lib::catalog::Consistency;
+use chervilwharf_lib::catalog::GroupSettings;
 use chervilwharf_lib::catalog::Route;
 use chervilwharf_lib::engine_protos;
 use chervilwharf_lib::engine_protos::statement::Work;
@@ -58,3 +60,21 @@
         assert_eq!((reply.floor_term, reply.floor_index), (3, 1_207), "{kind}");
     }
 }
+
+/// Guards against an instance that has just started and refuses the first statements of a group
+/// that it holds, because it does not have the configuration yet.
+#[tokio::test]
+async fn test_started_holder_waits_for_its_configuration_before_it_refuses_a_statement() {
+    let engine = Arc::new(Engine::new(instance("one"), Arc::new(NoServer)));
+    let starting = engine.clone();
+    tokio::spawn(async move {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let group = GroupSettings { max_connections: 20, sync_replicas: 0 };
+        let groups = [("db".into(), group)].into_iter().collect();
+        let catalog = Catalog { version: 1, groups, ..Catalog::default() };
+        assert!(starting.set_catalog(&Arc::new(catalog)));
+        starting.set_fleet_known();
+    });
+    let reply = ForwardedSession::new(engine).run(statement()).await;
+    assert_ne!(reply.error, ErrorKind::NotOwner.name());
+}
--- a/lib/src/peer_contact.rs
+++ b/lib/src/peer_contact.rs
@@ -43,6 +43,14 @@
 /// additional unreachable instance costs those that would use it.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Interval between liveness checks of a starting instance. It is short because a process
+/// accepts connections some ten milliseconds after it was started.
+pub const STARTING_RECHECK_INTERVAL: Duration = Duration::from_millis(40);
+
+/// How long an instance that refuses connections counts as starting. A process that was
+/// killed is started again after a shorter delay.
+const STARTING_PERIOD: Duration = Duration::from_secs(2);
+
 /// Reachability of another instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Reachability {
@@ -65,6 +73,16 @@
     unreachable: bool,
     /// When the last liveness check was due, or a message went unanswered.
     checked_at: Moment,
+    /// Since when the peer's machine has refused connections; `None` if it did not refuse the
+    /// last one.
+    refusing_since: Option<Moment>,
+}
+
+impl PeerState {
+    /// Whether the process of the peer is presumably being started.
+    fn is_starting(&self, now: Moment) -> bool {
+        self.refusing_since.is_some_and(|since| since + STARTING_PERIOD > now)
+    }
 }
 
 /// Reachability of all peers of one instance.
@@ -82,6 +100,7 @@
     pub fn record_answer(&mut self, asked_at: Moment, id: &InstanceId) -> bool {
         let known = self.peers.entry(id.clone()).or_default();
         known.answered_sent_at = known.answered_sent_at.max(asked_at);
+        known.refusing_since = None;
         std::mem::take(&mut known.unreachable)
     }
 
@@ -94,6 +113,7 @@
             return false;
         }
         known.checked_at = now;
+        known.refusing_since = None;
         let newly_unreachable = !std::mem::replace(&mut known.unreachable, true);
         if newly_unreachable {
             let since = match self.suspicion {
@@ -105,6 +125,25 @@
         newly_unreachable
     }
 
+    /// Records that a connection to a peer was refused: its machine is reachable, but its
+    /// process does not run. Returns whether this makes the peer unreachable.
+    ///
+    /// Unlike a missing answer, it is no sign of a partition, so other peers need not pass a
+    /// liveness check.
+    pub fn record_refused_connection(&mut self, now: Moment, id: &InstanceId) -> bool {
+        let known = self.peers.entry(id.clone()).or_default();
+        known.checked_at = now;
+        known.refusing_since.get_or_insert(now);
+        !std::mem::replace(&mut known.unreachable, true)
+    }
+
+    /// Whether the process of a peer is presumably being started, so that it can get
+    /// statements soon.
+    #[must_use]
+    pub fn is_starting(&self, now: Moment, id: &InstanceId) -> bool {
+        self.peers.get(id).is_some_and(|peer| peer.is_starting(now))
+    }
+
     /// Returns the reachability of a peer.
     #[must_use]
     pub fn reachability(&self, now: Moment, id: &InstanceId) -> Reachability {
@@ -129,7 +168,11 @@
             return false;
         }
         let known = self.peers.entry(id.clone()).or_default();
-        let pause = if known.unreachable { RECHECK_INTERVAL } else { LIVENESS_TIMEOUT };
+        let pause = match (known.unreachable, known.is_starting(now)) {
+            (false, _) => LIVENESS_TIMEOUT,
+            (true, false) => RECHECK_INTERVAL,
+            (true, true) => STARTING_RECHECK_INTERVAL,
+        };
         let due = known.checked_at + pause <= now;
         if due {
             known.checked_at = now;
--- a/lib/src/statement_timing.rs
+++ b/lib/src/statement_timing.rs
@@ -64,3 +64,12 @@
 pub fn max_wait(objective: Duration) -> Duration {
     objective * 3 / 4
 }
+
+/// How long a request may wait for the first of the instances that can serve it to start.
+///
+/// Half of the objective: the rest is enough to serve the request there in time, and a client
+/// that is refused instead needs about as long to connect again.
+#[must_use]
+pub fn max_start_wait(objective: Duration) -> Duration {
+    objective / 2
+}
--- a/lib/tests/test_peer_contact.rs
+++ b/lib/tests/test_peer_contact.rs
@@ -367,3 +367,32 @@
     };
     Candidate { record, reachability: Reachability::Reachable, recently_refused: false, near }
 }
+
+/// Guards against a restarted instance that gets no statements for 400 ms after it accepts
+/// connections again, and against liveness checks of all instances because the process of one
+/// is being started.
+#[test]
+fn test_instance_that_refuses_connections_is_checked_again_soon_and_raises_no_suspicion() {
+    let mut peer_contacts = PeerContacts::default();
+    assert!(peer_contacts.record_refused_connection(at(1_000), &id("a")));
+    assert!(peer_contacts.is_starting(at(1_000), &id("a")));
+    assert_eq!(peer_contacts.reachability(at(1_000), &id("a")), Reachability::Unreachable);
+    assert_eq!(peer_contacts.reachability(at(1_000), &id("b")), Reachability::Reachable);
+    assert!(!peer_contacts.take_due_liveness_check(at(1_010), &id("a")), "it was checked just now");
+    assert!(peer_contacts.take_due_liveness_check(at(1_040), &id("a")));
+    assert!(!peer_contacts.record_refused_connection(at(1_041), &id("a")), "it was unreachable");
+    assert!(peer_contacts.record_answer(at(1_080), &id("a")));
+    assert!(!peer_contacts.is_starting(at(1_081), &id("a")));
+}
+
+/// Guards against frequent liveness checks of an instance that has been stopped for good.
+#[test]
+fn test_instance_that_refuses_connections_for_long_no_longer_counts_as_starting() {
+    let mut peer_contacts = PeerContacts::default();
+    for step in 0..100 {
+        peer_contacts.record_refused_connection(at(1_000 + step * 40), &id("a"));
+    }
+    assert!(!peer_contacts.is_starting(at(5_000), &id("a")));
+    assert!(!peer_contacts.take_due_liveness_check(at(5_100), &id("a")));
+    assert!(peer_contacts.take_due_liveness_check(at(5_400), &id("a")));
+}
