engine: the clock of an operation: late transactions are counted, and wait by what is left

Cause: the objective covers a whole operation, but each statement of a transaction was given a new, full objective: it waited by it, and was logged as late by itself or not at all.

Change: a session keeps the clock of its operation (lib/operation_clock). The first statement of a transaction waits only so long that those that follow, by the smoothed figures of the route, can still end within the objective, but at least a quarter of what a single statement may wait. Forwarded statements carry what is left (field 18); replies tell how the holder spent its time (fields 12 to 14). A late operation is logged once, as operation_late in place of request_late, with its parts, and counted by its largest part; `explain` and `report loss` read both events. Where all instances hold connections to a group, waits are as before.

Not measured: how far the late operations in the logs and those that callers count agree, and the effect of the shorter waits under load.

--- a/daemon/src/engine/forwarded_session.rs
+++ b/daemon/src/engine/forwarded_session.rs
@@ -86,7 +86,9 @@
         };
         let arrived_at = now();
         let deadline = arrived_at + Duration::from_millis(statement.time_left_ms);
-        let request = Request { id: statement.id.into(), route, arrived_at, deadline };
+        let objective_left = statement.objective_left_ms.map(Duration::from_millis);
+        let id = statement.id.into();
+        let request = Request { id, route, arrived_at, deadline, objective_left };
         let engine = self.engine.clone();
         let session = self.session.get_or_insert_with(|| {
             Session::forwarded_session(engine, &request.route, caller.clone())
@@ -208,7 +210,11 @@
 fn encode_reply(session: &Session, result: Result<Served, Failure>) -> StatementReply {
     let floor = session.floor().unwrap_or(Position::ZERO);
     let state = session.state();
+    let parts = &session.trace().parts;
     let mut reply = StatementReply {
+        waited_ms: records::nearest_milliseconds(parts.waited),
+        opening_ms: records::nearest_milliseconds(parts.opening),
+        at_server_ms: records::nearest_milliseconds(parts.at_server),
         in_transaction: state != TransactionState::Idle,
         failed: state == TransactionState::Failed,
         floor_term: floor.term,
--- a/daemon/src/engine/holders.rs
+++ b/daemon/src/engine/holders.rs
@@ -158,6 +158,13 @@
         self.holder_lists().lock().table.holds(group)
     }
 
+    /// Whether some instances hold no connections to a group, and forward its statements.
+    #[must_use]
+    pub fn forwards_some(&self, group: &GroupId) -> bool {
+        self.check_holders();
+        !self.holder_lists().lock().table.all_hold(group)
+    }
+
     /// The other instances that hold connections to a group.
     #[must_use]
     pub fn co_holders(&self, group: &GroupId) -> Vec<InstanceRecord> {
--- a/daemon/src/engine/lease.rs
+++ b/daemon/src/engine/lease.rs
@@ -1,6 +1,7 @@
 //! Pooled connections, and leases, which lend a connection to one request or transaction.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use chervilwharf_lib::connection_setup::ConnectionSetup;
 use chervilwharf_lib::connection_setup::SessionValues;
@@ -26,14 +27,32 @@
     setup_pending: bool,
     /// When the server last answered on it.
     answered_at: Moment,
+    /// When its opening began; `None` once a request has used it.
+    opening_began_at: Option<Moment>,
 }
 
 impl PooledConnection {
-    /// Wraps a connection that was just opened.
+    /// Wraps a connection that was just opened. `began_at` is when its opening began.
     #[must_use]
-    pub fn new(account: Option<AccountId>, connection: Box<dyn ServerConnection>) -> Self {
-        let (connection_setup, answered_at) = (ConnectionSetup::default(), now());
-        Self { account, connection, connection_setup, setup_pending: false, answered_at }
+    pub fn new(
+        account: Option<AccountId>,
+        connection: Box<dyn ServerConnection>,
+        began_at: Moment,
+    ) -> Self {
+        Self {
+            account,
+            connection,
+            connection_setup: ConnectionSetup::default(),
+            setup_pending: false,
+            answered_at: now(),
+            opening_began_at: Some(began_at),
+        }
+    }
+
+    /// For how long after `since` it was being opened, for its first user; zero for later ones.
+    pub fn take_opening_time(&mut self, since: Moment) -> Duration {
+        let began_at = self.opening_began_at.take();
+        began_at.map_or(Duration::ZERO, |at| self.answered_at.saturating_sub(at.max(since)))
     }
 
     /// How many statements it takes to set the connection up for a session.
--- a/daemon/src/engine/metrics.rs
+++ b/daemon/src/engine/metrics.rs
@@ -9,6 +9,7 @@
 use chervilwharf_lib::error_kind::ErrorKind;
 use chervilwharf_lib::id::GroupId;
 use chervilwharf_lib::moment::Moment;
+use chervilwharf_lib::operation_clock::OperationPart;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -45,6 +46,16 @@
     pub group: String,
 }
 
+/// Labels of operations that were late.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+pub struct LateLabels {
+    /// The group.
+    pub group: String,
+    /// What the operation spent most time on, the name of an [`OperationPart`].
+    pub part: &'static str,
+}
+
 /// Labels of the time that statements spend at servers.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
@@ -181,6 +192,10 @@
     wait_seconds: HistogramFamily<GroupLabels>,
     /// Time that statements spent at servers.
     server_seconds: HistogramFamily<ServerLabels>,
+    /// Operations that were served.
+    operations: Family<GroupLabels, Counter>,
+    /// Operations that were served later than their objective.
+    operations_late: Family<LateLabels, Counter>,
     /// Failed attempts that were retried, by the kind of error.
     retries: Family<ReasonLabels, Counter>,
     /// Metrics of calls to the platform's store.
@@ -214,6 +229,8 @@
             statement_seconds: histograms(),
             wait_seconds: histograms(),
             server_seconds: histograms(),
+            operations: Family::default(),
+            operations_late: Family::default(),
             retries: Family::default(),
             store: StoreMetrics::default(),
             accounts: AccountMetrics::default(),
@@ -250,6 +267,12 @@
             "Time that statements spent at servers",
             self.server_seconds.clone(),
         );
+        registry.register("operations", "Operations that were served", self.operations.clone());
+        registry.register(
+            "operations_late",
+            "Operations that were served late, by the part that took longest",
+            self.operations_late.clone(),
+        );
         registry.register("tries_again", "Failed attempts that were retried", self.retries.clone());
         let statements = self.accounts.statements.clone();
         registry.register("account_statements", "Completed statements by account", statements);
@@ -315,6 +338,18 @@
         self.server_seconds.get_or_create(&labels).observe(at_server.as_secs_f64());
     }
 
+    /// The counter of the operations of a group that were served.
+    #[must_use]
+    pub fn operations_of(&self, group: &GroupId) -> Counter {
+        self.operations.get_or_create(&GroupLabels { group: group.to_string() }).clone()
+    }
+
+    /// Counts an operation that was late, by the part that took longest.
+    pub fn record_late_operation(&self, group: &GroupId, part: OperationPart) {
+        let labels = LateLabels { group: group.to_string(), part: part.name() };
+        self.operations_late.get_or_create(&labels).inc();
+    }
+
     /// Records the time of a step in the replacement of a primary.
     pub fn replacement_step(&self, phase: &'static str, took: Duration) {
         let seconds = self.replacement_seconds.get_or_create(&PhaseLabels { phase });
--- a/daemon/src/engine/mod.rs
+++ b/daemon/src/engine/mod.rs
@@ -53,5 +53,6 @@
 pub mod survey;
 pub mod trace;
 pub mod transaction;
+pub mod transaction_times;
 pub mod transfer;
 pub mod waiting;
--- a/daemon/src/engine/records.rs
+++ b/daemon/src/engine/records.rs
@@ -29,6 +29,12 @@
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
+/// Encodes a duration in the nearest number of milliseconds, for sums of many short times.
+#[must_use]
+pub fn nearest_milliseconds(duration: Duration) -> u64 {
+    milliseconds(duration + Duration::from_micros(500))
+}
+
 /// Encodes a duration that must not be taken for a shorter one, in more milliseconds than it
 /// has.
 #[must_use]
--- a/daemon/src/engine/remote.rs
+++ b/daemon/src/engine/remote.rs
@@ -20,6 +20,7 @@
 use chervilwharf_lib::fleet::InstanceRecord;
 use chervilwharf_lib::id::InstanceId;
 use chervilwharf_lib::moment::Moment;
+use chervilwharf_lib::operation_clock::TimeParts;
 use chervilwharf_lib::peer_contact::LIVENESS_CHECK_AFTER;
 use chervilwharf_lib::peer_contact::LIVENESS_TIMEOUT;
 use chervilwharf_lib::position::Position;
@@ -345,13 +346,25 @@
     let sent_at = now();
     let engine = session.engine().clone();
     let result = exchange(&engine, request, holder, link, statement, abandoning).await;
-    session.trace_mut().record_attempt(holder.id.clone(), now().saturating_sub(sent_at));
+    let took = now().saturating_sub(sent_at);
+    let parts = parts_of_exchange(took, result.as_ref().ok());
+    session.trace_mut().record_exchange(holder.id.clone(), took, &parts);
     if result.is_ok() {
         engine.peer_contacts().record_answer(sent_at, &holder.id);
     }
     result
 }
 
+/// How the time of an exchange with a holder was spent.
+fn parts_of_exchange(took: Duration, reply: Option<&StatementReply>) -> TimeParts {
+    let reported = |part: fn(&StatementReply) -> u64| {
+        reply.map_or(Duration::ZERO, |reply| Duration::from_millis(part(reply)))
+    };
+    let waited = reported(|reply| reply.waited_ms);
+    let opening = reported(|reply| reply.opening_ms);
+    TimeParts::of_exchange(took, waited, opening, reported(|reply| reply.at_server_ms))
+}
+
 async fn exchange(
     engine: &Engine,
     request: &Request,
@@ -424,7 +437,11 @@
         .iter()
         .map(|(name, value)| SessionValue { name: name.to_string(), value: value.to_string() });
     let floor = session.floor().unwrap_or(Position::ZERO);
-    let time_left = request.time_left(now()).saturating_sub(PEER_ROUND_TRIP_RESERVE);
+    let at = now();
+    let time_left = request.time_left(at).saturating_sub(PEER_ROUND_TRIP_RESERVE);
+    let objective_left = request.objective_left_at(at);
+    let objective_left =
+        objective_left.filter(|_| session.engine().forwards_some(&request.route.group));
     engine_protos::Statement {
         id: request.id.to_string(),
         route: Some(records::encode_route(&request.route)),
@@ -439,6 +456,7 @@
         key_digest: session.caller().key.as_bytes().to_vec(),
         configuration_version: session.caller().configuration_version,
         ticket: rand::random(),
+        objective_left_ms: objective_left.map(records::milliseconds),
     }
 }
 
--- a/daemon/src/engine/request.rs
+++ b/daemon/src/engine/request.rs
@@ -8,6 +8,7 @@
 use chervilwharf_lib::error_kind::ErrorKind;
 use chervilwharf_lib::id::RequestId;
 use chervilwharf_lib::moment::Moment;
+use chervilwharf_lib::operation_clock;
 use chervilwharf_lib::position::Position;
 use chervilwharf_lib::server_refusal::ServerRefusal;
 use chervilwharf_lib::statement::Answer;
@@ -24,6 +25,9 @@
     pub arrived_at: Moment,
     /// When its result has to be ready.
     pub deadline: Moment,
+    /// What was left of the objective for it when it arrived; `None` for the whole objective of
+    /// the route.
+    pub objective_left: Option<Duration>,
 }
 
 impl Request {
@@ -35,8 +39,21 @@
     /// for a new connection there.
     #[must_use]
     pub fn in_time_until(&self, now: Moment) -> Moment {
-        let max_wait = statement_timing::max_wait(self.route.objective);
-        (self.arrived_at + max_wait).max(now + max_wait / 2).min(self.deadline)
+        let objective = self.route.objective;
+        let max_wait = statement_timing::max_wait(objective);
+        let left = self.objective_left;
+        let limit = left.map_or(max_wait, |left| operation_clock::wait_limit(objective, left));
+        (self.arrived_at + limit).max(now + limit.min(max_wait / 2)).min(self.deadline)
+    }
+
+    /// What is left of the objective for the statement, if that is at least a millisecond less
+    /// than the whole.
+    #[must_use]
+    pub fn objective_left_at(&self, now: Moment) -> Option<Duration> {
+        let objective = self.route.objective;
+        let left = self.objective_left.unwrap_or(objective);
+        let left = left.saturating_sub(now.saturating_sub(self.arrived_at));
+        (left + Duration::from_millis(1) <= objective).then_some(left)
     }
 
     /// Time left until the deadline.
--- a/daemon/src/engine/session.rs
+++ b/daemon/src/engine/session.rs
@@ -8,6 +8,7 @@
 
 mod account;
 mod idle;
+mod operation;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -45,6 +46,7 @@
 use crate::engine::request::Request;
 use crate::engine::request::Served;
 use crate::engine::server_connection::Step;
+use crate::engine::session::operation::SessionOperation;
 use crate::engine::shard::Shard;
 use crate::engine::shared::Engine;
 use crate::engine::shared::SessionGuard;
@@ -93,6 +95,7 @@
     /// Whether a statement of the transaction is running.
     in_transaction: bool,
     trace: StatementTrace,
+    operation: SessionOperation,
     /// Random number below [`RANDOM_NUMBER_LIMIT`], or 0 in a forwarded session. It sets when a
     /// planned stop closes the session, and which holder its statements go to if the client
     /// has no account.
@@ -195,6 +198,7 @@
             transaction: None,
             in_transaction: false,
             trace: StatementTrace::default(),
+            operation: SessionOperation::default(),
             random_number,
             open_guard: Some(engine.count_session()),
             closes_after_failure: false,
@@ -368,12 +372,15 @@
     /// Runs one statement of the client.
     pub async fn run(&mut self, id: RequestId, statement: Statement) -> Reply {
         let began_at = now();
+        self.operation.clock.begin_statement(began_at);
         let (database, account) = (self.database.clone(), self.caller.account.clone());
         self.trace =
             StatementTrace { id: id.clone(), database, account, ..StatementTrace::default() };
         let kind = self.kind_of(&statement);
         let result = self.dispatch(id, statement).await;
-        self.report(kind, result.as_ref().err(), now().saturating_sub(began_at));
+        let ended_at = now();
+        self.report(kind, result.as_ref().err(), ended_at.saturating_sub(began_at));
+        self.end_statement(ended_at, result.is_err());
         let refused = result.as_ref().err().map(|failure| failure.kind);
         self.closes_after_failure |= refused.is_some_and(ErrorKind::ends_session);
         let state = self.state();
@@ -426,13 +433,15 @@
             return;
         }
         metrics.record_times(group, self.role_of_server(), self.trace.waited, self.trace.at_server);
-        let objective = self.engine.route(&self.database).map(|route| route.objective);
-        if let Some(objective) = objective.filter(|objective| took > *objective) {
-            self.trace.log_late(group, took, objective);
-        }
     }
 
     /// The trace of the current statement.
+    #[must_use]
+    pub fn trace(&self) -> &StatementTrace {
+        &self.trace
+    }
+
+    /// The trace of the current statement, to add to it.
     pub fn trace_mut(&mut self) -> &mut StatementTrace {
         &mut self.trace
     }
@@ -465,8 +474,9 @@
             values: &self.values,
             prepared,
         };
-        let acquired = self.shard.acquire(&connection_request).await;
-        self.trace.waited += now().saturating_sub(began_at);
+        let mut acquired = self.shard.acquire(&connection_request).await;
+        let opening = acquired.as_mut().map(|lease| lease.connection().take_opening_time(began_at));
+        self.trace.record_wait(now().saturating_sub(began_at), opening.unwrap_or_default());
         acquired
     }
 
@@ -538,10 +548,11 @@
         Ok(route)
     }
 
-    fn request(id: RequestId, route: Arc<Route>) -> Request {
+    fn request(&self, id: RequestId, route: Arc<Route>) -> Request {
         let arrived_at = now();
         let deadline = arrived_at + route.timeout.saturating_sub(ANSWER_RESERVE);
-        Request { id, route, arrived_at, deadline }
+        let objective_left = self.objective_left(arrived_at, &route);
+        Request { id, route, arrived_at, deadline, objective_left }
     }
 
     async fn run_operation(
@@ -555,7 +566,7 @@
             None => self.resolve()?,
         };
         self.check_caller(&route)?;
-        let request = Self::request(id, route);
+        let request = self.request(id, route);
         self.count_operation(request.time_left(now())).await?;
         let single = self.transaction.is_none();
         let result = self.run_work(&request, &work, writes).await;
@@ -604,7 +615,7 @@
         };
         let route = transaction.route.clone();
         self.check_caller(&route)?;
-        let request = Self::request(id, route);
+        let request = self.request(id, route);
         self.commit_work(&request).await
     }
 
--- a/daemon/src/engine/session/account.rs
+++ b/daemon/src/engine/session/account.rs
@@ -8,6 +8,7 @@
 use chervilwharf_lib::error_kind::Outcome;
 
 use crate::engine::caller::Caller;
+use crate::engine::clock::now;
 use crate::engine::request::Failure;
 use crate::engine::session::Session;
 
@@ -49,7 +50,9 @@
         let Some(account) = self.caller.account.clone() else {
             return Ok(());
         };
+        let asked_at = now();
         let counted = self.engine.admit_operation(&account, limit).await;
+        self.trace.parts.way += now().saturating_sub(asked_at);
         if let Some(transaction) = &mut self.transaction {
             transaction.is_counted = counted.is_ok();
             if counted.is_err() {
--- a/daemon/src/engine/shard.rs
+++ b/daemon/src/engine/shard.rs
@@ -517,7 +517,7 @@
         match result {
             Ok(connection) if usable => {
                 pool.view.open += 1;
-                pool.idle.push(PooledConnection::new(account, connection));
+                pool.idle.push(PooledConnection::new(account, connection, began_at));
                 inner.group.observe_answer(now, server, None);
             }
             Ok(_) => {}
--- a/daemon/src/engine/shared.rs
+++ b/daemon/src/engine/shared.rs
@@ -70,6 +70,7 @@
 use crate::engine::server_connection::Connector;
 use crate::engine::shard::Shard;
 use crate::engine::store_era::StoreEra;
+use crate::engine::transaction_times::TransactionTimes;
 
 /// How long servers keep the connections of a client that lost power. For this long after
 /// a start, connections of earlier incarnations may still occupy the servers: an instance
@@ -145,6 +146,7 @@
     /// Set once a planned stop has begun.
     stopping: watch::Sender<Option<StopPlan>>,
     sessions: watch::Sender<usize>,
+    transaction_times: TransactionTimes,
     quota: QuotaControl,
     quota_tolerance: Option<QuotaTolerance>,
     last_configuration_pull: LastConfigurationPull,
@@ -200,6 +202,7 @@
             earlier_record: Mutex::default(),
             stopping: watch::Sender::new(None),
             sessions: watch::Sender::new(0),
+            transaction_times: TransactionTimes::default(),
             quota: QuotaControl::new(now()),
             quota_tolerance: None,
             last_configuration_pull: LastConfigurationPull::default(),
@@ -313,6 +316,12 @@
         &self.metrics
     }
 
+    /// Figures of the transactions on each route.
+    #[must_use]
+    pub fn transaction_times(&self) -> &TransactionTimes {
+        &self.transaction_times
+    }
+
     /// State of the monitoring of all primaries.
     #[must_use]
     pub fn watches(&self) -> &LeaderWatches {
--- a/daemon/src/engine/trace.rs
+++ b/daemon/src/engine/trace.rs
@@ -9,6 +9,7 @@
 use chervilwharf_lib::id::AccountId;
 use chervilwharf_lib::id::RequestId;
 use chervilwharf_lib::id::TargetId;
+use chervilwharf_lib::operation_clock::TimeParts;
 use chervilwharf_lib::position::Position;
 
 use crate::engine::event_log;
@@ -31,17 +32,35 @@
     pub waited: Duration,
     /// Total time between sending it and the replies.
     pub at_server: Duration,
+    /// How its time was spent, with the parts that holders reported.
+    pub parts: TimeParts,
     /// Lowest position that the last server had to have applied; `None` if the statement
     /// needed the primary.
     pub floor: Option<Position>,
 }
 
 impl StatementTrace {
-    /// Records that it was sent to a server or instance, and how long the exchange took.
+    /// Records that it was sent to a server, and how long the exchange took.
     pub fn record_attempt(&mut self, server: TargetId, took: Duration) {
+        self.record_exchange(server, took, &TimeParts { at_server: took, ..TimeParts::default() });
+    }
+
+    /// Records that it was sent to a server or another instance, how long the exchange took, and
+    /// how that time was spent.
+    pub fn record_exchange(&mut self, server: TargetId, took: Duration, parts: &TimeParts) {
         self.tries += 1;
         self.server = Some(server);
         self.at_server += took;
+        self.parts.add(parts);
+    }
+
+    /// Records a wait for a connection. For the time `opening` of it, the connection was being
+    /// opened.
+    pub fn record_wait(&mut self, waited: Duration, opening: Duration) {
+        self.waited += waited;
+        let opening = opening.min(waited);
+        self.parts.opening += opening;
+        self.parts.waited += waited.saturating_sub(opening);
     }
 
     /// Logs that an attempt failed and another one follows.
@@ -71,12 +90,6 @@
         event_log::emit(&event);
     }
 
-    /// Logs that the statement was served later than its objective.
-    pub fn log_late(&self, group: &str, took: Duration, objective: Duration) {
-        let event = self.event(EventKind::RequestLate, group).with_ms("took_ms", took);
-        event_log::emit(&event.with_ms("objective_ms", objective));
-    }
-
     fn event(&self, kind: EventKind, group: &str) -> Event {
         Event::new(kind)
             .with("id", &self.id)
--- a/lib/src/event.rs
+++ b/lib/src/event.rs
@@ -188,8 +188,12 @@
     RequestRefused, "request_refused", Request;
     /// A request ended with an unknown outcome: its changes may have been kept.
     RequestUnknown, "request_unknown", Request;
-    /// A request was served, but took longer than its latency objective.
+    /// A request was served, but took longer than its latency objective. Written by earlier
+    /// builds only; instances now write `operation_late`.
     RequestLate, "request_late", Request;
+    /// An operation, which is a single statement or a transaction, was served, but took
+    /// longer than its latency objective.
+    OperationLate, "operation_late", Request;
     /// A transaction was rolled back because its client left it idle.
     TransactionRested, "transaction_rested", Request;
     /// Log lines of one kind were omitted because of its rate limit.
--- a/lib/src/explanation.rs
+++ b/lib/src/explanation.rs
@@ -8,6 +8,8 @@
 use serde_json::Map;
 use serde_json::Value;
 
+use crate::operation_clock::OperationPart;
+
 /// A parsed log line.
 #[derive(Clone, Debug, PartialEq)]
 pub struct LogLine {
@@ -81,6 +83,17 @@
     pub fn number(&self, field: &str) -> f64 {
         self.fields.get(field).and_then(Value::as_f64).unwrap_or(0.0)
     }
+
+    /// The part that a late operation spent most time on, with its milliseconds; `None` if the
+    /// line is not about a late operation.
+    #[must_use]
+    pub fn largest_part(&self) -> Option<(OperationPart, f64)> {
+        if self.event != "operation_late" {
+            return None;
+        }
+        let parts = OperationPart::ALL.into_iter().map(|part| (part, self.number(part.field())));
+        parts.max_by(|(_, a), (_, b)| a.total_cmp(b))
+    }
 }
 
 /// A line of an explanation: a log line, and the number of similar ones.
@@ -280,6 +293,17 @@
         ("request_late", _) => {
             format!("it spent {at_server} ms at servers, the last one was {server}{context}")
         }
+        ("operation_late", _) => {
+            let (part, ms) = last.largest_part()?;
+            let statements = last.number("statements");
+            let took = last.number("took_ms");
+            let unavoidable = last.number("unavoidable_ms");
+            format!(
+                "of {took} ms for {statements} statements, {ms} ms were spent {}, and \
+                 {unavoidable} ms were unavoidable{context}",
+                part.description()
+            )
+        }
         ("request_refused", reason) => format!("refused: {reason}{context}"),
         _ => return None,
     };
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod loss;
 pub mod membership;
 pub mod moment;
+pub mod operation_clock;
 pub mod ownership;
 pub mod ownership_types;
 pub mod peer_contact;
--- a/lib/src/loss.rs
+++ b/lib/src/loss.rs
@@ -21,8 +21,12 @@
 
 /// Events of requests that failed or were late, and the name of each ending in the
 /// report.
-const ENDINGS: [(&str, &str); 3] =
-    [("request_refused", "refused"), ("request_unknown", "unknown"), ("request_late", "late")];
+const ENDINGS: [(&str, &str); 4] = [
+    ("request_refused", "refused"),
+    ("request_unknown", "unknown"),
+    ("request_late", "late"),
+    ("operation_late", "late"),
+];
 
 /// Requests with the same ending, reason and cause.
 #[derive(Clone, Debug, PartialEq)]
@@ -126,8 +130,8 @@
         let from_ms = (line.at_ms - begin_ms) / WINDOW_MS * WINDOW_MS;
         let empty = LossWindow { from_ms, ..LossWindow::default() };
         count(windows.entry(from_ms).or_insert(empty), ending);
-        let reason = line.text("reason").unwrap_or("served late").to_owned();
-        rows.entry((ending, reason, cause_of(line, &event_times))).or_default().push(line);
+        let key = (ending, reason_of(line), cause_of(line, &event_times));
+        rows.entry(key).or_default().push(line);
     }
     let mut rows: Vec<_> = rows
         .into_iter()
@@ -147,6 +151,14 @@
     ENDINGS.iter().find(|(event, _)| *event == line.event).map(|(_, ending)| *ending)
 }
 
+/// The immediate reason, from the line itself.
+fn reason_of(line: &LogLine) -> String {
+    if let Some((part, _)) = line.largest_part() {
+        return format!("served late, mostly {}", part.description());
+    }
+    line.text("reason").unwrap_or("served late").to_owned()
+}
+
 fn count(window: &mut LossWindow, ending: &str) {
     let counted = match ending {
         "refused" => &mut window.refused,
--- /dev/null
+++ b/lib/src/operation_clock.rs
@@ -0,0 +1,331 @@
+//! The clock of an operation: how much of the latency objective an operation has used, and how
+//! its time was spent.
+//!
+//! An operation is a single statement outside of a transaction, or a transaction from its BEGIN
+//! to its COMMIT or ROLLBACK. Its clock runs while the instance processes a statement, and is
+//! paused while the instance waits for the client's next statement. It adds one round trip to
+//! the client for each statement, since the client waits that long as well.
+
+use std::time::Duration;
+
+use crate::moment::Moment;
+use crate::statement_timing;
+
+/// Round trip to a client that is assumed until a shorter one is observed: the longest in use,
+/// 3 ms one way.
+pub const CLIENT_ROUND_TRIP: Duration = Duration::from_millis(6);
+
+/// The newest transaction has a weight of one over this in the figures of its route. The figures
+/// then follow a change within about 20 transactions, and a single long one changes them little.
+const SMOOTHING: u32 = 8;
+
+/// What the first statement of a transaction may wait at least, as a divisor of what a single
+/// statement may wait. Without a minimum, transactions on a slow route would all be late.
+const MIN_WAIT_DIVISOR: u32 = 4;
+
+/// How long a request may wait for a connection and still be in time, if `left` of the objective
+/// is left for it when its wait begins.
+///
+/// With the whole objective left, this is what a single statement may wait
+/// ([`statement_timing::max_wait`]).
+#[must_use]
+pub fn wait_limit(objective: Duration, left: Duration) -> Duration {
+    let max_wait = statement_timing::max_wait(objective);
+    let reserve = objective.saturating_sub(max_wait);
+    left.saturating_sub(reserve).clamp(max_wait / MIN_WAIT_DIVISOR, max_wait)
+}
+
+/// How the processing of one or more statements was spent.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct TimeParts {
+    /// Time in the queue for a connection.
+    pub waited: Duration,
+    /// Time in which a connection was opened for it.
+    pub opening: Duration,
+    /// Time between sending statements to servers and the replies.
+    pub at_server: Duration,
+    /// Time of exchanges with other instances that none of the other parts covers.
+    pub way: Duration,
+}
+
+impl TimeParts {
+    /// The parts of an exchange with a holder that took `exchange` here. `waited`, `opening` and
+    /// `at_server` are what the holder reported, zero if it did not. The rest is the way.
+    ///
+    /// Parts beyond the whole are cut, so that the parts always add up to it.
+    #[must_use]
+    pub fn of_exchange(
+        exchange: Duration,
+        waited: Duration,
+        opening: Duration,
+        at_server: Duration,
+    ) -> Self {
+        let mut left = exchange;
+        let mut take = |part: Duration| {
+            let part = part.min(left);
+            left -= part;
+            part
+        };
+        let (at_server, waited, opening) = (take(at_server), take(waited), take(opening));
+        Self { waited, opening, at_server, way: left }
+    }
+
+    /// Sum of all parts.
+    #[must_use]
+    pub fn total(&self) -> Duration {
+        self.waited + self.opening + self.at_server + self.way
+    }
+
+    /// Adds the parts of another statement or attempt.
+    pub fn add(&mut self, other: &Self) {
+        self.waited += other.waited;
+        self.opening += other.opening;
+        self.at_server += other.at_server;
+        self.way += other.way;
+    }
+}
+
+/// What an operation spent its time on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OperationPart {
+    /// The queue for a connection.
+    Waited,
+    /// The opening of a connection.
+    Opening,
+    /// Servers.
+    AtServer,
+    /// The way between instances.
+    Way,
+    /// Round trips to the client.
+    Client,
+    /// The instance of the client itself.
+    Own,
+}
+
+impl OperationPart {
+    /// All parts.
+    pub const ALL: [Self; 6] =
+        [Self::Waited, Self::Opening, Self::AtServer, Self::Way, Self::Client, Self::Own];
+
+    /// Its name as a metric label.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Waited => "waited",
+            Self::Opening => "opening",
+            Self::AtServer => "at_server",
+            Self::Way => "way",
+            Self::Client => "client",
+            Self::Own => "own",
+        }
+    }
+
+    /// Its field in log lines.
+    #[must_use]
+    pub fn field(self) -> &'static str {
+        match self {
+            Self::Waited => "waited_ms",
+            Self::Opening => "opening_ms",
+            Self::AtServer => "at_server_ms",
+            Self::Way => "way_ms",
+            Self::Client => "client_ms",
+            Self::Own => "own_ms",
+        }
+    }
+
+    /// A description for people, to follow "spent".
+    #[must_use]
+    pub fn description(self) -> &'static str {
+        match self {
+            Self::Waited => "waiting for a connection",
+            Self::Opening => "opening a connection",
+            Self::AtServer => "at servers",
+            Self::Way => "between instances",
+            Self::Client => "on round trips to the client",
+            Self::Own => "at the instance of the client",
+        }
+    }
+}
+
+/// An operation that was served to its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EndedOperation {
+    /// Number of its statements, including BEGIN and COMMIT or ROLLBACK.
+    pub statements: u32,
+    /// Its whole time, without pauses of the client.
+    pub took: Duration,
+    /// How the processing of its statements was spent.
+    pub parts: TimeParts,
+    /// Round trips to the client.
+    pub client: Duration,
+}
+
+impl EndedOperation {
+    /// Whether it took longer than its objective.
+    #[must_use]
+    pub fn is_late(&self, objective: Duration) -> bool {
+        self.took > objective
+    }
+
+    /// Whether it was a transaction.
+    #[must_use]
+    pub fn is_transaction(&self) -> bool {
+        self.statements > 1
+    }
+
+    /// Time that an idle system would have needed at most: round trips to the client and the
+    /// time at servers. The latter contains the servers' own queues, which are not visible from
+    /// outside.
+    #[must_use]
+    pub fn unavoidable(&self) -> Duration {
+        self.client + self.parts.at_server
+    }
+
+    /// Time of one of its parts.
+    #[must_use]
+    pub fn time_of(&self, part: OperationPart) -> Duration {
+        match part {
+            OperationPart::Waited => self.parts.waited,
+            OperationPart::Opening => self.parts.opening,
+            OperationPart::AtServer => self.parts.at_server,
+            OperationPart::Way => self.parts.way,
+            OperationPart::Client => self.client,
+            OperationPart::Own => self.took.saturating_sub(self.client + self.parts.total()),
+        }
+    }
+
+    /// The part that took longest.
+    #[must_use]
+    pub fn largest_part(&self) -> OperationPart {
+        let largest = OperationPart::ALL.into_iter().max_by_key(|part| self.time_of(*part));
+        largest.unwrap_or(OperationPart::Own)
+    }
+}
+
+/// The clock of a session's current operation.
+#[derive(Clone, Debug)]
+pub struct OperationClock {
+    /// Upper bound of the round trip to the session's client.
+    client_round_trip: Duration,
+    /// Number of statements of the operation, including the current one.
+    statements: u32,
+    statement_began_at: Moment,
+    statement_ended_at: Moment,
+    /// Time of the statements that have ended.
+    processing: Duration,
+    parts: TimeParts,
+    /// Whether any of its statements was sent to a server or another instance.
+    was_sent: bool,
+    failed: bool,
+}
+
+impl Default for OperationClock {
+    fn default() -> Self {
+        Self {
+            client_round_trip: CLIENT_ROUND_TRIP,
+            statements: 0,
+            statement_began_at: Moment::ZERO,
+            statement_ended_at: Moment::ZERO,
+            processing: Duration::ZERO,
+            parts: TimeParts::default(),
+            was_sent: false,
+            failed: false,
+        }
+    }
+}
+
+impl OperationClock {
+    /// Records that a statement arrived: the first one of an operation, or the next one of the
+    /// operation in progress.
+    ///
+    /// A client sends the next statement of a transaction after it has received the response to
+    /// the previous one, so the gap between them is at least one round trip.
+    pub fn begin_statement(&mut self, now: Moment) {
+        if self.statements > 0 {
+            let gap = now.saturating_sub(self.statement_ended_at);
+            self.client_round_trip = self.client_round_trip.min(gap);
+        }
+        self.statements += 1;
+        self.statement_began_at = now;
+    }
+
+    /// Records the response to the current statement. `was_sent` is whether the statement was
+    /// sent to a server or another instance.
+    pub fn end_statement(&mut self, now: Moment, parts: &TimeParts, was_sent: bool, failed: bool) {
+        self.processing += now.saturating_sub(self.statement_began_at);
+        self.statement_ended_at = now;
+        self.parts.add(parts);
+        self.was_sent |= was_sent;
+        self.failed |= failed;
+    }
+
+    /// Number of statements of the operation in progress, including the current one.
+    #[must_use]
+    pub fn statements(&self) -> u32 {
+        self.statements
+    }
+
+    /// What is left of the objective, during a statement. The round trip of the current statement
+    /// is not subtracted: as for a single statement, it is part of what
+    /// [`statement_timing::max_wait`] reserves.
+    #[must_use]
+    pub fn left(&self, now: Moment, objective: Duration) -> Duration {
+        let running = now.saturating_sub(self.statement_began_at);
+        let client = self.client_round_trip * self.statements.saturating_sub(1);
+        objective.saturating_sub(self.processing + running + client)
+    }
+
+    /// Ends the operation. Returns `None` if it was not served to its end, or was answered
+    /// without any server.
+    pub fn end_operation(&mut self) -> Option<EndedOperation> {
+        let client = self.client_round_trip * self.statements;
+        let ended = EndedOperation {
+            statements: self.statements,
+            took: self.processing + client,
+            parts: self.parts,
+            client,
+        };
+        let is_served = self.was_sent && !self.failed;
+        *self = Self { client_round_trip: self.client_round_trip, ..Self::default() };
+        is_served.then_some(ended)
+    }
+}
+
+/// Smoothed figures of the transactions on one route.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct TransactionFigures {
+    /// Number of statements of a transaction, including BEGIN and COMMIT or ROLLBACK.
+    statements: f64,
+    /// Time per statement with its round trip to the client. Waits for a connection and
+    /// the opening of one are left out, since the statements that follow the first one have a
+    /// connection.
+    per_statement: Duration,
+}
+
+impl TransactionFigures {
+    /// The figures after a first transaction.
+    #[must_use]
+    pub fn new(transaction: &EndedOperation) -> Self {
+        let per_statement = per_statement(transaction);
+        Self { statements: f64::from(transaction.statements), per_statement }
+    }
+
+    /// Adds a transaction that was served.
+    pub fn observe(&mut self, transaction: &EndedOperation) {
+        let weight = f64::from(SMOOTHING);
+        self.statements += (f64::from(transaction.statements) - self.statements) / weight;
+        let kept = self.per_statement * (SMOOTHING - 1);
+        self.per_statement = (kept + per_statement(transaction)) / SMOOTHING;
+    }
+
+    /// Expected time of the statements that follow statement number `current` of a transaction.
+    #[must_use]
+    pub fn following(&self, current: u32) -> Duration {
+        self.per_statement.mul_f64((self.statements - f64::from(current)).max(0.0))
+    }
+}
+
+fn per_statement(transaction: &EndedOperation) -> Duration {
+    let waits = transaction.parts.waited + transaction.parts.opening;
+    transaction.took.saturating_sub(waits) / transaction.statements.max(1)
+}
--- a/lib/src/protos/chervilwharf.engine.rs
+++ b/lib/src/protos/chervilwharf.engine.rs
@@ -317,6 +317,11 @@
     /// (SignOfLife); 0 if there will be none.
     #[prost(uint64, tag = "17")]
     pub ticket: u64,
+    /// Time within which the statement has to be answered so that its operation meets the
+    /// objective of the route; the expected time of the statements that follow is already
+    /// subtracted. If absent, the whole objective is left.
+    #[prost(uint64, optional, tag = "18")]
+    pub objective_left_ms: ::core::option::Option<u64>,
     #[prost(oneof = "statement::Work", tags = "9, 10, 11, 12, 13")]
     pub work: ::core::option::Option<statement::Work>,
 }
@@ -477,6 +482,14 @@
     pub floor_term: u64,
     #[prost(uint64, tag = "11")]
     pub floor_index: u64,
+    /// How the sender spent its time on the statement: in the queue for a connection, opening
+    /// one, and at servers. 0 if not known.
+    #[prost(uint64, tag = "12")]
+    pub waited_ms: u64,
+    #[prost(uint64, tag = "13")]
+    pub opening_ms: u64,
+    #[prost(uint64, tag = "14")]
+    pub at_server_ms: u64,
 }
 /// Asks for the records that the receiver has and the sender lacks.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- a/lib/tests/test_explanation.rs
+++ b/lib/tests/test_explanation.rs
@@ -140,3 +140,27 @@
         assert!(cause.contains("alder") && cause.contains(expected), "{cause}");
     }
 }
+
+/// Guards against a late transaction whose explanation does not tell where its time went. The
+/// line of an earlier build is explained as before.
+#[test]
+fn test_explanation_of_a_late_operation_tells_its_largest_part() {
+    let late = Event::new(EventKind::OperationLate)
+        .with("id", "r1")
+        .with("group", "db")
+        .with_count("statements", 12)
+        .with_ms("took_ms", Duration::from_millis(180))
+        .with_ms("waited_ms", Duration::from_millis(20))
+        .with_ms("at_server_ms", Duration::from_millis(40))
+        .with_ms("way_ms", Duration::from_millis(70))
+        .with_ms("client_ms", Duration::from_millis(50))
+        .with_ms("unavoidable_ms", Duration::from_millis(90));
+    let cause = |event: &Event| {
+        explanation::explain_request("r1", vec![line(5_000, "a", event)]).cause.expect("a cause")
+    };
+    let text = cause(&late);
+    assert!(text.contains("70 ms were spent between instances"), "{text}");
+    assert!(text.contains("90 ms were unavoidable"), "{text}");
+    let text = cause(&request(EventKind::RequestLate, "r1", ""));
+    assert!(text.contains("700 ms at servers"), "{text}");
+}
--- a/lib/tests/test_loss.rs
+++ b/lib/tests/test_loss.rs
@@ -107,3 +107,28 @@
     assert_eq!(cause("unknown_key"), "no account has the key any more");
     assert_eq!(cause("quota_unknown"), "no instance counted the account's operations");
 }
+
+/// Guards against late operations that the report leaves out, or whose largest part it does not
+/// tell; lines of earlier builds still count.
+#[test]
+fn test_late_operations_are_reported_by_their_largest_part() {
+    let late = |waited_ms, way_ms| {
+        Event::new(EventKind::OperationLate)
+            .with("id", "r")
+            .with("group", "db")
+            .with_ms("took_ms", Duration::from_millis(300))
+            .with_ms("waited_ms", Duration::from_millis(waited_ms))
+            .with_ms("way_ms", Duration::from_millis(way_ms))
+    };
+    let log = [
+        line(1_000, "a", &late(200, 20)),
+        line(1_100, "a", &late(20, 200)),
+        line(1_200, "a", &late(250, 10)),
+        line(1_300, "a", &ended(EventKind::RequestLate, "db", "", 500)),
+    ];
+    let report = loss::report(&log);
+    assert_eq!(report.windows[0].late, 4);
+    let counted: Vec<_> = report.rows.iter().map(|row| (&*row.reason, row.count)).collect();
+    assert!(counted.contains(&("served late, mostly waiting for a connection", 2)), "{counted:?}");
+    assert!(counted.contains(&("served late, mostly between instances", 1)), "{counted:?}");
+}
--- /dev/null
+++ b/lib/tests/test_operation_clock.rs
@@ -0,0 +1,196 @@
+//! Tests of the clock of an operation, and of the wait that it allows for a connection.
+
+use std::time::Duration;
+
+use chervilwharf_lib::moment::Moment;
+use chervilwharf_lib::operation_clock::CLIENT_ROUND_TRIP;
+use chervilwharf_lib::operation_clock::EndedOperation;
+use chervilwharf_lib::operation_clock::OperationClock;
+use chervilwharf_lib::operation_clock::OperationPart;
+use chervilwharf_lib::operation_clock::TimeParts;
+use chervilwharf_lib::operation_clock::TransactionFigures;
+use chervilwharf_lib::operation_clock::wait_limit;
+use chervilwharf_lib::statement_timing;
+use quickcheck::quickcheck;
+
+const OBJECTIVE: Duration = ms(100);
+
+const fn ms(milliseconds: u64) -> Duration {
+    Duration::from_millis(milliseconds)
+}
+
+fn at_server(time: Duration) -> TimeParts {
+    TimeParts { at_server: time, ..TimeParts::default() }
+}
+
+/// Runs statements that take `each` at a server, with a pause of the client after each.
+fn run(
+    clock: &mut OperationClock,
+    statements: u32,
+    each: Duration,
+    pause: Duration,
+) -> EndedOperation {
+    let mut now: Moment = ms(1_000);
+    for _ in 0..statements {
+        clock.begin_statement(now);
+        now += each;
+        clock.end_statement(now, &at_server(each), true, false);
+        now += pause;
+    }
+    clock.end_operation().expect("served to its end")
+}
+
+/// Guards against late transactions that no log line names: each statement meets the
+/// objective, but the transaction does not. It is counted once.
+#[test]
+fn test_transaction_of_twelve_statements_in_time_is_late_once() {
+    let mut clock = OperationClock::default();
+    let mut now: Moment = ms(1_000);
+    for _ in 0..12 {
+        clock.begin_statement(now);
+        now += ms(20);
+        clock.end_statement(now, &at_server(ms(20)), true, false);
+        assert!(ms(20) < OBJECTIVE);
+        now += ms(50);
+    }
+    let ended = clock.end_operation().expect("served to its end");
+    assert!(ended.is_late(OBJECTIVE));
+    assert_eq!((ended.statements, ended.largest_part()), (12, OperationPart::AtServer));
+    assert_eq!(clock.end_operation(), None, "the operation ended before");
+}
+
+/// Guards against transactions that count as late because their client paused.
+#[test]
+fn test_pauses_of_the_client_do_not_count() {
+    let without = run(&mut OperationClock::default(), 4, ms(10), CLIENT_ROUND_TRIP);
+    let with = run(&mut OperationClock::default(), 4, ms(10), ms(5_000));
+    assert_eq!(without, with);
+    assert_eq!(with.took, (ms(10) + CLIENT_ROUND_TRIP) * 4);
+    assert!(!with.is_late(OBJECTIVE));
+}
+
+/// Guards against operations of near clients that count as late because of assumed round trips.
+/// The next statement of a transaction cannot arrive before one round trip has passed.
+#[test]
+fn test_observed_gap_bounds_the_round_trip() {
+    let mut clock = OperationClock::default();
+    let ended = run(&mut clock, 4, ms(10), ms(2));
+    assert_eq!(ended.client, ms(8));
+    // The next operation of the session uses the same bound, also without a gap.
+    assert_eq!(run(&mut clock, 1, ms(10), ms(900)).client, ms(2));
+}
+
+/// Guards against a clock that is reset by each statement of a transaction.
+#[test]
+fn test_left_objective_shrinks_with_each_statement_of_a_transaction() {
+    let mut clock = OperationClock::default();
+    clock.begin_statement(ms(0));
+    assert_eq!(clock.left(ms(5), OBJECTIVE), ms(95));
+    clock.end_statement(ms(30), &at_server(ms(30)), true, false);
+    clock.begin_statement(ms(500));
+    assert_eq!(clock.left(ms(510), OBJECTIVE) + CLIENT_ROUND_TRIP, ms(100 - 30 - 10));
+    clock.end_statement(ms(900), &at_server(ms(400)), true, false);
+    clock.begin_statement(ms(1_000));
+    assert_eq!(clock.left(ms(1_000), OBJECTIVE), Duration::ZERO);
+    clock.end_operation();
+    clock.begin_statement(ms(2_000));
+    assert_eq!(clock.left(ms(2_000), OBJECTIVE), OBJECTIVE);
+}
+
+/// Guards against a suspension of the machine that makes a late operation look timely.
+#[test]
+fn test_suspension_counts_as_time_of_the_operation() {
+    let mut clock = OperationClock::default();
+    clock.begin_statement(ms(1_000));
+    // The machine was suspended for a minute during the statement.
+    clock.end_statement(ms(61_010), &at_server(ms(10)), true, false);
+    let ended = clock.end_operation().expect("served");
+    assert!(ended.is_late(OBJECTIVE));
+    assert_eq!(ended.largest_part(), OperationPart::Own);
+}
+
+/// Guards against refused operations, and statements that no server ran, among the late ones.
+#[test]
+fn test_only_operations_that_were_served_count() {
+    let mut clock = OperationClock::default();
+    clock.begin_statement(ms(0));
+    clock.end_statement(ms(500), &TimeParts::default(), false, false);
+    assert_eq!(clock.end_operation(), None, "no server was involved");
+    clock.begin_statement(ms(600));
+    clock.end_statement(ms(900), &TimeParts::default(), true, true);
+    clock.begin_statement(ms(1_000));
+    clock.end_statement(ms(1_001), &TimeParts::default(), false, false);
+    assert_eq!(clock.end_operation(), None, "its first statement failed");
+}
+
+/// Guards against transactions that use up their objective in the queue, although their
+/// statements then need it.
+#[test]
+fn test_first_statement_of_a_transaction_waits_less_than_a_single_statement() {
+    let single = wait_limit(OBJECTIVE, OBJECTIVE);
+    assert_eq!(single, statement_timing::max_wait(OBJECTIVE));
+    let usual = run(&mut OperationClock::default(), 6, ms(4), CLIENT_ROUND_TRIP);
+    let figures = TransactionFigures::new(&usual);
+    // BEGIN has been answered; four statements follow the first one that needs a connection.
+    assert_eq!(figures.following(2), ms(40));
+    let first = wait_limit(OBJECTIVE, OBJECTIVE.saturating_sub(figures.following(2)));
+    assert_eq!(first + ms(40), single);
+}
+
+/// Guards against transactions on a slow route that are all late, since none may wait at all.
+#[test]
+fn test_first_statement_on_a_slow_route_may_wait_a_quarter() {
+    let slow = run(&mut OperationClock::default(), 12, ms(60), CLIENT_ROUND_TRIP);
+    let following = TransactionFigures::new(&slow).following(2);
+    assert!(following > OBJECTIVE);
+    let limit = wait_limit(OBJECTIVE, OBJECTIVE.saturating_sub(following));
+    assert_eq!(limit, statement_timing::max_wait(OBJECTIVE) / 4);
+}
+
+/// Guards against figures that include the queue: under load, transactions would then be
+/// allowed less and less time to wait.
+#[test]
+fn test_figures_of_a_route_leave_out_waits_and_follow_changes() {
+    let quiet = run(&mut OperationClock::default(), 4, ms(10), CLIENT_ROUND_TRIP);
+    let waited = TimeParts { waited: ms(300), opening: ms(12), ..quiet.parts };
+    let loaded = EndedOperation { took: quiet.took + ms(312), parts: waited, ..quiet };
+    assert_eq!(TransactionFigures::new(&quiet), TransactionFigures::new(&loaded));
+    let mut figures = TransactionFigures::new(&quiet);
+    let long = run(&mut OperationClock::default(), 12, ms(10), CLIENT_ROUND_TRIP);
+    for _ in 0..60 {
+        figures.observe(&long);
+    }
+    let error = figures.following(2).abs_diff(TransactionFigures::new(&long).following(2));
+    assert!(error < ms(1), "{error:?}");
+}
+
+/// Guards against the time of a holder that died, or of an earlier build that reports no parts,
+/// being lost or counted as time at a server.
+#[test]
+fn test_exchange_without_reported_parts_counts_as_way() {
+    let unknown = TimeParts::of_exchange(ms(50), ms(0), ms(0), ms(0));
+    assert_eq!(unknown, TimeParts { way: ms(50), ..TimeParts::default() });
+    let known = TimeParts::of_exchange(ms(50), ms(10), ms(12), ms(20));
+    assert_eq!(
+        (known.waited, known.opening, known.at_server, known.way),
+        (ms(10), ms(12), ms(20), ms(8))
+    );
+}
+
+quickcheck! {
+    /// Whatever a holder reports, the parts add up to the time of the exchange.
+    fn prop_parts_add_up(exchange: u16, waited: u32, opening: u32, at_server: u32) -> bool {
+        let exchange = ms(exchange.into());
+        let parts = TimeParts::of_exchange(
+            exchange, ms(waited.into()), ms(opening.into()), ms(at_server.into()));
+        parts.total() == exchange
+    }
+
+    /// A wait in time is never longer than that of a single statement, and never shorter than a
+    /// quarter of it.
+    fn prop_wait_limit_is_bounded(objective: u16, left: u16) -> bool {
+        let single = statement_timing::max_wait(ms(objective.into()));
+        let limit = wait_limit(ms(objective.into()), ms(left.into()));
+        limit <= single && limit >= single / 4
+    }
+}
