engine: tests of the opening of connections, and of a holder that died, on the operation's clock

Cause: neither the time of opening a connection nor the time at a holder that stops answering was shown by a test to count as the right part.

Change: two tests with a server that opens connections slowly and a first link that is closed; the forwarded first statement of a transaction is also checked to report its wait.

--- a/daemon/tests/test_operation.rs
+++ b/daemon/tests/test_operation.rs
@@ -218,6 +218,30 @@
     assert_eq!(request(None).in_time_until(later), later + whole / 2);
 }
 
+fn forwarded_read(id: &str) -> engine_protos::Statement {
+    engine_protos::Statement {
+        id: id.to_owned(),
+        route: Some(records::encode_route(&route())),
+        time_left_ms: 785,
+        work: Some(Work::Read("1".to_owned())),
+        ..engine_protos::Statement::default()
+    }
+}
+
+/// Guards against the opening of a connection that counts as a wait in the queue, or that counts
+/// again for later users of the connection.
+#[tokio::test]
+async fn test_opening_of_a_connection_is_told_apart_from_the_queue() {
+    let world = ValuesWorld::new(1, false).await;
+    world.shared.opening_ms.store(60, Ordering::Relaxed);
+    let mut forwarded = ForwardedSession::new(world.engine.clone());
+    let first = forwarded.run(forwarded_read("opening-1")).await;
+    assert_eq!(first.error, "");
+    assert!(first.opening_ms >= 55 && first.waited_ms < first.opening_ms, "{first:?}");
+    let second = forwarded.run(forwarded_read("opening-2")).await;
+    assert_eq!((second.error.as_str(), second.opening_ms), ("", 0));
+}
+
 /// Runs a statement that occupies the only connection, then the first statement of a forwarded
 /// transaction, then a single statement. Returns which of the latter two is served first.
 async fn first_served(objective_left_ms: Option<u64>) -> &'static str {
@@ -228,13 +252,9 @@
         world.shared.expect(id, None, &BTreeMap::new());
     }
     let first = engine_protos::Statement {
-        id: "order-transaction".to_owned(),
-        route: Some(records::encode_route(&route())),
-        time_left_ms: 785,
         begin: Begin::ReadWrite.into(),
-        work: Some(Work::Read("1".to_owned())),
         objective_left_ms,
-        ..engine_protos::Statement::default()
+        ..forwarded_read("order-transaction")
     };
     let served = Mutex::new(Vec::new());
     let occupy = async {
@@ -250,6 +270,7 @@
         tokio::time::sleep(Duration::from_millis(10)).await;
         let reply = forwarded.run(first).await;
         assert_eq!(reply.error, "", "it is served late at worst");
+        assert!(reply.waited_ms >= 150 && reply.at_server_ms > 0, "{reply:?}");
         served.lock().unwrap().push("transaction");
         drop(forwarded);
     };
@@ -317,12 +338,20 @@
 }
 
 /// An instance that forwards all statements to one of two holders, which are the same stub.
-async fn forwarding_instance() -> (Arc<Engine>, Arc<Holder>) {
+/// The first link is closed `closed_after` it was opened.
+async fn forwarding_instance(closed_after: Option<Duration>) -> (Arc<Engine>, Arc<Holder>) {
     LazyLock::force(&LOG);
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let peer_address = listener.local_addr().unwrap();
     let holder = Arc::new(Holder { statements: Mutex::default() });
-    tokio::spawn(peers::serve(holder.clone(), listener));
+    let handler = holder.clone();
+    tokio::spawn(async move {
+        if let Some(closed_after) = closed_after {
+            let _first = listener.accept().await.unwrap();
+            tokio::time::sleep(closed_after).await;
+        }
+        peers::serve(handler, listener).await;
+    });
     let me = InstanceRecord { capacity_millicores: 1, ..instance("me") };
     let engine = Arc::new(Engine::new(me.clone(), Arc::new(NoServer)));
     let holder_record =
@@ -357,7 +386,7 @@
 /// way there.
 #[tokio::test]
 async fn test_holder_learns_what_is_left_and_reports_how_its_time_was_spent() {
-    let (engine, holder) = forwarding_instance().await;
+    let (engine, holder) = forwarding_instance(None).await;
     let mut session = Session::begin(engine.clone(), start("app", "key")).await.unwrap();
     run_transaction(&mut session, "sent-a").await;
     run_transaction(&mut session, "sent-b").await;
@@ -378,3 +407,20 @@
     let late = r#"chervilwharf_operations_late_total{group="db",part="at_server"} 2"#;
     assert_counted(&engine, late);
 }
+
+/// Guards against the time at a holder that died being lost, or counted as time at a server: its
+/// parts are not known.
+#[tokio::test]
+async fn test_time_at_a_holder_that_died_counts_as_way() {
+    let died_after = Duration::from_millis(120);
+    let (engine, _holder) = forwarding_instance(Some(died_after)).await;
+    let mut session = Session::begin(engine, start("app", "key")).await.unwrap();
+    let reply = session.run("died-1".into(), read()).await;
+    reply.result.expect("the other holder answers");
+    let lines = late_lines("died").await;
+    let [line] = &lines[..] else {
+        panic!("one line: {lines:?}");
+    };
+    assert_eq!(field(line, "at_server_ms"), "25.0");
+    assert!(line.number("way_ms") >= 50.0, "{line:?}");
+}
--- a/daemon/tests/values_world/mod.rs
+++ b/daemon/tests/values_world/mod.rs
@@ -103,6 +103,8 @@
     /// If set, each exchange needs a permit to end.
     gate: Option<Semaphore>,
     position: AtomicU64,
+    /// How long the server takes to open a connection, in milliseconds.
+    pub opening_ms: AtomicU64,
 }
 
 impl Shared {
@@ -141,6 +143,10 @@
         account: Option<&AccountId>,
         _server: &ServerInfo,
     ) -> Result<Box<dyn ServerConnection>, ConnectError> {
+        let opening = Duration::from_millis(self.0.opening_ms.load(Ordering::Relaxed));
+        if !opening.is_zero() {
+            tokio::time::sleep(opening).await;
+        }
         Ok(Box::new(ValuesConnection {
             _stream: stream,
             shared: self.0.clone(),
