load: holders report their load for a group to those that send to it

Cause: entries send a session to a holder of their own domain however long its queue is, since they know nothing of it. Change: a holder attaches a report to each reply to a forwarded statement (StatementReply.load, field 15) and to its heartbeats (Heartbeat.loads, field 16): incarnation, version, number of waiting requests, and by need and priority the expected wait or refusal, from the same forecast by which it admits requests. Groups that all instances hold have no reports. Conclusion: nothing is decided by the reports yet.

--- a/daemon/src/engine/fleet_control.rs
+++ b/daemon/src/engine/fleet_control.rs
@@ -94,6 +94,7 @@
     };
     engine.peer_contacts().record_answer(asked_at, &peer.id);
     engine.apply_heartbeat(&reply);
+    engine.record_loads(asked_at, &reply);
     engine.take_grants(asked_at, &peer.id, &reply.grants, reply.store_era);
     engine.apply_position_samples(asked_at, &reply.samples);
     if reply.lacks_records {
@@ -119,6 +120,7 @@
         });
         let ids: HashSet<_> = ids.into_iter().collect();
         self.peer_contacts().keep_only(|id| ids.contains(id));
+        self.loads().lock().keep_only(|id| ids.contains(id));
         self.peers().keep_only(&addresses);
         self.statement_links().keep_only(&addresses);
     }
@@ -188,6 +190,7 @@
             grants: Vec::new(),
             lacks_records: false,
             demands: shared_groups.iter().map(demand).collect(),
+            loads: self.load_reports(shared_groups.iter().map(Arc::as_ref)),
         }
     }
 
--- a/daemon/src/engine/forwarded_session.rs
+++ b/daemon/src/engine/forwarded_session.rs
@@ -12,6 +12,7 @@
 use chervilwharf_lib::engine_protos::statement::Begin;
 use chervilwharf_lib::engine_protos::statement::Work as WireWork;
 use chervilwharf_lib::error_kind::ErrorKind;
+use chervilwharf_lib::id::GroupId;
 use chervilwharf_lib::position::Position;
 use chervilwharf_lib::received_statements::StatementTicket;
 use chervilwharf_lib::statement::Access;
@@ -168,7 +169,13 @@
             let floor = Position::new(statement.floor_term, statement.floor_index);
             return refusal(ErrorKind::NotOwner, floor);
         };
-        self.run_inner(statement).await
+        let group = statement.route.as_ref().map(|route| GroupId::from(&*route.group));
+        let mut reply = self.run_inner(statement).await;
+        reply.load = group.filter(|group| self.engine.is_holder(group)).and_then(|group| {
+            let shard = self.engine.shard(&group);
+            self.engine.load_report(&shard)
+        });
+        reply
     }
 }
 
--- a/daemon/src/engine/holders.rs
+++ b/daemon/src/engine/holders.rs
@@ -158,6 +158,13 @@
         self.holder_lists().lock().table.holds(group)
     }
 
+    /// Whether all instances hold connections to a group.
+    #[must_use]
+    pub fn is_held_by_all(&self, group: &GroupId) -> bool {
+        self.check_holders();
+        self.holder_lists().lock().table.is_held_by_all(group)
+    }
+
     /// The other instances that hold connections to a group.
     #[must_use]
     pub fn co_holders(&self, group: &GroupId) -> Vec<InstanceRecord> {
--- a/daemon/src/engine/mod.rs
+++ b/daemon/src/engine/mod.rs
@@ -25,6 +25,7 @@
 pub mod instance_control;
 pub mod leader_control;
 pub mod lease;
+pub mod load_control;
 pub mod metrics;
 pub mod peer_contacts;
 pub mod peer_records;
--- a/daemon/src/engine/remote.rs
+++ b/daemon/src/engine/remote.rs
@@ -346,8 +346,11 @@
     let engine = session.engine().clone();
     let result = exchange(&engine, request, holder, link, statement, abandoning).await;
     session.trace_mut().record_attempt(holder.id.clone(), now().saturating_sub(sent_at));
-    if result.is_ok() {
+    if let Ok(reply) = &result {
         engine.peer_contacts().record_answer(sent_at, &holder.id);
+        if let Some(load) = &reply.load {
+            engine.record_load(&request.route.group, &holder.id, sent_at, load);
+        }
     }
     result
 }
--- a/daemon/src/engine/shard.rs
+++ b/daemon/src/engine/shard.rs
@@ -6,6 +6,7 @@
 //! primary's term that half of the voting instances, or the platform's store, grant to it.
 
 mod assign;
+mod load;
 mod pool;
 
 use std::collections::HashMap;
@@ -22,6 +23,7 @@
 use chervilwharf_lib::event::EventKind;
 use chervilwharf_lib::group::Group;
 use chervilwharf_lib::group::ServerInfo;
+use chervilwharf_lib::group_load::LoadReporter;
 use chervilwharf_lib::id::AccountId;
 use chervilwharf_lib::id::FailureDomainId;
 use chervilwharf_lib::id::GroupId;
@@ -44,6 +46,7 @@
 use crate::engine::server_connection::ConnectError;
 use crate::engine::server_connection::Connector;
 use crate::engine::server_connection::ServerConnection;
+use crate::engine::shard::load::WaitExample;
 use crate::engine::shard::pool::Pool;
 use crate::engine::waiting::Waiter;
 
@@ -53,6 +56,7 @@
     pools: HashMap<TargetId, Pool>,
     pub(super) queue: WaitQueue<Waiter>,
     pub(super) wait_estimator: WaitEstimator,
+    load_reporter: LoadReporter<WaitExample>,
     budget: usize,
     /// The budget that was last logged.
     logged_budget: usize,
--- a/daemon/src/engine/shared.rs
+++ b/daemon/src/engine/shared.rs
@@ -59,6 +59,7 @@
 use crate::engine::forwarded_session::ForwardedSession;
 use crate::engine::holders::Holders;
 use crate::engine::leader_control::LeaderWatches;
+use crate::engine::load_control::LoadControl;
 use crate::engine::metrics::EngineMetrics;
 use crate::engine::peer_contacts::Contacts;
 use crate::engine::peers::ForwardedStatementHandler;
@@ -107,6 +108,7 @@
     duties: Mutex<DutyTable>,
     metrics: EngineMetrics,
     holders: Holders,
+    loads: LoadControl,
     /// Groups to whose servers this instance may open connections.
     budgeted: Mutex<HashSet<GroupId>>,
     /// [`Fleet::changes`] when links to instances without a record were last closed.
@@ -182,6 +184,7 @@
             duties: Mutex::default(),
             metrics: EngineMetrics::default(),
             holders: Holders::new(me.id.clone()),
+            loads: LoadControl::default(),
             budgeted: Mutex::default(),
             links_checked_at_change: AtomicU64::new(0),
             me,
@@ -289,6 +292,12 @@
         &self.holders
     }
 
+    /// Reports of the holders on their load.
+    #[must_use]
+    pub fn loads(&self) -> &LoadControl {
+        &self.loads
+    }
+
     /// Which other instances are reachable.
     #[must_use]
     pub fn peer_contacts(&self) -> &Contacts {
@@ -626,6 +635,7 @@
         match request {
             Body::Heartbeat(heartbeat) => {
                 self.apply_heartbeat(&heartbeat);
+                self.record_loads(now(), &heartbeat);
                 if self.should_pull_from(&heartbeat) {
                     self.told_of_records.send_replace(Some(heartbeat.instance.as_str().into()));
                 }
--- a/daemon/src/engine/waiting.rs
+++ b/daemon/src/engine/waiting.rs
@@ -117,6 +117,7 @@
                 drop(inner);
                 return Ok(Lease::new(self.clone(), server, connection));
             }
+            inner.observe_waiting(began_at, request);
             inner.admit(began_at, request, request.in_time_until.saturating_sub(began_at))?
         };
         if tier == Tier::InTime {
@@ -218,8 +219,27 @@
         if request.need == Need::Leader && self.group.is_cut_off(now) {
             return Err(Failure::new(ErrorKind::CutOff));
         }
-        if self.awaits_primary(now, &request.need) {
+        let Some(forecast) = self.forecast(now, request, max_wait) else {
             return Ok(Tier::InTime);
+        };
+        match forecast.decide() {
+            QueueDecision::Wait(tier) => Ok(tier),
+            QueueDecision::Refuse(after) => {
+                Err(Failure::new(ErrorKind::Overloaded).with_retry_after(after))
+            }
+        }
+    }
+
+    /// The expected waits of a request; `None` if it waits for a primary that does not
+    /// answer.
+    pub(super) fn forecast(
+        &self,
+        now: Moment,
+        request: &ConnectionRequest<'_>,
+        max_wait: Duration,
+    ) -> Option<WaitForecast> {
+        if self.awaits_primary(now, &request.need) {
+            return None;
         }
         let servers = self.servers_for(now, &request.need);
         let ahead = self.competitors(now, request, &servers, Tier::InTime);
@@ -227,19 +247,13 @@
         let measured =
             |tier, ahead| self.wait_estimator.expected_wait(now, request.sub_queue(tier), ahead);
         let in_time = measured(Tier::InTime, ahead);
-        let forecast = WaitForecast {
+        Some(WaitForecast {
             in_time: in_time.or_else(|| self.computed_wait(&servers, ahead)),
             late: measured(Tier::Late, late_waiting),
             late_waiting,
             max_wait,
             time_left: late_until(request).saturating_sub(now),
-        };
-        match forecast.decide() {
-            QueueDecision::Wait(tier) => Ok(tier),
-            QueueDecision::Refuse(after) => {
-                Err(Failure::new(ErrorKind::Overloaded).with_retry_after(after))
-            }
-        }
+        })
     }
 
     /// Whether a request waits for a primary that does not answer. That wait does not
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod fleet;
 pub mod floors;
 pub mod group;
+pub mod group_load;
 pub mod group_ranking;
 pub mod holder_choice;
 pub mod holder_table;
--- a/lib/src/protos/chervilwharf.engine.rs
+++ b/lib/src/protos/chervilwharf.engine.rs
@@ -127,6 +127,42 @@
     /// `servers_era`.
     #[prost(uint64, tag = "15")]
     pub servers_known_revision: u64,
+    /// Load of the sender for the groups of `demands` that it holds connections to.
+    #[prost(message, repeated, tag = "16")]
+    pub loads: ::prost::alloc::vec::Vec<GroupLoad>,
+}
+/// Load of a holder for a group.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct GroupLoad {
+    /// Empty in a StatementReply: the group of the statement.
+    #[prost(string, tag = "1")]
+    pub group: ::prost::alloc::string::String,
+    /// The life of the instance that reports.
+    #[prost(fixed64, tag = "2")]
+    pub life: u64,
+    /// Increases with each new report of the sender for the group in its life.
+    #[prost(uint64, tag = "3")]
+    pub version: u64,
+    /// Number of requests that wait for a connection.
+    #[prost(uint32, tag = "4")]
+    pub waiting: u32,
+    /// Empty if no request waits.
+    #[prost(message, repeated, tag = "5")]
+    pub outlooks: ::prost::alloc::vec::Vec<WaitOutlook>,
+}
+/// What a request of one kind that arrived now would have to expect.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct WaitOutlook {
+    /// Whether only the primary can serve it.
+    #[prost(bool, tag = "1")]
+    pub primary: bool,
+    #[prost(uint32, tag = "2")]
+    pub priority: u32,
+    #[prost(uint64, tag = "3")]
+    pub expected_wait_ms: u64,
+    /// The sender would refuse it.
+    #[prost(bool, tag = "4")]
+    pub refuses: bool,
 }
 /// Grants a lease on the primary of a group in all terms above `retired_term`.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -447,7 +483,7 @@
     #[prost(string, tag = "3")]
     pub arguments: ::prost::alloc::string::String,
 }
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct StatementReply {
     /// Name of the error kind; empty on success.
     #[prost(string, tag = "1")]
@@ -477,6 +513,9 @@
     pub floor_term: u64,
     #[prost(uint64, tag = "11")]
     pub floor_index: u64,
+    /// Load of the sender for the group of the statement.
+    #[prost(message, optional, tag = "15")]
+    pub load: ::core::option::Option<GroupLoad>,
 }
 /// Asks for the records that the receiver has and the sender lacks.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
