load: a request that all holders would refuse is refused at once, with a spread Retry-After

Cause: a request was sent to an overloaded holder to be refused there, and callers that were refused together came back together. Change: if fresh reports say that every reachable holder would refuse, nothing is sent. The Retry-After time is random between the shortest and the longest backlog. A holder that refuses its own client, as all others would, spreads the time in the same way. The log line names the number of holders (holders_refusing), and explain and report loss give the cause.

--- a/daemon/src/engine/holder_search.rs
+++ b/daemon/src/engine/holder_search.rs
@@ -6,6 +6,7 @@
 use chervilwharf_lib::id::InstanceId;
 
 use crate::engine::clock::now;
+use crate::engine::load_choice::ExpectedRefusal;
 use crate::engine::load_choice::HolderQuery;
 use crate::engine::request::Failure;
 use crate::engine::request::Request;
@@ -45,6 +46,17 @@
         }
         let query = HolderQuery::new(session, request, self.kind);
         let engine = session.engine().clone();
+        if self.tried.is_empty() {
+            match engine.expected_refusal(&query) {
+                Some(ExpectedRefusal::AtOnce { failure, holders }) => {
+                    session.trace_mut().holders_refusing = holders;
+                    self.last = Some(failure);
+                    return None;
+                }
+                Some(ExpectedRefusal::Probe(holder)) => return Some(holder),
+                None => {}
+            }
+        }
         let found = engine.find_holder(&query, &self.tried).await?;
         // If the chosen holder recently refused statements of this group, all reachable ones
         // that are left did. Only one of them is tried, since the client can retry at another
--- a/daemon/src/engine/load_choice.rs
+++ b/daemon/src/engine/load_choice.rs
@@ -3,12 +3,14 @@
 use std::time::Duration;
 
 use chervilwharf_lib::catalog::Consistency;
+use chervilwharf_lib::error_kind::ErrorKind;
 use chervilwharf_lib::fleet::InstanceRecord;
 use chervilwharf_lib::group_load::ExpectedWait;
 use chervilwharf_lib::group_load::RequestKind;
 use chervilwharf_lib::holder_choice::Affinity;
 use chervilwharf_lib::holder_choice::Candidate;
 use chervilwharf_lib::holder_pair::FAR_PENALTY;
+use chervilwharf_lib::holder_pair::all_refuse;
 use chervilwharf_lib::holder_pair::better_than;
 use chervilwharf_lib::holder_pair::choose_by_load;
 use chervilwharf_lib::holder_pair::spare_holder;
@@ -19,6 +21,7 @@
 
 use crate::engine::clock::now;
 use crate::engine::load_metrics::LoadDecision;
+use crate::engine::request::Failure;
 use crate::engine::request::Request;
 use crate::engine::session::Session;
 use crate::engine::shared::Engine;
@@ -54,7 +57,57 @@
     RequestKind { class, priority: request.route.priority }
 }
 
+/// What happens to a request that all holders are expected to refuse.
+#[derive(Clone, Debug)]
+pub enum ExpectedRefusal {
+    /// It is refused at once, with this failure. Nothing is sent.
+    AtOnce {
+        /// The failure, with a Retry-After time.
+        failure: Failure,
+        /// Number of holders that are expected to refuse it.
+        holders: usize,
+    },
+    /// It is sent to this holder nevertheless, the one with the shortest backlog.
+    Probe(InstanceRecord),
+}
+
 impl Engine {
+    /// What happens to a request if all reachable holders are expected to refuse it; `None`
+    /// if one of them may serve it.
+    #[must_use]
+    pub fn expected_refusal(&self, query: &HolderQuery) -> Option<ExpectedRefusal> {
+        let candidates = self.candidates(&query.group, &[]);
+        let expected = |candidate: &Candidate| self.expected_wait(query, &candidate.record.id);
+        let all = all_refuse(&candidates, expected)?;
+        if self.is_holder(&query.group) && !self.is_refused_here(query) {
+            return None;
+        }
+        if self.loads().lock().take_probe(&query.group) {
+            self.metrics().loads.record(&query.group, LoadDecision::Probe);
+            return Some(ExpectedRefusal::Probe(all.shortest.record.clone()));
+        }
+        self.metrics().loads.record(&query.group, LoadDecision::RefusedAtOnce);
+        let retry_after = all.retry_after(rand::random_range(0.0..1.0));
+        let failure = Failure::new(ErrorKind::Overloaded).with_retry_after(retry_after);
+        Some(ExpectedRefusal::AtOnce { failure, holders: all.holders })
+    }
+
+    fn is_refused_here(&self, query: &HolderQuery) -> bool {
+        self.expected_wait(query, &self.me().id).is_some_and(ExpectedWait::is_refusal)
+    }
+
+    /// The failure of a request that this holder refused, with a Retry-After time that is
+    /// spread over the backlogs of the other holders if these would refuse it as well.
+    #[must_use]
+    pub fn spread_retries(&self, query: &HolderQuery, failure: Failure) -> Failure {
+        let candidates = self.candidates(&query.group, &[]);
+        let expected = |candidate: &Candidate| self.expected_wait(query, &candidate.record.id);
+        match all_refuse(&candidates, expected) {
+            Some(all) => failure.with_retry_after(all.retry_after(rand::random_range(0.0..1.0))),
+            None => failure,
+        }
+    }
+
     /// Chooses one of the candidates, which are other instances.
     #[must_use]
     pub fn choose_holder(
--- a/daemon/src/engine/load_metrics.rs
+++ b/daemon/src/engine/load_metrics.rs
@@ -24,6 +24,10 @@
     AfterRefusal,
     /// A holder sent a request of its own client to another holder.
     PassedOn,
+    /// The request was refused at once, since all holders were expected to refuse it.
+    RefusedAtOnce,
+    /// The request was sent although all holders were expected to refuse it.
+    Probe,
 }
 
 impl LoadDecision {
@@ -32,6 +36,8 @@
             Self::Second => "second",
             Self::AfterRefusal => "after_refusal",
             Self::PassedOn => "passed_on",
+            Self::RefusedAtOnce => "refused_at_once",
+            Self::Probe => "probe",
         }
     }
 }
--- a/daemon/src/engine/pass_on.rs
+++ b/daemon/src/engine/pass_on.rs
@@ -61,7 +61,7 @@
         return result;
     }
     let Some(holder) = session.engine().spare_holder(&query, request, &[]) else {
-        return result;
+        return Err(session.engine().spread_retries(&query, failure.clone()));
     };
     session.report_retry(failure);
     match remote::single_at(session, request, work, writes, &holder).await {
@@ -118,7 +118,7 @@
         return result;
     }
     let Some(holder) = session.engine().spare_holder(&query, request, &[]) else {
-        return result;
+        return Err(session.engine().spread_retries(&query, failure.clone()));
     };
     session.report_retry(failure);
     transaction.reopen();
--- a/daemon/src/engine/trace.rs
+++ b/daemon/src/engine/trace.rs
@@ -34,6 +34,9 @@
     /// Lowest position that the last server had to have applied; `None` if the statement
     /// needed the primary.
     pub floor: Option<Position>,
+    /// Number of holders that were expected to refuse the statement, if it was refused at
+    /// once for that; 0 otherwise.
+    pub holders_refusing: usize,
 }
 
 impl StatementTrace {
@@ -64,6 +67,10 @@
             .with("text", &failure.text)
             .with_ms("took_ms", took)
             .with_count("waiting", waiting);
+        let event = match self.holders_refusing {
+            0 => event,
+            holders => event.with_count("holders_refusing", holders),
+        };
         let event = match failure.retry_after {
             Some(after) => event.with_ms("retry_after_ms", after),
             None => event,
--- a/lib/src/explanation.rs
+++ b/lib/src/explanation.rs
@@ -220,6 +220,10 @@
     });
     let context = context.map_or_else(String::new, |text| format!("; {text}"));
     let text = match (&*last.event, last.text("reason").unwrap_or_default()) {
+        ("request_refused", "overloaded") if last.number("holders_refusing") > 0.0 => {
+            let holders = last.number("holders_refusing");
+            format!("refused at once: all {holders} holders of the group were overloaded{context}")
+        }
         ("request_refused", "overloaded") => {
             let waiting = last.number("waiting");
             format!("refused under load: {waiting} requests were waiting{context}")
--- a/lib/src/loss.rs
+++ b/lib/src/loss.rs
@@ -195,6 +195,9 @@
 
 /// Returns the probable cause of a request's failure or delay.
 fn cause_of(line: &LogLine, event_times: &EventTimes<'_>) -> String {
+    if line.number("holders_refusing") > 0.0 {
+        return "all holders of the group were overloaded".to_owned();
+    }
     match line.text("reason").unwrap_or_default() {
         "rate_limited" => return "the account reached its limit".to_owned(),
         "unknown_key" => return "no account has the key any more".to_owned(),
--- a/lib/tests/test_explanation.rs
+++ b/lib/tests/test_explanation.rs
@@ -124,6 +124,16 @@
     assert!(cause.contains("may have been replaced as the primary"), "{cause}");
 }
 
+/// Guards against an explanation that names a queue at the entry, where nothing waited: the
+/// request was refused at once because of the load of all holders.
+#[test]
+fn test_refusal_at_once_names_the_holders() {
+    let refused = request(EventKind::RequestRefused, "r1", "overloaded");
+    let log = vec![line(5_000, "a", &refused.with_count("holders_refusing", 8))];
+    let cause = explanation::explain_request("r1", log).cause.expect("a cause");
+    assert_eq!(cause, "refused at once: all 8 holders of the group were overloaded");
+}
+
 #[test]
 fn test_refusals_of_accounts_name_the_account_and_its_limit() {
     let refused = |reason: &str, text: &str| {
--- a/lib/tests/test_loss.rs
+++ b/lib/tests/test_loss.rs
@@ -91,6 +91,16 @@
     }
 }
 
+/// Guards against refusals because of load that are attributed to whatever happened shortly before.
+#[test]
+fn test_refusals_at_once_are_attributed_to_the_load_of_the_holders() {
+    let replaced = Event::new(EventKind::ReplacementBegun).with("group", "db");
+    let refused = ended(EventKind::RequestRefused, "db", "overloaded", 0);
+    let refused = refused.with_count("holders_refusing", 8);
+    let log = [line(1_000, "a", &replaced), line(1_500, "a", &refused)];
+    assert_eq!(loss::report(&log).rows[0].cause, "all holders of the group were overloaded");
+}
+
 #[test]
 fn test_refusals_of_accounts_are_not_attributed_to_concurrent_events() {
     let process_paused = Event::new(EventKind::StoodStill);
