load: holders divide the slots of a server by their demand

Cause: each holder adapts the number of its statements at a server by itself, so that all together can fill the server's queue, which serves in order of arrival; urgent statements wait there behind all others. The adaptive limit stays, and does not rise beyond that bound.

--- a/daemon/src/engine/shard/assign.rs
+++ b/daemon/src/engine/shard/assign.rs
@@ -105,6 +105,7 @@
         let lent = |pool: &Pool| pool.view.open.saturating_sub(pool.idle.len());
         let busiest = self.pools.values().map(lent).max().unwrap_or(0);
         self.demand.observe(now, busiest + self.queue.len());
+        self.divide_slots(now);
     }
 
     /// Chooses a server for a request that has waited for `waited`.
--- a/daemon/src/engine/shared.rs
+++ b/daemon/src/engine/shared.rs
@@ -436,6 +436,7 @@
             if let Some(settings) = catalog.groups.get(group) {
                 let shard = self.shard(group);
                 shard.set_budget(self.connection_budget(&catalog, settings, &shard));
+                self.divide_slots(&shard);
             }
         }
     }
