--- a/lib/tests/test_load_replay.rs
+++ b/lib/tests/test_load_replay.rs
@@ -37,6 +37,9 @@
 const NEAR_ROUND_TRIP: Duration = Duration::from_millis(1);
 const FAR_ROUND_TRIP: Duration = Duration::from_millis(7);
 
+/// The holder whose servers stop answering.
+const HANGING: usize = 1;
+
 /// When the servers of one holder stop answering.
 const HANGS_AT: Moment = Duration::from_secs(2);
 
@@ -96,6 +99,10 @@
     /// half of the longest wait, by the time of arrival.
     refused_beside_capacity: Vec<Moment>,
     late: usize,
+    /// Requests sent to the holder whose servers stop answering, in the last 500 ms before and
+    /// in the second 500 ms after that.
+    sent_before: usize,
+    sent_after: usize,
 }
 
 struct Replay {
@@ -169,6 +176,11 @@
 
     /// Sends a request to a holder. Returns when the reply arrives, and whether it was served.
     fn send(&mut self, now: Moment, entry: usize, holder: usize) -> (Moment, bool) {
+        let hangs = holder == HANGING;
+        let before = HANGS_AT.saturating_sub(LOAD_VALIDITY)..HANGS_AT;
+        let after = HANGS_AT + LOAD_VALIDITY..HANGS_AT + 2 * LOAD_VALIDITY;
+        self.outcome.sent_before += usize::from(hangs && before.contains(&now));
+        self.outcome.sent_after += usize::from(hangs && after.contains(&now));
         let trip = round_trip(entry % DOMAINS, holder);
         let ended = self.holders[holder].serve(now);
         let answered_at = ended.unwrap_or(now) + trip;
@@ -211,7 +223,7 @@
     }
 
     /// Replays requests at a rate that is a percentage of the capacity of all holders. The
-    /// servers of holder 1 stop answering for one second after 2 s.
+    /// servers of one holder stop answering for one second.
     fn run(mut self, load_percent: u32) -> Outcome {
         let capacity_per_s =
             f64::from(u32::try_from(HOLDERS * SLOTS).expect("few")) / SERVICE.as_secs_f64();
@@ -222,7 +234,7 @@
             now += Duration::from_secs_f64(gap * self.rng.random_range(0.0..2.0));
             if hangs && now >= HANGS_AT {
                 hangs = false;
-                for free_at in &mut self.holders[1].free_at {
+                for free_at in &mut self.holders[HANGING].free_at {
                     *free_at = (*free_at).max(now) + Duration::from_secs(1);
                 }
             }
@@ -242,8 +254,8 @@
 
 /// Guards against requests that a holder refuses while another one has free capacity: 8 holders
 /// in 4 domains, and more than half of the callers in one of them. Then the server of one holder
-/// stops answering while its health check is good. Without reports, entries send all requests
-/// to the holders of their own domain. Requests of the first 500 ms after the start and after the
+/// stops answering while its health check is good: it gets less than half of the requests of before.
+/// Without reports, entries send all requests to the holders of their own domain. Requests of the first 500 ms after the start and after the
 /// failure do not count, since reports may be that old.
 #[test]
 fn test_no_request_is_refused_while_another_holder_has_capacity() {
@@ -257,5 +269,6 @@
         let unneeded = outcome.refused_beside_capacity.iter().filter(after_changes);
         assert_eq!(unneeded.count(), 0, "seed {seed}: {outcome:?}");
         assert!(outcome.refused <= 1, "seed {seed}: {outcome:?}");
+        assert!(outcome.sent_after * 2 < outcome.sent_before, "seed {seed}: {outcome:?}");
     }
 }
