load: refusals of forwarded requests are spread as well once all holders have reported

Cause: a request that was sent and then refused, as the first ones of an overload and one in eight later, got the Retry-After time of its holder alone. Change: if all holders would refuse by then, the time is random between their backlogs. Conclusion: callers that were refused return over the whole time, however they were refused.

--- a/daemon/src/engine/holder_search.rs
+++ b/daemon/src/engine/holder_search.rs
@@ -110,6 +110,21 @@
         }
     }
 
+    /// The failure of a request for which no further holder is tried. If all holders would
+    /// refuse it now, its Retry-After time is spread over their backlogs.
+    pub(super) fn final_failure(
+        &self,
+        session: &Session,
+        request: &Request,
+        failure: Failure,
+    ) -> Failure {
+        if failure.kind != ErrorKind::Overloaded {
+            return failure;
+        }
+        let query = HolderQuery::new(session, request, self.kind);
+        session.engine().spread_retries(&query, failure)
+    }
+
     pub(super) fn into_failure(self) -> Failure {
         self.last.unwrap_or_else(|| Failure::new(ErrorKind::HolderSilent))
     }
--- a/daemon/src/engine/remote.rs
+++ b/daemon/src/engine/remote.rs
@@ -138,7 +138,8 @@
                 search.unanswered(session, &holder);
             }
             Err(failure) if search.moves_on(session, request, &holder, &failure) => {}
-            result => return result,
+            Err(failure) => return Err(search.final_failure(session, request, failure)),
+            served => return served,
         }
     }
     Err(search.into_failure())
@@ -205,7 +206,7 @@
             Begun::Overloaded(failure) => {
                 if !search.moves_on(session, request, &holder, &failure) {
                     transaction.fail();
-                    return Err(failure);
+                    return Err(search.final_failure(session, request, failure));
                 }
             }
             Begun::Unanswered => search.unanswered(session, &holder),
--- a/daemon/tests/test_load_sharing.rs
+++ b/daemon/tests/test_load_sharing.rs
@@ -264,6 +264,9 @@
         return false;
     }
     assert_eq!(asked, world.ids.len());
+    // Also the refusals of requests that were sent, after all holders have reported.
+    let spread = |failure: &Failure| failure.retry_after >= Some(Duration::from_millis(200));
+    assert!(failures.iter().all(spread), "{failures:?}");
     assert_eq!(sent, 4, "one request in eight");
     assert!(failures.iter().all(|failure| failure.kind == ErrorKind::Overloaded));
     let after = failures.iter().filter_map(|failure| failure.retry_after);
