--- a/daemon/src/engine/holders.rs
+++ b/daemon/src/engine/holders.rs
@@ -158,11 +158,11 @@
         self.holder_lists().lock().table.holds(group)
     }
 
-    /// Whether some instances hold no connections to a group, and forward its statements.
+    /// Whether all instances hold connections to a group.
     #[must_use]
-    pub fn forwards_some(&self, group: &GroupId) -> bool {
+    pub fn is_held_by_all(&self, group: &GroupId) -> bool {
         self.check_holders();
-        !self.holder_lists().lock().table.all_hold(group)
+        self.holder_lists().lock().table.is_held_by_all(group)
     }
 
     /// The other instances that hold connections to a group.
--- a/daemon/src/engine/session/operation.rs
+++ b/daemon/src/engine/session/operation.rs
@@ -35,7 +35,7 @@
     /// statements.
     pub(super) fn objective_left(&self, now: Moment, route: &Route) -> Option<Duration> {
         let transaction = self.transaction.as_ref()?;
-        if transaction.holds_connection() || !self.engine.forwards_some(&route.group) {
+        if transaction.holds_connection() || self.engine.is_held_by_all(&route.group) {
             return None;
         }
         let clock = &self.operation.clock;
--- a/lib/src/holder_table.rs
+++ b/lib/src/holder_table.rs
@@ -147,10 +147,11 @@
         self.holders(group).iter().any(|record| record.id == self.me)
     }
 
-    /// Whether all instances hold connections to a group.
+    /// Whether all instances hold connections to a group, so that no statement for it has
+    /// to be forwarded.
     #[must_use]
-    pub fn all_hold(&self, group: &GroupId) -> bool {
-        matches!(self.count(group), HolderCount::All)
+    pub fn is_held_by_all(&self, group: &GroupId) -> bool {
+        self.count(group) == HolderCount::All
     }
 
     /// How many scores of pairs of an instance and a group were computed so far, the step
