connections: an instance keeps shared connections open by its demand

Change: where statements are forwarded to holders, a holder keeps one connection more than the recent peak of its demand, at least two.

--- a/daemon/src/engine/shared.rs
+++ b/daemon/src/engine/shared.rs
@@ -28,6 +28,7 @@
 use chervilwharf_lib::catalog_change::RecentCatalogs;
 use chervilwharf_lib::connection_budget::account_connection_budget;
 use chervilwharf_lib::connection_budget::budget;
+use chervilwharf_lib::connection_budget::shared_connection_budget;
 use chervilwharf_lib::engine_protos::DirectoryTaken;
 use chervilwharf_lib::engine_protos::PrimaryNewsTaken;
 use chervilwharf_lib::engine_protos::Tunnel;
@@ -453,7 +454,8 @@
         let own = shard.demand(at);
         let granted = budget(settings.max_connections, own, &others);
         if catalog.accounts.is_none() {
-            return granted;
+            let forwards = self.forwards_some(shard.id());
+            return if forwards { shared_connection_budget(granted, own) } else { granted };
         }
         let may_be_occupied = at < self.started_at + STALE_CONNECTION_TIME;
         account_connection_budget(granted, if may_be_occupied { 0.0 } else { own })
--- a/lib/src/connection_budget.rs
+++ b/lib/src/connection_budget.rs
@@ -38,6 +38,21 @@
 /// belong to accounts, however low its demand is.
 const MIN_KEPT_FRACTION: f64 = 0.5;
 
+/// Smallest number of connections that an instance may keep open if its budget allows, however
+/// low its demand is: one for a transaction and one for single statements.
+const MIN_KEPT_SHARED: usize = 2;
+
+/// Number of connections to a server that an instance may hold where connections serve all
+/// sessions. `budget` is the result of [`budget`] for the server.
+///
+/// One more than the recent peak of its demand. When all instances lose power, the servers keep
+/// their connections for seconds and refuse those of the restarted instances above the limit,
+/// so connections that were open without need delay the return.
+#[must_use]
+pub fn shared_connection_budget(budget: usize, own_demand: f64) -> usize {
+    connections_for(own_demand).saturating_add(1).clamp(budget.min(MIN_KEPT_SHARED), budget)
+}
+
 /// Number of connections to a server that an instance may hold where each connection
 /// belongs to one account. `budget` is the result of [`budget`] for the server.
 ///
@@ -50,16 +65,19 @@
 /// connection for another account costs a slot that they wait for.
 #[must_use]
 pub fn account_connection_budget(budget: usize, own_demand: f64) -> usize {
-    let wanted = own_demand.ceil().clamp(0.0, MAX_DEMAND);
-    #[allow(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "not negative, and small"
-    )]
-    let wanted = (wanted as usize).saturating_sub(1);
+    let wanted = connections_for(own_demand).saturating_sub(1);
     wanted.max(fraction_of(budget, MIN_KEPT_FRACTION)).clamp(budget.min(1), budget)
 }
 
+#[allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "not negative, and small"
+)]
+fn connections_for(demand: f64) -> usize {
+    demand.ceil().clamp(0.0, MAX_DEMAND) as usize
+}
+
 /// Upper bound of a demand, above any budget.
 const MAX_DEMAND: f64 = 1e6;
 
--- a/lib/tests/test_sharing.rs
+++ b/lib/tests/test_sharing.rs
@@ -9,6 +9,7 @@
 use chervilwharf_lib::connection_budget::Demand;
 use chervilwharf_lib::connection_budget::account_connection_budget;
 use chervilwharf_lib::connection_budget::budget;
+use chervilwharf_lib::connection_budget::shared_connection_budget;
 use chervilwharf_lib::fleet::Fleet;
 use chervilwharf_lib::fleet::InstanceRecord;
 use chervilwharf_lib::fleet::UNREACHABLE_AFTER;
@@ -420,3 +421,15 @@
     assert_eq!(account_connection_budget(1, 0.0), 1);
     assert_eq!(account_connection_budget(0, 3.0), 0);
 }
+
+/// Guards against servers that refuse the connections of restarted instances, because the
+/// earlier incarnations had opened their whole budget without need.
+#[test]
+fn test_shared_connections_are_kept_by_demand() {
+    assert_eq!(shared_connection_budget(10, 0.0), 2);
+    assert_eq!(shared_connection_budget(10, 2.3), 4);
+    assert_eq!(shared_connection_budget(10, 9.5), 10);
+    assert_eq!(shared_connection_budget(10, f64::INFINITY), 10);
+    assert_eq!(shared_connection_budget(1, 0.0), 1);
+    assert_eq!(shared_connection_budget(0, 3.0), 0);
+}
