--- a/daemon/src/engine/shared.rs
+++ b/daemon/src/engine/shared.rs
@@ -464,7 +464,7 @@
         let own = shard.demand(at);
         let granted = budget(settings.max_connections, own, &others);
         if catalog.accounts.is_none() {
-            let forwards = self.forwards_some(shard.id());
+            let forwards = !self.is_held_by_all(shard.id());
             return if forwards { shared_connection_budget(granted, own) } else { granted };
         }
         let may_be_occupied = at < self.started_at + STALE_CONNECTION_TIME;
