wait queue: fair order among accounts, and relief of the lowest priority

Cause: waiting requests of one tier and priority were served by deadline, so the backlog of one account delayed all others, and the lowest priority got nothing while more urgent requests waited.

Change: start-time fair queueing by account (lib/src/fair_order.rs), weighted by the limit in force, with turns of four requests; one connection of eight for the lowest priority with a waiting request of an account; at most half of the waiting places for one account while others wait. The wait for each place is measured with the connections granted meanwhile for requests of accounts.

--- a/daemon/src/engine/account_metrics.rs
+++ b/daemon/src/engine/account_metrics.rs
@@ -1,14 +1,21 @@
-//! Counters by client account, for a limited number of accounts.
+//! Counters by client account, for a limited number of accounts, and metrics of the fair
+//! order among accounts.
 
 use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::Ordering;
 
 use chervilwharf_lib::error_kind::ErrorKind;
 use chervilwharf_lib::id::AccountId;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+
+use crate::engine::metrics::GroupLabels;
+use crate::engine::shard::FairOrderCounts;
 
 /// Most accounts that have counters of their own: the first ones after the start. All other
 /// accounts share one label, so that the size of the metrics text is limited.
@@ -50,3 +57,37 @@
             || (named.len() < MAX_NAMED_ACCOUNTS && named.insert(account.clone()))
     }
 }
+
+/// Metrics of the fair order among the accounts whose requests wait for a connection.
+#[derive(Clone, Debug, Default)]
+pub(super) struct FairOrderMetrics {
+    flows: Family<GroupLabels, Gauge>,
+    relieved: Family<GroupLabels, Counter>,
+    places_refused: Family<GroupLabels, Counter>,
+}
+
+impl FairOrderMetrics {
+    pub(super) fn register(&self, registry: &mut Registry) {
+        let flows = self.flows.clone();
+        registry.register("fair_order_flows", "Accounts in the fair order", flows);
+        registry.register(
+            "fair_order_relieved",
+            "Connections granted to the lowest priority before others",
+            self.relieved.clone(),
+        );
+        registry.register(
+            "fair_order_places_refused",
+            "Requests refused beyond the waiting places of their account",
+            self.places_refused.clone(),
+        );
+    }
+
+    pub(super) fn update(&self, labels: &GroupLabels, counts: FairOrderCounts) {
+        let flows = i64::try_from(counts.flows).unwrap_or(i64::MAX);
+        self.flows.get_or_create(labels).set(flows);
+        let relieved = self.relieved.get_or_create(labels);
+        relieved.inner().store(counts.relieved, Ordering::Relaxed);
+        let refused = self.places_refused.get_or_create(labels);
+        refused.inner().store(counts.places_refused, Ordering::Relaxed);
+    }
+}
--- a/daemon/src/engine/caller.rs
+++ b/daemon/src/engine/caller.rs
@@ -8,6 +8,7 @@
 use chervilwharf_lib::catalog::Catalog;
 use chervilwharf_lib::catalog::Route;
 use chervilwharf_lib::error_kind::ErrorKind;
+use chervilwharf_lib::fair_order::Flow;
 use chervilwharf_lib::fleet::InstanceRecord;
 use chervilwharf_lib::id::AccountId;
 use chervilwharf_lib::id::ConfigVersion;
@@ -57,6 +58,14 @@
         }
         Self::new(catalog, route, self.key)
     }
+
+    /// The flow of its requests in the order of service. An account that is no longer in the
+    /// configuration has the weight of one without a limit.
+    #[must_use]
+    pub fn flow(&self, catalog: &Catalog) -> Flow {
+        let limit = self.account.as_ref().and_then(|id| catalog.accounts.as_ref()?.limit(id));
+        Flow::of(self.account.clone(), limit)
+    }
 }
 
 /// Shortest interval at which other instances are asked for a newer configuration, so that
--- a/daemon/src/engine/metrics.rs
+++ b/daemon/src/engine/metrics.rs
@@ -19,6 +19,7 @@
 use prometheus_client::registry::Registry;
 
 use crate::engine::account_metrics::AccountMetrics;
+use crate::engine::account_metrics::FairOrderMetrics;
 use crate::engine::clock::now;
 use crate::engine::directory::RecordKind;
 use crate::engine::event_log;
@@ -191,6 +192,7 @@
     replacement_seconds: HistogramFamily<PhaseLabels>,
     connections: Family<ConnectionLabels, Gauge>,
     waiting: Family<GroupLabels, Gauge>,
+    fair_order: FairOrderMetrics,
     sample_age_seconds: Family<GroupLabels, SecondsGauge>,
     configuration_version: Gauge,
     sessions: Gauge,
@@ -220,6 +222,7 @@
             replacement_seconds: histograms(),
             connections: Family::default(),
             waiting: Family::default(),
+            fair_order: FairOrderMetrics::default(),
             sample_age_seconds: Family::default(),
             configuration_version: Gauge::default(),
             sessions: Gauge::default(),
@@ -264,6 +267,7 @@
         );
         registry.register("connections", "Connections to servers", self.connections.clone());
         registry.register("waiting", "Statements that wait for a connection", self.waiting.clone());
+        self.fair_order.register(registry);
         let age = self.sample_age_seconds.clone();
         registry.register(
             "sample_age_seconds",
@@ -347,6 +351,7 @@
         let labels = GroupLabels { group: shard.id().to_string() };
         let waiting = i64::try_from(shard.waiting()).unwrap_or(i64::MAX);
         self.waiting.get_or_create(&labels).set(waiting);
+        self.fair_order.update(&labels, shard.fair_order_counts());
         if let Some(age) = shard.with_group(|group| group.sample_age(now())) {
             self.sample_age_seconds.get_or_create(&labels).set(age.as_secs_f64());
         }
--- a/daemon/src/engine/probe.rs
+++ b/daemon/src/engine/probe.rs
@@ -7,6 +7,7 @@
 use chervilwharf_lib::connection_setup::SessionValues;
 use chervilwharf_lib::event::Event;
 use chervilwharf_lib::event::EventKind;
+use chervilwharf_lib::fair_order::Flow;
 use chervilwharf_lib::group::ServerStatus;
 use chervilwharf_lib::id::TargetId;
 use chervilwharf_lib::moment::Moment;
@@ -108,6 +109,7 @@
     let asked_at = now();
     let connection_request = ConnectionRequest {
         owner: ConnectionOwner::AnyAccount,
+        flow: Flow::default(),
         need: Need::Server(id.clone()),
         priority: SAMPLE_PRIORITY,
         give_up_at: asked_at + PROBE_TIMEOUT,
--- a/daemon/src/engine/session.rs
+++ b/daemon/src/engine/session.rs
@@ -459,6 +459,7 @@
         let connection_request = ConnectionRequest {
             need,
             owner: ConnectionOwner::Account(self.caller.account.clone()),
+            flow: self.caller.flow(&self.engine.catalog()),
             priority: request.route.priority,
             give_up_at: request.deadline,
             in_time_until: request.in_time_until(began_at),
--- a/daemon/src/engine/shard.rs
+++ b/daemon/src/engine/shard.rs
@@ -52,6 +52,8 @@
     pub(super) group: Group,
     pools: HashMap<TargetId, Pool>,
     pub(super) queue: WaitQueue<Waiter>,
+    /// Requests refused because their account has half of the waiting places.
+    pub(super) places_refused: u64,
     pub(super) wait_estimator: WaitEstimator,
     budget: usize,
     /// The budget that was last logged.
@@ -298,6 +300,17 @@
         self.lock().queue.len()
     }
 
+    /// The fair order among the accounts whose requests wait.
+    #[must_use]
+    pub fn fair_order_counts(&self) -> FairOrderCounts {
+        let inner = self.lock();
+        FairOrderCounts {
+            flows: inner.queue.flows(),
+            relieved: inner.queue.relieved(),
+            places_refused: inner.places_refused,
+        }
+    }
+
     /// Sets the servers of the group, from the platform's list. Idle connections to servers
     /// that take no more work are closed.
     pub fn set_servers(self: &Arc<Self>, servers: Vec<ServerInfo>) {
@@ -564,6 +577,17 @@
     }
 }
 
+/// State and counters of the fair order among the accounts of a group.
+#[derive(Clone, Copy, Debug)]
+pub struct FairOrderCounts {
+    /// Accounts whose share of the service is remembered.
+    pub flows: usize,
+    /// Connections that the lowest priority got before more urgent requests.
+    pub relieved: u64,
+    /// Requests refused because their account has half of the waiting places.
+    pub places_refused: u64,
+}
+
 type Grant = (oneshot::Sender<Lease>, TargetId, PooledConnection);
 
 /// The result of one assignment of connections to waiting requests.
--- a/daemon/src/engine/shard/assign.rs
+++ b/daemon/src/engine/shard/assign.rs
@@ -60,7 +60,8 @@
             else {
                 return None;
             };
-            let contested = self.queue.ahead_of(request.rank(Tier::InTime)).any(|(_, waiter)| {
+            let rank = request.rank(Tier::InTime);
+            let contested = self.queue.ahead_of(rank, &request.flow).any(|(_, waiter)| {
                 waiter.need.accepts(&self.group, now, &server) && waiter.owner == request.owner
             });
             if contested {
@@ -69,6 +70,7 @@
             let fit =
                 |pooled: &PooledConnection| pooled.setup_cost(request.values, request.prepared);
             if let Some(connection) = self.take_from(&server, &request.owner, fit) {
+                self.queue.charge(rank, &request.flow);
                 return Some((server, connection));
             }
         }
@@ -107,6 +109,12 @@
         self.demand.observe(now, busiest + self.queue.len());
     }
 
+    /// Number of connections to these servers that were granted to waiting requests.
+    pub(in crate::engine) fn granted_from_queue(&self, servers: &[TargetId]) -> usize {
+        let pools = servers.iter().filter_map(|id| self.pools.get(id));
+        pools.map(|pool| pool.granted_from_queue).sum()
+    }
+
     /// Chooses a server for a request that has waited for `waited`.
     fn choose(
         &self,
@@ -173,7 +181,7 @@
 
     /// Whether any waiting request could use an idle connection.
     fn is_waited_for(&self, now: Moment, server: &TargetId, pooled: &PooledConnection) -> bool {
-        self.queue.iter().any(|(_, waiter)| {
+        self.queue.items().any(|waiter| {
             waiter.owner.accepts(pooled.account.as_ref())
                 && waiter.need.accepts(&self.group, now, server)
         })
@@ -209,7 +217,10 @@
                 let Some(connection) = self.take_from(&server, &owner, |_| 0) else {
                     return;
                 };
-                if let Some(waiter) = self.queue.remove(place) {
+                if let Some(waiter) = self.queue.grant(place) {
+                    if let Some(pool) = self.pools.get_mut(&server) {
+                        pool.granted_from_queue += 1;
+                    }
                     assignments.grants.push((waiter.grant, server, connection));
                 }
             }
--- a/daemon/src/engine/shard/pool.rs
+++ b/daemon/src/engine/shard/pool.rs
@@ -15,6 +15,8 @@
     pub(super) view: PoolView,
     /// Number of connections that are open or being opened, by account.
     pub(super) by_account: HashMap<Option<AccountId>, usize>,
+    /// Number of connections that were granted to waiting requests.
+    pub(super) granted_from_queue: usize,
 }
 
 impl Pool {
--- a/daemon/src/engine/waiting.rs
+++ b/daemon/src/engine/waiting.rs
@@ -14,6 +14,9 @@
 use chervilwharf_lib::error_kind::ErrorKind;
 use chervilwharf_lib::event::Event;
 use chervilwharf_lib::event::EventKind;
+use chervilwharf_lib::fair_order::AccountBacklog;
+use chervilwharf_lib::fair_order::Flow;
+use chervilwharf_lib::fair_order::PLACES_TEXT;
 use chervilwharf_lib::id::TargetId;
 use chervilwharf_lib::load_shedding::QueueDecision;
 use chervilwharf_lib::load_shedding::WaitForecast;
@@ -41,6 +44,8 @@
     pub need: Need,
     /// The account whose connections can serve it.
     pub owner: ConnectionOwner,
+    /// The account that it counts for in the order of service.
+    pub flow: Flow,
     /// Its priority in the queue.
     pub priority: Priority,
     /// When the request stops waiting, at the latest.
@@ -133,9 +138,12 @@
                 return Ok(lease);
             }
             let shortage = Failure::new(self.shortage(&request.need));
-            if !answers || self.lock().admit(now(), request, Duration::ZERO).is_err() {
+            if !answers {
                 return Err(shortage);
             }
+            if let Err(failure) = self.lock().admit(now(), request, Duration::ZERO) {
+                return Err(if &*failure.text == PLACES_TEXT { failure } else { shortage });
+            }
         }
         let late = self.wait(request, Tier::Late, late_until(request)).await;
         late.ok_or_else(|| Failure::new(self.shortage(&request.need)))
@@ -166,15 +174,17 @@
     ) -> Option<Lease> {
         let began_at = now();
         let (grant, mut granted) = oneshot::channel();
-        let (place, ahead, measures) = {
+        let (place, ahead, measures, servers, granted_before) = {
             let mut inner = self.lock();
             let measures = !inner.awaits_primary(began_at, &request.need);
             let servers = inner.servers_for(began_at, &request.need);
             let ahead = inner.competitors(began_at, request, &servers, tier);
             let (need, owner) = (request.need.clone(), request.owner.clone());
             let waiter = Waiter { need, owner, since: began_at, grant };
-            let place = inner.queue.push(request.rank(tier), waiter);
-            (QueueGuard { shard: self.clone(), place }, ahead, measures)
+            let place = inner.queue.push(request.rank(tier), &request.flow, waiter);
+            let granted_before = inner.granted_from_queue(&servers);
+            let place = QueueGuard { shard: self.clone(), place };
+            (place, ahead, measures, servers, granted_before)
         };
         self.assign_connections();
         let wait = until.saturating_sub(began_at);
@@ -183,11 +193,19 @@
         // The connection may have been granted just before the timeout.
         let lease = in_time.ok().and_then(Result::ok).or_else(|| granted.try_recv().ok());
         let ended_at = now();
-        // A request whose late wait ended without a connection was not served at all, so its
-        // whole wait counts for a single place.
-        let ahead = if lease.is_none() && tier == Tier::Late { 0 } else { ahead };
         let waited = ended_at.saturating_sub(began_at);
         let mut inner = self.lock();
+        let granted = inner.granted_from_queue(&servers).saturating_sub(granted_before);
+        let passed = granted.saturating_sub(usize::from(lease.is_some()));
+        let ahead = match request.flow.account() {
+            // A request whose late wait ended without a connection was not served at all, so
+            // its whole wait counts for a single place.
+            _ if lease.is_none() && tier == Tier::Late => 0,
+            // Requests of other accounts can overtake this one, also while it waits for a
+            // connection of its account. They were served in this time as well.
+            Some(_) => ahead.max(passed),
+            None => ahead,
+        };
         if measures && !inner.awaits_primary(ended_at, &request.need) {
             inner.wait_estimator.observe(ended_at, request.sub_queue(tier), ahead, waited);
         }
@@ -210,7 +228,7 @@
     /// Decides whether a request waits, and in which tier, or is refused.
     /// `max_wait` is how long it can wait and still meet its objective.
     fn admit(
-        &self,
+        &mut self,
         now: Moment,
         request: &ConnectionRequest<'_>,
         max_wait: Duration,
@@ -235,13 +253,53 @@
             time_left: late_until(request).saturating_sub(now),
         };
         match forecast.decide() {
-            QueueDecision::Wait(tier) => Ok(tier),
+            QueueDecision::Wait(tier) => {
+                let (ahead, limit) = match tier {
+                    Tier::InTime => (ahead, forecast.max_wait),
+                    Tier::Late => (late_waiting, forecast.time_left),
+                };
+                match self.refused_places(now, request, &servers, tier, ahead, limit) {
+                    Some(after) => {
+                        self.places_refused += 1;
+                        let text = PLACES_TEXT.into();
+                        let failure = Failure { text, ..Failure::new(ErrorKind::Overloaded) };
+                        Err(failure.with_retry_after(after))
+                    }
+                    None => Ok(tier),
+                }
+            }
             QueueDecision::Refuse(after) => {
                 Err(Failure::new(ErrorKind::Overloaded).with_retry_after(after))
             }
         }
     }
 
+    /// If the account of a request already has half of the waiting places in a tier, the
+    /// time after which its waiting requests have been served.
+    fn refused_places(
+        &self,
+        now: Moment,
+        request: &ConnectionRequest<'_>,
+        servers: &[TargetId],
+        tier: Tier,
+        ahead: usize,
+        max_wait: Duration,
+    ) -> Option<Duration> {
+        let account = request.flow.account()?;
+        let sub_queue = request.sub_queue(tier);
+        let wait_per_place = self.wait_estimator.wait_per_place(now, sub_queue)?;
+        let competes = |waiter: &&Waiter| self.competes(now, waiter, servers);
+        let own = self.queue.of_account(tier, request.priority, account).filter(competes);
+        let backlog = AccountBacklog {
+            own: own.count(),
+            others_wait: self.queue.others_wait(tier, request.priority, account),
+            expected_wait: wait_per_place * u32::try_from(ahead).unwrap_or(u32::MAX),
+            wait_per_place,
+            max_wait,
+        };
+        backlog.refuse_after()
+    }
+
     /// Whether a request waits for a primary that does not answer. That wait does not
     /// depend on the length of the queue, so it is neither measured nor estimated.
     /// Otherwise requests would be refused that the next primary can serve in time.
@@ -259,9 +317,14 @@
         tier: Tier,
     ) -> usize {
         let competes = |(rank, waiter): &(Rank, &Waiter)| {
-            rank.tier == tier && servers.iter().any(|id| waiter.need.accepts(&self.group, now, id))
+            rank.tier == tier && self.competes(now, waiter, servers)
         };
-        self.queue.ahead_of(request.rank(tier)).filter(competes).count()
+        self.queue.ahead_of(request.rank(tier), &request.flow).filter(competes).count()
+    }
+
+    /// Whether one of `servers` can serve a waiting request.
+    fn competes(&self, now: Moment, waiter: &Waiter, servers: &[TargetId]) -> bool {
+        servers.iter().any(|id| waiter.need.accepts(&self.group, now, id))
     }
 
     /// Servers that can serve a request.
--- a/daemon/tests/test_waiting.rs
+++ b/daemon/tests/test_waiting.rs
@@ -12,6 +12,7 @@
 use chervilwharf_daemon::engine::waiting::ConnectionRequest;
 use chervilwharf_lib::connection_setup::SessionValues;
 use chervilwharf_lib::error_kind::ErrorKind;
+use chervilwharf_lib::fair_order::Flow;
 use chervilwharf_lib::server_choice::ConnectionOwner;
 use chervilwharf_lib::server_choice::Need;
 use futures::future::join_all;
@@ -32,6 +33,7 @@
     let values = SessionValues::new();
     let want = ConnectionRequest {
         owner: ConnectionOwner::Account(None),
+        flow: Flow::default(),
         need: Need::Leader,
         priority: 1,
         give_up_at: now() + max_wait,
--- a/lib/src/explanation.rs
+++ b/lib/src/explanation.rs
@@ -8,6 +8,8 @@
 use serde_json::Map;
 use serde_json::Value;
 
+use crate::fair_order::PLACES_TEXT;
+
 /// A parsed log line.
 #[derive(Clone, Debug, PartialEq)]
 pub struct LogLine {
@@ -220,6 +222,14 @@
     });
     let context = context.map_or_else(String::new, |text| format!("; {text}"));
     let text = match (&*last.event, last.text("reason").unwrap_or_default()) {
+        ("request_refused", "overloaded") if last.text("text") == Some(PLACES_TEXT) => {
+            let account = last.text("account").unwrap_or("none");
+            let waiting = last.number("waiting");
+            format!(
+                "account {account} had half of the waiting places of its priority while others \
+                 waited: {waiting} requests were waiting{context}"
+            )
+        }
         ("request_refused", "overloaded") => {
             let waiting = last.number("waiting");
             format!("refused under load: {waiting} requests were waiting{context}")
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod error_kind;
 pub mod event;
 pub mod explanation;
+pub mod fair_order;
 pub mod fleet;
 pub mod floors;
 pub mod group;
--- a/lib/src/loss.rs
+++ b/lib/src/loss.rs
@@ -12,6 +12,7 @@
 
 use crate::explanation::CAUSE_WITHIN_MS;
 use crate::explanation::LogLine;
+use crate::fair_order::PLACES_TEXT;
 
 /// Length of a time window of the report, in milliseconds.
 pub const WINDOW_MS: u64 = 1_000;
@@ -198,6 +199,9 @@
     match line.text("reason").unwrap_or_default() {
         "rate_limited" => return "the account reached its limit".to_owned(),
         "unknown_key" => return "no account has the key any more".to_owned(),
+        "overloaded" if line.text("text") == Some(PLACES_TEXT) => {
+            return "the account had half of the waiting places".to_owned();
+        }
         "quota_unknown" => return "no instance counted the account's operations".to_owned(),
         _ => {}
     }
--- a/lib/src/wait_estimator.rs
+++ b/lib/src/wait_estimator.rs
@@ -87,9 +87,16 @@
         sub_queue: SubQueue,
         ahead: usize,
     ) -> Option<Duration> {
+        let wait_per_place = self.wait_per_place(now, sub_queue)?;
+        (ahead > 0).then(|| wait_per_place * places(ahead))
+    }
+
+    /// Present wait for each place in the queue; `None` if there is no recent measurement.
+    #[must_use]
+    pub fn wait_per_place(&self, now: Moment, sub_queue: SubQueue) -> Option<Duration> {
         let estimate = self.estimates.get(&sub_queue)?;
         let fresh = estimate.observed_at + MAX_ESTIMATE_AGE >= now;
-        (fresh && ahead > 0).then(|| estimate.wait_per_place * places(ahead))
+        fresh.then_some(estimate.wait_per_place)
     }
 }
 
--- a/lib/tests/test_explanation.rs
+++ b/lib/tests/test_explanation.rs
@@ -8,6 +8,7 @@
 use chervilwharf_lib::event::LineCounter;
 use chervilwharf_lib::explanation;
 use chervilwharf_lib::explanation::LogLine;
+use chervilwharf_lib::fair_order::PLACES_TEXT;
 use quickcheck::quickcheck;
 
 fn line(at_ms: u128, instance: &str, event: &Event) -> LogLine {
@@ -133,6 +134,7 @@
         ("rate_limited", "faster than it may: 5 a second", "5 a second"),
         ("unknown_key", "no account has this key", "does not have it any more"),
         ("quota_unknown", "nobody can tell", "counts the operations"),
+        ("overloaded", PLACES_TEXT, "half of the waiting places"),
     ];
     for (reason, text, expected) in cases {
         let log = [line(1_000, "a", &refused(reason, text))];
--- a/lib/tests/test_loss.rs
+++ b/lib/tests/test_loss.rs
@@ -6,6 +6,7 @@
 use chervilwharf_lib::event::EventKind;
 use chervilwharf_lib::explanation;
 use chervilwharf_lib::explanation::LogLine;
+use chervilwharf_lib::fair_order::PLACES_TEXT;
 use chervilwharf_lib::loss;
 use quickcheck::quickcheck;
 
@@ -98,12 +99,15 @@
     for reason in ["rate_limited", "unknown_key", "quota_unknown"] {
         log.push(line(10_100, "a", &ended(EventKind::RequestRefused, "db", reason, 1)));
     }
+    let beyond_places = ended(EventKind::RequestRefused, "db", "overloaded", 1);
+    log.push(line(10_100, "a", &beyond_places.with("text", PLACES_TEXT)));
     let report = loss::report(&log);
     let cause = |reason: &str| {
         let row = report.rows.iter().find(|row| &*row.reason == reason).expect("a row");
         row.cause.clone()
     };
     assert_eq!(cause("rate_limited"), "the account reached its limit");
+    assert_eq!(cause("overloaded"), "the account had half of the waiting places");
     assert_eq!(cause("unknown_key"), "no account has the key any more");
     assert_eq!(cause("quota_unknown"), "no instance counted the account's operations");
 }
--- a/lib/tests/test_sharing.rs
+++ b/lib/tests/test_sharing.rs
@@ -9,6 +9,7 @@
 use chervilwharf_lib::connection_budget::Demand;
 use chervilwharf_lib::connection_budget::account_connection_budget;
 use chervilwharf_lib::connection_budget::budget;
+use chervilwharf_lib::fair_order::Flow;
 use chervilwharf_lib::fleet::Fleet;
 use chervilwharf_lib::fleet::InstanceRecord;
 use chervilwharf_lib::fleet::UNREACHABLE_AFTER;
@@ -120,16 +121,16 @@
 
 #[test]
 fn test_more_urgent_requests_go_first_then_earlier_deadlines() {
-    let mut queue = WaitQueue::default();
+    let (mut queue, any) = (WaitQueue::default(), Flow::default());
     let rank = |priority, deadline| Rank { tier: Tier::InTime, priority, deadline };
-    queue.push(rank(2, at(10)), "low priority, early deadline");
-    let place = queue.push(rank(1, at(50)), "urgent, late deadline");
-    queue.push(rank(1, at(40)), "urgent");
+    queue.push(rank(2, at(10)), &any, "low priority, early deadline");
+    let place = queue.push(rank(1, at(50)), &any, "urgent, late deadline");
+    queue.push(rank(1, at(40)), &any, "urgent");
     let order: Vec<_> = queue.iter().map(|(_, item)| *item).collect();
     assert_eq!(order, ["urgent", "urgent, late deadline", "low priority, early deadline"]);
-    assert_eq!(queue.ahead_of(rank(1, at(45))).count(), 1);
+    assert_eq!(queue.ahead_of(rank(1, at(45)), &any).count(), 1);
     // A request that cannot meet its objective goes last, whatever its priority.
-    queue.push(Rank { tier: Tier::Late, ..rank(0, at(1)) }, "late");
+    queue.push(Rank { tier: Tier::Late, ..rank(0, at(1)) }, &any, "late");
     assert_eq!(queue.iter().last().map(|(_, item)| *item), Some("late"));
     assert_eq!(queue.remove(place), Some("urgent, late deadline"));
     assert_eq!(queue.remove(place), None);
