--- a/daemon/src/engine/shard/load.rs
+++ b/daemon/src/engine/shard/load.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use chervilwharf_lib::connection_setup::SessionValues;
+use chervilwharf_lib::fair_order::Flow;
 use chervilwharf_lib::group_load::ExpectedWait;
 use chervilwharf_lib::group_load::GroupLoad;
 use chervilwharf_lib::group_load::RequestKind;
@@ -77,6 +78,8 @@
             let request = ConnectionRequest {
                 need: example.need.clone(),
                 owner: example.owner.clone(),
+                // The report is for all accounts, so it is that of an account without a backlog.
+                flow: Flow::default(),
                 priority: kind.priority,
                 give_up_at: now + example.time_left,
                 in_time_until: now + example.max_wait,
--- a/lib/src/explanation.rs
+++ b/lib/src/explanation.rs
@@ -8,6 +8,7 @@
 use serde_json::Map;
 use serde_json::Value;
 
+use crate::fair_order::PLACES_TEXT;
 use crate::operation_clock::OperationPart;
 
 /// A parsed log line.
@@ -237,6 +238,14 @@
             let holders = last.number("holders_refusing");
             format!("refused at once: all {holders} holders of the group were overloaded{context}")
         }
+        ("request_refused", "overloaded") if last.text("text") == Some(PLACES_TEXT) => {
+            let account = last.text("account").unwrap_or("none");
+            let waiting = last.number("waiting");
+            format!(
+                "account {account} had half of the waiting places of its priority while others \
+                 waited: {waiting} requests were waiting{context}"
+            )
+        }
         ("request_refused", "overloaded") => {
             let waiting = last.number("waiting");
             format!("refused under load: {waiting} requests were waiting{context}")
