engine: reads of large accounts use a home in the own failure domain; sent bytes are counted

Cause: two of three statements of an account cross into another failure domain, and no metric shows the bytes that do.

Change: Session::affinity asks account_homes for reads that replicas can serve; holders of a group with accounts let reads wait for their account's connection to a replica for up to 40 ms. chervilwharf_sent_bytes_total counts messages to instances and servers by kind and by whether they leave the failure domain. Groups that all instances hold, and deployments without accounts, are served as before.

--- a/daemon/src/engine/holders.rs
+++ b/daemon/src/engine/holders.rs
@@ -9,6 +9,7 @@
 use std::sync::MutexGuard;
 use std::time::Duration;
 
+use chervilwharf_lib::account_homes::AccountHomes;
 use chervilwharf_lib::fleet::EligibleStamp;
 use chervilwharf_lib::fleet::InstanceRecord;
 use chervilwharf_lib::holder_choice::Affinity;
@@ -47,6 +48,7 @@
 /// The holders of each group.
 pub struct Holders {
     inner: Mutex<Inner>,
+    account_homes: Mutex<AccountHomes>,
 }
 
 impl Holders {
@@ -55,7 +57,13 @@
     pub fn new(me: InstanceId) -> Self {
         let table = HolderTable::new(me);
         let skip_until = HashMap::new();
-        Self { inner: Mutex::new(Inner { checked_at: None, stamp: None, table, skip_until }) }
+        let inner = Mutex::new(Inner { checked_at: None, stamp: None, table, skip_until });
+        Self { inner, account_homes: Mutex::default() }
+    }
+
+    /// Which accounts have a home in the failure domain of this instance.
+    pub(super) fn account_homes(&self) -> MutexGuard<'_, AccountHomes> {
+        self.account_homes.lock().expect("never poisoned")
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
@@ -158,6 +166,13 @@
         self.holder_lists().lock().table.holds(group)
     }
 
+    /// Whether all instances hold connections to a group.
+    #[must_use]
+    pub fn is_held_by_all(&self, group: &GroupId) -> bool {
+        self.check_holders();
+        self.holder_lists().lock().table.is_held_by_all(group)
+    }
+
     /// The other instances that hold connections to a group.
     #[must_use]
     pub fn co_holders(&self, group: &GroupId) -> Vec<InstanceRecord> {
--- a/daemon/src/engine/metrics.rs
+++ b/daemon/src/engine/metrics.rs
@@ -22,6 +22,8 @@
 use crate::engine::clock::now;
 use crate::engine::directory::RecordKind;
 use crate::engine::event_log;
+use crate::engine::sent_bytes;
+use crate::engine::sent_bytes::SentLabels;
 use crate::engine::shard::Shard;
 use crate::engine::shared::Engine;
 
@@ -189,6 +191,8 @@
     pub accounts: AccountMetrics,
     /// Time that each step in the replacement of a primary took at this instance.
     replacement_seconds: HistogramFamily<PhaseLabels>,
+    /// Bytes sent to other instances and to servers.
+    sent_bytes: Family<SentLabels, Counter>,
     connections: Family<ConnectionLabels, Gauge>,
     waiting: Family<GroupLabels, Gauge>,
     sample_age_seconds: Family<GroupLabels, SecondsGauge>,
@@ -218,6 +222,7 @@
             store: StoreMetrics::default(),
             accounts: AccountMetrics::default(),
             replacement_seconds: histograms(),
+            sent_bytes: Family::default(),
             connections: Family::default(),
             waiting: Family::default(),
             sample_age_seconds: Family::default(),
@@ -262,6 +267,8 @@
             "Time of the steps in the replacement of a primary",
             seconds,
         );
+        let sent = self.sent_bytes.clone();
+        registry.register("sent_bytes", "Bytes sent to instances and servers", sent);
         registry.register("connections", "Connections to servers", self.connections.clone());
         registry.register("waiting", "Statements that wait for a connection", self.waiting.clone());
         let age = self.sample_age_seconds.clone();
@@ -333,6 +340,7 @@
         self.sessions.set(i64::try_from(engine.session_count()).unwrap_or(i64::MAX));
         self.lines_left_out.set(i64::try_from(event_log::left_out()).unwrap_or(i64::MAX));
         self.store.update_answer_ages();
+        sent_bytes::update(engine, &self.sent_bytes);
         self.connections.clear();
         for shard in engine.shards() {
             self.update_shard_gauges(&shard);
--- a/daemon/src/engine/peers.rs
+++ b/daemon/src/engine/peers.rs
@@ -38,6 +38,7 @@
 use tokio_util::codec::LengthDelimitedCodec;
 
 use crate::engine::event_log;
+use crate::engine::sent_bytes;
 use crate::engine::socket;
 
 /// Longest frame; enough for a configuration of some thousand routes.
@@ -141,8 +142,10 @@
         self.last_exchange_id += 1;
         let exchange_id = self.last_exchange_id;
         let frame = EngineFrame { exchange_id, body: Some(body) };
+        let bytes = frame.encode_to_vec();
+        sent_bytes::count_request(frame.body.as_ref(), address, bytes.len());
         frames
-            .send(Bytes::from(frame.encode_to_vec()))
+            .send(Bytes::from(bytes))
             .await
             .map_err(|error| LinkError::Failed(unreachable(&error)))?;
         let answer = read_frame(&mut frames).await?;
@@ -269,7 +272,9 @@
         let mut frames = frames(connect(address).await?);
         let frame = EngineFrame { exchange_id: 1, body: Some(Body::Tunnel(tunnel)) };
         let pending = async {
-            let sent = frames.send(Bytes::from(frame.encode_to_vec())).await;
+            let bytes = frame.encode_to_vec();
+            sent_bytes::count_request(frame.body.as_ref(), address, bytes.len());
+            let sent = frames.send(Bytes::from(bytes)).await;
             sent.map_err(|error| unreachable(&error))?;
             read_frame(&mut frames).await
         };
@@ -372,7 +377,11 @@
             return;
         };
         let answer = EngineFrame { exchange_id: frame.exchange_id, body: Some(body) };
-        if frames.send(Bytes::from(answer.encode_to_vec())).await.is_err() {
+        let bytes = answer.encode_to_vec();
+        if let Ok(address) = frames.get_ref().peer_addr() {
+            sent_bytes::count_answer(answer.body.as_ref(), address, bytes.len());
+        }
+        if frames.send(Bytes::from(bytes)).await.is_err() {
             return;
         }
         drop(permit);
@@ -397,8 +406,16 @@
         return;
     };
     let mut stream = frames.into_inner();
-    // A tunnel usually ends when either side closes or fails, so the result is ignored.
-    let _ended = tokio::io::copy_bidirectional(&mut stream, &mut server).await;
+    let (instance_address, server_address) = (stream.peer_addr(), server.peer_addr());
+    let ended = tokio::io::copy_bidirectional(&mut stream, &mut server).await;
+    // A tunnel that ends with an error, rather than closed by both sides, reports no bytes.
+    if let (Ok((to_server, to_instance)), Ok(instance_address), Ok(server_address)) =
+        (ended, instance_address, server_address)
+    {
+        let to_server = usize::try_from(to_server).unwrap_or(usize::MAX);
+        sent_bytes::count(sent_bytes::TUNNELLED, server_address, to_server);
+        sent_bytes::count_tunnelled_back(instance_address, to_instance);
+    }
 }
 
 /// Opens a TCP connection within the time for an answer.
--- a/daemon/src/engine/session.rs
+++ b/daemon/src/engine/session.rs
@@ -40,6 +40,7 @@
 use crate::engine::clock::now;
 use crate::engine::event_log;
 use crate::engine::lease::Lease;
+use crate::engine::near_homes::AbleServers;
 use crate::engine::remote;
 use crate::engine::request::Failure;
 use crate::engine::request::Request;
@@ -92,6 +93,8 @@
     transaction: Option<Transaction>,
     /// Whether a statement of the transaction is running.
     in_transaction: bool,
+    /// The servers that can serve the current statement or transaction.
+    able: AbleServers,
     trace: StatementTrace,
     /// Random number below [`RANDOM_NUMBER_LIMIT`], or 0 in a forwarded session. It sets when a
     /// planned stop closes the session, and which holder its statements go to if the client
@@ -194,6 +197,7 @@
             floor: None,
             transaction: None,
             in_transaction: false,
+            able: AbleServers::Primary,
             trace: StatementTrace::default(),
             random_number,
             open_guard: Some(engine.count_session()),
@@ -274,7 +278,9 @@
     #[must_use]
     pub fn affinity(&self) -> Affinity {
         match &self.caller.account {
-            Some(account) if !self.is_forwarded => Affinity::Account(account.clone()),
+            Some(account) if !self.is_forwarded => {
+                self.engine.account_affinity(self.shard.id(), account, self.able)
+            }
             _ => Affinity::Session(self.random_number),
         }
     }
@@ -576,6 +582,7 @@
         work: &Work,
         writes: bool,
     ) -> Result<Served, Failure> {
+        self.prepare_affinity(&request.route, writes);
         let Some(mut transaction) = self.transaction.take() else {
             if !self.engine.serves_here(&request.route.group, &self.affinity()) {
                 return remote::single(self, request, work, writes).await;
--- a/daemon/src/engine/session/account.rs
+++ b/daemon/src/engine/session/account.rs
@@ -3,13 +3,16 @@
 
 use std::time::Duration;
 
+use chervilwharf_lib::catalog::Consistency;
 use chervilwharf_lib::catalog::Route;
 use chervilwharf_lib::error_kind::ErrorKind;
 use chervilwharf_lib::error_kind::Outcome;
 
 use crate::engine::caller::Caller;
+use crate::engine::near_homes::AbleServers;
 use crate::engine::request::Failure;
 use crate::engine::session::Session;
+use crate::engine::transaction::Transaction;
 
 /// How long an operation waits until its account has a keeper, the instance that counts its
 /// operations. It covers a few rounds of votes after all instances were killed.
@@ -37,6 +40,17 @@
         }
     }
 
+    /// Records what decides to which home of its account the next statement goes. In a
+    /// transaction this stays the same, as does the connection.
+    pub(super) fn prepare_affinity(&mut self, route: &Route, writes: bool) {
+        let read_only = self.transaction.as_ref().map_or(!writes, Transaction::is_read_only);
+        let needs_primary = !read_only || route.consistency == Consistency::Latest;
+        self.able = if needs_primary { AbleServers::Primary } else { AbleServers::Replicas };
+        if let Some(account) = self.caller.account.as_ref().filter(|_| !self.is_forwarded) {
+            self.engine.observe_account(account);
+        }
+    }
+
     /// Counts an operation against the account's quota. A transaction is one operation,
     /// counted at its first statement.
     pub(super) async fn count_operation(&mut self, time_left: Duration) -> Result<(), Failure> {
--- a/daemon/src/engine/shard.rs
+++ b/daemon/src/engine/shard.rs
@@ -54,6 +54,8 @@
     pub(super) queue: WaitQueue<Waiter>,
     pub(super) wait_estimator: WaitEstimator,
     budget: usize,
+    /// See [`Shard::set_reads_wait_for_own`].
+    reads_wait_for_own: bool,
     /// The budget that was last logged.
     logged_budget: usize,
     /// Smoothed duration of statements at the servers.
@@ -265,6 +267,12 @@
         }
     }
 
+    /// Sets whether a read whose account has a connection to a replica waits for that one for a
+    /// while, before a connection to the primary is opened for it.
+    pub fn set_reads_wait_for_own(&self, waits: bool) {
+        self.lock().reads_wait_for_own = waits;
+    }
+
     /// How many connections to the busiest server this instance needs: the recent peak,
     /// which decays over time.
     #[must_use]
--- a/daemon/src/engine/shard/assign.rs
+++ b/daemon/src/engine/shard/assign.rs
@@ -145,8 +145,10 @@
         // the server like a statement. When these were not counted, all holders together
         // opened more connections than a busy server has slots, and served nothing.
         let taking_slots = owner.account().map_or(0, |_| pool.view.opening);
-        let budget = self.budget;
-        PoolView { idle, replaceable, own, taking_slots, budget, ..pool.view.clone() }
+        let waits_for_own =
+            self.reads_wait_for_own && owner.account().is_some() && waited < REPLACE_DELAY;
+        let (budget, view) = (self.budget, pool.view.clone());
+        PoolView { idle, replaceable, own, waits_for_own, taking_slots, budget, ..view }
     }
 
     /// Index of the idle connection to a server that is least likely to be needed again
--- a/daemon/src/engine/shared.rs
+++ b/daemon/src/engine/shared.rs
@@ -426,6 +426,8 @@
         for group in held.iter() {
             if let Some(settings) = catalog.groups.get(group) {
                 let shard = self.shard(group);
+                let waits = catalog.accounts.is_some() && !self.is_held_by_all(group);
+                shard.set_reads_wait_for_own(waits);
                 shard.set_budget(self.connection_budget(&catalog, settings, &shard));
             }
         }
--- a/daemon/src/engine/transfer.rs
+++ b/daemon/src/engine/transfer.rs
@@ -18,6 +18,7 @@
 use crate::engine::peers;
 use crate::engine::peers::Frames;
 use crate::engine::peers::PeerError;
+use crate::engine::sent_bytes;
 
 /// Longest time in which no further part of a message is sent or received.
 const STALL_TIMEOUT: Duration = Duration::from_millis(500);
@@ -45,6 +46,9 @@
 
 async fn send(frames: &mut Frames, frame: &EngineFrame) -> Result<(), PeerError> {
     let bytes = Bytes::from(frame.encode_to_vec());
+    if let Ok(address) = frames.get_ref().peer_addr() {
+        sent_bytes::count_request(frame.body.as_ref(), address, bytes.len());
+    }
     frames.feed(bytes).await.map_err(|error| peers::unreachable(&error))?;
     loop {
         let unsent_bytes = frames.write_buffer().len();
