--- a/daemon/src/engine/metrics.rs
+++ b/daemon/src/engine/metrics.rs
@@ -25,6 +25,8 @@
 use crate::engine::directory::RecordKind;
 use crate::engine::event_log;
 use crate::engine::load_metrics::LoadMetrics;
+use crate::engine::sent_bytes;
+use crate::engine::sent_bytes::SentLabels;
 use crate::engine::shard::Shard;
 use crate::engine::shared::Engine;
 
@@ -208,6 +210,8 @@
     pub loads: LoadMetrics,
     /// Time that each step in the replacement of a primary took at this instance.
     replacement_seconds: HistogramFamily<PhaseLabels>,
+    /// Bytes sent to other instances and to servers.
+    sent_bytes: Family<SentLabels, Counter>,
     connections: Family<ConnectionLabels, Gauge>,
     waiting: Family<GroupLabels, Gauge>,
     fair_order: FairOrderMetrics,
@@ -241,6 +245,7 @@
             accounts: AccountMetrics::default(),
             loads: LoadMetrics::default(),
             replacement_seconds: histograms(),
+            sent_bytes: Family::default(),
             connections: Family::default(),
             waiting: Family::default(),
             fair_order: FairOrderMetrics::default(),
@@ -294,6 +299,8 @@
             "Time of the steps in the replacement of a primary",
             seconds,
         );
+        let sent = self.sent_bytes.clone();
+        registry.register("sent_bytes", "Bytes sent to instances and servers", sent);
         registry.register("connections", "Connections to servers", self.connections.clone());
         registry.register("waiting", "Statements that wait for a connection", self.waiting.clone());
         self.fair_order.register(registry);
@@ -378,6 +385,7 @@
         self.sessions.set(i64::try_from(engine.session_count()).unwrap_or(i64::MAX));
         self.lines_left_out.set(i64::try_from(event_log::left_out()).unwrap_or(i64::MAX));
         self.store.update_answer_ages();
+        sent_bytes::update(engine, &self.sent_bytes);
         self.connections.clear();
         for shard in engine.shards() {
             self.update_shard_gauges(&shard);
--- a/lib/src/holder_pair.rs
+++ b/lib/src/holder_pair.rs
@@ -74,7 +74,7 @@
     let second = spare_among(others, affinity, &expected)?;
     let is_better = match (first_wait, affinity) {
         (ExpectedWait::Refused(_), _) => true,
-        (ExpectedWait::Served(_), Affinity::Account(_)) => false,
+        (ExpectedWait::Served(_), Affinity::Account(_) | Affinity::LargeAccount(_)) => false,
         (ExpectedWait::Served(wait), Affinity::Session(_)) => {
             let penalty = if second.near { Duration::ZERO } else { FAR_PENALTY };
             let margin = penalty + objective / MARGIN_DIVISOR;
@@ -121,7 +121,7 @@
 ) -> Option<&'a Candidate> {
     let key = match affinity {
         Affinity::Session(number) => number.to_string(),
-        Affinity::Account(account) => account.to_string(),
+        Affinity::Account(account) | Affinity::LargeAccount(account) => account.to_string(),
     };
     let spare = candidates.filter(|candidate| is_spare(candidate, expected));
     spare.max_by_key(|candidate| stable_hash(&["second", &key, &candidate.record.id]))
