--- a/daemon/src/engine/metrics.rs
+++ b/daemon/src/engine/metrics.rs
@@ -290,6 +290,12 @@
         registry.register("account_statements", "Completed statements by account", statements);
         let decisions = self.loads.decisions.clone();
         registry.register("load_decisions", "Decisions by the load of holders", decisions);
+        let searches = self.accounts.quota_searches.clone();
+        registry.register(
+            "quota_searches",
+            "Searches for an instance that counts an operation",
+            searches,
+        );
         registry.register("store_calls", "Calls to the store", self.store.calls.clone());
         let age = self.store.age_seconds.clone();
         registry.register("store_answer_age_seconds", "Time since the store last answered", age);
--- a/daemon/src/engine/sent_bytes.rs
+++ b/daemon/src/engine/sent_bytes.rs
@@ -105,6 +105,8 @@
         Some(Body::KeeperVoteReply(_)) => "keeper_vote_reply",
         Some(Body::QuotaQuestion(_)) => "quota_question",
         Some(Body::QuotaReply(_)) => "quota_reply",
+        Some(Body::ShareQuestion(_)) => "share_question",
+        Some(Body::ShareReply(_)) => "share_reply",
         None => "empty",
     }
 }
--- a/lib/src/loss.rs
+++ b/lib/src/loss.rs
@@ -217,7 +217,10 @@
         "overloaded" if line.text("text") == Some(PLACES_TEXT) => {
             return "the account had half of the waiting places".to_owned();
         }
-        "quota_unknown" => return "no instance counted the account's operations".to_owned(),
+        "quota_unknown" => {
+            return "no keeper counted the account's operations, and no share had one left"
+                .to_owned();
+        }
         _ => {}
     }
     let at_ms = line.at_ms;
--- a/lib/tests/test_loss.rs
+++ b/lib/tests/test_loss.rs
@@ -119,7 +119,10 @@
     assert_eq!(cause("rate_limited"), "the account reached its limit");
     assert_eq!(cause("overloaded"), "the account had half of the waiting places");
     assert_eq!(cause("unknown_key"), "no account has the key any more");
-    assert_eq!(cause("quota_unknown"), "no instance counted the account's operations");
+    assert_eq!(
+        cause("quota_unknown"),
+        "no keeper counted the account's operations, and no share had one left"
+    );
 }
 
 /// Guards against late operations that the report leaves out, or whose largest part it does not
