--- a/lib/src/group_load.rs
+++ b/lib/src/group_load.rs
@@ -45,7 +45,7 @@
 pub enum ExpectedWait {
     /// It gets a connection after this time.
     Served(Duration),
-    /// It is refused. The requests that wait need this time.
+    /// It is refused. A request that arrives after this time is expected to be admitted.
     Refused(Duration),
 }
 
@@ -58,7 +58,7 @@
         match forecast.decide() {
             QueueDecision::Wait(Tier::InTime) => Self::Served(in_time),
             QueueDecision::Wait(Tier::Late) => Self::Served(late),
-            QueueDecision::Refuse(_) => Self::Refused(late),
+            QueueDecision::Refuse(after) => Self::Refused(after),
         }
     }
 
@@ -68,7 +68,7 @@
         matches!(self, Self::Refused(_))
     }
 
-    /// The expected wait, or the time that the backlog needs.
+    /// The expected wait, or the time until a request is expected to be admitted.
     #[must_use]
     pub fn duration(self) -> Duration {
         match self {
@@ -208,6 +208,10 @@
     }
 
     /// What a request has to expect at a holder; `None` without a valid report.
+    ///
+    /// A refusal is expected only until the time at which the holder expects to admit requests
+    /// again. With short backlogs, entries would otherwise refuse for the whole validity of a
+    /// report what the holder can serve.
     #[must_use]
     pub fn expected_wait(
         &self,
@@ -217,8 +221,15 @@
         kind: RequestKind,
     ) -> Option<ExpectedWait> {
         let report = self.reports.get(group)?.get(holder)?;
-        let is_valid = report.asked_at + LOAD_VALIDITY > now;
-        is_valid.then(|| report.load.expected_wait(kind))
+        let age = now.saturating_sub(report.asked_at);
+        if age >= LOAD_VALIDITY {
+            return None;
+        }
+        match report.load.expected_wait(kind) {
+            ExpectedWait::Refused(wait) if wait <= age => None,
+            ExpectedWait::Refused(wait) => Some(ExpectedWait::Refused(wait - age)),
+            served @ ExpectedWait::Served(_) => Some(served),
+        }
     }
 
     /// Counts a request for a group that all holders are expected to refuse. Returns
