--- a/daemon/src/engine/fleet_control.rs
+++ b/daemon/src/engine/fleet_control.rs
@@ -120,7 +120,7 @@
         });
         let ids: HashSet<_> = ids.into_iter().collect();
         self.peer_contacts().keep_only(|id| ids.contains(id));
-        self.loads().keep_only(|id| ids.contains(id));
+        self.loads().lock().keep_only(|id| ids.contains(id));
         self.peers().keep_only(&addresses);
         self.statement_links().keep_only(&addresses);
     }
--- a/daemon/src/engine/load_control.rs
+++ b/daemon/src/engine/load_control.rs
@@ -18,35 +18,20 @@
 use chervilwharf_lib::id::GroupId;
 use chervilwharf_lib::id::InstanceId;
 use chervilwharf_lib::moment::Moment;
-use chervilwharf_lib::slot_division::HolderDemands;
 use chervilwharf_lib::wait_estimator::WaitClass;
 
-use crate::engine::clock::now;
 use crate::engine::records;
 use crate::engine::shard::Shard;
 use crate::engine::shared::Engine;
 
-/// The reports and demands that this instance received.
+/// The reports that this instance received.
 #[derive(Default)]
-pub struct LoadControl {
-    reports: Mutex<LoadReports>,
-    demands: Mutex<HolderDemands>,
-}
+pub struct LoadControl(Mutex<LoadReports>);
 
 impl LoadControl {
     /// The reports of all holders.
     pub fn lock(&self) -> MutexGuard<'_, LoadReports> {
-        self.reports.lock().expect("never poisoned")
-    }
-
-    fn demands(&self) -> MutexGuard<'_, HolderDemands> {
-        self.demands.lock().expect("never poisoned")
-    }
-
-    /// Drops what is known of instances that do not exist any more.
-    pub fn keep_only(&self, exists: impl Fn(&InstanceId) -> bool) {
-        self.lock().keep_only(&exists);
-        self.demands().keep_only(&exists);
+        self.0.lock().expect("never poisoned")
     }
 }
 
@@ -87,27 +72,9 @@
         self.loads().lock().record(group, holder, report.life, asked_at, decode(report));
     }
 
-    /// Sets which part of the servers' slots this holder may use for a group, by the demands
-    /// of all holders.
-    pub fn divide_slots(&self, shard: &Shard) {
-        let group = shard.id();
-        if self.is_held_by_all(group) {
-            shard.set_demand_of_others(None);
-            return;
-        }
-        let others: Vec<_> = self.co_holders(group).into_iter().map(|record| record.id).collect();
-        shard.set_demand_of_others(Some(self.loads().demands().sum(now(), group, &others)));
-    }
-
-    /// Records the reports and demands of a heartbeat, or of the reply to a heartbeat of `asked_at`.
+    /// Records the reports of a heartbeat, or of the reply to a heartbeat of `asked_at`.
     pub fn record_loads(&self, asked_at: Moment, heartbeat: &Heartbeat) {
         let holder: InstanceId = heartbeat.instance.as_str().into();
-        if !heartbeat.demands.is_empty() {
-            let demands = heartbeat.demands.iter();
-            let demands =
-                demands.map(|demand| (demand.group.as_str().into(), demand.wanted)).collect();
-            self.loads().demands().observe(now(), &holder, demands);
-        }
         for report in &heartbeat.loads {
             self.record_load(&report.group.as_str().into(), &holder, asked_at, report);
         }
--- a/daemon/src/engine/shard.rs
+++ b/daemon/src/engine/shard.rs
@@ -67,9 +67,6 @@
     /// Smoothed duration of statements at the servers.
     pub(super) service_time: Duration,
     demand: Demand,
-    /// Demand of the other holders together; `None` if all instances hold connections to the
-    /// group, so that its slots are not divided.
-    demand_of_others: Option<f64>,
     /// How often each account requests a connection.
     pub(super) request_rates: AccountRates,
     /// Connections being opened, by server and account.
--- a/daemon/src/engine/shard/assign.rs
+++ b/daemon/src/engine/shard/assign.rs
@@ -107,7 +107,6 @@
         let lent = |pool: &Pool| pool.view.open.saturating_sub(pool.idle.len());
         let busiest = self.pools.values().map(lent).max().unwrap_or(0);
         self.demand.observe(now, busiest + self.queue.len());
-        self.divide_slots(now);
     }
 
     /// Number of connections to these servers that were granted to waiting requests.
--- a/daemon/src/engine/shard/load.rs
+++ b/daemon/src/engine/shard/load.rs
@@ -11,7 +11,6 @@
 use chervilwharf_lib::moment::Moment;
 use chervilwharf_lib::server_choice::ConnectionOwner;
 use chervilwharf_lib::server_choice::Need;
-use chervilwharf_lib::slot_division::statement_limit;
 
 use crate::engine::clock::now;
 use crate::engine::shard::Inner;
@@ -34,35 +33,9 @@
     pub fn load(&self) -> GroupLoad {
         self.lock().load(now())
     }
-
-    /// Sets the demand of the other holders together, by which the slots of the servers are
-    /// divided; `None` if they are not divided.
-    pub fn set_demand_of_others(&self, demand: Option<f64>) {
-        let mut inner = self.lock();
-        let was_divided = inner.demand_of_others.is_some();
-        inner.demand_of_others = demand;
-        if demand.is_none() && was_divided {
-            for pool in inner.pools.values_mut() {
-                pool.view.limit.set_ceiling(f64::INFINITY);
-            }
-        }
-        inner.divide_slots(now());
-    }
 }
 
 impl Inner {
-    /// Limits the statements at each server to this holder's part of its slots.
-    pub(super) fn divide_slots(&mut self, now: Moment) {
-        let Some(others) = self.demand_of_others else {
-            return;
-        };
-        let own = self.demand.at(now);
-        for (id, pool) in &mut self.pools {
-            let slots = self.group.server(id).map_or(0, |view| view.info.slots);
-            pool.view.limit.set_ceiling(statement_limit(slots, own, others));
-        }
-    }
-
     fn load(&mut self, now: Moment) -> GroupLoad {
         let waiting = self.queue.len();
         if self.load_reporter.is_due(now, waiting) {
--- a/daemon/src/engine/shared.rs
+++ b/daemon/src/engine/shared.rs
@@ -448,7 +448,6 @@
                 let waits = catalog.accounts.is_some() && !self.is_held_by_all(group);
                 shard.set_reads_wait_for_own(waits);
                 shard.set_budget(self.connection_budget(&catalog, settings, &shard));
-                self.divide_slots(&shard);
             }
         }
     }
--- a/lib/src/concurrency.rs
+++ b/lib/src/concurrency.rs
@@ -15,8 +15,6 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ConcurrencyLimit {
     limit: f64,
-    /// Upper bound of the limit, which does not rise beyond it.
-    ceiling: f64,
     decreased_at: Moment,
 }
 
@@ -45,7 +43,7 @@
 
 impl Default for ConcurrencyLimit {
     fn default() -> Self {
-        Self { limit: INITIAL_LIMIT, ceiling: MAX_LIMIT, decreased_at: Moment::ZERO }
+        Self { limit: INITIAL_LIMIT, decreased_at: Moment::ZERO }
     }
 }
 
@@ -53,18 +51,13 @@
     /// Whether one more statement may be sent while `running` are at the server.
     #[must_use]
     pub fn allows(&self, running: usize) -> bool {
-        to_f64(running) + 1.0 <= self.value().max(MIN_LIMIT)
+        to_f64(running) + 1.0 <= self.limit.max(MIN_LIMIT)
     }
 
     /// Number of statements that may be at the server at once.
     #[must_use]
     pub fn value(&self) -> f64 {
-        self.limit.min(self.ceiling)
-    }
-
-    /// Sets an upper bound, the part of the server's capacity that this instance may use.
-    pub fn set_ceiling(&mut self, ceiling: f64) {
-        self.ceiling = ceiling.clamp(MIN_LIMIT, MAX_LIMIT);
+        self.limit
     }
 
     /// Records that a statement took `took` at the server while `running` others were
@@ -78,8 +71,8 @@
     ) {
         if took >= slow_threshold {
             self.decrease(now, SLOW_DECREASE_FACTOR);
-        } else if self.limit < self.ceiling && !self.allows(running + 1) {
-            self.limit = (self.limit + ADDITIVE_INCREASE / self.limit).min(self.ceiling);
+        } else if !self.allows(running + 1) {
+            self.limit = (self.limit + ADDITIVE_INCREASE / self.limit).min(MAX_LIMIT);
         }
     }
 
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -62,7 +62,6 @@
 pub mod server_list;
 pub mod server_refusal;
 pub mod settings;
-pub mod slot_division;
 pub mod statement;
 pub mod statement_timing;
 pub mod stop_plan;
