--- a/lib/src/explanation.rs
+++ b/lib/src/explanation.rs
@@ -212,6 +212,25 @@
     missing
 }
 
+/// Why a request was refused as overloaded.
+fn overload_cause(last: &LogLine, context: &str) -> String {
+    let holders = last.number("holders_refusing");
+    if holders > 0.0 {
+        return format!(
+            "refused at once: all {holders} holders of the group were overloaded{context}"
+        );
+    }
+    let waiting = last.number("waiting");
+    if last.text("text") == Some(PLACES_TEXT) {
+        let account = last.text("account").unwrap_or("none");
+        return format!(
+            "account {account} had half of the waiting places of its priority while others \
+             waited: {waiting} requests were waiting{context}"
+        );
+    }
+    format!("refused under load: {waiting} requests were waiting{context}")
+}
+
 /// Returns the probable cause, from the last line of the request and the events of
 /// its context.
 fn cause_of(last: &LogLine, lines: &[ExplanationLine]) -> Option<String> {
@@ -234,22 +253,7 @@
     });
     let context = context.map_or_else(String::new, |text| format!("; {text}"));
     let text = match (&*last.event, last.text("reason").unwrap_or_default()) {
-        ("request_refused", "overloaded") if last.number("holders_refusing") > 0.0 => {
-            let holders = last.number("holders_refusing");
-            format!("refused at once: all {holders} holders of the group were overloaded{context}")
-        }
-        ("request_refused", "overloaded") if last.text("text") == Some(PLACES_TEXT) => {
-            let account = last.text("account").unwrap_or("none");
-            let waiting = last.number("waiting");
-            format!(
-                "account {account} had half of the waiting places of its priority while others \
-                 waited: {waiting} requests were waiting{context}"
-            )
-        }
-        ("request_refused", "overloaded") => {
-            let waiting = last.number("waiting");
-            format!("refused under load: {waiting} requests were waiting{context}")
-        }
+        ("request_refused", "overloaded") => overload_cause(last, &context),
         ("request_refused", "no_primary") => format!("the group had no primary{context}"),
         ("request_refused", "transaction_lost") => {
             format!("its transaction was lost at server {server}{context}")
--- a/lib/src/group_load.rs
+++ b/lib/src/group_load.rs
@@ -227,7 +227,7 @@
         }
         match report.load.expected_wait(kind) {
             ExpectedWait::Refused(wait) if wait <= age => None,
-            ExpectedWait::Refused(wait) => Some(ExpectedWait::Refused(wait - age)),
+            ExpectedWait::Refused(wait) => Some(ExpectedWait::Refused(wait.saturating_sub(age))),
             served @ ExpectedWait::Served(_) => Some(served),
         }
     }
