store gate: the watcher that retries continues at an answer to another one

Cause: after a restart of all instances during an outage of the store, the watcher of the instances was the one that retries for the others, with a pause that doubles. When the store answered the watcher of the configuration, the others continued, but not the one that retries: it slept to the end of its pause.

Change: its pause ends at an answer of the store too. Test: the list of instances within 110 ms of the end of an outage of 0.87, 1.9 and 4 s; before, up to 0.7 s and more. The bound on refused calls (test_one_watcher_retries_a_store_that_refuses) holds.

--- a/daemon/src/engine/store_gate.rs
+++ b/daemon/src/engine/store_gate.rs
@@ -25,20 +25,20 @@
 }
 
 impl StoreGate {
-    /// Waits after a failed call for `kind` until the next one is due. That is after
-    /// `pause` for the watcher that retries. For the others it is when the store
-    /// answers a call, at the latest after `OTHER_RETRY_WAIT`.
+    /// Waits after a failed call for `kind` until the next one is due. That is when the
+    /// store answers a call, at the latest after `pause` for the watcher that retries, and
+    /// after `OTHER_RETRY_WAIT` for the others.
+    ///
+    /// The watcher that retries does not wait for the end of its pause: an instance that starts
+    /// during an outage would have its configuration, but no list of instances until then.
     pub async fn wait(&self, kind: RecordKind, pause: Duration) {
         // Registers before it determines which watcher retries, so that it misses no
         // answer.
         let mut answer_received = std::pin::pin!(self.answer_received.notified());
         answer_received.as_mut().enable();
-        if self.becomes_retrying(kind) {
-            tokio::time::sleep(pause).await;
-            return;
-        }
+        let longest = if self.becomes_retrying(kind) { pause } else { OTHER_RETRY_WAIT };
         // The next call is due after an answer as well as after the timeout.
-        let _waited = tokio::time::timeout(OTHER_RETRY_WAIT, answer_received).await;
+        let _waited = tokio::time::timeout(longest, answer_received).await;
     }
 
     /// Makes the watcher of a kind the one that retries, unless another one does.
--- a/daemon/tests/test_record_watch.rs
+++ b/daemon/tests/test_record_watch.rs
@@ -202,6 +202,19 @@
 
 struct IgnoringWatcherOfKind(RecordKind);
 
+/// Ignores the configuration. Its watcher needs current data, and retries by itself.
+struct IgnoringConfigurationWatcher;
+
+impl RecordWatcher for IgnoringConfigurationWatcher {
+    fn kind(&self) -> RecordKind {
+        RecordKind::Configuration
+    }
+
+    fn replace(&mut self, _: Listing) {}
+
+    fn change(&mut self, _: Revision, _: Vec<Change>) {}
+}
+
 impl RecordWatcher for IgnoringWatcherOfKind {
     fn kind(&self) -> RecordKind {
         self.0
@@ -243,6 +256,32 @@
     assert!(began_at.elapsed() < outage + Duration::from_secs(3));
 }
 
+/// Guards against a start that lacks the list of instances for 0.7 s after the store answers
+/// again: the watcher that retries for the others slept through the answer to another one.
+#[tokio::test(start_paused = true)]
+async fn test_retrying_watcher_continues_when_the_store_answers_another_one() {
+    for outage_ms in [870, 1_900, 4_000] {
+        let ends_at = tokio::time::Instant::now() + Duration::from_millis(outage_ms);
+        let store = Arc::new(RefusingStore {
+            ends_at,
+            refused: AtomicUsize::new(0),
+            answered: AtomicUsize::new(0),
+            settled: Notify::new(),
+        });
+        let state = StoreState::default();
+        for kind in KINDS.into_iter().filter(|kind| *kind != RecordKind::Configuration) {
+            let watcher = IgnoringWatcherOfKind(kind);
+            tokio::spawn(watch_records(ReadOnly::new(&store), state.clone(), watcher));
+        }
+        let configuration = IgnoringConfigurationWatcher;
+        tokio::spawn(watch_records(ReadOnly::new(&store), state.clone(), configuration));
+        store.settled.notified().await;
+        // The watcher of the configuration retries every 100 ms before the first listing.
+        let took = ends_at.elapsed();
+        assert!(took <= Duration::from_millis(110), "{took:?} after {outage_ms} ms");
+    }
+}
+
 /// A store that does not respond until `ends_at`, and never answers the calls that it
 /// receives before.
 struct UnresponsiveStore {
