start: requests wait for a list of instances that the store is about to return

Cause: an instance that has its configuration, but no list of instances, has no holder to send a request to, and refused it at once (holder_silent, 0 ms). As a holder it refused forwarded requests as not_owner, and was then avoided for 0.5 s.

Change: while the store has just answered (expects_store_listings), a request and a forwarded statement wait for the list, at most for half of the objective. Without the store, nothing waits.

--- a/daemon/src/engine/forwarded_session.rs
+++ b/daemon/src/engine/forwarded_session.rs
@@ -75,11 +75,13 @@
             return refusal(ErrorKind::TransactionLost);
         }
         if !continues {
-            if !self.engine.is_prepared() {
+            if !self.engine.is_prepared() || !self.engine.knows_candidate_holders() {
                 // An instance that has just started does not know yet which groups it holds.
                 // After a refusal it would get no statements of the group for half a second.
                 let limit = statement_timing::max_start_wait(route.objective);
+                let until = now() + limit;
                 self.engine.wait_until_prepared(limit).await;
+                self.engine.wait_for_candidate_holders(until).await;
             }
             if !self.engine.is_holder(&route.group) {
                 return refusal(ErrorKind::NotOwner);
--- a/daemon/src/engine/peer_contacts.rs
+++ b/daemon/src/engine/peer_contacts.rs
@@ -171,7 +171,9 @@
     ///
     /// While all of them are unreachable and some are starting, waits for those until
     /// `start_wait_until`. After a restart of all instances, the first clients arrive at
-    /// instances that start some ten milliseconds before the holders do.
+    /// instances that start some ten milliseconds before the holders do. Waits as well for a
+    /// list of the instances that the store is about to return: without it an instance that
+    /// already has its configuration would refuse all requests.
     pub async fn find_holder(
         self: &Arc<Self>,
         query: &HolderQuery,
@@ -179,6 +181,9 @@
         start_wait_until: Moment,
     ) -> Option<Candidate> {
         loop {
+            if !self.wait_for_candidate_holders(start_wait_until).await {
+                return None;
+            }
             let candidates = self.candidates(&query.group, tried);
             let chosen = self.choose_holder(&candidates, query)?;
             match chosen.reachability {
--- a/daemon/src/engine/shared/known_fleet.rs
+++ b/daemon/src/engine/shared/known_fleet.rs
@@ -90,6 +90,18 @@
         self.is_fleet_listed() || (self.is_fleet_known() && !self.expects_store_listings())
     }
 
+    /// Waits until it is known which instances can hold connections, at most until `until`.
+    /// Returns whether it is.
+    pub async fn wait_for_candidate_holders(&self, until: Moment) -> bool {
+        if self.knows_candidate_holders() {
+            return true;
+        }
+        let mut listed = self.fleet_listings();
+        let listing = listed.wait_for(|listed| *listed);
+        let listed = tokio::time::timeout(until.saturating_sub(now()), listing).await;
+        listed.is_ok_and(|listed| listed.is_ok())
+    }
+
     /// Whether the store has just returned a listing, so that listings of the other kinds
     /// of records are about to follow.
     #[must_use]
--- a/daemon/tests/test_start.rs
+++ b/daemon/tests/test_start.rs
@@ -7,17 +7,35 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use async_trait::async_trait;
+use chervilwharf_daemon::engine::clock::now;
+use chervilwharf_daemon::engine::peers;
+use chervilwharf_daemon::engine::peers::ForwardedStatementHandler;
+use chervilwharf_daemon::engine::peers::PeerHandler;
+use chervilwharf_daemon::engine::request::Failure;
+use chervilwharf_daemon::engine::session::Session;
+use chervilwharf_daemon::engine::session::SessionStart;
 use chervilwharf_daemon::engine::shared::Engine;
 use chervilwharf_daemon::engine::shared::PEER_FALLBACK_DELAY;
+use chervilwharf_lib::account::KeyDigest;
 use chervilwharf_lib::catalog::Catalog;
+use chervilwharf_lib::catalog::Consistency;
 use chervilwharf_lib::catalog::GroupSettings;
+use chervilwharf_lib::catalog::Route;
+use chervilwharf_lib::engine_protos;
 use chervilwharf_lib::engine_protos::DirectoryPull;
 use chervilwharf_lib::engine_protos::Heartbeat;
+use chervilwharf_lib::engine_protos::StatementReply;
+use chervilwharf_lib::engine_protos::Tunnel;
+use chervilwharf_lib::engine_protos::engine_frame::Body;
 use chervilwharf_lib::fleet::InstanceRecord;
 use chervilwharf_lib::id::GroupId;
 use chervilwharf_lib::revision::Revision;
+use chervilwharf_lib::statement::Statement;
 use stubs::NoServer;
 use stubs::instance;
+use tokio::net::TcpListener;
+use tokio::sync::OwnedSemaphorePermit;
 
 fn record(number: u8) -> InstanceRecord {
     let peer_address = SocketAddr::from(([127, 0, 0, number], 7440));
@@ -111,3 +129,95 @@
     started.note_store_answered();
     assert!(!started.heartbeat_reply(&Heartbeat::default()).lacks_records);
 }
+
+/// A holder that answers every statement.
+struct Holder;
+
+#[async_trait]
+impl ForwardedStatementHandler for Holder {
+    async fn run(&mut self, _: engine_protos::Statement) -> StatementReply {
+        StatementReply { signature: "s".to_owned(), ..StatementReply::default() }
+    }
+}
+
+impl PeerHandler for Holder {
+    fn answer(&self, _: Body) -> Option<Body> {
+        None
+    }
+
+    fn whole_list_permit(&self) -> Option<OwnedSemaphorePermit> {
+        None
+    }
+
+    fn forwarded_session(self: Arc<Self>) -> Box<dyn ForwardedStatementHandler> {
+        Box::new(Self)
+    }
+
+    fn tunnel_target(&self, _: &Tunnel) -> Option<SocketAddr> {
+        None
+    }
+}
+
+/// An instance with a configuration, which serves without a list of the other instances although
+/// the store is about to return one, and the record of a holder of its group.
+async fn unlisted_instance() -> (Arc<Engine>, InstanceRecord) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let peer_address = listener.local_addr().unwrap();
+    tokio::spawn(peers::serve(Arc::new(Holder), listener));
+    let holder =
+        InstanceRecord { peer_address, capacity_millicores: 1_000_000, ..instance("holder") };
+    let engine = engine(InstanceRecord { capacity_millicores: 1, ..record(1) });
+    let route = Route {
+        database: "app".into(),
+        group: "db".into(),
+        consistency: Consistency::Latest,
+        objective: Duration::from_secs(4),
+        timeout: Duration::from_secs(8),
+        priority: 1,
+        is_public: true,
+    };
+    let catalog = Catalog {
+        version: 2,
+        routes: HashMap::from([(route.database.clone(), Arc::new(route))]),
+        groups: HashMap::from([(
+            "db".into(),
+            GroupSettings { max_connections: 3, sync_replicas: 0 },
+        )]),
+        ..Catalog::default()
+    };
+    assert!(engine.set_catalog(&Arc::new(catalog)));
+    engine.note_store_answered();
+    engine.set_fleet_known();
+    (Arc::new(engine), holder)
+}
+
+async fn read(engine: &Arc<Engine>) -> Result<(), Failure> {
+    let key = KeyDigest::of("");
+    let start = SessionStart { database: "app", key, client: None };
+    let mut session = Session::begin(engine.clone(), start).await?;
+    let reply = session.run("read-1".into(), Statement::Read { item: "1".into() }).await;
+    reply.result.map(drop)
+}
+
+/// Guards against an instance that refuses all requests after a restart of all instances: it has
+/// its configuration some hundred milliseconds before the list of the other instances.
+#[tokio::test]
+async fn test_request_waits_for_a_list_of_instances_that_the_store_is_about_to_return() {
+    let (engine, holder) = unlisted_instance().await;
+    let listing = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        engine.apply_instance_list(vec![holder]);
+    };
+    let (served, ()) = tokio::join!(read(&engine), listing);
+    served.expect("the holder serves it");
+}
+
+/// Guards against requests that wait for a list of instances which nobody is about to send.
+#[tokio::test(start_paused = true)]
+async fn test_request_without_a_list_of_instances_does_not_wait_if_the_store_is_silent() {
+    let engine = engine(record(1));
+    engine.set_fleet_known();
+    let until = now() + Duration::from_secs(1);
+    assert!(engine.wait_for_candidate_holders(until).await, "it holds all groups itself");
+    assert!(now() < until);
+}
