lib: wait after a restore counts from when the restore became known

Cause: an instance without peers used the store's list 3 s after its own start, also if the store was restored from a backup in between.

Change: relisting::may_use_list_alone requires 3 s since the start and 3 s since the instance learned of the latest restore. instance_control and the simulation use it. The simulation waited only within 2.5 s of a restore; it now waits after any restore, as the daemon does. The exploration of shares no longer excludes restores while instances start, so without_restores_at_start is gone.

--- a/daemon/src/engine/instance_control.rs
+++ b/daemon/src/engine/instance_control.rs
@@ -66,11 +66,6 @@
 /// Number of other instances that a starting instance asks for later records in each round.
 const PEERS_ASKED_AT_START: usize = 3;
 
-/// How long a starting instance waits for another one that has all records, when the store
-/// was restored from a backup that may lack some. By then all live instances are listed
-/// again.
-const RELISTING_TIME: Duration = Duration::from_secs(3);
-
 /// Time between two rounds of asking other instances for later records.
 const PEER_QUERY_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -90,7 +85,7 @@
         // A duty is taken in an era only after all live instances are listed again.
         let is_settled =
             engine.with_duties(|duties| duties.is_any_taken_in(engine.store_era().latest()));
-        if got_instances || is_settled || engine.has_run_for(RELISTING_TIME) {
+        if got_instances || is_settled || engine.may_use_restored_list() {
             return engine.set_fleet_known();
         }
         tokio::time::sleep(PEER_QUERY_INTERVAL).await;
--- a/daemon/src/engine/shared/known_fleet.rs
+++ b/daemon/src/engine/shared/known_fleet.rs
@@ -12,6 +12,7 @@
 use chervilwharf_lib::fleet::Fleet;
 use chervilwharf_lib::fleet::InstanceRecord;
 use chervilwharf_lib::moment::Moment;
+use chervilwharf_lib::relisting::may_use_list_alone;
 use chervilwharf_lib::revision::Era;
 use tokio::sync::watch;
 
@@ -73,6 +74,13 @@
         self.started_at + time <= now()
     }
 
+    /// Whether the list of instances of a restored store can be used without the list of
+    /// another instance.
+    #[must_use]
+    pub fn may_use_restored_list(&self) -> bool {
+        may_use_list_alone(now(), self.started_at, self.store_era().known_since())
+    }
+
     /// Records that the store returned a listing of the configuration or the instances.
     pub fn note_store_answered(&self) {
         *self.store_answered_at.lock().expect("never poisoned") = Some(now());
--- a/daemon/src/engine/store_era.rs
+++ b/daemon/src/engine/store_era.rs
@@ -36,6 +36,12 @@
         self.latest.borrow().era
     }
 
+    /// When this instance learned of the latest era.
+    #[must_use]
+    pub fn known_since(&self) -> Moment {
+        self.latest.borrow().since
+    }
+
     /// Whether this instance has known the latest era for at least `time`.
     #[must_use]
     pub fn is_known_for(&self, at: Moment, time: Duration) -> bool {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -54,6 +54,7 @@
 pub mod quota_search;
 pub mod quota_share;
 pub mod received_statements;
+pub mod relisting;
 pub mod retry;
 pub mod revision;
 pub mod routing;
--- a/lib/tests/quota_simulation/mod.rs
+++ b/lib/tests/quota_simulation/mod.rs
@@ -29,6 +29,8 @@
 use chervilwharf_lib::quota_share::HeldShare;
 use chervilwharf_lib::quota_share::SHARE_FRACTION;
 use chervilwharf_lib::quota_share::ShareLedger;
+use chervilwharf_lib::relisting::RELISTING_TIME;
+use chervilwharf_lib::relisting::may_use_list_alone;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -88,12 +90,8 @@
     started_at: Moment,
 }
 
-/// Time after a restore of the store by which all running instances are listed again.
-const RELISTING_TIME: Duration = Duration::from_millis(2_500);
-
-/// How long an instance that reaches no peer waits after its start before it uses the
-/// list of the store alone.
-const MAX_START_WAIT: Duration = Duration::from_secs(3);
+/// Longest time after a restore of the store until a running instance is listed again.
+const MAX_RELISTING_TIME: Duration = Duration::from_millis(2_500);
 
 /// Time on a clock that runs at `rate`, relative to the virtual clock.
 fn local_time(now: Moment, rate: f64) -> Moment {
@@ -182,8 +180,6 @@
     restored_at: Moment,
     limit: QuotaLimit,
     voters_changed_at: Moment,
-    /// Whether a restore of the store can happen while an instance starts.
-    restores_at_start: bool,
     late_requests: Vec<keeper::LateRequest>,
     /// Instances that clients use; all if empty.
     entries: Vec<usize>,
@@ -200,13 +196,6 @@
         Self::with_instances(rng, without, count)
     }
 
-    /// Excludes restores of the store while an instance starts: one that reaches no peer for
-    /// [`MAX_START_WAIT`] then uses an incomplete list, and may find voters of its own.
-    pub fn without_restores_at_start(mut self) -> Self {
-        self.restores_at_start = false;
-        self
-    }
-
     fn with_instances(mut rng: StdRng, without: Option<Rule>, count: usize) -> Self {
         let record = |index: usize| InstanceRecord {
             id: format!("i{index}").into(),
@@ -231,7 +220,6 @@
             restored_at: Moment::ZERO,
             limit: LIMIT,
             voters_changed_at: now,
-            restores_at_start: true,
             late_requests: Vec::new(),
             entries: Vec::new(),
             window: VecDeque::new(),
@@ -293,11 +281,11 @@
     }
 
     /// Restores the store from a backup that does not list some of the instances. They
-    /// write their records again within [`RELISTING_TIME`].
+    /// write their records again within [`MAX_RELISTING_TIME`].
     fn restore_store_from_backup(&mut self) {
         for index in 0..self.instances.len() {
             if self.rng.random_bool(0.5) {
-                let after = self.rng.random_range(Duration::ZERO..RELISTING_TIME);
+                let after = self.rng.random_range(Duration::ZERO..MAX_RELISTING_TIME);
                 self.listed_from[index] = self.now + after;
             }
         }
@@ -335,10 +323,16 @@
             *other != index && self.reaches(index, *other) && self.instances[*other].fleet_known
         };
         let reported = (0..self.instances.len()).find(has_list);
-        let must_wait = self.restored_at + RELISTING_TIME > now
-            && self.instances[index].started_at + MAX_START_WAIT > now
-            && self.without != Some(Rule::WaitAfterRestore);
-        if reported.is_none() && must_wait {
+        let me = &self.instances[index];
+        // An instance that starts after a restore learns of it from its first listing.
+        let known_since = match self.without {
+            Some(Rule::WaitSinceRestore) => me.started_at,
+            _ => self.restored_at.max(me.started_at),
+        };
+        let may_use_list = self.restored_at == Moment::ZERO
+            || self.without == Some(Rule::WaitAfterRestore)
+            || may_use_list_alone(me.local(now), me.local(me.started_at), me.local(known_since));
+        if reported.is_none() && !may_use_list {
             return;
         }
         let reported = reported.map(|other| self.recorded(other)).unwrap_or_default();
@@ -360,9 +354,7 @@
         // Restores and changes of the voters do not coincide: each assumes that all instances
         // compute the same voters but for one.
         let voters_settled = self.voters_changed_at + VOTERS_CHANGE_AFTER < self.now;
-        let all_listed = self.instances.iter().all(|one| one.fleet_known);
-        let may_restore = voters_settled && (self.restores_at_start || all_listed);
-        if self.rng.random_bool(0.003) && may_restore {
+        if self.rng.random_bool(0.003) && voters_settled {
             self.restore_store_from_backup();
         }
         if self.now >= self.partition_ends_at {
@@ -396,7 +388,7 @@
             let pause = Duration::from_millis(self.rng.random_range(50..6_000));
             self.instances[index].paused_until = self.now + pause;
         }
-        let restore_settled = self.restored_at + RELISTING_TIME + MAX_START_WAIT < self.now;
+        let restore_settled = self.restored_at + MAX_RELISTING_TIME + RELISTING_TIME < self.now;
         if self.rng.random_bool(0.004) && voters_settled && restore_settled {
             self.voters_changed_at = self.now;
             let index = self.rng.random_range(0..self.instances.len());
--- a/lib/tests/quota_simulation/rule.rs
+++ b/lib/tests/quota_simulation/rule.rs
@@ -22,6 +22,9 @@
     /// An instance that starts soon after a restore and reaches no peer waits until the
     /// running instances are listed again.
     WaitAfterRestore,
+    /// That wait counts from when the instance learned of the restore, not only from its
+    /// start.
+    WaitSinceRestore,
     /// The keeper does not count what it granted as shares.
     SharesAreCounted,
     /// A new keeper assumes that instances which have not reported hold shares.
--- a/lib/tests/test_quota_exploration.rs
+++ b/lib/tests/test_quota_exploration.rs
@@ -21,13 +21,9 @@
 /// Seeds of the simulation with all rules in place.
 const SAFETY_SEEDS: u64 = 4_000;
 
-/// A hot account under random faults. The first seeds include restores of the store while
-/// instances start; the others do not, since an instance without peers does not wait long
-/// enough after such a restore.
+/// A hot account under random faults.
 fn explored(seed: u64, without: Option<Rule>) -> Observations {
-    let simulation = QuotaSimulation::new(seed, without);
-    let simulation = if seed < SEEDS { simulation } else { simulation.without_restores_at_start() };
-    simulation.run(HOT_PER_S, true)
+    QuotaSimulation::new(seed, without).run(HOT_PER_S, true)
 }
 
 /// Rounding errors of a sum of fractions.
@@ -60,7 +56,7 @@
     // Guards against two keepers of a shard: an instance that starts after a restore of the
     // store and reaches no peer uses the incomplete list, and finds voters of its own.
     for seed in SEEDS..SAFETY_SEEDS {
-        let observed = QuotaSimulation::new(seed, None).run(HOT_PER_S, true);
+        let observed = explored(seed, None);
         assert!(!is_violated(&observed), "seed {seed}: {observed:?}");
     }
 }
@@ -139,6 +135,7 @@
         Rule::UnlistedInstancesCount,
         Rule::PeersReportUnlisted,
         Rule::WaitAfterRestore,
+        Rule::WaitSinceRestore,
         Rule::SharesAreCounted,
         Rule::NewKeeperAssumesShares,
         Rule::ShareExpires,
