operation clock: the set-up of a session counts for the operation that follows

The clock now adds one round trip for the connection, one for START and one for each statement that the instance answers itself, and the time that it worked on them, if the client continues within 20 ms. operation_late has the field preparation_ms, explain and report loss tell it apart.

SessionStart has the new field accepted_at; tests that begin sessions without a connection set it to None, and nothing changes for them.

--- a/daemon/src/engine/session.rs
+++ b/daemon/src/engine/session.rs
@@ -119,6 +119,9 @@
     pub key: KeyDigest,
     /// The client's network address, if it has one.
     pub client: Option<SocketAddr>,
+    /// When the client's connection was accepted; `None` if there is none. The beginning of the
+    /// session then counts for no operation.
+    pub accepted_at: Option<Moment>,
 }
 
 fn report_refused(engine: &Engine, start: &SessionStart<'_>, kind: ErrorKind) {
@@ -160,9 +163,15 @@
     /// When the configuration has no such database or no account with this key, or when
     /// this instance has no configuration in time.
     pub async fn begin(engine: Arc<Engine>, start: SessionStart<'_>) -> Result<Self, Failure> {
+        let arrived_at = now();
         match Self::check_start(&engine, &start).await {
             Ok((route, caller)) => {
-                Ok(Self::new(engine, &route, caller, rand::random_range(0..RANDOM_NUMBER_LIMIT)))
+                let random_number = rand::random_range(0..RANDOM_NUMBER_LIMIT);
+                let mut session = Self::new(engine, &route, caller, random_number);
+                if let Some(accepted_at) = start.accepted_at {
+                    session.operation = SessionOperation::new(accepted_at, arrived_at);
+                }
+                Ok(session)
             }
             Err(kind) => {
                 report_refused(&engine, &start, kind);
--- a/daemon/src/engine/session/operation.rs
+++ b/daemon/src/engine/session/operation.rs
@@ -14,6 +14,7 @@
 use chervilwharf_lib::statement::TransactionState;
 use prometheus_client::metrics::counter::Counter;
 
+use crate::engine::clock::now;
 use crate::engine::event_log;
 use crate::engine::session::Session;
 
@@ -26,6 +27,15 @@
     counter: Option<(GroupId, Counter)>,
 }
 
+impl SessionOperation {
+    /// The first operation of a session that has just begun: its client's connection was accepted
+    /// at `accepted_at`, and the message that begins the session arrived at `arrived_at`.
+    pub(super) fn new(accepted_at: Moment, arrived_at: Moment) -> Self {
+        let clock = OperationClock::of_new_session(accepted_at, arrived_at, now());
+        Self { clock, counter: None }
+    }
+}
+
 impl Session {
     /// What is left of the objective for a statement of a transaction that needs a connection,
     /// without the expected time of the statements that follow it. `None` if the statement may
@@ -94,6 +104,7 @@
         for part in OperationPart::ALL {
             event = event.with_ms(part.field(), ended.time_of(part));
         }
-        event_log::emit(&event.with_ms("unavoidable_ms", ended.unavoidable()));
+        let event = event.with_ms("unavoidable_ms", ended.unavoidable());
+        event_log::emit(&event.with_ms("preparation_ms", ended.preparation));
     }
 }
--- a/daemon/tests/test_load_sharing.rs
+++ b/daemon/tests/test_load_sharing.rs
@@ -138,7 +138,7 @@
         }
         let engine = entry(&records);
         let key = KeyDigest::of("");
-        let start = SessionStart { database: "app", key, client: None };
+        let start = SessionStart { database: "app", key, client: None, accepted_at: None };
         let ids = engine.candidates(&GROUP.into(), &[]);
         let ids = ids.into_iter().map(|candidate| candidate.record.id).collect();
         let session = Session::begin(engine, start).await.expect("the route exists");
--- a/daemon/tests/test_operation.rs
+++ b/daemon/tests/test_operation.rs
@@ -25,6 +25,7 @@
 use chervilwharf_daemon::engine::records;
 use chervilwharf_daemon::engine::request::Request;
 use chervilwharf_daemon::engine::session::Session;
+use chervilwharf_daemon::engine::session::SessionStart;
 use chervilwharf_daemon::engine::shared::Engine;
 use chervilwharf_lib::catalog::Catalog;
 use chervilwharf_lib::catalog::GroupSettings;
@@ -40,6 +41,9 @@
 use chervilwharf_lib::explanation::LogLine;
 use chervilwharf_lib::explanation::parse_line;
 use chervilwharf_lib::fleet::InstanceRecord;
+use chervilwharf_lib::operation_clock::PREPARATION_GAP;
+use chervilwharf_lib::statement::Access;
+use chervilwharf_lib::statement::Prepared;
 use chervilwharf_lib::statement::Statement;
 use chervilwharf_lib::statement_timing;
 use stubs::NoServer;
@@ -178,6 +182,93 @@
     assert_counted(&world.engine, r#"chervilwharf_operations_total{group="db"} 2"#);
 }
 
+/// Longer than the round trip that the clock assumes for clients, so that the gaps of the test do
+/// not shorten it.
+const GAP: Duration = Duration::from_millis(7);
+
+/// Runs two reads of 380 ms in a new session, `pause` after it was set up by three statements.
+/// Returns the ids' prefix of the lines; `None` if the machine was too busy to keep to the times.
+async fn prepare_and_read(attempt: usize, pause: Duration) -> Option<(Arc<Engine>, String)> {
+    LazyLock::force(&LOG);
+    let world = ValuesWorld::new(1, true).await;
+    let mut earlier = now();
+    let mut is_timely = true;
+    let connected = SessionStart { accepted_at: Some(earlier), ..start("app", "key") };
+    let mut session = Session::begin(world.engine.clone(), connected).await.expect("begun");
+    let prefix = format!("prepared-{attempt}-{}", pause.as_millis());
+    for name in ["a", "b", "c"] {
+        tokio::time::sleep(GAP).await;
+        let prepared = Prepared { access: Access::Read, shape: "q".into() };
+        let prepare = Statement::Prepare { name: name.into(), prepared };
+        let began_at = now();
+        session.run(format!("{prefix}-{name}").into(), prepare).await.result.expect("no server");
+        is_timely &= now().saturating_sub(earlier) < PREPARATION_GAP;
+        earlier = began_at;
+    }
+    tokio::time::sleep(pause).await;
+    for id in ["first", "second"] {
+        let id = format!("{prefix}-{id}-read");
+        let began_at = now();
+        is_timely &= id.contains("second") || began_at.saturating_sub(earlier) < pause + GAP;
+        run(&world, &mut session, &id, read(), 380).await;
+        is_timely &= now().saturating_sub(began_at) < Duration::from_millis(392);
+    }
+    is_timely.then_some((world.engine, prefix))
+}
+
+/// The lines about late operations of [`prepare_and_read`], and the engine.
+async fn late_after_preparation(pause: Duration) -> (Arc<Engine>, Vec<LogLine>) {
+    for attempt in 0..20 {
+        if let Some((engine, prefix)) = prepare_and_read(attempt, pause).await {
+            return (engine, late_lines(&prefix).await);
+        }
+    }
+    panic!("no attempt kept to the times");
+}
+
+/// Guards against late operations of clients that open a session for each, of which no line
+/// tells, and against a second operation that counts the set-up of the session again.
+#[tokio::test]
+async fn test_operation_that_is_late_with_its_preparation_is_counted_once() {
+    let (engine, lines) = late_after_preparation(GAP).await;
+    let [line] = &lines[..] else {
+        panic!("one line: {lines:?}");
+    };
+    assert!(line.text("id").is_some_and(|id| id.ends_with("first-read")), "{line:?}");
+    // Round trips for the connection, the beginning of the session, three statements, the read.
+    assert_eq!([field(line, "statements"), field(line, "client_ms")], ["1", "36.0"]);
+    let (preparation, own) = (line.number("preparation_ms"), line.number("own_ms"));
+    assert!((30.0..30.2 + own).contains(&preparation), "{line:?}");
+    assert!(line.number("took_ms") - preparation < line.number("objective_ms"), "{line:?}");
+    let late = r#"chervilwharf_operations_late_total{group="db",part="at_server"} 1"#;
+    assert_counted(&engine, late);
+    assert_counted(&engine, r#"chervilwharf_operations_total{group="db"} 2"#);
+}
+
+/// Guards against operations of clients with open sessions that count as late because of a set-up
+/// that nobody waited for.
+#[tokio::test]
+async fn test_preparation_before_a_pause_makes_no_operation_late() {
+    let (engine, lines) = late_after_preparation(Duration::from_secs(1)).await;
+    assert!(lines.is_empty(), "{lines:?}");
+    assert_counted(&engine, r#"chervilwharf_operations_total{group="db"} 2"#);
+}
+
+/// Guards against a line or a count for a client that disconnects before its operation.
+#[tokio::test]
+async fn test_client_that_disconnects_in_the_preparation_leaves_no_line() {
+    LazyLock::force(&LOG);
+    let world = ValuesWorld::new(1, true).await;
+    let connected = SessionStart { accepted_at: Some(now()), ..start("app", "key") };
+    let mut session = Session::begin(world.engine.clone(), connected).await.expect("begun");
+    let set = Statement::Set { name: "zone".into(), value: "a".into() };
+    session.run("left-set".into(), set).await.result.expect("no server is needed");
+    drop(session);
+    assert!(late_lines("left").await.is_empty());
+    let text = world.engine.metrics().text(&world.engine);
+    assert!(!text.contains("chervilwharf_operations_total{"), "{text}");
+}
+
 /// Guards against a line about an operation that nobody waits for: its client disconnected.
 #[tokio::test]
 async fn test_client_that_disconnects_in_a_transaction_leaves_no_line() {
--- a/daemon/tests/test_store_lines.rs
+++ b/daemon/tests/test_store_lines.rs
@@ -71,7 +71,12 @@
     let watch = directory.watch(kind, Revision::default(), Duration::ZERO, Currency::Fresh);
     watch.await.expect_err("watches are not");
     let client: SocketAddr = "10.0.0.1:4711".parse().unwrap();
-    let start = SessionStart { database: "gone", key: KeyDigest::of("key"), client: Some(client) };
+    let start = SessionStart {
+        database: "gone",
+        key: KeyDigest::of("key"),
+        client: Some(client),
+        accepted_at: None,
+    };
     assert!(Session::begin(engine, start).await.is_err(), "there is no such database");
 
     let unanswered = log.line_of("store_unanswered");
--- a/daemon/tests/values_world/mod.rs
+++ b/daemon/tests/values_world/mod.rs
@@ -56,7 +56,7 @@
 
 /// The start of a session on `database` by a client with `key`.
 pub fn start<'a>(database: &'a str, key: &str) -> SessionStart<'a> {
-    SessionStart { database, key: KeyDigest::of(key), client: None }
+    SessionStart { database, key: KeyDigest::of(key), client: None, accepted_at: None }
 }
 
 /// How an exchange with the server ends.
--- a/lib/src/explanation.rs
+++ b/lib/src/explanation.rs
@@ -319,9 +319,16 @@
             let statements = last.number("statements");
             let took = last.number("took_ms");
             let unavoidable = last.number("unavoidable_ms");
+            // Lines of earlier builds have no such field.
+            let preparation = last.number("preparation_ms");
+            let preparation = if preparation > 0.0 {
+                format!("; {preparation} ms passed before its first statement")
+            } else {
+                String::new()
+            };
             format!(
                 "of {took} ms for {statements} statements, {ms} ms were spent {}, and \
-                 {unavoidable} ms were unavoidable{context}",
+                 {unavoidable} ms were unavoidable{preparation}{context}",
                 part.description()
             )
         }
--- a/lib/src/loss.rs
+++ b/lib/src/loss.rs
@@ -155,11 +155,23 @@
 /// The immediate reason, from the line itself.
 fn reason_of(line: &LogLine) -> String {
     if let Some((part, _)) = line.largest_part() {
-        return format!("served late, mostly {}", part.description());
+        let suffix = if is_in_time_alone(line) { SET_UP_SUFFIX } else { "" };
+        return format!("served late, mostly {}{suffix}", part.description());
     }
     line.text("reason").unwrap_or("served late").to_owned()
 }
 
+/// Whether a late operation would have been in time without its preparation. Lines of earlier
+/// builds tell of none.
+fn is_in_time_alone(line: &LogLine) -> bool {
+    let preparation_ms = line.number("preparation_ms");
+    let alone_ms = line.number("took_ms") - preparation_ms;
+    preparation_ms > 0.0 && alone_ms <= line.number("objective_ms")
+}
+
+/// Follows the reason of operations that are late only because of their preparation.
+const SET_UP_SUFFIX: &str = ", in time without the set-up of its session";
+
 fn count(window: &mut LossWindow, ending: &str) {
     let counted = match ending {
         "refused" => &mut window.refused,
--- a/lib/src/operation_clock.rs
+++ b/lib/src/operation_clock.rs
@@ -5,6 +5,10 @@
 //! to its COMMIT or ROLLBACK. Its clock runs while the instance processes a statement, and is
 //! paused while the instance waits for the client's next statement. It adds one round trip to
 //! the client for each statement, since the client waits that long as well.
+//!
+//! A client that opens a session for an operation, or sets values and prepares statements for it,
+//! waits for that too. The beginning of the session and the statements that the instance answers
+//! itself are the *preparation* of the operation that follows, if the client continues immediately.
 
 use std::time::Duration;
 
@@ -15,6 +19,11 @@
 /// 3 ms one way.
 pub const CLIENT_ROUND_TRIP: Duration = Duration::from_millis(6);
 
+/// Longest gap between a reply and the next message of a client that continues immediately: three
+/// round trips of [`CLIENT_ROUND_TRIP`], and 2 ms for the client to be scheduled. After a longer
+/// gap, the client did not wait for the messages before it.
+pub const PREPARATION_GAP: Duration = Duration::from_millis(20);
+
 /// The newest transaction has a weight of one over this in the figures of its route. The figures
 /// then follow a change within about 20 transactions, and a single long one changes them little.
 const SMOOTHING: u32 = 8;
@@ -152,12 +161,15 @@
 pub struct EndedOperation {
     /// Number of its statements, including BEGIN and COMMIT or ROLLBACK.
     pub statements: u32,
-    /// Its whole time, without pauses of the client.
+    /// Its whole time with its preparation, without pauses of the client.
     pub took: Duration,
     /// How the processing of its statements was spent.
     pub parts: TimeParts,
-    /// Round trips to the client.
+    /// Round trips to the client, including those of its preparation.
     pub client: Duration,
+    /// Time of its preparation: round trips to the client, which `client` contains, and the work
+    /// of the instance, which is part of [`OperationPart::Own`].
+    pub preparation: Duration,
 }
 
 impl EndedOperation {
@@ -202,6 +214,28 @@
     }
 }
 
+/// What a client waited for immediately before an operation.
+#[derive(Clone, Copy, Debug, Default)]
+struct Preparation {
+    /// Number of round trips to the client.
+    round_trips: u32,
+    /// Time in which the instance worked on it.
+    processing: Duration,
+}
+
+impl Preparation {
+    /// Adds one or more round trips, for which the instance worked for `processing`.
+    fn add(&mut self, round_trips: u32, processing: Duration) {
+        self.round_trips = self.round_trips.saturating_add(round_trips);
+        self.processing += processing;
+    }
+
+    /// Its time, if a round trip to the client takes `client_round_trip`.
+    fn time(&self, client_round_trip: Duration) -> Duration {
+        self.processing + client_round_trip * self.round_trips
+    }
+}
+
 /// The clock of a session's current operation.
 #[derive(Clone, Debug)]
 pub struct OperationClock {
@@ -210,7 +244,10 @@
     /// Number of statements of the operation, including the current one.
     statements: u32,
     statement_began_at: Moment,
-    statement_ended_at: Moment,
+    /// When the previous reply was ready: to a statement, or to the beginning of the session.
+    replied_at: Moment,
+    /// What was done for the operation before its first statement.
+    preparation: Preparation,
     /// Time of the statements that have ended.
     processing: Duration,
     parts: TimeParts,
@@ -225,7 +262,8 @@
             client_round_trip: CLIENT_ROUND_TRIP,
             statements: 0,
             statement_began_at: Moment::ZERO,
-            statement_ended_at: Moment::ZERO,
+            replied_at: Moment::ZERO,
+            preparation: Preparation::default(),
             processing: Duration::ZERO,
             parts: TimeParts::default(),
             was_sent: false,
@@ -235,14 +273,32 @@
 }
 
 impl OperationClock {
+    /// The clock of a session whose client connected for it. The connection was accepted at
+    /// `accepted_at`, the message that begins the session arrived at `arrived_at`, and its reply
+    /// was ready at `replied_at`.
+    ///
+    /// The client waited for one round trip until it was connected, and for another one until it
+    /// received the reply. It did not wait for the connection if it then paused.
+    #[must_use]
+    pub fn of_new_session(accepted_at: Moment, arrived_at: Moment, replied_at: Moment) -> Self {
+        let is_immediate = arrived_at.saturating_sub(accepted_at) <= PREPARATION_GAP;
+        let mut preparation = Preparation::default();
+        preparation.add(if is_immediate { 2 } else { 1 }, replied_at.saturating_sub(arrived_at));
+        Self { replied_at, preparation, ..Self::default() }
+    }
+
     /// Records that a statement arrived: the first one of an operation, or the next one of the
     /// operation in progress.
     ///
-    /// A client sends the next statement of a transaction after it has received the response to
-    /// the previous one, so the gap between them is at least one round trip.
+    /// A client sends the next statement of a transaction or of a preparation after it has
+    /// received the response to the previous one, so the gap between them is at least one round
+    /// trip.
     pub fn begin_statement(&mut self, now: Moment) {
-        if self.statements > 0 {
-            let gap = now.saturating_sub(self.statement_ended_at);
+        let gap = now.saturating_sub(self.replied_at);
+        if self.statements == 0 && gap > PREPARATION_GAP {
+            self.preparation = Preparation::default();
+        }
+        if self.statements > 0 || self.preparation.round_trips > 0 {
             self.client_round_trip = self.client_round_trip.min(gap);
         }
         self.statements += 1;
@@ -253,7 +309,7 @@
     /// sent to a server or another instance.
     pub fn end_statement(&mut self, now: Moment, parts: &TimeParts, was_sent: bool, failed: bool) {
         self.processing += now.saturating_sub(self.statement_began_at);
-        self.statement_ended_at = now;
+        self.replied_at = now;
         self.parts.add(parts);
         self.was_sent |= was_sent;
         self.failed |= failed;
@@ -265,6 +321,12 @@
         self.statements
     }
 
+    /// Whether the operation in progress has a preparation that counts.
+    #[must_use]
+    pub fn has_preparation(&self) -> bool {
+        self.preparation.round_trips > 0
+    }
+
     /// What is left of the objective, during a statement. The round trip of the current statement
     /// is not subtracted: as for a single statement, it is part of what
     /// [`statement_timing::max_wait`] reserves.
@@ -272,21 +334,37 @@
     pub fn left(&self, now: Moment, objective: Duration) -> Duration {
         let running = now.saturating_sub(self.statement_began_at);
         let client = self.client_round_trip * self.statements.saturating_sub(1);
-        objective.saturating_sub(self.processing + running + client)
+        let preparation = self.preparation.time(self.client_round_trip);
+        objective.saturating_sub(preparation + self.processing + running + client)
     }
 
     /// Ends the operation. Returns `None` if it was not served to its end, or was answered
     /// without any server.
+    ///
+    /// A single statement that was answered without any server belongs to the preparation of the
+    /// next operation.
     pub fn end_operation(&mut self) -> Option<EndedOperation> {
-        let client = self.client_round_trip * self.statements;
+        let preparation = self.preparation.time(self.client_round_trip);
+        let statements = self.client_round_trip * self.statements;
         let ended = EndedOperation {
             statements: self.statements,
-            took: self.processing + client,
+            took: preparation + self.processing + statements,
             parts: self.parts,
-            client,
+            client: self.client_round_trip * self.preparation.round_trips + statements,
+            preparation,
         };
         let is_served = self.was_sent && !self.failed;
-        *self = Self { client_round_trip: self.client_round_trip, ..Self::default() };
+        let is_preparation = !self.was_sent && !self.failed && self.statements == 1;
+        let mut next = Self {
+            client_round_trip: self.client_round_trip,
+            replied_at: self.replied_at,
+            ..Self::default()
+        };
+        if is_preparation {
+            next.preparation = self.preparation;
+            next.preparation.add(1, self.processing);
+        }
+        *self = next;
         is_served.then_some(ended)
     }
 }
@@ -298,7 +376,7 @@
     statements: f64,
     /// Time per statement with its round trip to the client. Waits for a connection and
     /// the opening of one are left out, since the statements that follow the first one have a
-    /// connection.
+    /// connection, and so is the preparation, which comes before the first one.
     per_statement: Duration,
 }
 
@@ -326,6 +404,6 @@
 }
 
 fn per_statement(transaction: &EndedOperation) -> Duration {
-    let waits = transaction.parts.waited + transaction.parts.opening;
-    transaction.took.saturating_sub(waits) / transaction.statements.max(1)
+    let once = transaction.parts.waited + transaction.parts.opening + transaction.preparation;
+    transaction.took.saturating_sub(once) / transaction.statements.max(1)
 }
--- a/lib/tests/test_explanation.rs
+++ b/lib/tests/test_explanation.rs
@@ -176,3 +176,27 @@
     let text = cause(&request(EventKind::RequestLate, "r1", ""));
     assert!(text.contains("700 ms at servers"), "{text}");
 }
+
+/// Guards against a late operation that seems to have taken long although its client opened a
+/// session for it first. Lines without a preparation, and those of earlier builds, name none.
+#[test]
+fn test_explanation_of_a_late_operation_tells_its_preparation() {
+    let late = Event::new(EventKind::OperationLate)
+        .with("id", "r1")
+        .with("group", "db")
+        .with_count("statements", 1)
+        .with_ms("took_ms", Duration::from_millis(116))
+        .with_ms("at_server_ms", Duration::from_millis(80))
+        .with_ms("client_ms", Duration::from_millis(36))
+        .with_ms("unavoidable_ms", Duration::from_millis(116));
+    let cause = |event: &Event| {
+        explanation::explain_request("r1", vec![line(5_000, "a", event)]).cause.expect("a cause")
+    };
+    let before = "passed before its first statement";
+    let text = cause(&late.clone().with_ms("preparation_ms", Duration::from_millis(30)));
+    assert!(text.contains(&format!("116 ms were unavoidable; 30 ms {before}")), "{text}");
+    for event in [late.clone().with_ms("preparation_ms", Duration::ZERO), late] {
+        let text = cause(&event);
+        assert!(!text.contains(before), "{text}");
+    }
+}
--- a/lib/tests/test_loss.rs
+++ b/lib/tests/test_loss.rs
@@ -149,3 +149,29 @@
     assert!(counted.contains(&("served late, mostly waiting for a connection", 2)), "{counted:?}");
     assert!(counted.contains(&("served late, mostly between instances", 1)), "{counted:?}");
 }
+
+/// Guards against a report in which operations that are late only because their clients open a
+/// session for each look like those that the deployment served too slowly.
+#[test]
+fn test_operations_that_are_late_by_their_set_up_have_their_own_row() {
+    let late = |took_ms, preparation_ms| {
+        Event::new(EventKind::OperationLate)
+            .with("id", "r")
+            .with("group", "db")
+            .with_ms("took_ms", Duration::from_millis(took_ms))
+            .with_ms("objective_ms", Duration::from_millis(100))
+            .with_ms("client_ms", Duration::from_millis(took_ms))
+            .with_ms("preparation_ms", Duration::from_millis(preparation_ms))
+    };
+    let log = [
+        line(1_000, "a", &late(116, 30)),
+        line(1_100, "a", &late(140, 30)),
+        line(1_200, "a", &late(116, 0)),
+    ];
+    let report = loss::report(&log);
+    let counted: Vec<_> = report.rows.iter().map(|row| (&*row.reason, row.count)).collect();
+    let reason = "served late, mostly on round trips to the client";
+    let alone = format!("{reason}, in time without the set-up of its session");
+    assert!(counted.contains(&(&*alone, 1)), "{counted:?}");
+    assert!(counted.contains(&(reason, 2)), "{counted:?}");
+}
--- a/lib/tests/test_operation_clock.rs
+++ b/lib/tests/test_operation_clock.rs
@@ -7,6 +7,7 @@
 use chervilwharf_lib::operation_clock::EndedOperation;
 use chervilwharf_lib::operation_clock::OperationClock;
 use chervilwharf_lib::operation_clock::OperationPart;
+use chervilwharf_lib::operation_clock::PREPARATION_GAP;
 use chervilwharf_lib::operation_clock::TimeParts;
 use chervilwharf_lib::operation_clock::TransactionFigures;
 use chervilwharf_lib::operation_clock::wait_limit;
@@ -123,6 +124,151 @@
     assert_eq!(clock.end_operation(), None, "its first statement failed");
 }
 
+/// Answers a statement without a server, `gap` after the previous reply.
+fn prepare(clock: &mut OperationClock, now: &mut Moment, gap: Duration, failed: bool) {
+    *now += gap;
+    clock.begin_statement(*now);
+    *now += ms(1);
+    clock.end_statement(*now, &TimeParts::default(), false, failed);
+    assert_eq!(clock.end_operation(), None, "no server was involved");
+}
+
+/// Runs a single statement that takes `took` at a server, `gap` after the previous reply.
+fn run_single(
+    clock: &mut OperationClock,
+    now: &mut Moment,
+    gap: Duration,
+    took: Duration,
+) -> EndedOperation {
+    *now += gap;
+    clock.begin_statement(*now);
+    *now += took;
+    clock.end_statement(*now, &at_server(took), true, false);
+    clock.end_operation().expect("served to its end")
+}
+
+/// The clock of a session that began 2 ms before `now`, on a connection accepted 1 ms earlier.
+fn new_session(now: Moment) -> OperationClock {
+    OperationClock::of_new_session(now.saturating_sub(ms(3)), now.saturating_sub(ms(2)), now)
+}
+
+/// Guards against late operations of clients that open a session for each: the set-up of the
+/// session takes as long as the operation, and no line names them.
+#[test]
+fn test_set_up_of_a_session_counts_for_its_first_operation_only() {
+    let mut now: Moment = ms(5_000);
+    let mut clock = new_session(now);
+    for _ in 0..3 {
+        prepare(&mut clock, &mut now, ms(7), false);
+    }
+    let first = run_single(&mut clock, &mut now, ms(7), ms(80));
+    assert!(ms(80) + CLIENT_ROUND_TRIP < OBJECTIVE && first.is_late(OBJECTIVE));
+    // The connection, START and three statements; START took 2 ms, the others 1 ms each.
+    assert_eq!(first.preparation, CLIENT_ROUND_TRIP * 5 + ms(5));
+    assert_eq!(first.client, CLIENT_ROUND_TRIP * 6);
+    assert_eq!(first.time_of(OperationPart::Own), ms(5));
+    assert_eq!(first.took, first.preparation + ms(80) + CLIENT_ROUND_TRIP);
+    assert_eq!((first.statements, first.is_transaction()), (1, false));
+    assert_eq!(first.unavoidable(), CLIENT_ROUND_TRIP * 6 + ms(80));
+
+    let second = run_single(&mut clock, &mut now, ms(7), ms(80));
+    assert_eq!((second.preparation, second.took), (ms(0), ms(80) + CLIENT_ROUND_TRIP));
+    // A later operation has the statements directly before it, whatever pause came before them.
+    prepare(&mut clock, &mut now, ms(900), false);
+    let third = run_single(&mut clock, &mut now, ms(7), ms(80));
+    assert_eq!(third.preparation, CLIENT_ROUND_TRIP + ms(1));
+}
+
+/// Guards against operations that count as late because their session was opened ahead of them.
+#[test]
+fn test_preparation_before_a_pause_of_the_client_does_not_count() {
+    for (gap, counts) in [(PREPARATION_GAP, true), (PREPARATION_GAP + ms(1), false)] {
+        let mut now: Moment = ms(5_000);
+        let mut clock = new_session(now);
+        prepare(&mut clock, &mut now, ms(7), false);
+        let ended = run_single(&mut clock, &mut now, gap, ms(80));
+        assert_eq!(ended.preparation > Duration::ZERO, counts, "{gap:?}");
+        // After a pause within the preparation, the part that follows it counts.
+        let mut now: Moment = ms(5_000);
+        let mut clock = new_session(now);
+        prepare(&mut clock, &mut now, gap, false);
+        let ended = run_single(&mut clock, &mut now, ms(7), ms(80));
+        let round_trips = if counts { 3 } else { 1 };
+        assert_eq!(ended.client, CLIENT_ROUND_TRIP * (round_trips + 1), "{gap:?}");
+    }
+    // A client that connects ahead of its operations did not wait for the connection.
+    let mut now: Moment = ms(5_000);
+    let accepted_at = now.saturating_sub(PREPARATION_GAP + ms(2));
+    let mut clock = OperationClock::of_new_session(accepted_at, now.saturating_sub(ms(1)), now);
+    let ended = run_single(&mut clock, &mut now, ms(7), ms(80));
+    assert_eq!(ended.preparation, CLIENT_ROUND_TRIP + ms(1));
+}
+
+/// Guards against the preparation of an operation that its client gave up counting for another
+/// one: after a statement that failed, the client ends the session or begins anew.
+#[test]
+fn test_failed_statement_ends_the_preparation() {
+    let mut now: Moment = ms(5_000);
+    let mut clock = new_session(now);
+    prepare(&mut clock, &mut now, ms(7), false);
+    prepare(&mut clock, &mut now, ms(7), true);
+    let ended = run_single(&mut clock, &mut now, ms(7), ms(80));
+    assert_eq!((ended.preparation, ended.client), (ms(0), CLIENT_ROUND_TRIP));
+}
+
+/// Guards against operations of near clients that count as late because of the round trips that
+/// are assumed for their set-up. The gap between the connection and the first message is no round
+/// trip: the client sends both at once.
+#[test]
+fn test_gaps_of_the_preparation_bound_the_round_trip() {
+    let mut now: Moment = ms(5_000);
+    let mut clock = OperationClock::of_new_session(now, now, now);
+    prepare(&mut clock, &mut now, ms(2), false);
+    let ended = run_single(&mut clock, &mut now, ms(9), ms(80));
+    assert_eq!(ended.client, ms(2) * 4);
+}
+
+/// Guards against a suspension during the set-up that makes a late operation look timely, or that
+/// counts as time of the client.
+#[test]
+fn test_suspension_during_the_preparation_counts_as_own_time() {
+    let mut now: Moment = ms(100_000);
+    let began_at = now.saturating_sub(ms(60_000));
+    let mut clock = OperationClock::of_new_session(began_at, began_at, now);
+    let ended = run_single(&mut clock, &mut now, ms(7), ms(10));
+    assert!(ended.is_late(OBJECTIVE));
+    assert_eq!(ended.largest_part(), OperationPart::Own);
+    assert_eq!(ended.time_of(OperationPart::Own), ms(60_000));
+}
+
+/// Guards against an operation that waits for a connection as if its set-up had taken no time.
+#[test]
+fn test_preparation_is_subtracted_from_what_is_left() {
+    let mut now: Moment = ms(5_000);
+    let mut clock = new_session(now);
+    prepare(&mut clock, &mut now, ms(7), false);
+    now += ms(7);
+    clock.begin_statement(now);
+    assert!(clock.has_preparation());
+    let preparation = CLIENT_ROUND_TRIP * 3 + ms(3);
+    assert_eq!(clock.left(now + ms(5), OBJECTIVE), OBJECTIVE - preparation - ms(5));
+    // Also for the later statements of a transaction.
+    clock.end_statement(now + ms(5), &TimeParts::default(), false, false);
+    clock.begin_statement(now + ms(400));
+    let left = OBJECTIVE - preparation - ms(5) - CLIENT_ROUND_TRIP;
+    assert_eq!(clock.left(now + ms(400), OBJECTIVE), left);
+    clock.end_statement(now + ms(410), &at_server(ms(10)), true, false);
+    let ended = clock.end_operation().expect("served to its end");
+    assert_eq!((ended.statements, ended.preparation), (2, preparation));
+    // The set-up does not repeat, so it is not expected of the statements that follow.
+    let alone = EndedOperation {
+        took: ended.took.saturating_sub(preparation),
+        preparation: ms(0),
+        ..ended
+    };
+    assert_eq!(TransactionFigures::new(&ended), TransactionFigures::new(&alone));
+}
+
 /// Guards against transactions that use up their objective in the queue, although their
 /// statements then need it.
 #[test]
@@ -178,6 +324,20 @@
 }
 
 quickcheck! {
+    /// Whatever a client does, the parts of an operation add up to its time, and its preparation
+    /// is contained in the round trips and the instance's own time.
+    fn prop_preparation_is_contained_in_the_parts(gaps: Vec<u8>, took: u8) -> bool {
+        let mut now: Moment = ms(5_000);
+        let mut clock = new_session(now);
+        for gap in gaps {
+            prepare(&mut clock, &mut now, ms(u64::from(gap) / 8), false);
+        }
+        let ended = run_single(&mut clock, &mut now, ms(7), ms(took.into()));
+        let parts = OperationPart::ALL.into_iter().map(|part| ended.time_of(part));
+        parts.sum::<Duration>() == ended.took
+            && ended.preparation <= ended.client + ended.time_of(OperationPart::Own)
+    }
+
     /// Whatever a holder reports, the parts add up to the time of the exchange.
     fn prop_parts_add_up(exchange: u16, waited: u32, opening: u32, at_server: u32) -> bool {
         let exchange = ms(exchange.into());
--- a/testing/testutils/src/experiments/log_line.rs
+++ b/testing/testutils/src/experiments/log_line.rs
@@ -99,7 +99,12 @@
     let routes = HashMap::from([(route.database.clone(), Arc::new(route))]);
     engine.set_catalog(&Arc::new(Catalog { version: 1, routes, ..Catalog::default() }));
     engine.set_fleet_known();
-    let start = SessionStart { database: "ledger-a", key: KeyDigest::of("key"), client: None };
+    let start = SessionStart {
+        database: "ledger-a",
+        key: KeyDigest::of("key"),
+        client: None,
+        accepted_at: None,
+    };
     let begun = Session::begin(engine, start).await;
     begun.unwrap_or_else(|failure| panic!("the session cannot be started: {failure:?}"))
 }
