--- a/daemon/src/engine/session/operation.rs
+++ b/daemon/src/engine/session/operation.rs
@@ -37,19 +37,24 @@
 }
 
 impl Session {
-    /// What is left of the objective for a statement of a transaction that needs a connection,
-    /// without the expected time of the statements that follow it. `None` if the statement may
-    /// use the whole objective, or needs no connection.
+    /// What is left of the objective for a statement that needs a connection: after the
+    /// preparation of its operation and, in a transaction, without the expected time of the
+    /// statements that follow it. `None` if the statement may use the whole objective, or has a
+    /// connection.
     ///
-    /// Where all instances hold connections to the group, transactions wait as long as single
-    /// statements.
+    /// Where all instances hold connections to the group, all statements may use the whole
+    /// objective.
     pub(super) fn objective_left(&self, now: Moment, route: &Route) -> Option<Duration> {
-        let transaction = self.transaction.as_ref()?;
-        if transaction.holds_connection() || self.engine.is_held_by_all(&route.group) {
+        let clock = &self.operation.clock;
+        let following = match &self.transaction {
+            Some(transaction) if transaction.holds_connection() => return None,
+            None if !clock.has_preparation() => return None,
+            Some(_) => self.engine.transaction_times().following(route, clock.statements()),
+            None => Duration::ZERO,
+        };
+        if self.engine.is_held_by_all(&route.group) {
             return None;
         }
-        let clock = &self.operation.clock;
-        let following = self.engine.transaction_times().following(route, clock.statements());
         Some(clock.left(now, route.objective).saturating_sub(following))
     }
 
--- a/daemon/tests/test_operation.rs
+++ b/daemon/tests/test_operation.rs
@@ -499,6 +499,46 @@
     assert_counted(&engine, late);
 }
 
+/// What a read leaves for its holder of an objective of 100 ms, `pause` after the beginning of the
+/// session and one statement; `None` if it left all.
+async fn left_after_preparation(pause: Duration) -> Option<u64> {
+    let (engine, holder) = forwarding_instance(None).await;
+    let connected = SessionStart { accepted_at: Some(now()), ..start("app", "key") };
+    let mut session = Session::begin(engine, connected).await.expect("begun");
+    tokio::time::sleep(GAP).await;
+    let set = Statement::Set { name: "zone".into(), value: "a".into() };
+    session.run("left-set".into(), set).await.result.expect("no server is needed");
+    tokio::time::sleep(pause).await;
+    session.run("left-read".into(), read()).await.result.expect("the holder answers");
+    let sent = holder.statements.lock().unwrap();
+    sent[0].objective_left_ms
+}
+
+/// Guards against a single statement that waits as if its client had not waited for the session.
+/// A client that opened it ahead has the whole objective.
+#[tokio::test]
+async fn test_single_statement_waits_less_after_its_preparation() {
+    // The connection, the beginning of the session and the statement: 18 ms.
+    let mut left = Vec::new();
+    for _ in 0..20 {
+        left.push(left_after_preparation(GAP).await);
+        // On a busy machine, a gap can be longer than that of a preparation, and the statement
+        // is sent later.
+        if matches!(left.last(), Some(Some(78..=82))) {
+            break;
+        }
+    }
+    assert!(matches!(left.last(), Some(Some(78..=82))), "{left:?}");
+    let mut left = Vec::new();
+    for _ in 0..20 {
+        left.push(left_after_preparation(Duration::from_millis(100)).await.unwrap_or(100));
+        if left.iter().any(|left| *left > 90) {
+            return;
+        }
+    }
+    panic!("{left:?}");
+}
+
 /// Guards against the time at a holder that died being lost, or counted as time at a server: its
 /// parts are not known.
 #[tokio::test]
--- a/lib/src/explanation.rs
+++ b/lib/src/explanation.rs
@@ -231,6 +231,26 @@
     format!("refused under load: {waiting} requests were waiting{context}")
 }
 
+/// How a late operation spent its time; `None` if the line is not about one.
+fn late_cause(last: &LogLine, context: &str) -> Option<String> {
+    let (part, ms) = last.largest_part()?;
+    let statements = last.number("statements");
+    let took = last.number("took_ms");
+    let unavoidable = last.number("unavoidable_ms");
+    // Lines of earlier builds have no such field.
+    let preparation = last.number("preparation_ms");
+    let preparation = if preparation > 0.0 {
+        format!("; {preparation} ms passed before its first statement")
+    } else {
+        String::new()
+    };
+    Some(format!(
+        "of {took} ms for {statements} statements, {ms} ms were spent {}, and {unavoidable} ms were \
+         unavoidable{preparation}{context}",
+        part.description()
+    ))
+}
+
 /// Returns the probable cause, from the last line of the request and the events of
 /// its context.
 fn cause_of(last: &LogLine, lines: &[ExplanationLine]) -> Option<String> {
@@ -314,24 +334,7 @@
         ("request_late", _) => {
             format!("it spent {at_server} ms at servers, the last one was {server}{context}")
         }
-        ("operation_late", _) => {
-            let (part, ms) = last.largest_part()?;
-            let statements = last.number("statements");
-            let took = last.number("took_ms");
-            let unavoidable = last.number("unavoidable_ms");
-            // Lines of earlier builds have no such field.
-            let preparation = last.number("preparation_ms");
-            let preparation = if preparation > 0.0 {
-                format!("; {preparation} ms passed before its first statement")
-            } else {
-                String::new()
-            };
-            format!(
-                "of {took} ms for {statements} statements, {ms} ms were spent {}, and \
-                 {unavoidable} ms were unavoidable{preparation}{context}",
-                part.description()
-            )
-        }
+        ("operation_late", _) => late_cause(last, &context)?,
         ("request_refused", reason) => format!("refused: {reason}{context}"),
         _ => return None,
     };
--- a/lib/tests/test_operation_clock.rs
+++ b/lib/tests/test_operation_clock.rs
@@ -251,12 +251,12 @@
     clock.begin_statement(now);
     assert!(clock.has_preparation());
     let preparation = CLIENT_ROUND_TRIP * 3 + ms(3);
-    assert_eq!(clock.left(now + ms(5), OBJECTIVE), OBJECTIVE - preparation - ms(5));
+    assert_eq!(clock.left(now + ms(5), OBJECTIVE) + preparation + ms(5), OBJECTIVE);
     // Also for the later statements of a transaction.
     clock.end_statement(now + ms(5), &TimeParts::default(), false, false);
     clock.begin_statement(now + ms(400));
-    let left = OBJECTIVE - preparation - ms(5) - CLIENT_ROUND_TRIP;
-    assert_eq!(clock.left(now + ms(400), OBJECTIVE), left);
+    let used = preparation + ms(5) + CLIENT_ROUND_TRIP;
+    assert_eq!(clock.left(now + ms(400), OBJECTIVE) + used, OBJECTIVE);
     clock.end_statement(now + ms(410), &at_server(ms(10)), true, false);
     let ended = clock.end_operation().expect("served to its end");
     assert_eq!((ended.statements, ended.preparation), (2, preparation));
