tests: one stub of another instance for forwarded statements

test_load_sharing.rs, test_pass_on.rs and test_operation.rs each had a PeerHandler of their own with the same four methods. Holder in daemon/tests/stubs takes the sessions from the test. The tests change only in where their stub comes from; as before, the one of test_operation.rs answers no requests for signs of life.

--- a/daemon/tests/stubs/mod.rs
+++ b/daemon/tests/stubs/mod.rs
@@ -2,6 +2,8 @@
 //! binary uses some of them.
 #![allow(dead_code, reason = "each test binary uses a part of the stubs")]
 
+pub mod holder;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
--- a/daemon/tests/test_load_sharing.rs
+++ b/daemon/tests/test_load_sharing.rs
@@ -4,7 +4,6 @@
 
 use std::collections::HashMap;
 use std::collections::HashSet;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -12,8 +11,6 @@
 use async_trait::async_trait;
 use chervilwharf_daemon::engine::clock::now;
 use chervilwharf_daemon::engine::peers::ForwardedStatementHandler;
-use chervilwharf_daemon::engine::peers::PeerHandler;
-use chervilwharf_daemon::engine::peers::serve;
 use chervilwharf_daemon::engine::request::Failure;
 use chervilwharf_daemon::engine::session::Session;
 use chervilwharf_daemon::engine::session::SessionStart;
@@ -24,12 +21,9 @@
 use chervilwharf_lib::catalog::GroupSettings;
 use chervilwharf_lib::catalog::Route;
 use chervilwharf_lib::engine_protos::GroupLoad;
-use chervilwharf_lib::engine_protos::SignOfLifeReply;
 use chervilwharf_lib::engine_protos::Statement as ForwardedStatement;
 use chervilwharf_lib::engine_protos::StatementReply;
-use chervilwharf_lib::engine_protos::Tunnel;
 use chervilwharf_lib::engine_protos::WaitOutlook;
-use chervilwharf_lib::engine_protos::engine_frame::Body;
 use chervilwharf_lib::error_kind::ErrorKind;
 use chervilwharf_lib::fleet::InstanceRecord;
 use chervilwharf_lib::group_load::LOAD_VALIDITY;
@@ -37,9 +31,9 @@
 use chervilwharf_lib::id::InstanceId;
 use chervilwharf_lib::statement::Statement;
 use stubs::NoServer;
+use stubs::holder::Holder;
 use stubs::instance;
 use tokio::net::TcpListener;
-use tokio::sync::OwnedSemaphorePermit;
 
 const GROUP: &str = "db";
 
@@ -59,14 +53,14 @@
 
 /// A holder that answers every statement, or refuses it because it is overloaded.
 #[derive(Clone)]
-struct Holder {
+struct HolderSession {
     id: InstanceId,
     backlog_ms: u64,
     holders: Arc<Mutex<Holders>>,
 }
 
 #[async_trait]
-impl ForwardedStatementHandler for Holder {
+impl ForwardedStatementHandler for HolderSession {
     async fn run(&mut self, statement: ForwardedStatement) -> StatementReply {
         let mut holders = self.holders.lock().expect("never poisoned");
         holders.arrived.push(self.id.clone());
@@ -97,24 +91,6 @@
     }
 }
 
-impl PeerHandler for Holder {
-    fn answer(&self, _: Body) -> Option<Body> {
-        Some(Body::SignOfLifeReply(SignOfLifeReply::default()))
-    }
-
-    fn whole_list_permit(&self) -> Option<OwnedSemaphorePermit> {
-        None
-    }
-
-    fn forwarded_session(self: Arc<Self>) -> Box<dyn ForwardedStatementHandler> {
-        Box::new((*self).clone())
-    }
-
-    fn tunnel_target(&self, _: &Tunnel) -> Option<SocketAddr> {
-        None
-    }
-}
-
 /// An entry without connections, and eight simulated holders.
 struct World {
     session: Session,
@@ -132,8 +108,10 @@
             let peer_address = listener.local_addr().expect("bound");
             let record = InstanceRecord { peer_address, ..instance(&format!("h{number}")) };
             let backlog_ms = BACKLOG_MS[number % 2];
-            let holder = Holder { id: record.id.clone(), backlog_ms, holders: holders.clone() };
-            tokio::spawn(serve(Arc::new(holder), listener));
+            let (id, holders) = (record.id.clone(), holders.clone());
+            let session = HolderSession { id, backlog_ms, holders };
+            let holder = Holder::new(move || session.clone()).with_signs_of_life();
+            tokio::spawn(holder.serve(listener));
             records.push(record);
         }
         let engine = entry(&records);
--- a/daemon/tests/test_operation.rs
+++ b/daemon/tests/test_operation.rs
@@ -7,7 +7,6 @@
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::io::Write;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::LazyLock;
 use std::sync::Mutex;
@@ -19,9 +18,7 @@
 use chervilwharf_daemon::engine::clock::now;
 use chervilwharf_daemon::engine::event_log;
 use chervilwharf_daemon::engine::forwarded_session::ForwardedSession;
-use chervilwharf_daemon::engine::peers;
 use chervilwharf_daemon::engine::peers::ForwardedStatementHandler;
-use chervilwharf_daemon::engine::peers::PeerHandler;
 use chervilwharf_daemon::engine::records;
 use chervilwharf_daemon::engine::request::Request;
 use chervilwharf_daemon::engine::session::Session;
@@ -32,8 +29,6 @@
 use chervilwharf_lib::catalog::Route;
 use chervilwharf_lib::engine_protos;
 use chervilwharf_lib::engine_protos::StatementReply;
-use chervilwharf_lib::engine_protos::Tunnel;
-use chervilwharf_lib::engine_protos::engine_frame::Body;
 use chervilwharf_lib::engine_protos::statement::Begin;
 use chervilwharf_lib::engine_protos::statement::Work;
 use chervilwharf_lib::event::Event;
@@ -47,9 +42,9 @@
 use chervilwharf_lib::statement::Statement;
 use chervilwharf_lib::statement_timing;
 use stubs::NoServer;
+use stubs::holder::Holder;
 use stubs::instance;
 use tokio::net::TcpListener;
-use tokio::sync::OwnedSemaphorePermit;
 use values_world::GROUP;
 use values_world::ValuesWorld;
 use values_world::route;
@@ -384,12 +379,14 @@
     assert_eq!(first_served(None).await, "transaction");
 }
 
-/// Work of a holder: each statement takes 30 ms, of which it reports 25 ms.
-struct Holder {
+/// What arrived at a holder.
+#[derive(Default)]
+struct Arrived {
     statements: Mutex<Vec<engine_protos::Statement>>,
 }
 
-struct HolderSession(Arc<Holder>, bool);
+/// A session of a holder: each statement takes 30 ms, of which it reports 25 ms.
+struct HolderSession(Arc<Arrived>, bool);
 
 #[async_trait]
 impl ForwardedStatementHandler for HolderSession {
@@ -410,38 +407,21 @@
     }
 }
 
-impl PeerHandler for Holder {
-    fn answer(&self, _: Body) -> Option<Body> {
-        None
-    }
-
-    fn whole_list_permit(&self) -> Option<OwnedSemaphorePermit> {
-        None
-    }
-
-    fn forwarded_session(self: Arc<Self>) -> Box<dyn ForwardedStatementHandler> {
-        Box::new(HolderSession(self, false))
-    }
-
-    fn tunnel_target(&self, _: &Tunnel) -> Option<SocketAddr> {
-        None
-    }
-}
-
 /// An instance that forwards all statements to one of two holders, which are the same stub.
 /// The first link is closed `closed_after` it was opened.
-async fn forwarding_instance(closed_after: Option<Duration>) -> (Arc<Engine>, Arc<Holder>) {
+async fn forwarding_instance(closed_after: Option<Duration>) -> (Arc<Engine>, Arc<Arrived>) {
     LazyLock::force(&LOG);
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let peer_address = listener.local_addr().unwrap();
-    let holder = Arc::new(Holder { statements: Mutex::default() });
-    let handler = holder.clone();
+    let arrived = Arc::new(Arrived::default());
+    let at_holder = arrived.clone();
+    let holder = Holder::new(move || HolderSession(at_holder.clone(), false));
     tokio::spawn(async move {
         if let Some(closed_after) = closed_after {
             let _first = listener.accept().await.unwrap();
             tokio::time::sleep(closed_after).await;
         }
-        peers::serve(handler, listener).await;
+        holder.serve(listener).await;
     });
     let me = InstanceRecord { capacity_millicores: 1, ..instance("me") };
     let engine = Arc::new(Engine::new(me.clone(), Arc::new(NoServer)));
@@ -460,7 +440,7 @@
     })));
     engine.set_fleet_known();
     assert!(!engine.is_holder(&GROUP.into()), "the others have more capacity");
-    (engine, holder)
+    (engine, arrived)
 }
 
 async fn run_transaction(session: &mut Session, name: &str) {
--- a/daemon/tests/test_pass_on.rs
+++ b/daemon/tests/test_pass_on.rs
@@ -13,26 +13,21 @@
 use chervilwharf_daemon::engine::clock::now;
 use chervilwharf_daemon::engine::forwarded_session::ForwardedSession;
 use chervilwharf_daemon::engine::peers::ForwardedStatementHandler;
-use chervilwharf_daemon::engine::peers::PeerHandler;
-use chervilwharf_daemon::engine::peers::serve;
 use chervilwharf_daemon::engine::records;
 use chervilwharf_daemon::engine::request::Failure;
 use chervilwharf_daemon::engine::session::Session;
 use chervilwharf_daemon::engine::shared::Engine;
 use chervilwharf_lib::engine_protos;
 use chervilwharf_lib::engine_protos::GroupLoad;
-use chervilwharf_lib::engine_protos::SignOfLifeReply;
 use chervilwharf_lib::engine_protos::StatementReply;
-use chervilwharf_lib::engine_protos::Tunnel;
-use chervilwharf_lib::engine_protos::engine_frame::Body;
 use chervilwharf_lib::engine_protos::statement::Work;
 use chervilwharf_lib::error_kind::ErrorKind;
 use chervilwharf_lib::fleet::Fleet;
 use chervilwharf_lib::fleet::InstanceRecord;
 use chervilwharf_lib::statement::Statement;
+use stubs::holder::Holder;
 use stubs::instance;
 use tokio::net::TcpListener;
-use tokio::sync::OwnedSemaphorePermit;
 use values_world::GROUP;
 use values_world::ValuesWorld;
 use values_world::route;
@@ -51,24 +46,6 @@
     }
 }
 
-impl PeerHandler for FreeHolder {
-    fn answer(&self, _: Body) -> Option<Body> {
-        Some(Body::SignOfLifeReply(SignOfLifeReply::default()))
-    }
-
-    fn whole_list_permit(&self) -> Option<OwnedSemaphorePermit> {
-        None
-    }
-
-    fn forwarded_session(self: Arc<Self>) -> Box<dyn ForwardedStatementHandler> {
-        Box::new((*self).clone())
-    }
-
-    fn tunnel_target(&self, _: &Tunnel) -> Option<SocketAddr> {
-        None
-    }
-}
-
 /// Lists instances at this address, so that the engine's instance holds the group beside one
 /// other.
 fn list_instances(engine: &Engine, peer_address: SocketAddr) {
@@ -103,7 +80,9 @@
     let arrived = Arc::new(AtomicUsize::new(0));
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("bound");
-    tokio::spawn(serve(Arc::new(FreeHolder(arrived.clone())), listener));
+    let session = FreeHolder(arrived.clone());
+    let holder = Holder::new(move || session.clone()).with_signs_of_life();
+    tokio::spawn(holder.serve(listener));
     list_instances(engine, address);
     let mut sessions = Vec::new();
     for _ in 0..4 {
