forwarding: exchange, encoding and transactions in files of their own

remote.rs (515 lines) decided where single statements and transactions go, on which link they are sent, whether they may have run, and how they are encoded. Behaviour is unchanged.

--- a/daemon/src/engine/pass_on.rs
+++ b/daemon/src/engine/pass_on.rs
@@ -10,7 +10,7 @@
 use crate::engine::load_choice::HolderQuery;
 use crate::engine::load_choice::request_kind;
 use crate::engine::remote;
-use crate::engine::remote::Begun;
+use crate::engine::remote::transaction::Begun;
 use crate::engine::request::Failure;
 use crate::engine::request::Request;
 use crate::engine::request::Served;
@@ -139,7 +139,7 @@
             };
         };
         transaction.record_write(writes);
-        match remote::begin_at(session, transaction, request, work, holder).await {
+        match remote::transaction::begin_at(session, transaction, request, work, holder).await {
             Begun::Ended(result) => Passed::Ended(result),
             Begun::NotHere(failure) | Begun::Overloaded(failure) => Passed::MayRunHere(failure),
             Begun::Unanswered => Passed::MayRunHere(Failure::new(ErrorKind::HolderSilent)),
--- a/daemon/src/engine/session.rs
+++ b/daemon/src/engine/session.rs
@@ -621,7 +621,7 @@
         self.in_transaction = true;
         let result = if transaction.runs_remotely(&self.engine, &self.affinity()) {
             transaction.record_write(writes);
-            remote::in_transaction(self, &mut transaction, request, work).await
+            remote::transaction::in_transaction(self, &mut transaction, request, work).await
         } else {
             pass_on::run_in_transaction(self, &mut transaction, request, work, writes).await
         };
@@ -657,7 +657,8 @@
         }
         let work = Work { statement: Statement::Commit, prepared: None };
         self.in_transaction = true;
-        let result = remote::in_transaction(self, &mut transaction, request, &work).await;
+        let result =
+            remote::transaction::in_transaction(self, &mut transaction, request, &work).await;
         self.in_transaction = false;
         result
     }
--- a/daemon/src/engine/transaction.rs
+++ b/daemon/src/engine/transaction.rs
@@ -24,7 +24,7 @@
 use crate::engine::clock::now;
 use crate::engine::event_log;
 use crate::engine::lease::Lease;
-use crate::engine::remote::RemoteTransaction;
+use crate::engine::remote::transaction::RemoteTransaction;
 use crate::engine::request::Failure;
 use crate::engine::request::Request;
 use crate::engine::request::Served;
