session: the flow is kept, and the affinity is decided once for each statement

The flow of an account was looked up for each connection, and the affinity was computed two to four times for each statement: once to decide whether it is served here, and for each choice of a holder. The flow is now kept until the configuration or the account changes.

The affinity is not kept until the holders change: where not all accounts have limits, an account is large by the demand that the instance observes, so that would change where its reads go. It is kept for the attempts of one statement. The limit that a statement is counted against is still looked up, in quota_control.rs.

--- a/daemon/src/engine/session.rs
+++ b/daemon/src/engine/session.rs
@@ -39,10 +39,10 @@
 use crate::engine::caller::Caller;
 use crate::engine::clock::now;
 use crate::engine::lease::Lease;
-use crate::engine::near_homes::AbleServers;
 use crate::engine::request::Failure;
 use crate::engine::request::Request;
 use crate::engine::server_connection::Step;
+use crate::engine::session::account::KnownFlow;
 use crate::engine::session::operation::SessionOperation;
 use crate::engine::shard::Shard;
 use crate::engine::shared::Engine;
@@ -88,8 +88,10 @@
     transaction: Option<Transaction>,
     /// Whether a statement of the transaction is running.
     in_transaction: bool,
-    /// The servers that can serve the current statement or transaction.
-    able: AbleServers,
+    /// What decides which holder serves the current statement or transaction.
+    affinity: Affinity,
+    /// The flow of its client, once it was needed.
+    flow: Option<KnownFlow>,
     trace: StatementTrace,
     operation: SessionOperation,
     /// Random number below [`start::RANDOM_NUMBER_LIMIT`], or 0 in a forwarded session. It sets
@@ -119,6 +121,10 @@
 
 impl Session {
     fn new(engine: Arc<Engine>, route: &Route, caller: Caller, random_number: u32) -> Self {
+        let affinity = match &caller.account {
+            Some(account) => Affinity::Account(account.clone()),
+            None => Affinity::Session(random_number),
+        };
         Self {
             shard: engine.shard(&route.group),
             database: route.database.clone(),
@@ -129,7 +135,8 @@
             floor: None,
             transaction: None,
             in_transaction: false,
-            able: AbleServers::Primary,
+            affinity,
+            flow: None,
             trace: StatementTrace::default(),
             operation: SessionOperation::default(),
             random_number,
@@ -157,17 +164,12 @@
         &self.engine
     }
 
-    /// What decides which holder serves its statements: the account, so that all sessions
-    /// of an account share the connections of one holder, or else the session itself. A
-    /// forwarded session always uses the latter, since the sender has chosen the holder.
+    /// What decides which holder serves its current statement: the account, so that all
+    /// sessions of an account share the connections of one holder, or else the session itself.
+    /// A forwarded session always uses the latter, since the sender has chosen the holder.
     #[must_use]
     pub fn affinity(&self) -> Affinity {
-        match &self.caller.account {
-            Some(account) if !self.is_forwarded => {
-                self.engine.account_affinity(self.shard.id(), account, self.able)
-            }
-            _ => Affinity::Session(self.random_number),
-        }
+        self.affinity.clone()
     }
 
     /// Whether a statement may be sent to another instance although this one holds
@@ -261,10 +263,11 @@
         prepared: Option<&Prepared>,
     ) -> Result<Lease, Failure> {
         let began_at = now();
+        let flow = self.flow();
         let connection_request = ConnectionRequest {
             need,
             owner: ConnectionOwner::Account(self.caller.account.clone()),
-            flow: self.caller.flow(&self.engine.catalog()),
+            flow,
             priority: request.route.priority,
             give_up_at: request.deadline,
             in_time_until: request.in_time_until(began_at),
--- a/daemon/src/engine/session/dispatch.rs
+++ b/daemon/src/engine/session/dispatch.rs
@@ -136,13 +136,13 @@
     ) -> Result<Served, Failure> {
         self.prepare_affinity(&request.route, writes);
         let Some(mut transaction) = self.transaction.take() else {
-            if !self.engine.serves_here(&request.route.group, &self.affinity()) {
+            if !self.engine.serves_here(&request.route.group, &self.affinity) {
                 return remote::single(self, request, work, writes).await;
             }
             return pass_on::run_single(self, request, work, writes).await;
         };
         self.in_transaction = true;
-        let result = if transaction.runs_remotely(&self.engine, &self.affinity()) {
+        let result = if transaction.runs_remotely(&self.engine, &self.affinity) {
             transaction.record_write(writes);
             remote::transaction::in_transaction(self, &mut transaction, request, work).await
         } else {
@@ -175,7 +175,7 @@
         if transaction.has_failed() {
             return Err(Failure::new(ErrorKind::TransactionLost));
         }
-        if !transaction.runs_remotely(&self.engine, &self.affinity()) {
+        if !transaction.runs_remotely(&self.engine, &self.affinity) {
             return transaction::commit(self, &mut transaction, request).await;
         }
         let work = Work { statement: Statement::Commit, prepared: None };
--- a/daemon/src/engine/session/forwarded.rs
+++ b/daemon/src/engine/session/forwarded.rs
@@ -5,6 +5,7 @@
 
 use chervilwharf_lib::catalog::Route;
 use chervilwharf_lib::connection_setup::SessionValues;
+use chervilwharf_lib::holder_choice::Affinity;
 use chervilwharf_lib::id::RequestId;
 use chervilwharf_lib::position::Position;
 
@@ -18,7 +19,8 @@
     /// Creates a session for statements that another instance forwards.
     #[must_use]
     pub fn forwarded_session(engine: Arc<Engine>, route: &Route, caller: Caller) -> Self {
-        Self { is_forwarded: true, ..Self::new(engine, route, caller, 0) }
+        let affinity = Affinity::Session(0);
+        Self { is_forwarded: true, affinity, ..Self::new(engine, route, caller, 0) }
     }
 
     /// Prepares a forwarded session for its next statement, which may belong to another
