--- a/daemon/src/engine/session/operation.rs
+++ b/daemon/src/engine/session/operation.rs
@@ -14,6 +14,7 @@
 use chervilwharf_lib::statement::TransactionState;
 use prometheus_client::metrics::counter::Counter;
 
+use crate::engine::clock::now;
 use crate::engine::event_log;
 use crate::engine::session::Session;
 
@@ -26,20 +27,34 @@
     counter: Option<(GroupId, Counter)>,
 }
 
+impl SessionOperation {
+    /// The first operation of a session that has just begun: its client's connection was accepted
+    /// at `accepted_at`, and the message that begins the session arrived at `arrived_at`.
+    pub(super) fn new(accepted_at: Moment, arrived_at: Moment) -> Self {
+        let clock = OperationClock::of_new_session(accepted_at, arrived_at, now());
+        Self { clock, counter: None }
+    }
+}
+
 impl Session {
-    /// What is left of the objective for a statement of a transaction that needs a connection,
-    /// without the expected time of the statements that follow it. `None` if the statement may
-    /// use the whole objective, or needs no connection.
+    /// What is left of the objective for a statement that needs a connection: after the
+    /// preparation of its operation and, in a transaction, without the expected time of the
+    /// statements that follow it. `None` if the statement may use the whole objective, or has a
+    /// connection.
     ///
-    /// Where all instances hold connections to the group, transactions wait as long as single
-    /// statements.
+    /// Where all instances hold connections to the group, all statements may use the whole
+    /// objective.
     pub(super) fn objective_left(&self, now: Moment, route: &Route) -> Option<Duration> {
-        let transaction = self.transaction.as_ref()?;
-        if transaction.holds_connection() || self.engine.is_held_by_all(&route.group) {
+        let clock = &self.operation.clock;
+        let following = match &self.transaction {
+            Some(transaction) if transaction.holds_connection() => return None,
+            None if !clock.has_preparation() => return None,
+            Some(_) => self.engine.transaction_times().following(route, clock.statements()),
+            None => Duration::ZERO,
+        };
+        if self.engine.is_held_by_all(&route.group) {
             return None;
         }
-        let clock = &self.operation.clock;
-        let following = self.engine.transaction_times().following(route, clock.statements());
         Some(clock.left(now, route.objective).saturating_sub(following))
     }
 
@@ -94,6 +109,7 @@
         for part in OperationPart::ALL {
             event = event.with_ms(part.field(), ended.time_of(part));
         }
-        event_log::emit(&event.with_ms("unavoidable_ms", ended.unavoidable()));
+        let event = event.with_ms("unavoidable_ms", ended.unavoidable());
+        event_log::emit(&event.with_ms("preparation_ms", ended.preparation));
     }
 }
--- a/daemon/tests/test_operation.rs
+++ b/daemon/tests/test_operation.rs
@@ -7,7 +7,6 @@
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::io::Write;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::LazyLock;
 use std::sync::Mutex;
@@ -19,21 +18,17 @@
 use chervilwharf_daemon::engine::clock::now;
 use chervilwharf_daemon::engine::event_log;
 use chervilwharf_daemon::engine::forwarded_session::ForwardedSession;
-use chervilwharf_daemon::engine::peers;
 use chervilwharf_daemon::engine::peers::ForwardedStatementHandler;
-use chervilwharf_daemon::engine::peers::PeerHandler;
 use chervilwharf_daemon::engine::records;
 use chervilwharf_daemon::engine::request::Request;
 use chervilwharf_daemon::engine::session::Session;
+use chervilwharf_daemon::engine::session::SessionStart;
 use chervilwharf_daemon::engine::shared::Engine;
 use chervilwharf_lib::catalog::Catalog;
 use chervilwharf_lib::catalog::GroupSettings;
 use chervilwharf_lib::catalog::Route;
 use chervilwharf_lib::engine_protos;
-use chervilwharf_lib::engine_protos::SignOfLifeReply;
 use chervilwharf_lib::engine_protos::StatementReply;
-use chervilwharf_lib::engine_protos::Tunnel;
-use chervilwharf_lib::engine_protos::engine_frame::Body;
 use chervilwharf_lib::engine_protos::statement::Begin;
 use chervilwharf_lib::engine_protos::statement::Work;
 use chervilwharf_lib::event::Event;
@@ -41,12 +36,15 @@
 use chervilwharf_lib::explanation::LogLine;
 use chervilwharf_lib::explanation::parse_line;
 use chervilwharf_lib::fleet::InstanceRecord;
+use chervilwharf_lib::operation_clock::PREPARATION_GAP;
+use chervilwharf_lib::statement::Access;
+use chervilwharf_lib::statement::Prepared;
 use chervilwharf_lib::statement::Statement;
 use chervilwharf_lib::statement_timing;
 use stubs::NoServer;
+use stubs::holder::Holder;
 use stubs::instance;
 use tokio::net::TcpListener;
-use tokio::sync::OwnedSemaphorePermit;
 use values_world::GROUP;
 use values_world::ValuesWorld;
 use values_world::route;
@@ -179,6 +177,93 @@
     assert_counted(&world.engine, r#"chervilwharf_operations_total{group="db"} 2"#);
 }
 
+/// Longer than the round trip that the clock assumes for clients, so that the gaps of the test do
+/// not shorten it.
+const GAP: Duration = Duration::from_millis(7);
+
+/// Runs two reads of 380 ms in a new session, `pause` after it was set up by three statements.
+/// Returns the ids' prefix of the lines; `None` if the machine was too busy to keep to the times.
+async fn prepare_and_read(attempt: usize, pause: Duration) -> Option<(Arc<Engine>, String)> {
+    LazyLock::force(&LOG);
+    let world = ValuesWorld::new(1, true).await;
+    let mut earlier = now();
+    let mut is_timely = true;
+    let connected = SessionStart { accepted_at: Some(earlier), ..start("app", "key") };
+    let mut session = Session::begin(world.engine.clone(), connected).await.expect("begun");
+    let prefix = format!("prepared-{attempt}-{}", pause.as_millis());
+    for name in ["a", "b", "c"] {
+        tokio::time::sleep(GAP).await;
+        let prepared = Prepared { access: Access::Read, shape: "q".into() };
+        let prepare = Statement::Prepare { name: name.into(), prepared };
+        let began_at = now();
+        session.run(format!("{prefix}-{name}").into(), prepare).await.result.expect("no server");
+        is_timely &= now().saturating_sub(earlier) < PREPARATION_GAP;
+        earlier = began_at;
+    }
+    tokio::time::sleep(pause).await;
+    for id in ["first", "second"] {
+        let id = format!("{prefix}-{id}-read");
+        let began_at = now();
+        is_timely &= id.contains("second") || began_at.saturating_sub(earlier) < pause + GAP;
+        run(&world, &mut session, &id, read(), 380).await;
+        is_timely &= now().saturating_sub(began_at) < Duration::from_millis(392);
+    }
+    is_timely.then_some((world.engine, prefix))
+}
+
+/// The lines about late operations of [`prepare_and_read`], and the engine.
+async fn late_after_preparation(pause: Duration) -> (Arc<Engine>, Vec<LogLine>) {
+    for attempt in 0..20 {
+        if let Some((engine, prefix)) = prepare_and_read(attempt, pause).await {
+            return (engine, late_lines(&prefix).await);
+        }
+    }
+    panic!("no attempt kept to the times");
+}
+
+/// Guards against late operations of clients that open a session for each, of which no line
+/// tells, and against a second operation that counts the set-up of the session again.
+#[tokio::test]
+async fn test_operation_that_is_late_with_its_preparation_is_counted_once() {
+    let (engine, lines) = late_after_preparation(GAP).await;
+    let [line] = &lines[..] else {
+        panic!("one line: {lines:?}");
+    };
+    assert!(line.text("id").is_some_and(|id| id.ends_with("first-read")), "{line:?}");
+    // Round trips for the connection, the beginning of the session, three statements, the read.
+    assert_eq!([field(line, "statements"), field(line, "client_ms")], ["1", "36.0"]);
+    let (preparation, own) = (line.number("preparation_ms"), line.number("own_ms"));
+    assert!((30.0..30.2 + own).contains(&preparation), "{line:?}");
+    assert!(line.number("took_ms") - preparation < line.number("objective_ms"), "{line:?}");
+    let late = r#"chervilwharf_operations_late_total{group="db",part="at_server"} 1"#;
+    assert_counted(&engine, late);
+    assert_counted(&engine, r#"chervilwharf_operations_total{group="db"} 2"#);
+}
+
+/// Guards against operations of clients with open sessions that count as late because of a set-up
+/// that nobody waited for.
+#[tokio::test]
+async fn test_preparation_before_a_pause_makes_no_operation_late() {
+    let (engine, lines) = late_after_preparation(Duration::from_secs(1)).await;
+    assert!(lines.is_empty(), "{lines:?}");
+    assert_counted(&engine, r#"chervilwharf_operations_total{group="db"} 2"#);
+}
+
+/// Guards against a line or a count for a client that disconnects before its operation.
+#[tokio::test]
+async fn test_client_that_disconnects_in_the_preparation_leaves_no_line() {
+    LazyLock::force(&LOG);
+    let world = ValuesWorld::new(1, true).await;
+    let connected = SessionStart { accepted_at: Some(now()), ..start("app", "key") };
+    let mut session = Session::begin(world.engine.clone(), connected).await.expect("begun");
+    let set = Statement::Set { name: "zone".into(), value: "a".into() };
+    session.run("left-set".into(), set).await.result.expect("no server is needed");
+    drop(session);
+    assert!(late_lines("left").await.is_empty());
+    let text = world.engine.metrics().text(&world.engine);
+    assert!(!text.contains("chervilwharf_operations_total{"), "{text}");
+}
+
 /// Guards against a line about an operation that nobody waits for: its client disconnected.
 #[tokio::test]
 async fn test_client_that_disconnects_in_a_transaction_leaves_no_line() {
@@ -294,12 +379,14 @@
     assert_eq!(first_served(None).await, "transaction");
 }
 
-/// Work of a holder: each statement takes 30 ms, of which it reports 25 ms.
-struct Holder {
+/// What arrived at a holder.
+#[derive(Default)]
+struct Arrived {
     statements: Mutex<Vec<engine_protos::Statement>>,
 }
 
-struct HolderSession(Arc<Holder>, bool);
+/// A session of a holder: each statement takes 30 ms, of which it reports 25 ms.
+struct HolderSession(Arc<Arrived>, bool);
 
 #[async_trait]
 impl ForwardedStatementHandler for HolderSession {
@@ -320,34 +407,16 @@
     }
 }
 
-impl PeerHandler for Holder {
-    fn answer(&self, request: Body) -> Option<Body> {
-        let is_check = matches!(request, Body::SignOfLife(_));
-        is_check.then(|| Body::SignOfLifeReply(SignOfLifeReply::default()))
-    }
-
-    fn whole_list_permit(&self) -> Option<OwnedSemaphorePermit> {
-        None
-    }
-
-    fn forwarded_session(self: Arc<Self>) -> Box<dyn ForwardedStatementHandler> {
-        Box::new(HolderSession(self, false))
-    }
-
-    fn tunnel_target(&self, _: &Tunnel) -> Option<SocketAddr> {
-        None
-    }
-}
-
 /// An instance that forwards all statements to one of two holders, which are the same stub.
 /// The first link is closed `closed_after` it was opened, without a reply. Other links are served
 /// meanwhile: if both holders were unresponsive, the statement would rightly be refused.
-async fn forwarding_instance(closed_after: Option<Duration>) -> (Arc<Engine>, Arc<Holder>) {
+async fn forwarding_instance(closed_after: Option<Duration>) -> (Arc<Engine>, Arc<Arrived>) {
     LazyLock::force(&LOG);
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let peer_address = listener.local_addr().unwrap();
-    let holder = Arc::new(Holder { statements: Mutex::default() });
-    let handler = holder.clone();
+    let arrived = Arc::new(Arrived::default());
+    let at_holder = arrived.clone();
+    let holder = Holder::new(move || HolderSession(at_holder.clone(), false)).with_signs_of_life();
     tokio::spawn(async move {
         if let Some(closed_after) = closed_after {
             let first = listener.accept().await.unwrap();
@@ -356,7 +425,7 @@
                 drop(first);
             });
         }
-        peers::serve(handler, listener).await;
+        holder.serve(listener).await;
     });
     let me = InstanceRecord { capacity_millicores: 1, ..instance("me") };
     let engine = Arc::new(Engine::new(me.clone(), Arc::new(NoServer)));
@@ -375,7 +444,7 @@
     })));
     engine.set_fleet_known();
     assert!(!engine.is_holder(&GROUP.into()), "the others have more capacity");
-    (engine, holder)
+    (engine, arrived)
 }
 
 async fn run_transaction(session: &mut Session, name: &str) {
@@ -414,6 +483,46 @@
     assert_counted(&engine, late);
 }
 
+/// What a read leaves for its holder of an objective of 100 ms, `pause` after the beginning of the
+/// session and one statement; `None` if it left all.
+async fn left_after_preparation(pause: Duration) -> Option<u64> {
+    let (engine, holder) = forwarding_instance(None).await;
+    let connected = SessionStart { accepted_at: Some(now()), ..start("app", "key") };
+    let mut session = Session::begin(engine, connected).await.expect("begun");
+    tokio::time::sleep(GAP).await;
+    let set = Statement::Set { name: "zone".into(), value: "a".into() };
+    session.run("left-set".into(), set).await.result.expect("no server is needed");
+    tokio::time::sleep(pause).await;
+    session.run("left-read".into(), read()).await.result.expect("the holder answers");
+    let sent = holder.statements.lock().unwrap();
+    sent[0].objective_left_ms
+}
+
+/// Guards against a single statement that waits as if its client had not waited for the session.
+/// A client that opened it ahead has the whole objective.
+#[tokio::test]
+async fn test_single_statement_waits_less_after_its_preparation() {
+    // The connection, the beginning of the session and the statement: 18 ms.
+    let mut left = Vec::new();
+    for _ in 0..20 {
+        left.push(left_after_preparation(GAP).await);
+        // On a busy machine, a gap can be longer than that of a preparation, and the statement
+        // is sent later.
+        if matches!(left.last(), Some(Some(78..=82))) {
+            break;
+        }
+    }
+    assert!(matches!(left.last(), Some(Some(78..=82))), "{left:?}");
+    let mut left = Vec::new();
+    for _ in 0..20 {
+        left.push(left_after_preparation(Duration::from_millis(100)).await.unwrap_or(100));
+        if left.iter().any(|left| *left > 90) {
+            return;
+        }
+    }
+    panic!("{left:?}");
+}
+
 /// Guards against the time at a holder that died being lost, or counted as time at a server: its
 /// parts are not known.
 #[tokio::test]
--- a/daemon/tests/test_start.rs
+++ b/daemon/tests/test_start.rs
@@ -9,9 +9,7 @@
 
 use async_trait::async_trait;
 use chervilwharf_daemon::engine::clock::now;
-use chervilwharf_daemon::engine::peers;
 use chervilwharf_daemon::engine::peers::ForwardedStatementHandler;
-use chervilwharf_daemon::engine::peers::PeerHandler;
 use chervilwharf_daemon::engine::request::Failure;
 use chervilwharf_daemon::engine::session::Session;
 use chervilwharf_daemon::engine::session::SessionStart;
@@ -26,16 +24,14 @@
 use chervilwharf_lib::engine_protos::DirectoryPull;
 use chervilwharf_lib::engine_protos::Heartbeat;
 use chervilwharf_lib::engine_protos::StatementReply;
-use chervilwharf_lib::engine_protos::Tunnel;
-use chervilwharf_lib::engine_protos::engine_frame::Body;
 use chervilwharf_lib::fleet::InstanceRecord;
 use chervilwharf_lib::id::GroupId;
 use chervilwharf_lib::revision::Revision;
 use chervilwharf_lib::statement::Statement;
 use stubs::NoServer;
+use stubs::holder::Holder;
 use stubs::instance;
 use tokio::net::TcpListener;
-use tokio::sync::OwnedSemaphorePermit;
 
 fn record(number: u8) -> InstanceRecord {
     let peer_address = SocketAddr::from(([127, 0, 0, number], 7440));
@@ -130,40 +126,22 @@
     assert!(!started.heartbeat_reply(&Heartbeat::default()).lacks_records);
 }
 
-/// A holder that answers every statement.
-struct Holder;
+/// A session that answers every statement.
+struct AnsweringSession;
 
 #[async_trait]
-impl ForwardedStatementHandler for Holder {
+impl ForwardedStatementHandler for AnsweringSession {
     async fn run(&mut self, _: engine_protos::Statement) -> StatementReply {
         StatementReply { signature: "s".to_owned(), ..StatementReply::default() }
     }
 }
 
-impl PeerHandler for Holder {
-    fn answer(&self, _: Body) -> Option<Body> {
-        None
-    }
-
-    fn whole_list_permit(&self) -> Option<OwnedSemaphorePermit> {
-        None
-    }
-
-    fn forwarded_session(self: Arc<Self>) -> Box<dyn ForwardedStatementHandler> {
-        Box::new(Self)
-    }
-
-    fn tunnel_target(&self, _: &Tunnel) -> Option<SocketAddr> {
-        None
-    }
-}
-
 /// An instance with a configuration, which serves without a list of the other instances although
 /// the store is about to return one, and the record of a holder of its group.
 async fn unlisted_instance() -> (Arc<Engine>, InstanceRecord) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let peer_address = listener.local_addr().unwrap();
-    tokio::spawn(peers::serve(Arc::new(Holder), listener));
+    tokio::spawn(Holder::new(|| AnsweringSession).serve(listener));
     let holder =
         InstanceRecord { peer_address, capacity_millicores: 1_000_000, ..instance("holder") };
     let engine = engine(InstanceRecord { capacity_millicores: 1, ..record(1) });
@@ -193,7 +171,7 @@
 
 async fn read(engine: &Arc<Engine>) -> Result<(), Failure> {
     let key = KeyDigest::of("");
-    let start = SessionStart { database: "app", key, client: None };
+    let start = SessionStart { database: "app", key, client: None, accepted_at: None };
     let mut session = Session::begin(engine.clone(), start).await?;
     let reply = session.run("read-1".into(), Statement::Read { item: "1".into() }).await;
     reply.result.map(drop)
