load: summary of a deployment's load from the metrics of its instances

Operators could see who waits, who is refused and which instances hold shares only by reading the metrics of each instance. The command `load` reads them all and prints one summary; the parser and the summary are code without I/O in lib. New metrics: waiting requests and longest wait by priority, waiting requests of at most 16 accounts, refusals by priority and reason, shards by role, homes of at most 16 large accounts, age of the configuration. The age of a log position is reported only for groups that the instance holds: for others it would only grow.

--- a/cli/src/command.rs
+++ b/cli/src/command.rs
@@ -12,6 +12,7 @@
 use crate::client::Client;
 use crate::configuration;
 use crate::explain;
+use crate::load;
 use crate::loss;
 use crate::request;
 use crate::status;
@@ -50,6 +51,7 @@
     Diff(DiffCommand),
     History(HistoryCommand),
     Status(StatusCommand),
+    Load(LoadCommand),
     Request(RequestCommand),
     Explain(ExplainCommand),
     Report(ReportCommand),
@@ -111,6 +113,25 @@
 #[argh(subcommand, name = "status")]
 struct StatusCommand {}
 
+/// Summarize the load of a deployment from the metrics of its instances: who waits, who is
+/// refused and why, and which instances have outdated information.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "load")]
+pub struct LoadCommand {
+    /// addresses of the metrics of instances, each a host or IP address and a port
+    #[argh(positional)]
+    pub addresses: Vec<String>,
+    /// read again after every this many seconds, and print rates between two reads
+    #[argh(option, arg_name = "seconds")]
+    pub watch: Option<u64>,
+    /// highest number of rows of a table
+    #[argh(option, default = "10")]
+    pub top: usize,
+    /// print JSON instead of text, one object for each read
+    #[argh(switch)]
+    pub json: bool,
+}
+
 /// Report the outcome of a request: it ran once, did not run, or is in flight.
 ///
 /// A request that did not run is also prevented from running later.
@@ -259,6 +280,10 @@
         Command::Diff(command) => configuration::diff(&output, &client()?, &command.file).await,
         Command::History(_) => configuration::history(&output, &client()?).await,
         Command::Status(_) => status::run(&output, &client()?).await,
+        Command::Load(command) => {
+            let output = Output { json: output.json || command.json };
+            Ok(load::run(&output, &command).await)
+        }
         Command::Request(command) => request::run(&output, &client()?, &command).await,
         Command::Report(ReportCommand { report: Report::Burn(command) }) => {
             burn::run(&output, &client()?, &command).await
--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod command;
 pub mod configuration;
 pub mod explain;
+pub mod load;
 pub mod loss;
 pub mod request;
 pub mod status;
--- a/daemon/src/engine/account_metrics.rs
+++ b/daemon/src/engine/account_metrics.rs
@@ -22,7 +22,7 @@
 const MAX_NAMED_ACCOUNTS: usize = 256;
 
 /// Label of all accounts without counters of their own.
-const OTHER_ACCOUNTS: &str = "other";
+pub(super) const OTHER_ACCOUNTS: &str = "other";
 
 /// Labels of statements by account.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
--- /dev/null
+++ b/daemon/src/engine/keeper_metrics.rs
@@ -0,0 +1,115 @@
+//! Metrics of where the operations of accounts are counted and where large accounts are served.
+
+use chervilwharf_lib::holder_choice::Affinity;
+use chervilwharf_lib::holder_choice::choose;
+use chervilwharf_lib::id::AccountId;
+use chervilwharf_lib::id::GroupId;
+use chervilwharf_lib::id::InstanceId;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+
+use crate::engine::clock::now;
+use crate::engine::shared::Engine;
+
+/// Most accounts whose homes are reported, so that the size of the metrics text is limited.
+/// More are rarely large: each has at least 1.75 connections of its own to every server.
+const MAX_LARGE_ACCOUNTS: usize = 16;
+
+/// Labels of shards of accounts by what this instance is for them.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct RoleLabels {
+    role: &'static str,
+}
+
+/// Labels of the home of a large account.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct HomeLabels {
+    account: String,
+    group: String,
+    home: String,
+}
+
+/// Numbers of shards of accounts for which an instance counts operations, or may.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct QuotaRoles {
+    /// Shards of which it is the keeper.
+    pub keeper: usize,
+    /// Shards whose limits it holds a share of and counts.
+    pub share_counted: usize,
+    /// Shards whose limits it holds a share of that is on standby.
+    pub share_standby: usize,
+}
+
+impl Engine {
+    /// For how many shards of accounts this instance counts operations now, or may.
+    #[must_use]
+    pub fn quota_roles(&self) -> QuotaRoles {
+        let at = now();
+        let inner = self.quota().lock();
+        let keeper = inner.shards.iter().filter(|shard| shard.lease.is_held(at)).count();
+        let share_counted = inner.shards.iter().filter(|shard| shard.share.is_held(at)).count();
+        // No share is on standby in this build: each is counted until it ends.
+        QuotaRoles { keeper, share_counted, share_standby: 0 }
+    }
+
+    /// The home that reads of a large account, which replicas can serve, are sent to from this
+    /// instance; `None` if no holder is known.
+    fn near_home(&self, group: &GroupId, account: &AccountId) -> Option<InstanceId> {
+        let affinity = Affinity::LargeAccount(account.clone());
+        if self.serves_here(group, &affinity) {
+            return Some(self.me().id.clone());
+        }
+        let candidates = self.candidates(group, &[]);
+        choose(&candidates, &affinity).map(|home| home.record.id.clone())
+    }
+}
+
+/// Metrics of keepers, shares and homes of accounts.
+#[derive(Clone, Debug, Default)]
+pub(super) struct KeeperMetrics {
+    quota_shards: Family<RoleLabels, Gauge>,
+    account_homes: Family<HomeLabels, Gauge>,
+}
+
+impl KeeperMetrics {
+    pub(super) fn register(&self, registry: &mut Registry) {
+        registry.register(
+            "quota_shards",
+            "Shards of accounts that this instance counts operations for, or may",
+            self.quota_shards.clone(),
+        );
+        registry.register(
+            "account_homes",
+            "Homes that this instance sends reads of large accounts to",
+            self.account_homes.clone(),
+        );
+    }
+
+    /// Sets all values from the state of the engine.
+    pub(super) fn update(&self, engine: &Engine) {
+        let roles = engine.quota_roles();
+        let roles = [
+            ("keeper", roles.keeper),
+            ("share_counted", roles.share_counted),
+            ("share_standby", roles.share_standby),
+        ];
+        for (role, shards) in roles {
+            let shards = i64::try_from(shards).unwrap_or(i64::MAX);
+            self.quota_shards.get_or_create(&RoleLabels { role }).set(shards);
+        }
+        self.account_homes.clear();
+        let large = engine.holder_lists().account_homes().large(MAX_LARGE_ACCOUNTS);
+        for (group, account) in large {
+            let Some(home) = engine.near_home(&group, &account) else {
+                continue;
+            };
+            let (account, group) = (account.to_string(), group.to_string());
+            let labels = HomeLabels { account, group, home: home.to_string() };
+            self.account_homes.get_or_create(&labels).set(1);
+        }
+    }
+}
--- a/daemon/src/engine/load_choice.rs
+++ b/daemon/src/engine/load_choice.rs
@@ -87,6 +87,7 @@
             return Some(ExpectedRefusal::Probe(all.shortest.record.clone()));
         }
         self.metrics().loads.record(&query.group, LoadDecision::RefusedAtOnce);
+        self.shard(&query.group).record_refusal(query.kind.priority, ErrorKind::Overloaded);
         let retry_after = all.retry_after(rand::random_range(0.0..1.0));
         let failure = Failure::new(ErrorKind::Overloaded).with_retry_after(retry_after);
         Some(ExpectedRefusal::AtOnce { failure, holders: all.holders })
--- a/daemon/src/engine/metrics.rs
+++ b/daemon/src/engine/metrics.rs
@@ -24,7 +24,9 @@
 use crate::engine::clock::now;
 use crate::engine::directory::RecordKind;
 use crate::engine::event_log;
+use crate::engine::keeper_metrics::KeeperMetrics;
 use crate::engine::load_metrics::LoadMetrics;
+use crate::engine::queue_metrics::QueueMetrics;
 use crate::engine::sent_bytes;
 use crate::engine::sent_bytes::SentLabels;
 use crate::engine::shard::Shard;
@@ -215,8 +217,12 @@
     connections: Family<ConnectionLabels, Gauge>,
     waiting: Family<GroupLabels, Gauge>,
     fair_order: FairOrderMetrics,
+    queue: QueueMetrics,
+    keeper: KeeperMetrics,
     sample_age_seconds: Family<GroupLabels, SecondsGauge>,
     configuration_version: Gauge,
+    configuration_age_seconds: SecondsGauge,
+    configuration_since: Mutex<Option<Moment>>,
     sessions: Gauge,
     lines_left_out: Gauge,
 }
@@ -249,8 +255,12 @@
             connections: Family::default(),
             waiting: Family::default(),
             fair_order: FairOrderMetrics::default(),
+            queue: QueueMetrics::default(),
+            keeper: KeeperMetrics::default(),
             sample_age_seconds: Family::default(),
             configuration_version: Gauge::default(),
+            configuration_age_seconds: SecondsGauge::default(),
+            configuration_since: Mutex::default(),
             sessions: Gauge::default(),
             lines_left_out: Gauge::default(),
         };
@@ -310,6 +320,8 @@
         registry.register("connections", "Connections to servers", self.connections.clone());
         registry.register("waiting", "Statements that wait for a connection", self.waiting.clone());
         self.fair_order.register(registry);
+        self.queue.register(registry);
+        self.keeper.register(registry);
         let age = self.sample_age_seconds.clone();
         registry.register(
             "sample_age_seconds",
@@ -322,6 +334,12 @@
             "Version of the configuration in force",
             version,
         );
+        let age = self.configuration_age_seconds.clone();
+        registry.register(
+            "configuration_age_seconds",
+            "Time since the configuration in force came into force here",
+            age,
+        );
         registry.register("sessions", "Open sessions", self.sessions.clone());
         registry.register(
             "log_lines_left_out",
@@ -339,11 +357,19 @@
         took: Duration,
     ) {
         let outcome = failure.map_or("ok", ErrorKind::name);
-        let group = group.to_string();
-        let labels = StatementLabels { group: group.clone(), kind, outcome };
+        let labels = StatementLabels { group: group.to_string(), kind, outcome };
         self.statements.get_or_create(&labels).inc();
-        let seconds = self.statement_seconds.get_or_create(&GroupLabels { group });
+        let labels = GroupLabels { group: labels.group };
+        let seconds = self.statement_seconds.get_or_create(&labels);
         seconds.observe(took.as_secs_f64());
+        if let Some(kind) = failure {
+            self.queue.record_failure(group, kind);
+        }
+    }
+
+    /// Records that a version of the configuration came into force.
+    pub fn record_configuration(&self) {
+        *self.configuration_since.lock().expect("never poisoned") = Some(now());
     }
 
     /// Records the times that a statement waited for a connection and spent at a server of
@@ -393,8 +419,24 @@
         self.store.update_answer_ages();
         sent_bytes::update(engine, &self.sent_bytes);
         self.connections.clear();
-        for shard in engine.shards() {
-            self.update_shard_gauges(&shard);
+        let shards = engine.shards();
+        for shard in &shards {
+            self.update_shard_gauges(shard);
+        }
+        self.sample_age_seconds.clear();
+        // An instance that does not hold a group any more gets no new positions and needs none.
+        for shard in engine.held_shards() {
+            if let Some(age) = shard.with_group(|group| group.sample_age(now())) {
+                let labels = GroupLabels { group: shard.id().to_string() };
+                self.sample_age_seconds.get_or_create(&labels).set(age.as_secs_f64());
+            }
+        }
+        self.queue.update(&shards);
+        self.keeper.update(engine);
+        let since = *self.configuration_since.lock().expect("never poisoned");
+        if let Some(since) = since {
+            let age = now().saturating_sub(since).as_secs_f64();
+            self.configuration_age_seconds.set(age);
         }
         let mut text = String::new();
         // Writing to a String cannot fail.
@@ -407,9 +449,6 @@
         let waiting = i64::try_from(shard.waiting()).unwrap_or(i64::MAX);
         self.waiting.get_or_create(&labels).set(waiting);
         self.fair_order.update(&labels, shard.fair_order_counts());
-        if let Some(age) = shard.with_group(|group| group.sample_age(now())) {
-            self.sample_age_seconds.get_or_create(&labels).set(age.as_secs_f64());
-        }
         for counts in shard.connection_counts() {
             for (state, count) in counts.by_state() {
                 let group = shard.id().to_string();
--- a/daemon/src/engine/shard.rs
+++ b/daemon/src/engine/shard.rs
@@ -8,6 +8,7 @@
 mod assign;
 mod load;
 mod pool;
+mod queue_counts;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -17,8 +18,10 @@
 use std::time::Duration;
 
 use chervilwharf_lib::account_rates::AccountRates;
+use chervilwharf_lib::admission::Priority;
 use chervilwharf_lib::connection_budget::Demand;
 use chervilwharf_lib::engine_protos::Tunnel;
+use chervilwharf_lib::error_kind::ErrorKind;
 use chervilwharf_lib::event::Event;
 use chervilwharf_lib::event::EventKind;
 use chervilwharf_lib::group::Group;
@@ -57,6 +60,8 @@
     pub(super) queue: WaitQueue<Waiter>,
     /// Requests refused because their account has half of the waiting places.
     pub(super) places_refused: u64,
+    /// Requests of clients that were refused, by priority and reason.
+    refused: HashMap<(Priority, ErrorKind), u64>,
     pub(super) wait_estimator: WaitEstimator,
     load_reporter: LoadReporter<WaitExample>,
     budget: usize,
--- a/daemon/src/engine/shared.rs
+++ b/daemon/src/engine/shared.rs
@@ -408,6 +408,7 @@
             true
         });
         if newer {
+            self.metrics.record_configuration();
             self.recent_catalogs.lock().expect("never poisoned").add(next.clone());
             self.recompute_assignments();
         }
--- a/daemon/src/engine/waiting.rs
+++ b/daemon/src/engine/waiting.rs
@@ -108,6 +108,17 @@
     pub async fn acquire(
         self: &Arc<Self>,
         request: &ConnectionRequest<'_>,
+    ) -> Result<Lease, Failure> {
+        let acquired = self.acquire_or_wait(request).await;
+        if let (Err(failure), ConnectionOwner::Account(_)) = (&acquired, &request.owner) {
+            self.record_refusal(request.priority, failure.kind);
+        }
+        acquired
+    }
+
+    async fn acquire_or_wait(
+        self: &Arc<Self>,
+        request: &ConnectionRequest<'_>,
     ) -> Result<Lease, Failure> {
         let began_at = now();
         if request.need == Need::Leader {
--- a/lib/src/account_homes.rs
+++ b/lib/src/account_homes.rs
@@ -99,6 +99,15 @@
         self.large.retain(|(group, account)| catalog.groups.contains_key(group) && exists(account));
     }
 
+    /// At most `limit` of the large accounts, with the group of each, in order of their names.
+    #[must_use]
+    pub fn large(&self, limit: usize) -> Vec<(GroupId, AccountId)> {
+        let mut large: Vec<_> = self.large.iter().cloned().collect();
+        large.sort();
+        large.truncate(limit);
+        large
+    }
+
     /// Records that this instance received a statement of an account.
     pub fn observe(&mut self, now: Moment, account: &AccountId) {
         self.observed_total.add_one(now);
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod ledger;
 pub mod limits;
 pub mod load_shedding;
+pub mod load_summary;
 pub mod loss;
 pub mod membership;
 pub mod moment;
--- a/lib/src/wait_queue.rs
+++ b/lib/src/wait_queue.rs
@@ -169,6 +169,12 @@
         self.classes.values().flat_map(FairOrder::items)
     }
 
+    /// The items of the waiting requests with the priority of each, in no order.
+    pub fn by_priority(&self) -> impl Iterator<Item = (Priority, &T)> {
+        let classes = self.classes.iter();
+        classes.flat_map(|((_, priority), class)| class.items().map(|item| (*priority, item)))
+    }
+
     /// The waiting requests that are served before a new one of this rank and flow, if no
     /// others arrive.
     pub fn ahead_of(&self, rank: Rank, flow: &Flow) -> impl Iterator<Item = (Rank, &T)> {
