--- a/daemon/tests/test_near_homes.rs
+++ b/daemon/tests/test_near_homes.rs
@@ -86,6 +86,30 @@
     assert!(choose(&candidates, &large).is_some_and(|candidate| candidate.near));
 }
 
+/// Guards against a metric that names the single home of an account, or names small accounts
+/// as well.
+#[test]
+fn test_homes_of_large_accounts_are_reported() {
+    let engine = engine(24, Some(accounts()));
+    let group: GroupId = "db".into();
+    for account in ["large", "small1"] {
+        engine.account_affinity(&group, &account.into(), AbleServers::Replicas);
+    }
+    let text = engine.metrics().text(&engine);
+    let homes: Vec<_> =
+        text.lines().filter(|line| line.starts_with("chervilwharf_account_homes{")).collect();
+    assert_eq!(homes.len(), 1, "{text}");
+    let candidates = engine.candidates(&group, &[]);
+    let large = Affinity::LargeAccount("large".into());
+    let home = if engine.serves_here(&group, &large) {
+        engine.me().id.clone()
+    } else {
+        choose(&candidates, &large).expect("there are candidates").record.id.clone()
+    };
+    let labels = format!("account=\"large\",group=\"db\",home=\"{home}\"");
+    assert_eq!(homes[0], format!("chervilwharf_account_homes{{{labels}}} 1"));
+}
+
 /// Guards against a change where each instance holds its own connections to all servers, or
 /// all holders are in one failure domain.
 #[test]
