admission: weights of accounts and a reserve of slots for the most urgent priority

With chervilwharfd, a hot account gets most slots of its priority, and long statements of the cheapest class keep urgent ones waiting. `accounts.NAME.weight` (1 to 1,000) makes the order among waiting requests of one priority fair by weight (lib/src/fair_order.rs); `databases.NAME.urgent_reserve` keeps free slots for the services with the lowest priority number.

--- a/daemon/src/context.rs
+++ b/daemon/src/context.rs
@@ -7,6 +7,8 @@
 use std::sync::atomic::AtomicUsize;
 
 use chervilwharf_lib::config::Config;
+use chervilwharf_lib::fair_order::Flow;
+use chervilwharf_lib::id::AccountId;
 use chervilwharf_lib::id::ConfigVersion;
 use chervilwharf_lib::limits::AccountLimits;
 use chervilwharf_lib::retry::RetryBudget;
@@ -30,6 +32,27 @@
     pub text: Arc<str>,
     /// Parsed content.
     pub config: Config,
+    /// Whether slots go to accounts by their weights ([`Config::has_weights`]).
+    has_weights: bool,
+}
+
+impl ActiveConfig {
+    /// A configuration that was read as a text of this version.
+    #[must_use]
+    pub fn new(version: ConfigVersion, text: Arc<str>, config: Config) -> Self {
+        let has_weights = config.has_weights();
+        Self { version, text, config, has_weights }
+    }
+
+    /// The flow of the requests of an account in the order of service at the servers. Without
+    /// weights there is a single one, whose order is by deadline.
+    #[must_use]
+    pub fn flow(&self, account: &AccountId) -> Flow {
+        match self.config.accounts.get(account) {
+            Some(own) if self.has_weights => Flow::with_weight(account.clone(), own.weight.into()),
+            _ => Flow::default(),
+        }
+    }
 }
 
 /// State that all tasks of an instance share.
--- a/daemon/src/inquiry.rs
+++ b/daemon/src/inquiry.rs
@@ -5,6 +5,7 @@
 
 use chervilwharf_lib::config::Acknowledge;
 use chervilwharf_lib::error_kind::ErrorKind;
+use chervilwharf_lib::fair_order::Flow;
 use chervilwharf_lib::ledger::LedgerOutcome;
 use chervilwharf_lib::protos::Failure;
 use chervilwharf_lib::protos::Inquiry;
@@ -45,6 +46,7 @@
         account: inquiry.account.as_str().into(),
         deadline: Instant::now() + INQUIRY_TIME,
         priority: 0,
+        flow: Flow::default(),
         acknowledge: Acknowledge::Replica,
     };
     loop {
--- a/daemon/src/owner.rs
+++ b/daemon/src/owner.rs
@@ -14,6 +14,7 @@
 use chervilwharf_lib::admission::Priority;
 use chervilwharf_lib::config::Acknowledge;
 use chervilwharf_lib::error_kind::ErrorKind;
+use chervilwharf_lib::fair_order::Flow;
 use chervilwharf_lib::floors::Freshness;
 use chervilwharf_lib::id::AccountId;
 use chervilwharf_lib::id::DatabaseId;
@@ -58,6 +59,8 @@
     /// Priority in the slot queues of the servers, from the configuration of
     /// the request's service.
     pub priority: Priority,
+    /// Its account and weight in the slot queues of the servers.
+    pub flow: Flow,
     /// Condition under which a write may be acknowledged, from the
     /// configuration of the request's service.
     pub acknowledge: Acknowledge,
@@ -70,9 +73,11 @@
     pub fn new(context: &Context, submit: Submit) -> Self {
         let active = context.config();
         let service = active.config.services.get(submit.service.as_str());
+        let account: AccountId = submit.account.as_str().into();
         Self {
             database: submit.database.as_str().into(),
-            account: submit.account.as_str().into(),
+            flow: active.flow(&account),
+            account,
             deadline: Instant::now() + Duration::from_millis(submit.deadline_ms),
             priority: service.map_or(Priority::MAX, |service| service.priority),
             acknowledge: service.map(|service| service.acknowledge).unwrap_or_default(),
@@ -207,9 +212,7 @@
 ) -> Result<(SlotGuard, ConnectionGuard), Failure> {
     let (database, deadline) = (&request.database, request.deadline);
     let acquire = async {
-        let priority = request.priority;
-        let slot = checkout::acquire_slot(&context.databases, database, server, priority, deadline)
-            .await?;
+        let slot = checkout::acquire_slot(&context.databases, request, server).await?;
         let guard = connect_and_declare_term(context, database, serving, server, deadline).await?;
         Ok((slot, guard))
     };
--- a/daemon/src/platform_sync.rs
+++ b/daemon/src/platform_sync.rs
@@ -190,7 +190,7 @@
         error!("configuration {version} is not valid and was not applied: {first_finding}");
         return;
     };
-    let next = ActiveConfig { version, text: text.into(), config };
+    let next = ActiveConfig::new(version, text.into(), config);
     if context.activate(next) {
         info!("configuration in force version={version}");
     }
--- a/lib/src/config.rs
+++ b/lib/src/config.rs
@@ -20,6 +20,9 @@
 use crate::id::ServiceId;
 use crate::id::TargetId;
 
+/// Weight of an account whose configuration names none.
+pub const DEFAULT_WEIGHT: u32 = 1;
+
 /// The whole configuration text.
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -43,6 +46,10 @@
     /// Servers of the group. Their number should be odd: an even number
     /// tolerates no more failures than one server fewer.
     pub servers: Vec<Server>,
+    /// Slots of each server that only the services with the most urgent priority of the
+    /// configuration may use.
+    #[serde(default)]
+    pub urgent_reserve: usize,
     /// User name with which instances log in to the servers.
     #[serde(default = "default_login")]
     pub login: Arc<str>,
@@ -205,17 +212,39 @@
     /// Requests per second that the account may send to one instance.
     #[serde(default = "default_requests_per_s")]
     pub requests_per_s: u32,
+    /// Weight among the accounts whose requests of one priority wait for a slot: one with
+    /// twice the weight gets twice as many slots.
+    #[serde(default = "default_weight")]
+    pub weight: u32,
 }
 
 fn default_max_connections() -> u32 {
     1000
 }
 
+fn default_weight() -> u32 {
+    DEFAULT_WEIGHT
+}
+
 fn default_requests_per_s() -> u32 {
     100_000
 }
 
 impl Config {
+    /// Whether an account has another weight than the default. Only then do slots go to accounts
+    /// in fair order. With equal weights the order is by deadline, which serves more requests in
+    /// time.
+    #[must_use]
+    pub fn has_weights(&self) -> bool {
+        self.accounts.values().any(|account| account.weight != DEFAULT_WEIGHT)
+    }
+
+    /// The most urgent priority of the services: the lowest number. `None` without services.
+    #[must_use]
+    pub fn most_urgent_priority(&self) -> Option<Priority> {
+        self.services.values().map(|service| service.priority).min()
+    }
+
     /// Whether `account` may use `database` on behalf of `service`.
     #[must_use]
     pub fn allows(&self, account: &str, service: &str, database: &str) -> bool {
--- a/lib/src/config_check.rs
+++ b/lib/src/config_check.rs
@@ -6,6 +6,7 @@
 use std::fmt;
 use std::marker::PhantomData;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 
 use serde::Deserialize;
 use serde::Deserializer;
@@ -27,6 +28,10 @@
 /// Largest value of `deadline_ms` of a service, in milliseconds.
 const DEADLINE_LIMIT_MS: u64 = 3_600_000;
 
+/// Accepted weights of an account. With the highest beside the lowest, the account with the
+/// lowest still gets one slot in about a thousand.
+const WEIGHTS: RangeInclusive<u32> = 1..=1_000;
+
 /// Severity of a finding.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Severity {
@@ -230,6 +235,7 @@
                     ),
                 );
             }
+            self.check_reserve(name, located);
             for server in servers {
                 let place = self.first_offset_of(located.raw, &server.id);
                 if !seen.insert(server.id.clone()) {
@@ -272,6 +278,25 @@
         }
     }
 
+    fn check_reserve(&mut self, name: &str, located: &Located<'a, Database>) {
+        let reserve = located.value.urgent_reserve;
+        let Some(slots) = located.value.servers.iter().map(|server| server.slots).min() else {
+            return;
+        };
+        if reserve == 0 || reserve < slots {
+            return;
+        }
+        let place = member(located.raw, "urgent_reserve");
+        self.error(
+            place,
+            format!(
+                "database \"{name}\" has urgent_reserve {reserve}, expected 0 to {}: fewer than \
+                 the slots of each of its servers",
+                slots.saturating_sub(1)
+            ),
+        );
+    }
+
     fn check_services(
         &mut self,
         services: &Section<'a, Service>,
@@ -355,6 +380,18 @@
                     self.error_at(place, message);
                 }
             }
+            if !WEIGHTS.contains(&account.weight) {
+                let place = member(located.raw, "weight");
+                self.error(
+                    place,
+                    format!(
+                        "account \"{name}\" has the weight {}, expected {} to {}",
+                        account.weight,
+                        WEIGHTS.start(),
+                        WEIGHTS.end()
+                    ),
+                );
+            }
             if parse_verifier(&account.verifier).is_none() {
                 self.error(
                     located.raw,
@@ -443,6 +480,13 @@
     }
 }
 
+/// The member of an object with this name, or the object itself if it has none.
+fn member<'a>(object: &'a RawValue, name: &str) -> &'a RawValue {
+    let members = serde_json::from_str::<Members<'a>>(object.get());
+    let members = members.map_or_else(|_| Vec::new(), |Members(members)| members);
+    members.into_iter().find(|(member, _)| member == name).map_or(object, |(_, raw)| raw)
+}
+
 fn into_values<K: From<String> + Ord, T>(section: Section<'_, T>) -> BTreeMap<K, T> {
     section.into_iter().map(|(name, located)| (name.into(), located.value)).collect()
 }
--- a/lib/src/fair_order.rs
+++ b/lib/src/fair_order.rs
@@ -75,6 +75,12 @@
         Self { account, weight: rate.unwrap_or(UNLIMITED_WEIGHT) }
     }
 
+    /// The flow of an account with this weight.
+    #[must_use]
+    pub fn with_weight(account: AccountId, weight: f64) -> Self {
+        Self { account: Some(account), weight }
+    }
+
     /// The account; `None` for requests without an account.
     #[must_use]
     pub fn account(&self) -> Option<&AccountId> {
@@ -135,13 +141,13 @@
     }
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Entry<T> {
     cost: VirtualTime,
     item: T,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct FlowQueue<T> {
     account: Option<AccountId>,
     progress: Progress,
@@ -150,7 +156,7 @@
 
 /// Waiting requests of one tier and priority in fair order among accounts, each with an item
 /// of the caller. Adding and removing a request costs O(log n).
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct FairOrder<T> {
     /// Highest turn of all that were served. Flows that begin to wait start here.
     virtual_time: VirtualTime,
--- a/lib/src/instance.rs
+++ b/lib/src/instance.rs
@@ -15,6 +15,7 @@
 use std::time::Instant;
 
 use crate::admission::SlotQueue;
+use crate::admission::SlotReserve;
 use crate::config::Config;
 use crate::config::Database;
 use crate::floors::Floors;
@@ -295,7 +296,9 @@
     /// the version in heartbeats.
     pub fn configure(&self, config: &Config, version: ConfigVersion) {
         let me = self.membership().me().clone();
+        let most_urgent = config.most_urgent_priority().unwrap_or_default();
         for (id, database) in &config.databases {
+            let reserve = SlotReserve { slots: database.urgent_reserve, most_urgent };
             let servers: Vec<_> = database
                 .servers
                 .iter()
@@ -326,10 +329,8 @@
             // A change of servers alone yields no actions.
             state.ownership.handle(Instant::now(), OwnershipEvent::Servers(servers));
             for server in &database.servers {
-                state
-                    .slots
-                    .entry(server.id.clone())
-                    .or_insert_with(|| SlotQueue::new(server.slots));
+                let slots = state.slots.entry(server.id.clone());
+                slots.or_insert_with(|| SlotQueue::new(server.slots)).set_reserve(reserve);
                 state
                     .pools
                     .entry(server.id.clone())
--- a/lib/tests/test_config_check.rs
+++ b/lib/tests/test_config_check.rs
@@ -112,3 +112,48 @@
         verifier::parse_verifier(&verifier::make_verifier(&password, &salt)).is_some()
     }
 }
+
+/// Guards against a reserve that leaves no slot for most services, and against a weight that
+/// starves other accounts or itself.
+#[test]
+fn test_reserve_and_weight_out_of_range_are_reported_at_their_values() {
+    let text = |reserve: &str, weight: &str| {
+        format!(
+            r#"{{
+  "failure_domains": ["hall1"],
+  "databases": {{
+    "ledger": {{
+      "urgent_reserve": {reserve}, "servers": [
+      {{"id": "a", "address": "127.0.0.1:1", "failure_domain": "hall1", "slots": 5}},
+      {{"id": "b", "address": "127.0.0.1:2", "failure_domain": "hall1", "slots": 3}},
+      {{"id": "c", "address": "127.0.0.1:3", "failure_domain": "hall1", "slots": 4}}
+    ]}}
+  }},
+  "services": {{"s": {{"depends_on": {{"databases": ["ledger"]}}}}}},
+  "accounts": {{
+    "x": {{"services": ["s"], "verifier": "{}",
+      "weight":   {weight}}}
+  }}
+}}"#,
+            verifier::make_verifier("secret", b"salt")
+        )
+    };
+    for (reserve, weight) in [("0", "1"), ("2", "1000")] {
+        let checked = check(&text(reserve, weight));
+        assert_eq!(checked.findings, []);
+        let config = checked.config.unwrap();
+        assert_eq!(config.databases["ledger"].urgent_reserve.to_string(), reserve);
+        assert_eq!(config.accounts["x"].weight.to_string(), weight);
+        assert_eq!(config.has_weights(), weight != "1");
+    }
+    let found = errors(&text("3", "0"));
+    let places: Vec<_> = found.iter().map(|(line, column, _)| (*line, *column)).collect();
+    assert_eq!(places, [(5, 25), (14, 19)], "{found:#?}");
+    assert!(found[0].2.contains("urgent_reserve 3, expected 0 to 2"), "{found:#?}");
+    assert!(found[1].2.contains("weight 0, expected 1 to 1000"), "{found:#?}");
+    assert_eq!(errors(&text("0", "1001")).len(), 1);
+    for (reserve, weight, line) in [("-1", "1", 5), ("0", "1.5", 14), ("0", "\"2\"", 14)] {
+        let found = errors(&text(reserve, weight));
+        assert!(found.iter().any(|(at, ..)| *at == line), "{found:#?}");
+    }
+}
--- a/lib/tests/test_load_summary.rs
+++ b/lib/tests/test_load_summary.rs
@@ -212,7 +212,8 @@
         ]
     );
     // What is true at the moment of the read is shown nevertheless.
-    assert_eq!(summary.waiting.rows.iter().map(|row| row.waiting).sum::<f64>(), 15.0);
+    let waiting: Vec<_> = summary.waiting.rows.iter().map(|row| row.waiting).collect();
+    assert_eq!(waiting, [11.0, 4.0]);
 
     // Counters that are absent right after a restart fall as well.
     let silent = reading("a:1", 2, EARLIER_BUILD);
@@ -264,8 +265,8 @@
 #[test]
 fn test_rows_are_limited() {
     let summary = LoadSummary::new(&[reading("a:1", 0, BUSY)], None).limit(1);
-    assert_eq!((summary.waiting.rows.len(), summary.waiting.rows_omitted), (1, 1));
-    assert_eq!(summary.waiting.rows[0].waiting, 5.0);
+    let waiting: Vec<_> = summary.waiting.rows.iter().map(|row| row.waiting).collect();
+    assert_eq!((waiting, summary.waiting.rows_omitted), (vec![5.0], 1));
     assert_eq!((summary.refused.rows.len(), summary.refused.rows_omitted), (1, 1));
     assert_eq!((summary.homes.rows.len(), summary.homes.rows_omitted), (1, 0));
 }
--- a/testing/testutils/src/cluster.rs
+++ b/testing/testutils/src/cluster.rs
@@ -409,8 +409,12 @@
     let group = |(number, name): (usize, &String)| {
         let servers = targets[number * 3..number * 3 + 3].iter().enumerate().map(server);
         let login = secret;
-        let database =
-            Database { servers: servers.collect(), login: login.into(), password: login.into() };
+        let database = Database {
+            servers: servers.collect(),
+            urgent_reserve: 0,
+            login: login.into(),
+            password: login.into(),
+        };
         (name.as_str().into(), database)
     };
     let service = |priority, freshness| Service {
