--- a/daemon/src/engine/metrics.rs
+++ b/daemon/src/engine/metrics.rs
@@ -223,6 +223,7 @@
     configuration_version: Gauge,
     configuration_age_seconds: SecondsGauge,
     configuration_since: Mutex<Option<Moment>>,
+    served_by_relays: Gauge,
     sessions: Gauge,
     lines_left_out: Gauge,
 }
@@ -261,6 +262,7 @@
             configuration_version: Gauge::default(),
             configuration_age_seconds: SecondsGauge::default(),
             configuration_since: Mutex::default(),
+            served_by_relays: Gauge::default(),
             sessions: Gauge::default(),
             lines_left_out: Gauge::default(),
         };
@@ -340,6 +342,11 @@
             "Time since the configuration in force came into force here",
             age,
         );
+        registry.register(
+            "served_by_relays",
+            "1 if this instance gets the records of the store from relays",
+            self.served_by_relays.clone(),
+        );
         registry.register("sessions", "Open sessions", self.sessions.clone());
         registry.register(
             "log_lines_left_out",
@@ -416,6 +423,7 @@
         self.configuration_version.set(i64::try_from(engine.catalog().version).unwrap_or(i64::MAX));
         self.sessions.set(i64::try_from(engine.session_count()).unwrap_or(i64::MAX));
         self.lines_left_out.set(i64::try_from(event_log::left_out()).unwrap_or(i64::MAX));
+        self.served_by_relays.set(engine.is_served_by_relays().into());
         self.store.update_answer_ages();
         sent_bytes::update(engine, &self.sent_bytes);
         self.connections.clear();
--- a/lib/src/load_summary.rs
+++ b/lib/src/load_summary.rs
@@ -35,10 +35,11 @@
 const CONFIGURATION_VERSION: &str = "chervilwharf_configuration_version";
 const CONFIGURATION_AGE: &str = "chervilwharf_configuration_age_seconds";
 const POSITION_AGE: &str = "chervilwharf_sample_age_seconds";
+const SERVED_BY_RELAYS: &str = "chervilwharf_served_by_relays";
 const STORE_ANSWER_AGE: &str = "chervilwharf_store_answer_age_seconds";
 
 /// Metrics that a summary uses. All others are ignored.
-const USED: [&str; 12] = [
+const USED: [&str; 13] = [
     WAITING,
     WAITING_BY_PRIORITY,
     LONGEST_WAIT,
@@ -50,6 +51,7 @@
     CONFIGURATION_VERSION,
     CONFIGURATION_AGE,
     POSITION_AGE,
+    SERVED_BY_RELAYS,
     STORE_ANSWER_AGE,
 ];
 
@@ -64,8 +66,8 @@
 const POSITION_AGE_LIMIT: Duration = Duration::from_secs(1);
 
 /// A last answer of the store that is older is outdated. Calls to the store that wait for a
-/// change are answered within some seconds even if nothing changed.
-const STORE_ANSWER_AGE_LIMIT: Duration = Duration::from_secs(10);
+/// change are answered in less time even if nothing changed.
+const STORE_ANSWER_AGE_LIMIT: Duration = Duration::from_secs(20);
 
 /// The answer of one instance.
 #[derive(Clone, Debug, PartialEq)]
@@ -441,7 +443,10 @@
     for instance in read {
         let positions = instance.metrics.samples(POSITION_AGE);
         let oldest = positions.max_by(|a, b| a.1.total_cmp(&b.1));
-        let answers = instance.metrics.samples(STORE_ANSWER_AGE).map(|(_, age)| age);
+        // Instances that relays serve do not read the store, so that its answers grow old there.
+        let reads_store = instance.metrics.value(SERVED_BY_RELAYS, &Labels::new()) != Some(1.0);
+        let answers = instance.metrics.samples(STORE_ANSWER_AGE).filter(|_| reads_store);
+        let answers = answers.map(|(_, age)| age);
         let row = OutdatedRow {
             instance: instance.address.clone(),
             configuration_version: instance.configuration_version(),
--- a/lib/src/load_summary/rows.rs
+++ b/lib/src/load_summary/rows.rs
@@ -128,7 +128,8 @@
     pub position_age_s: Option<f64>,
     /// The group of that position.
     pub position_group: Option<Arc<str>>,
-    /// Time since the last answer of the store, in seconds; `None` if it does not report it.
+    /// Time since the last answer of the store, in seconds; `None` if it does not report it, or
+    /// gets the records of the store from relays.
     pub store_answer_age_s: Option<f64>,
 }
 
--- a/lib/tests/test_load_summary.rs
+++ b/lib/tests/test_load_summary.rs
@@ -262,6 +262,20 @@
     assert_eq!(parsed.ignored_lines, 0);
 }
 
+/// Guards against most instances of a large fleet in the table of outdated information: relays
+/// read the store for them, so that they get no answers themselves.
+#[test]
+fn test_instances_that_relays_serve_need_no_answer_of_the_store() {
+    let silent = BUSY.replace("{kind=\"config\"} 0.5", "{kind=\"config\"} 4000");
+    let served = format!("{silent}chervilwharf_served_by_relays 1\n");
+    let reading_itself = format!("{silent}chervilwharf_served_by_relays 0\n");
+    let readings = [reading("a:1", 0, &served), reading("b:1", 0, &reading_itself)];
+    let summary = LoadSummary::new(&readings, None);
+    let outdated: Vec<_> =
+        summary.outdated.rows.iter().map(|row| (&*row.instance, row.store_answer_age_s)).collect();
+    assert_eq!(outdated, [("b:1", Some(4000.0))]);
+}
+
 #[test]
 fn test_rows_are_limited() {
     let summary = LoadSummary::new(&[reading("a:1", 0, BUSY)], None).limit(1);
