--- a/daemon/src/engine/session.rs
+++ b/daemon/src/engine/session.rs
@@ -94,9 +94,9 @@
     flow: Option<KnownFlow>,
     trace: StatementTrace,
     operation: SessionOperation,
-    /// Random number below [`start::RANDOM_NUMBER_LIMIT`], or 0 in a forwarded session. It sets
-    /// when a planned stop closes the session, and which holder its statements go to if the
-    /// client has no account.
+    /// Random number below `RANDOM_NUMBER_LIMIT`, or 0 in a forwarded session. It sets when a
+    /// planned stop closes the session, and which holder its statements go to if the client
+    /// has no account.
     random_number: u32,
     /// Counts the session as open at this instance.
     open_guard: Option<SessionGuard>,
