--- a/testing/testutils/src/cluster.rs
+++ b/testing/testutils/src/cluster.rs
@@ -435,6 +435,7 @@
             services: vec![service.into()],
             max_connections: 1000,
             requests_per_s: 100_000,
+            weight: chervilwharf_lib::config::DEFAULT_WEIGHT,
         };
         (name.into(), account)
     };
--- a/testing/testutils/src/experiments/share.rs
+++ b/testing/testutils/src/experiments/share.rs
@@ -154,6 +154,7 @@
             services: vec!["bookings".into()],
             max_connections: 10,
             requests_per_s: 1000,
+            weight: chervilwharf_lib::config::DEFAULT_WEIGHT,
         };
         cluster.config.accounts.insert(format!("account-{number}").into(), account);
     }
