tests: limits of accounts across several processes with one failure each

No test ran several processes with shares. The store stand-in can give each instance other addresses of the others, so that a fault proxy stands on each path; the proxy can end replies halfway.

Checked in each run: no window of 5 s has more operations at the servers than (rate x 5 s + burst) x 1.1 + 20, acknowledged writes are in the log once, and all instances serve again. From 2 s after the begin and the end of a fault, fewer than 2 % of the requests below the limit are refused; a run in which the machine delayed this process by more than 20 ms, the time for which a counter is awaited, is repeated if it does not show that.

--- a/standin/src/fault_proxy.rs
+++ b/standin/src/fault_proxy.rs
@@ -99,6 +99,8 @@
     blackholed_below: AtomicU64,
     next_connection: AtomicU64,
     trigger: Mutex<Option<Trigger>>,
+    /// Number of replies that are still to be broken off halfway.
+    replies_to_break: AtomicU64,
     /// Number of bytes forwarded so far, in both directions.
     bytes: AtomicU64,
     /// When the bytes that were read so far have passed a link of limited bandwidth.
@@ -106,6 +108,12 @@
 }
 
 impl ProxyCore {
+    /// Whether the reply that has just been read is to be broken off.
+    fn takes_reply_to_break(&self) -> bool {
+        let less = |count: u64| count.checked_sub(1);
+        self.replies_to_break.fetch_update(Ordering::SeqCst, Ordering::SeqCst, less).is_ok()
+    }
+
     /// Waits until `count` bytes have passed a link of this bandwidth, after all bytes of
     /// other connections that were read before.
     async fn pass_link(&self, count: usize, bytes_per_s: u32) {
@@ -149,6 +157,7 @@
             blackholed_below: AtomicU64::new(0),
             next_connection: AtomicU64::new(1),
             trigger: Mutex::new(None),
+            replies_to_break: AtomicU64::new(0),
             bytes: AtomicU64::new(0),
             link_free_at: Mutex::new(None),
         });
@@ -174,6 +183,18 @@
         self.core.blackholed_below.store(next, Ordering::SeqCst);
     }
 
+    /// Forwards only the first half of each of the next `count` replies, and then closes its
+    /// connection. A reply is what one read from the server returns.
+    pub fn break_replies(&self, count: u64) {
+        self.core.replies_to_break.store(count, Ordering::SeqCst);
+    }
+
+    /// Number of replies that are still to be broken off.
+    #[must_use]
+    pub fn replies_to_break(&self) -> u64 {
+        self.core.replies_to_break.load(Ordering::SeqCst)
+    }
+
     /// Runs `action` once, when `bytes` arrive in `direction`. The proxy forwards the
     /// bytes after the action, or before it if `after_passing` is set.
     pub fn on_bytes(
@@ -262,6 +283,10 @@
         if count == 0 {
             break;
         }
+        if direction == Direction::Down && core.takes_reply_to_break() {
+            let _ = sender.send((Instant::now(), buffer[..count / 2].to_vec()));
+            break;
+        }
         let chunk = buffer[..count].to_vec();
         let action_after_passing = fire_trigger(&core, direction, &chunk);
         let behaviour = *core.behaviour.borrow();
--- a/standin/src/platform/client.rs
+++ b/standin/src/platform/client.rs
@@ -82,7 +82,12 @@
 
     /// Begins a session. Returns `None` if the connection ended.
     pub async fn start_session(&mut self, database: &str) -> Option<Answer> {
-        self.try_send(&format!("START {database} me\r\n")).await?;
+        self.start_session_with_key(database, "me").await
+    }
+
+    /// Begins a session with the key of an account. Returns `None` if the connection ended.
+    pub async fn start_session_with_key(&mut self, database: &str, key: &str) -> Option<Answer> {
+        self.try_send(&format!("START {database} {key}\r\n")).await?;
         self.read_answer().await
     }
 
--- a/standin/src/platform/store.rs
+++ b/standin/src/platform/store.rs
@@ -77,6 +77,9 @@
     creations: HashMap<String, usize>,
 }
 
+/// Changes objects of a kind in the responses of [`Store::serve_view`].
+type Rewrite = Arc<dyn Fn(&str, &mut Value) + Send + Sync>;
+
 /// A running store.
 #[derive(Clone)]
 pub struct Store {
@@ -86,6 +89,7 @@
     changes: watch::Sender<u64>,
     groups: Arc<Mutex<Vec<Group>>>,
     promote_time: Duration,
+    rewrite: Option<Rewrite>,
 }
 
 impl Store {
@@ -99,14 +103,40 @@
             changes: watch::Sender::new(0),
             groups: Arc::default(),
             promote_time,
+            rewrite: None,
         };
+        store.clone().serve(listener);
+        store
+    }
+
+    fn serve(self, listener: TcpListener) {
         let router = Router::new()
             .route("/-/objects/{kind}", get(list).post(create))
             .route("/-/objects/{kind}/{name}", get(read).put(replace).delete(remove))
             .route("/promote", post(promote))
-            .with_state(store.clone());
+            .with_state(self);
         tokio::spawn(async move { axum::serve(listener, router).await });
-        store
+    }
+
+    /// Serves the same objects at another address, where `rewrite` changes each object of a
+    /// kind before it is returned. With it, each instance can be given other addresses, such as
+    /// those of proxies between this and that instance.
+    pub async fn serve_view(
+        &self,
+        rewrite: impl Fn(&str, &mut Value) + Send + Sync + 'static,
+    ) -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        Self { address, rewrite: Some(Arc::new(rewrite)), ..self.clone() }.serve(listener);
+        address
+    }
+
+    /// The object as this view returns it.
+    fn as_viewed(&self, kind: &str, mut object: Value) -> Value {
+        if let Some(rewrite) = &self.rewrite {
+            rewrite(kind, &mut object);
+        }
+        object
     }
 
     fn lock(&self) -> MutexGuard<'_, StoreState> {
@@ -374,7 +404,7 @@
     }
     let state = store.lock();
     let of_kind = state.history.objects.iter().filter(|((k, _), _)| *k == kind);
-    let items: Vec<_> = of_kind.map(|(_, object)| object.clone()).collect();
+    let items: Vec<_> = of_kind.map(|(_, object)| store.as_viewed(&kind, object.clone())).collect();
     let revision = state.history.revision;
     let body = json!({ "items": items, "has_more": false, "store_revision": revision });
     state.with_era_header(Json(body))
@@ -395,7 +425,10 @@
                 return state.with_era_header(StatusCode::GONE);
             }
             let newer = history.events.iter().filter(|(at, k, _)| *at > after && k == kind);
-            let events: Vec<_> = newer.map(|(_, _, event)| event.clone()).collect();
+            let mut events: Vec<_> = newer.map(|(_, _, event)| event.clone()).collect();
+            for event in &mut events {
+                event["object"] = store.as_viewed(kind, event["object"].take());
+            }
             if !events.is_empty() || tokio::time::Instant::now() >= until {
                 let revision = history.revision;
                 let body = json!({ "events": events, "store_revision": revision });
@@ -413,7 +446,7 @@
     }
     let state = store.lock();
     match state.history.get(&kind, &name) {
-        Some(object) => state.with_era_header(Json(object)),
+        Some(object) => state.with_era_header(Json(store.as_viewed(&kind, object))),
         None => state.with_era_header(StatusCode::NOT_FOUND),
     }
 }
--- a/testing/testutils/src/lib.rs
+++ b/testing/testutils/src/lib.rs
@@ -2,6 +2,7 @@
 //! command-line tool) behind fault proxies, client workloads with consistency checks, a
 //! fault matrix, and performance experiments.
 
+pub mod account_load;
 pub mod checker;
 pub mod clients;
 pub mod cluster;
