soak: accounts with limits, a group with most of the load, a restart of all instances

The soak had no accounts with limits, no uneven load of groups and no restart of all instances beside another fault. The selection "limits" (--faults limits) adds an account at five times its limit and two at a quarter of theirs, a second group with the smaller part of the load, and a SIGTERM of all instances at the same time as another fault of the schedule. Schedules of the other selections do not change.

Checked: no window of 5 s has more operations of an account at the servers than (rate x 5 s + burst) x 1.1 + 20; an account below its limit is refused because of its limit only while faults last and for 2 s after them. A delay of the test process by more than 20 ms, the time for which a counter is awaited, counts as a fault.

--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -21,6 +21,7 @@
 use chervilwharf_standin::platform::store::Mode;
 use chervilwharf_standin::platform::store::Store;
 use chervilwharf_standin::platform::store::StoreBackup;
+use chervilwharf_testutils::account_load;
 use chervilwharf_testutils::cluster::WAIT_TIMEOUT;
 use chervilwharf_testutils::cluster::wait_for;
 use chervilwharf_testutils::process::Process;
@@ -28,6 +29,8 @@
 use serde_json::Value;
 use serde_json::json;
 
+use crate::accounts;
+use crate::accounts::SIDE_DATABASE;
 use crate::history::DrainPeriod;
 use crate::history::History;
 use crate::history::Stop;
@@ -162,6 +165,9 @@
     pub store: Store,
     /// The simulated database servers, which form one replication group.
     pub group: Group,
+    /// A second group with the smaller part of the load, if the accounts have limits. It has no
+    /// faults.
+    pub side_group: Option<Group>,
     /// The instances.
     pub instances: Vec<Instance>,
     /// What clients observed, and when faults happened that the checks depend on.
@@ -195,6 +201,13 @@
         }
         let store = Store::start(PROMOTION_TIME).await;
         store.add_group(&group);
+        let mut side_group = None;
+        if options.selection == Selection::AccountLimits {
+            let group = Group::start(SIDE_DATABASE, options.servers, DEFAULT_LAG).await;
+            tokio::spawn(servers::run_replication(group.clone()));
+            store.add_group(&group);
+            side_group = Some(group);
+        }
         let ports = Ports::reserve();
         let folder =
             std::env::temp_dir().join(format!("chervilwharf-soak-{}", uuid::Uuid::now_v7()));
@@ -206,6 +219,7 @@
         let deployment = Self {
             store,
             group,
+            side_group,
             instances,
             history: Arc::default(),
             server_proxies,
@@ -264,13 +278,21 @@
         let store = instance.store_proxy.address;
         json!({
             "node": instance.name, "zone": "a", "ip": instance.client_address.ip(),
-            "bounds": { "grace_s": STOP_GRACE_S }, "limits": { "cpu_share": 0.25, "cores": 1 },
+            "bounds": self.bounds(), "limits": { "cpu_share": 0.25, "cores": 1 },
             "listen": { "front": instance.client_address, "ready": instance.readiness_address },
             "internal_ports": [internal, internal], "seeds": seeds,
             "platform": { "address": store }, "cloud": { "address": store },
         })
     }
 
+    /// The time limits of the platform, with those of accounts only if there are any.
+    fn bounds(&self) -> Value {
+        match self.side_group {
+            Some(_) => account_load::bounds(STOP_GRACE_S),
+            None => json!({ "grace_s": STOP_GRACE_S }),
+        }
+    }
+
     /// Adds a new database to the configuration in the store.
     pub fn add_database(&self) {
         self.added.fetch_add(1, Ordering::SeqCst);
@@ -355,14 +377,23 @@
             route("own", "read_your_writes", OWN_ROUTE_STALENESS_MS),
         ];
         routes.extend((1..=added).map(|number| route(&added_database_name(number), "primary", 0)));
-        let spec = json!({
-            "version": 10 + added, "routes": routes,
-            "services": [{
-                "name": "db", "health_path": "/health", "max_conns": MAX_SERVER_CONNECTIONS,
+        let service = |name: &str| {
+            json!({
+                "name": name, "health_path": "/health", "max_conns": MAX_SERVER_CONNECTIONS,
                 "protocol": "h1", "tls": false, "sync_replicas": 0,
-            }],
+            })
+        };
+        let mut spec = json!({
+            "version": 10 + added, "routes": routes, "services": [service("db")],
             "limits": { "tx_idle_ms": 3_000 },
         });
+        if self.side_group.is_some() {
+            let mut side = route(SIDE_DATABASE, "primary", 0);
+            side["service"] = json!(SIDE_DATABASE);
+            spec["routes"].as_array_mut().expect("an array").push(side);
+            spec["services"] = json!([service("db"), service(SIDE_DATABASE)]);
+            spec["tenants"] = json!(accounts::configuration());
+        }
         self.store.put("config", "main", &spec);
     }
 
--- a/soak/src/fault.rs
+++ b/soak/src/fault.rs
@@ -20,6 +20,9 @@
     FreezeInstance(usize),
     /// An instance receives SIGTERM, and is started again when the fault ends.
     StopInstance(usize),
+    /// All instances receive SIGTERM at the same time, and are started again as soon as they
+    /// have stopped.
+    RestartAllInstances,
     /// Connections between an instance and the store are closed, and new ones refused.
     CutFromStore(usize),
     /// The open connections of an instance to the store become unresponsive for the
@@ -88,6 +91,9 @@
             Self::KillAllInstances => instances.iter().for_each(crate::deployment::Instance::kill),
             Self::FreezeInstance(number) => instances[number].freeze(),
             Self::StopInstance(number) => deployment.stop(number),
+            Self::RestartAllInstances => {
+                (0..instances.len()).for_each(|number| deployment.stop(number));
+            }
             Self::CutFromStore(number) => instances[number].store_proxy.set(Behaviour::cut()),
             Self::ForgetStoreConnections(number) => {
                 instances[number].store_proxy.blackhole_open_connections();
@@ -144,6 +150,12 @@
                 instances[number].wait_for_end().await;
                 deployment.start(number);
             }
+            Self::RestartAllInstances => {
+                for (number, instance) in instances.iter().enumerate() {
+                    instance.wait_for_end().await;
+                    deployment.start(number);
+                }
+            }
             Self::CutFromStore(number) => instances[number].store_proxy.set(Behaviour::default()),
             Self::CrashServer(number) => deployment.group.restart(number),
             Self::SilenceServer(number) | Self::MuteServer(number) | Self::DelayServer(number) => {
@@ -183,6 +195,7 @@
                 | Self::KillAllInstances
                 | Self::FreezeInstance(_)
                 | Self::StopInstance(_)
+                | Self::RestartAllInstances
                 | Self::CutFromStore(_)
                 | Self::ForgetStoreConnections(_)
                 | Self::StoreDown
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -102,6 +102,15 @@
     pub at: Instant,
 }
 
+/// The period of a fault, until what it affected was started again.
+#[derive(Clone, Copy, Debug)]
+pub struct FaultPeriod {
+    /// When the fault began.
+    pub since: Instant,
+    /// When it had ended.
+    pub until: Instant,
+}
+
 /// Everything that was recorded in one run.
 #[derive(Debug, Default)]
 pub struct History {
@@ -120,6 +129,8 @@
     /// For each configuration that was written after an outage of the store: the time
     /// until it was in force at all instances.
     pub in_force_after: Mutex<Vec<Duration>>,
+    /// Periods of the faults that have ended.
+    pub fault_periods: Mutex<Vec<FaultPeriod>>,
 }
 
 impl History {
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -5,6 +5,7 @@
 //! clients saw and the statements that servers executed are checked against the
 //! consistency guarantees of the proxy.
 
+pub mod accounts;
 pub mod checks;
 pub mod deployment;
 pub mod fault;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -20,8 +20,9 @@
     seeds: u64,
     /// faults: any (default), planned (only planned operations: stops of instances,
     /// draining servers, configurations), copies (any, and the store is restored from
-    /// backups), or silences (the store or connections to it become unresponsive,
-    /// besides planned operations)
+    /// backups), silences (the store or connections to it become unresponsive,
+    /// besides planned operations), or limits (any, with client accounts that have limits,
+    /// and a restart of all instances at the same time as another fault)
     #[argh(option, default = "Selection::Any", from_str_fn(selection))]
     faults: Selection,
     /// check time limits too; a heavily loaded machine can exceed them
@@ -41,7 +42,10 @@
         "planned" => Ok(Selection::PlannedOperations),
         "copies" => Ok(Selection::StoreRestores),
         "silences" => Ok(Selection::StoreOutages),
-        _ => Err(format!("unknown selection '{name}', expected any, planned, copies or silences")),
+        "limits" => Ok(Selection::AccountLimits),
+        _ => Err(format!(
+            "unknown selection '{name}', expected any, planned, copies, silences or limits"
+        )),
     }
 }
 
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -33,6 +33,9 @@
     /// The store or connections to it become unresponsive, besides draining servers and
     /// new configurations.
     StoreOutages,
+    /// As `Any`, with client accounts that have limits, a second group of servers, and a restart
+    /// of all instances at the same time as another fault.
+    AccountLimits,
 }
 
 /// Size of the deployment under test, and which faults are injected.
@@ -82,6 +85,10 @@
             duration: Duration::from_millis(random.random_range(FAULT_DURATION_MS)),
         })
         .collect();
+    if options.selection == Selection::AccountLimits {
+        let other = schedule[random.random_range(0..schedule.len())];
+        schedule.push(ScheduledFault { fault: Fault::RestartAllInstances, ..other });
+    }
     schedule.sort_by_key(|scheduled| scheduled.starts_at);
     schedule
 }
@@ -131,7 +138,7 @@
         return outages[random.random_range(0..outages.len())];
     }
     let faults = match options.selection {
-        Selection::Any | Selection::StoreRestores => any.as_slice(),
+        Selection::Any | Selection::StoreRestores | Selection::AccountLimits => any.as_slice(),
         Selection::PlannedOperations => planned.as_slice(),
         Selection::StoreOutages => &[Fault::LeavingServer(server), Fault::Configuration],
     };
--- a/soak/src/soak.rs
+++ b/soak/src/soak.rs
@@ -6,14 +6,17 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use chervilwharf_testutils::account_load::RECOVERY_TIME;
 use chervilwharf_testutils::cluster::WAIT_TIMEOUT;
 use tokio::task::JoinSet;
 
+use crate::accounts::AccountClients;
 use crate::checks;
 use crate::deployment::Deployment;
 use crate::deployment::POLL_INTERVAL;
 use crate::deployment::added_database_name;
 use crate::fault::Fault;
+use crate::history::FaultPeriod;
 use crate::history::ReportedOutcome;
 use crate::schedule::ScheduledFault;
 use crate::schedule::Selection;
@@ -63,12 +66,19 @@
         clients.spawn(WorkloadClient::new(workload.clone(), number, seed).run());
     }
     clients.spawn(check_added_databases(workload.clone(), seed));
+    let has_limits = options.selection == Selection::AccountLimits;
+    let account_clients = has_limits.then(|| AccountClients::start(&deployment));
     let mut violations = Vec::new();
     wait_for_progress(&workload, "before the faults", &mut violations).await;
     let faults = fault_schedule(seed, options);
     inject_faults(&deployment, &faults).await;
     wait_for_progress(&workload, "after the faults", &mut violations).await;
     wait_for_configuration(&deployment, &mut violations).await;
+    if let Some(clients) = account_clients {
+        // Long enough to observe requests that no fault can have delayed.
+        tokio::time::sleep(RECOVERY_TIME * 2).await;
+        violations.extend(clients.finish(&deployment).await);
+    }
     workload.stop.store(true, Ordering::SeqCst);
     while let Some(ended) = clients.join_next().await {
         if let Err(error) = ended {
@@ -113,9 +123,12 @@
         let deployment = deployment.clone();
         running.spawn(async move {
             tokio::time::sleep_until(began + scheduled.starts_at).await;
+            let since = Instant::now();
             scheduled.fault.begin(&deployment);
             tokio::time::sleep(scheduled.duration).await;
             scheduled.fault.end(&deployment).await;
+            let period = FaultPeriod { since, until: Instant::now() };
+            deployment.history.fault_periods.lock().expect("never poisoned").push(period);
         });
     }
     while running.join_next().await.is_some() {}
--- a/soak/tests/test_soak.rs
+++ b/soak/tests/test_soak.rs
@@ -49,6 +49,18 @@
     assert!(report.violations.is_empty(), "{:#?}", report.violations);
 }
 
+/// Guards against more operations of an account at the servers than its limit allows, and
+/// against refusals of an account below its limit that go on after the faults.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_limits_of_accounts_hold_under_fault_schedules() {
+    let options = SoakOptions { selection: Selection::AccountLimits, ..SoakOptions::default() };
+    for seed in SEEDS {
+        let report = soak::run(seed, options, false).await;
+        println!("{report:?}");
+        assert!(report.violations.is_empty(), "seed {seed}: {:#?}", report.violations);
+    }
+}
+
 #[test]
 fn test_a_seed_gives_the_same_schedule_each_time() {
     let options = SoakOptions::default();
