largest numbers from other instances: additions saturate

Cause: the fuzzing of frames between instances found additions that overflow on the largest numbers: a configuration with the largest max_connections (connection_budget.rs), the largest term of a promise (duty_control.rs, under the lock of the duties, which stays poisoned) and the largest token (duty.rs). By reading, four more of terms in group.rs, group/reading.rs and replacement.rs.

--- a/daemon/src/engine/duty_control.rs
+++ b/daemon/src/engine/duty_control.rs
@@ -111,7 +111,8 @@
 
     /// Records the order for which this instance promised to end a term.
     pub fn note_promised(&mut self, group: &GroupId, request: &RetireRequest) {
-        let order = DutyOrder { server: request.successor.clone(), term: request.term + 1 };
+        let order =
+            DutyOrder { server: request.successor.clone(), term: request.term.saturating_add(1) };
         self.note_order_of_token(group, request.token, Some(order));
     }
 
--- a/daemon/src/engine/replacement.rs
+++ b/daemon/src/engine/replacement.rs
@@ -183,7 +183,7 @@
         ));
     }
     let highest_term = shard.with_group(|group| group.highest_term()).max(highest_observed_term);
-    let order = DutyOrder { server: target.id.clone(), term: highest_term + 1 };
+    let order = DutyOrder { server: target.id.clone(), term: highest_term.saturating_add(1) };
     let metrics = replacer.engine.metrics();
     let began_at = now();
     let claim = claim(replacer, shard.id(), OrderChange::Put(Some(order)), since).await;
@@ -479,7 +479,7 @@
         if !permitted && self.reason != ReplaceReason::LastResort {
             return false;
         }
-        let order = DutyOrder { server: target.id.clone(), term: self.term + 1 };
+        let order = DutyOrder { server: target.id.clone(), term: self.term.saturating_add(1) };
         let (change, since) = (OrderChange::Put(Some(order)), self.duty.token);
         let claim = claim(self.replacer, self.shard.id(), change, since).await;
         let Some(Claim { duty, written_at: Some(_), written_era }) = claim else {
--- a/lib/src/connection_budget.rs
+++ b/lib/src/connection_budget.rs
@@ -31,7 +31,7 @@
     let divisible = shared.saturating_sub(instances);
     let own = own_demand.max(MIN_DEMAND);
     let others: f64 = demand_of_others.iter().map(|demand| demand.max(MIN_DEMAND)).sum();
-    1 + fraction_of(divisible, own / (own + others))
+    fraction_of(divisible, own / (own + others)).saturating_add(1)
 }
 
 /// Fraction of its budget that an instance may always keep open where connections
--- a/lib/src/duty.rs
+++ b/lib/src/duty.rs
@@ -119,7 +119,7 @@
         group: group.clone(),
         holder: me.id.clone(),
         life: me.life,
-        token: last.map_or(0, |record| record.token + 1).max(first_token(era)),
+        token: last.map_or(0, |record| record.token.saturating_add(1)).max(first_token(era)),
         order: order.or_else(|| last.and_then(|record| record.order.clone())),
         retired: last.map_or(0, |record| record.retired),
     }
--- a/lib/src/group.rs
+++ b/lib/src/group.rs
@@ -423,7 +423,7 @@
             // this conclusion, an instance that is partitioned from the new primary
             // would promote the old one again and lose the commits made since.
             if leader.term > 0 {
-                self.highest_term = self.highest_term.max(leader.term + 1);
+                self.highest_term = self.highest_term.max(leader.term.saturating_add(1));
             }
         }
         lost.is_some()
--- a/lib/src/group/reading.rs
+++ b/lib/src/group/reading.rs
@@ -158,7 +158,7 @@
     /// beyond it were rolled back.
     #[must_use]
     pub fn surviving(&self, position: Position) -> Position {
-        let later = self.term_bases.range(position.term + 1..).next();
+        let later = self.term_bases.range(position.term.saturating_add(1)..).next();
         match later {
             // The index continues across terms, so indexes of two terms can be compared.
             Some((_, base)) if position.index > base.index => *base,
