--- a/daemon/src/engine/mod.rs
+++ b/daemon/src/engine/mod.rs
@@ -40,6 +40,7 @@
 pub mod promoter;
 pub mod quota_control;
 pub mod quota_leases;
+pub mod quota_shards;
 pub mod record_watch;
 pub mod records;
 pub mod remote;
--- a/daemon/src/engine/quota_control.rs
+++ b/daemon/src/engine/quota_control.rs
@@ -44,7 +44,7 @@
 use chervilwharf_lib::quota_share::SHARE_LIFETIME;
 use chervilwharf_lib::quota_share::ShareLedger;
 use chervilwharf_lib::quota_share::ShareState;
-use chervilwharf_lib::quota_share::counts_account;
+use chervilwharf_lib::share_holders::counts_account;
 use tokio::sync::oneshot;
 
 use crate::engine::account_metrics::QuotaOutcome;
@@ -127,33 +127,7 @@
     inner: Arc<Mutex<Inner>>,
 }
 
-/// For how many shards of accounts an instance counts operations, or would.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct QuotaShards {
-    /// Number of shards that it is the keeper of.
-    pub keeper: u32,
-    /// Number of shards of which it counts a share, because it does not reach the keeper.
-    pub share_counted: u32,
-    /// Number of shards of which it holds a share on standby.
-    pub share_standby: u32,
-}
-
 impl QuotaControl {
-    /// Counts the shards that this instance keeps or holds a share of at the time `at`.
-    #[must_use]
-    pub fn shards(&self, at: Moment) -> QuotaShards {
-        let mut counts = QuotaShards::default();
-        for shard in &self.lock().shards {
-            counts.keeper += u32::from(shard.lease.is_held(at));
-            match shard.share.state(at) {
-                Some(ShareState::Counted) => counts.share_counted += 1,
-                Some(ShareState::Standby) => counts.share_standby += 1,
-                None => {}
-            }
-        }
-        counts
-    }
-
     /// State of an instance that started at `started_at`.
     #[must_use]
     pub fn new(started_at: Moment) -> Self {
--- a/daemon/src/engine/quota_leases.rs
+++ b/daemon/src/engine/quota_leases.rs
@@ -25,7 +25,7 @@
 use chervilwharf_lib::quota_share::ShareGrant;
 use chervilwharf_lib::quota_share::ShareReport;
 use chervilwharf_lib::quota_share::ShareState;
-use chervilwharf_lib::quota_share::extra_share_holders;
+use chervilwharf_lib::share_holders::extra_share_holders;
 use futures::future::join_all;
 
 use crate::engine::clock::now;
--- a/daemon/tests/test_quota_promise.rs
+++ b/daemon/tests/test_quota_promise.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use chervilwharf_daemon::engine::clock::now;
-use chervilwharf_daemon::engine::quota_control::QuotaShards;
+use chervilwharf_daemon::engine::quota_shards::QuotaShards;
 use chervilwharf_daemon::engine::shared::Engine;
 use chervilwharf_lib::engine_protos::KeeperVote;
 use chervilwharf_lib::engine_protos::QuotaQuestion;
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -63,6 +63,7 @@
 pub mod server_list;
 pub mod server_refusal;
 pub mod settings;
+pub mod share_holders;
 pub mod statement;
 pub mod statement_timing;
 pub mod stop_plan;
--- a/lib/tests/quota_simulation/keeper.rs
+++ b/lib/tests/quota_simulation/keeper.rs
@@ -15,7 +15,7 @@
 use chervilwharf_lib::quota_share::SHARE_HOLDERS;
 use chervilwharf_lib::quota_share::ShareGrant;
 use chervilwharf_lib::quota_share::ShareReport;
-use chervilwharf_lib::quota_share::extra_share_holders;
+use chervilwharf_lib::share_holders::extra_share_holders;
 use rand::Rng;
 
 use super::QuotaSimulation;
--- a/lib/tests/test_quota_share.rs
+++ b/lib/tests/test_quota_share.rs
@@ -16,7 +16,6 @@
 use chervilwharf_lib::quota::QuotaAnswer;
 use chervilwharf_lib::quota::QuotaCounters;
 use chervilwharf_lib::quota::QuotaTolerance;
-use chervilwharf_lib::quota_share::EXTRA_SHARE_HOLDERS;
 use chervilwharf_lib::quota_share::HeldShare;
 use chervilwharf_lib::quota_share::MAX_SHARED;
 use chervilwharf_lib::quota_share::SHARE_FRACTION;
@@ -27,8 +26,9 @@
 use chervilwharf_lib::quota_share::ShareLedger;
 use chervilwharf_lib::quota_share::ShareReport;
 use chervilwharf_lib::quota_share::ShareState;
-use chervilwharf_lib::quota_share::counts_account;
-use chervilwharf_lib::quota_share::extra_share_holders;
+use chervilwharf_lib::share_holders::EXTRA_SHARE_HOLDERS;
+use chervilwharf_lib::share_holders::counts_account;
+use chervilwharf_lib::share_holders::extra_share_holders;
 
 const LIFE: u64 = 7;
 
