Keeper lease: answers to returned vote requests are ignored

Cause: vote requests of a shard can overlap since rounds do not wait for each other. A vote or report that arrives after the votes were returned could count although the instance has voted for another keeper since.

Change: KeeperLease::end and ShareLedger::end take the time, and answers to requests from before are ignored.

Unit test test_answers_that_arrive_after_the_votes_were_returned_are_ignored.

--- a/daemon/src/engine/quota_leases.rs
+++ b/daemon/src/engine/quota_leases.rs
@@ -93,8 +93,8 @@
     }
 }
 
-/// Asks the instances that are no voters or extra share holders and have not reported since this instance became
-/// the keeper which share they hold.
+/// Asks the instances that are no share holders, and have not reported since this instance
+/// became the keeper, which share they hold.
 fn ask_for_shares(engine: &Arc<Engine>, number: ShardNumber) {
     for record in engine.unreported_instances(number) {
         let engine = engine.clone();
@@ -306,9 +306,10 @@
             if !shard.lease.has_votes() {
                 return;
             }
-            shard.lease.end();
-            shard.ledger.end();
-            inner.votes.release(now(), number, &me);
+            let at = now();
+            shard.lease.end(at);
+            shard.ledger.end(at);
+            inner.votes.release(at, number, &me);
             let shard = &mut inner.shards[number as usize];
             let asked_extra = std::mem::take(&mut shard.extra_holders_asked);
             if asked_extra { shard.holders.clone() } else { shard.voters.clone() }
--- a/daemon/src/engine/quota_shards.rs
+++ b/daemon/src/engine/quota_shards.rs
@@ -5,7 +5,7 @@
 
 use crate::engine::quota_control::QuotaControl;
 
-/// For how many shards of accounts an instance counts operations, or would.
+/// Number of shards of accounts by what an instance does for them.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct QuotaShards {
     /// Number of shards that it is the keeper of.
--- a/lib/src/keeper_lease.rs
+++ b/lib/src/keeper_lease.rs
@@ -191,11 +191,18 @@
     granted: HashMap<InstanceId, Grant>,
     /// End of the lease as of the last call of `check`.
     held_until: Moment,
+    /// When the votes were last returned.
+    ended_at: Moment,
 }
 
 impl KeeperLease {
-    /// Records the answer of a voter to a vote request sent at `asked_at`.
+    /// Records the answer of a voter to a vote request sent at `asked_at`. An answer to a
+    /// request from before [`Self::end`] is ignored: the vote was returned since, and may be
+    /// given to another candidate.
     pub fn answered(&mut self, asked_at: Moment, voter: &InstanceId, vote: &Vote) {
+        if asked_at <= self.ended_at {
+            return;
+        }
         match vote {
             Vote::Granted { fresh } => {
                 self.granted.insert(voter.clone(), Grant { asked_at, fresh: *fresh });
@@ -240,8 +247,8 @@
         !self.granted.is_empty()
     }
 
-    /// Ends the lease and discards all votes.
-    pub fn end(&mut self) {
-        *self = Self::default();
+    /// Ends the lease and discards all votes, which are returned to the voters.
+    pub fn end(&mut self, now: Moment) {
+        *self = Self { ended_at: now, ..Self::default() };
     }
 }
--- a/lib/src/quota_share.rs
+++ b/lib/src/quota_share.rs
@@ -328,6 +328,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct ShareLedger {
     lease_began_at: Moment,
+    /// When the lease last ended, and the votes were returned.
+    ended_at: Moment,
     reports: HashMap<InstanceId, Reported>,
     /// End of each share that was granted or reported.
     ends: HashMap<InstanceId, Moment>,
@@ -338,7 +340,9 @@
 }
 
 impl ShareLedger {
-    /// Records the report of an instance, in the reply to a request sent at `asked_at`.
+    /// Records the report of an instance, in the reply to a request sent at `asked_at`. A
+    /// reply to a request from before [`Self::end`] is ignored: the instance may have got a
+    /// share of another keeper since.
     pub fn record_report(
         &mut self,
         asked_at: Moment,
@@ -347,7 +351,7 @@
         report: ShareReport,
     ) {
         let known = self.reports.get(instance).copied();
-        if known.is_some_and(|known| known.asked_at > asked_at) {
+        if asked_at <= self.ended_at || known.is_some_and(|known| known.asked_at > asked_at) {
             return;
         }
         if known.is_some_and(|known| known.life != report.life) {
@@ -391,8 +395,8 @@
     }
 
     /// Discards everything when the lease ends or is not gained.
-    pub fn end(&mut self) {
-        *self = Self::default();
+    pub fn end(&mut self, now: Moment) {
+        *self = Self { ended_at: now, ..Self::default() };
     }
 
     /// Whether shares of an earlier keeper may still be in force.
--- a/lib/tests/quota_simulation/keeper.rs
+++ b/lib/tests/quota_simulation/keeper.rs
@@ -136,9 +136,9 @@
             return gained;
         }
         let candidate = me.candidate();
-        me.lease.end();
+        me.lease.end(local);
         if self.without != Some(Rule::ReportsAreBound) {
-            me.ledger.end();
+            me.ledger.end(local);
         }
         for to in 0..self.instances.len() {
             if self.reaches(index, to) {
--- a/lib/tests/test_quota_share.rs
+++ b/lib/tests/test_quota_share.rs
@@ -10,6 +10,8 @@
 use chervilwharf_lib::id::InstanceId;
 use chervilwharf_lib::keeper_lease::ACCOUNT_SHARDS;
 use chervilwharf_lib::keeper_lease::Candidate;
+use chervilwharf_lib::keeper_lease::KeeperLease;
+use chervilwharf_lib::keeper_lease::Vote;
 use chervilwharf_lib::keeper_lease::voters;
 use chervilwharf_lib::moment::Moment;
 use chervilwharf_lib::quota::EnforcedQuota;
@@ -261,6 +263,26 @@
     assert_fraction(&ledger, at(1_100), &others, 1);
 }
 
+#[test]
+fn test_answers_that_arrive_after_the_votes_were_returned_are_ignored() {
+    // Guards against a vote and a report of an instance that has voted for another keeper
+    // since, and got a share of it.
+    let voters = fleet(1);
+    let mut lease = KeeperLease::default();
+    lease.end(at(50));
+    lease.answered(at(0), &voters[0].id, &Vote::Granted { fresh: false });
+    assert!(!lease.check(at(100), &voters));
+    lease.answered(at(51), &voters[0].id, &Vote::Granted { fresh: false });
+    assert!(lease.check(at(100), &voters));
+
+    let others = instances(1);
+    let mut ledger = ShareLedger::default();
+    ledger.end(at(50));
+    ledger.record_report(at(0), at(60), &others[0], none_held(0));
+    ledger.lease_gained(at(100));
+    assert_fraction(&ledger, at(100), &others, 1);
+}
+
 #[test]
 fn test_lowered_limit_and_fewer_shares_apply_without_a_burst() {
     // Guards against tokens for the time since the last request at the higher of two rates.
