--- a/daemon/src/engine/mod.rs
+++ b/daemon/src/engine/mod.rs
@@ -42,6 +42,7 @@
 pub mod queue_metrics;
 pub mod quota_control;
 pub mod quota_leases;
+pub mod quota_shards;
 pub mod record_watch;
 pub mod records;
 pub mod remote;
