--- a/daemon/src/engine/keeper_metrics.rs
+++ b/daemon/src/engine/keeper_metrics.rs
@@ -32,29 +32,7 @@
     home: String,
 }
 
-/// Numbers of shards of accounts for which an instance counts operations, or may.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct QuotaRoles {
-    /// Shards of which it is the keeper.
-    pub keeper: usize,
-    /// Shards whose limits it holds a share of and counts.
-    pub share_counted: usize,
-    /// Shards whose limits it holds a share of that is on standby.
-    pub share_standby: usize,
-}
-
 impl Engine {
-    /// For how many shards of accounts this instance counts operations now, or may.
-    #[must_use]
-    pub fn quota_roles(&self) -> QuotaRoles {
-        let at = now();
-        let inner = self.quota().lock();
-        let keeper = inner.shards.iter().filter(|shard| shard.lease.is_held(at)).count();
-        let share_counted = inner.shards.iter().filter(|shard| shard.share.is_held(at)).count();
-        // No share is on standby in this build: each is counted until it ends.
-        QuotaRoles { keeper, share_counted, share_standby: 0 }
-    }
-
     /// The home that reads of a large account, which replicas can serve, are sent to from this
     /// instance; `None` if no holder is known.
     fn near_home(&self, group: &GroupId, account: &AccountId) -> Option<InstanceId> {
@@ -90,15 +68,14 @@
 
     /// Sets all values from the state of the engine.
     pub(super) fn update(&self, engine: &Engine) {
-        let roles = engine.quota_roles();
+        let shards = engine.quota().shards(now());
         let roles = [
-            ("keeper", roles.keeper),
-            ("share_counted", roles.share_counted),
-            ("share_standby", roles.share_standby),
+            ("keeper", shards.keeper),
+            ("share_counted", shards.share_counted),
+            ("share_standby", shards.share_standby),
         ];
         for (role, shards) in roles {
-            let shards = i64::try_from(shards).unwrap_or(i64::MAX);
-            self.quota_shards.get_or_create(&RoleLabels { role }).set(shards);
+            self.quota_shards.get_or_create(&RoleLabels { role }).set(i64::from(shards));
         }
         self.account_homes.clear();
         let large = engine.holder_lists().account_homes().large(MAX_LARGE_ACCOUNTS);
--- a/daemon/tests/test_metrics.rs
+++ b/daemon/tests/test_metrics.rs
@@ -14,7 +14,7 @@
 use chervilwharf_daemon::engine::directory::Record;
 use chervilwharf_daemon::engine::directory::RecordKind;
 use chervilwharf_daemon::engine::directory::Revision;
-use chervilwharf_daemon::engine::keeper_metrics::QuotaRoles;
+use chervilwharf_daemon::engine::quota_shards::QuotaShards;
 use chervilwharf_daemon::engine::shard::Shard;
 use chervilwharf_daemon::engine::shared::Engine;
 use chervilwharf_daemon::engine::waiting::ConnectionRequest;
@@ -176,7 +176,7 @@
 #[tokio::test]
 async fn test_shards_of_keepers_and_shares_are_counted() {
     let engine = Engine::new(instance("instance"), Arc::new(NoServer));
-    assert_eq!(engine.quota_roles(), QuotaRoles::default());
+    assert_eq!(engine.quota().shards(now()), QuotaShards::default());
     let text = engine.metrics().text(&engine);
     for role in ["keeper", "share_counted", "share_standby"] {
         let line = format!("chervilwharf_quota_shards{{role=\"{role}\"}} 0\n");
@@ -188,9 +188,12 @@
     let timestamp_ms = report.timestamp_ms.expect("the keeper may grant a share");
     request.share = Some(ShareLease { life: report.life, timestamp_ms });
     let _ = engine.keeper_vote(&request);
-    let roles = engine.quota_roles();
-    assert_eq!(roles.share_counted + roles.share_standby, 1, "{roles:?}");
-    assert_eq!(roles.keeper, 0);
+    let shards = engine.quota().shards(now());
+    assert_eq!((shards.keeper, shards.share_counted, shards.share_standby), (0, 1, 0));
+    request.holds_lease = true;
+    let _ = engine.keeper_vote(&request);
+    let shards = engine.quota().shards(now());
+    assert_eq!((shards.keeper, shards.share_counted, shards.share_standby), (0, 0, 1));
 }
 
 /// Guards against metrics that the summary of `load` cannot read, or finds under another name.
