--- a/review/2/case.py
+++ b/review/2/case.py
@@ -66,8 +66,10 @@
             await at(CRASH_AT_S + CRASH_FOR_S)
             await group.recover(primary)
         await at(END_S)
+        record.line("the clients stop")
         await writers.stop()
     finally:
+        record.line("the instances are ended")
         await instances.end()
     return judge(record, group, writers)
 
--- a/review/harness/standins.py
+++ b/review/harness/standins.py
@@ -770,6 +770,7 @@
         self.acknowledged = {}
         self.sent = 0
         self.tasks = []
+        self.stopping = False
 
     def start(self):
         for number in range(self.clients):
@@ -779,7 +780,8 @@
 
     async def run(self, name, address):
         client = Client(self.record, name, address, self.database)
-        while True:
+        # `wait_for` can lose a cancellation that arrives together with its result.
+        while not self.stopping:
             id = f"{random.getrandbits(64):016x}"
             text = f"WRITE item{random.randrange(200)} {name}-{self.sent}"
             try:
@@ -799,6 +801,7 @@
             await asyncio.sleep(self.pause_s)
 
     async def stop(self):
+        self.stopping = True
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
