--- a/review/harness/standins.py
+++ b/review/harness/standins.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import copy
 import ctypes
 import hashlib
 import json
@@ -84,16 +85,44 @@
         self.record = record
         self.answer_s = answer_s
         self.stale_s = 0.0
+        self.down = False
+        self.connections = set()
         self.revision = 0
         self.objects = {}
         self.events = []  # (revision, time, kind, event)
         self.changed = asyncio.Event()
 
     async def start(self):
+        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.address = server.sockets[0].getsockname()
+
+    async def serve(self, reader, writer):
+        if self.down:
+            writer.transport.abort()
+            return
+        self.connections.add(writer)
+        await serve_http(self.handle, reader, writer)
+        self.connections.discard(writer)
+
+    def set_down(self, down):
+        """While it is down, the store resets all connections and takes no heartbeats."""
+        self.down = down
+        self.record.line(f"store: {'down, resets connections' if down else 'up again'}")
+        for writer in self.connections if down else ():
+            writer.transport.abort()
+
+    async def start_view(self, rewrite):
+        """Serves the same objects at another address. `rewrite` changes what is answered, so
+        that the addresses in it can be those of proxies."""
+
+        async def handle(method, target, headers, body):
+            status, answer = await self.handle(method, target, headers, body)
+            return status, rewritten(copy.deepcopy(answer), rewrite)
+
         server = await asyncio.start_server(
-            lambda r, w: serve_http(self.handle, r, w), "127.0.0.1", 0
+            lambda r, w: serve_http(handle, r, w), "127.0.0.1", 0
         )
-        self.address = server.sockets[0].getsockname()
+        return server.sockets[0].getsockname()
 
     def put(self, kind, name, spec, status=None, finalizers=None):
         known = self.objects.get((kind, name))
@@ -206,6 +235,67 @@
         return 405, None
 
 
+def rewritten(answer, rewrite):
+    if isinstance(answer, dict):
+        if "meta" in answer and "spec" in answer:
+            rewrite(answer["meta"]["name"], answer["spec"])
+        else:
+            for value in answer.values():
+                rewritten(value, rewrite)
+    elif isinstance(answer, list):
+        for value in answer:
+            rewritten(value, rewrite)
+    return answer
+
+
+# --- Links --------------------------------------------------------------------------------
+
+
+class Link:
+    """A proxy to one address. While it is cut it passes nothing, and resets nothing."""
+
+    def __init__(self, target):
+        self.target = target
+        self.passing = asyncio.Event()
+        self.passing.set()
+
+    async def start(self):
+        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.address = server.sockets[0].getsockname()
+        return self
+
+    def cut(self, cut):
+        if cut:
+            self.passing.clear()
+        else:
+            self.passing.set()
+
+    async def serve(self, reader, writer):
+        try:
+            await self.passing.wait()
+            upstream_reader, upstream_writer = await asyncio.open_connection(*self.target)
+        except (OSError, asyncio.CancelledError):
+            writer.close()
+            return
+        await asyncio.gather(
+            self.pump(reader, upstream_writer), self.pump(upstream_reader, writer)
+        )
+
+    async def pump(self, reader, writer):
+        try:
+            while True:
+                data = await reader.read(65536)
+                await self.passing.wait()
+                if not data:
+                    break
+                writer.write(data)
+                await writer.drain()
+        except (OSError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+
+
 # --- The platform's duties ------------------------------------------------------------------
 
 
@@ -262,6 +352,8 @@
         self.up = True
         self.draining = False
         self.deaf = False
+        self.isolated = False  # cut off from the other servers and the store
+        self.former = False  # another server was promoted, and it doesn't know yet
         self.term = 1
         self.log = []  # (term, number, statement id)
         self.applied = 0
@@ -294,6 +386,7 @@
             self.servers[id] = Server(id, zone)
         self.leader = next(iter(self.servers))
         self.on_status = None
+        self.reads = {}  # by statement id: server, and the end of the log that it read
 
     async def start(self):
         for server in self.servers.values():
@@ -323,12 +416,12 @@
         while True:
             await asyncio.sleep(1.2)
             for server in self.servers.values():
-                if server.up:
+                if server.up and not server.isolated and not self.store.down:
                     missed[server.id] = 0
                     self.report(server)
                 else:
                     missed[server.id] = missed.get(server.id, 0) + 1
-                    if missed[server.id] == 3:
+                    if missed[server.id] >= 3 and not self.store.down:
                         self.store.delete("servers", server.id)
 
     def crash(self, id):
@@ -339,12 +432,20 @@
             writer.transport.abort()
         self.record.line(f"server {id}: crashes; its log ends at {server.position(len(server.log))}")
 
-    async def recover(self, id):
+    def go_dark(self, id, links):
+        """The server crashes without a sign: nothing on its connections is answered or reset."""
+        self.servers[id].up = False
+        for link in links:
+            link.cut(True)
+        self.record.line(f"server {id}: goes dark")
+
+    async def recover(self, id, listen=True):
         server = self.servers[id]
         server.up = True
         if id != self.leader:
             self.follow(server)
-        await self.listen(server, server.address[1])
+        if listen:
+            await self.listen(server, server.address[1])
         self.report(server)
         self.record.line(f"server {id}: is back")
 
@@ -408,25 +509,46 @@
         self.promotions.append((elapsed(), id, list(server.log)))
         self.record.line(f"server {id}: leads term {self.term}, log ends at {server.position(len(server.log))}")
         for other in self.servers.values():
-            if other.id != id and other.up and not other.deaf:
+            if other.id != id and other.up and not other.deaf and not other.isolated:
                 self.follow(other)
+        old.former = old.up and old.isolated
         for other in (server, old):
-            if other.up:
+            if other.up and not other.isolated:
                 self.report(other)
 
+    def isolate(self, id):
+        self.servers[id].isolated = True
+        self.record.line(f"server {id}: cut off from the other servers and the store")
+
+    async def rejoin(self, id):
+        """The cut heals. An old primary goes on until a second after it reaches the new one."""
+        server = self.servers[id]
+        server.isolated = False
+        self.record.line(f"server {id}: reaches the others again, log ends at {server.position(len(server.log))}")
+        await asyncio.sleep(1)
+        if server.former:
+            server.former = False
+            self.follow(server)
+        self.report(server)
+
+    def leads(self, server):
+        return server.id == self.leader or server.former
+
     async def append(self, server, id):
         """Adds a commit to the primary's log. Waits for replicas where they are synchronous."""
         number = (server.log[-1][1] if server.log else 0) + 1
-        entry = (self.term, number, id)
+        term = server.term
+        entry = (term, number, id)
         server.log.append(entry)
         server.applied = len(server.log)
-        length, term = len(server.log), self.term
+        length = len(server.log)
         receipts = 0
         event = asyncio.Event()
 
         def receive(replica):
             nonlocal receipts
-            if replica.up and not replica.deaf and server.up and self.term == term:
+            apart = replica.isolated or server.isolated
+            if replica.up and not replica.deaf and not apart and server.up and self.term == term:
                 if len(replica.log) < length:
                     replica.log.extend(server.log[len(replica.log):length])
                     self.applies_later(replica, length)
@@ -511,7 +633,7 @@
             if number and not any(e[0] == term and e[1] == number for e in reversed(applied)):
                 return [], "LAGGING"
         word, _, rest = text.partition(" ")
-        leads = server.id == self.leader
+        leads = self.leads(server)
         if state["state"] == "E" and word not in ("COMMIT", "ROLLBACK"):
             return [], "MALFORMED"
         empty_commit = word == "COMMIT" and not state["writes"]
@@ -523,7 +645,7 @@
             work = 0.001 if word == "STATUS" else self.work_s
             if not await self.slot(server, work):
                 return [], "BUSY"
-            leads = server.id == self.leader
+            leads = self.leads(server)
         if word == "BEGIN":
             if rest == "" and not leads:
                 return [], "READONLY"
@@ -558,6 +680,9 @@
             name, access, shape = rest.split(" ", 2)
             state["prepared"][name] = access
             return [], None
+        if word == "DEMOTE" and server.former and int(rest) > server.term and not server.isolated:
+            server.former = False
+            self.follow(server)
         if word in ("PAUSE", "RESUME", "DEMOTE"):
             return [self.status(server)], None
         access = {"READ": "READ", "WRITE": "WRITE"}.get(word)
@@ -566,6 +691,8 @@
             if access is None:
                 return [], "NOSTMT"
         if access == "READ":
+            end = server.log[server.applied - 1] if server.applied else (0, 0)
+            self.reads[id] = (server.id, end[0], end[1])
             return [f"rows-at-{server.position(server.applied)}"], None
         if access == "WRITE":
             if not leads:
@@ -578,7 +705,7 @@
         return [], "MALFORMED"
 
     def status(self, server):
-        role = "primary" if server.id == self.leader else "replica"
+        role = "primary" if self.leads(server) else "replica"
         return (f"{role} {server.term} {server.position(len(server.log))} 0 0 "
                 f"{server.waiting} {len(server.connections)}")
 
@@ -593,6 +720,7 @@
         self.record, self.root, self.folder = record, root, folder
         self.store, self.cloud, self.bounds = store, cloud, bounds
         self.names, self.processes, self.files = [], {}, []
+        self.platforms, self.clouds = {}, {}  # addresses by instance, where they differ
         net = f"127.{random.randint(16, 250)}.{random.randint(1, 250)}"
         ips = [f"{net}.{number + 2}" for number in range(len(zones))]
         self.ports = free_ports(ips, ("front", "ready", "control", "internal"))
@@ -620,15 +748,15 @@
             "data_dir": None, "discovery": "platform", "entry": "vip", "heartbeat_ms": 1200,
             "contracts": ["base", "drain", "config", "cost", "recover", "sql", "platform"],
             "tolerate": {"machines": 1, "zones": 0, "regions": 0}, "bounds": self.bounds,
-            "platform": {"address": "%s:%d" % self.store.address, "form": "objects",
+            "platform": {"address": "%s:%d" % self.platforms.get(name, self.store.address), "form": "objects",
                          "writes_per_s": 400, "reads_per_s": 2000, "history_s": 20,
                          "value_bytes": 1048576, "min_ttl_ms": 1000},
-            "cloud": {"address": "%s:%d" % self.cloud.address, "rate_per_s": 50.0,
+            "cloud": {"address": "%s:%d" % self.clouds.get(name, self.cloud.address), "rate_per_s": 50.0,
                       "duties": ["promote"], "duty_per_s": 50.0},
         }
 
-    async def start(self):
-        for name in self.names:
+    async def start(self, names=None):
+        for name in names or self.names:
             path = os.path.join(self.folder, f"{name}.json")
             with open(path, "w", encoding="utf-8") as file:
                 json.dump(self.settings(name), file)
@@ -654,9 +782,9 @@
         except (OSError, asyncio.TimeoutError):
             return False
 
-    async def wait_ready(self, limit_s=15):
+    async def wait_ready(self, names=None, limit_s=15):
         until = time.monotonic() + limit_s
-        for name in self.names:
+        for name in names or self.names:
             while not await self.is_ready(name):
                 if time.monotonic() > until:
                     return False
@@ -764,8 +892,9 @@
 class Writers:
     """Clients that send single writes, one after the other, and note which were acknowledged."""
 
-    def __init__(self, record, instances, database, clients, pause_s):
+    def __init__(self, record, instances, database, clients, pause_s, names=None):
         self.record, self.instances, self.database = record, instances, database
+        self.names = names or instances.names
         self.clients, self.pause_s = clients, pause_s
         self.acknowledged = {}
         self.sent = 0
@@ -774,7 +903,7 @@
 
     def start(self):
         for number in range(self.clients):
-            name = self.instances.names[number % len(self.instances.names)]
+            name = self.names[number % len(self.names)]
             task = self.run(f"c{number}", self.instances.front(name))
             self.tasks.append(asyncio.get_running_loop().create_task(task))
 
