--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -10,6 +10,7 @@
 mod moved_route;
 mod record;
 mod servers;
+mod shape;
 mod store;
 mod wire;
 
@@ -30,6 +31,7 @@
         "exchanged-fleet" => exchanged_fleet::run(&record, !calm),
         "line-feed" => line_feed::run(&record, !calm),
         "moved-route" => moved_route::run(&record, !calm),
+        "shape" => shape::run(&record, !calm),
         other => Verdict::NotRun(format!("no case {other:?}")),
     };
     match verdict {
--- a/review/harness-2/src/servers.rs
+++ b/review/harness-2/src/servers.rs
@@ -22,6 +22,8 @@
     pub server: String,
     pub id: String,
     pub text: String,
+    /// Access and shape of the prepared statement that it executed.
+    pub prepared: Option<(String, String)>,
     /// Number of the last commit in the log that it ran on.
     pub applied: u64,
 }
@@ -91,6 +93,13 @@
         self.state.lock().unwrap().runs.clone()
     }
 
+    /// The data that the primary has for an item.
+    pub fn data_of(&self, item: &str) -> Option<String> {
+        let state = self.state.lock().unwrap();
+        let found = state.log.iter().rev().find(|commit| commit.item == item);
+        found.map(|commit| commit.data.clone())
+    }
+
     fn serve(&self, number: usize, stream: TcpStream) {
         let mut lines = Lines::new(stream);
         let mut session = Session { state: 'I', writes: Vec::new(), prepared: BTreeMap::new() };
@@ -198,7 +207,7 @@
                 self.record(number, id, text);
                 Ok(vec![self.value(number, rest)])
             }
-            "WRITE" => self.write(number, session, id, text, rest),
+            "WRITE" => self.write(number, session, id, text, rest, None),
             "SET" | "DEALLOC" => Ok(Vec::new()),
             "RESET" => {
                 session.prepared.clear();
@@ -207,17 +216,20 @@
             "PREPARE" => {
                 let (name, rest) = rest.split_once(' ').ok_or("MALFORMED")?;
                 let (access, shape) = rest.split_once(' ').ok_or("MALFORMED")?;
+                if !matches!(access, "READ" | "WRITE") {
+                    return Err("MALFORMED");
+                }
                 session.prepared.insert(name.to_owned(), (access.to_owned(), shape.to_owned()));
                 Ok(Vec::new())
             }
             "EXECUTE" => {
                 let (name, arguments) = rest.split_once(' ').ok_or("MALFORMED")?;
-                let (access, _) = session.prepared.get(name).cloned().ok_or("NOSTMT")?;
-                if access == "WRITE" {
-                    return self.write(number, session, id, text, arguments);
+                let prepared = session.prepared.get(name).cloned().ok_or("NOSTMT")?;
+                if prepared.0 == "WRITE" {
+                    return self.write(number, session, id, text, arguments, Some(prepared));
                 }
                 std::thread::sleep(WORK);
-                self.record(number, id, text);
+                self.record_prepared(number, id, text, Some(prepared));
                 Ok(vec![self.value(number, arguments)])
             }
             "STATUS" | "PAUSE" | "RESUME" | "DEMOTE" => {
@@ -231,6 +243,16 @@
     }
 
     fn record(&self, number: usize, id: &str, text: &str) {
+        self.record_prepared(number, id, text, None);
+    }
+
+    fn record_prepared(
+        &self,
+        number: usize,
+        id: &str,
+        text: &str,
+        prepared: Option<(String, String)>,
+    ) {
         let mut state = self.state.lock().unwrap();
         let applied = self.applied(&state, number);
         state.runs.push(Run {
@@ -239,6 +261,7 @@
             server: self.servers[number].0.clone(),
             id: id.to_owned(),
             text: text.to_owned(),
+            prepared,
             applied,
         });
     }
@@ -257,12 +280,13 @@
         id: &str,
         text: &str,
         arguments: &str,
+        prepared: Option<(String, String)>,
     ) -> Result<Vec<String>, &'static str> {
         if number != 0 {
             return Err("READONLY");
         }
         std::thread::sleep(WORK);
-        self.record(number, id, text);
+        self.record_prepared(number, id, text, prepared);
         let (item, data) = arguments.split_once(' ').unwrap_or((arguments, ""));
         session.writes.push((item.to_owned(), data.to_owned()));
         if session.state == 'I' {
