--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -9,7 +9,7 @@
 for program in target/release/chervilwharf-platform review/harness-2/target/release/review-2; do
     [ -x "$program" ] || { echo "$program is not built"; exit 2; }
 done
-timeout -k 3 110 review/harness-2/target/release/review-2 line-feed
+timeout -k 3 110 review/harness-2/target/release/review-2 left-replica
 code=$?
 [ "$code" -le 1 ] && exit "$code"
 exit 2
--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -6,9 +6,11 @@
 mod exchanged_fleet;
 mod http;
 mod json;
+mod left_replica;
 mod line_feed;
 mod moved_route;
 mod record;
+mod replicated;
 mod servers;
 mod shape;
 mod store;
@@ -29,6 +31,7 @@
     let record = record::Record::create();
     let verdict = match case.as_str() {
         "exchanged-fleet" => exchanged_fleet::run(&record, !calm),
+        "left-replica" => left_replica::run(&record, !calm),
         "line-feed" => line_feed::run(&record, !calm),
         "moved-route" => moved_route::run(&record, !calm),
         "shape" => shape::run(&record, !calm),
--- a/review/harness-2/src/store.rs
+++ b/review/harness-2/src/store.rs
@@ -23,10 +23,14 @@
     events: Vec<(u64, String, bool, Json)>,
 }
 
+/// Promotes the server of this id, and returns the status of the answer.
+type Promote = Box<dyn Fn(&str) -> u16 + Send>;
+
 #[derive(Clone)]
 pub struct Store {
     pub address: SocketAddr,
     shared: Arc<(Mutex<State>, Condvar)>,
+    promote: Arc<Mutex<Option<Promote>>>,
 }
 
 fn text(value: &str) -> Json {
@@ -85,7 +89,7 @@
     pub fn start(ip: &str) -> Self {
         let listener = TcpListener::bind((ip, 0)).expect("a free port");
         let address = listener.local_addr().expect("it is bound");
-        let store = Self { address, shared: Arc::default() };
+        let store = Self { address, shared: Arc::default(), promote: Arc::default() };
         let served = store.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -103,6 +107,17 @@
         self.shared.1.notify_all();
     }
 
+    /// Removes an object, as the platform does with the entry of a server that has left.
+    pub fn remove(&self, kind: &str, name: &str) {
+        self.shared.0.lock().unwrap().remove(kind, name);
+        self.shared.1.notify_all();
+    }
+
+    /// Sets what the call that promotes does. Without it, the call changes nothing.
+    pub fn on_promote(&self, promote: impl Fn(&str) -> u16 + Send + 'static) {
+        *self.promote.lock().unwrap() = Some(Box::new(promote));
+    }
+
     fn serve(&self, stream: &TcpStream) {
         let Some(request) = http::read_request(stream) else {
             return;
@@ -113,8 +128,10 @@
 
     fn answer(&self, request: &Request) -> (u16, String) {
         if request.path == "/promote" {
-            // The present primary is never lost in these cases: nothing changes.
-            return (200, "{}".to_owned());
+            let body = Json::parse(&request.body).unwrap_or(Json::Null);
+            let id = body.get("id").as_text().unwrap_or_default();
+            let promote = self.promote.lock().unwrap();
+            return (promote.as_ref().map_or(200, |promote| promote(id)), "{}".to_owned());
         }
         let Some(path) = request.path.strip_prefix("/-/objects/") else {
             return (404, "{}".to_owned());
