--- a/review/harness-2/src/deployment.rs
+++ b/review/harness-2/src/deployment.rs
@@ -70,6 +70,12 @@
         deployment.wait_until_ready().then_some(deployment)
     }
 
+    /// Sends SIGTERM to a process.
+    pub fn terminate(&self, number: usize) {
+        let id = self.processes[number].id().to_string();
+        let _ = Command::new("kill").args(["-TERM", &id]).status();
+    }
+
     /// Kills all processes.
     pub fn kill_all(&mut self) {
         for process in &mut self.processes {
--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -9,6 +9,7 @@
 mod left_replica;
 mod line_feed;
 mod moved_route;
+mod planned_stop;
 mod record;
 mod replicated;
 mod servers;
@@ -34,6 +35,7 @@
         "left-replica" => left_replica::run(&record, !calm),
         "line-feed" => line_feed::run(&record, !calm),
         "moved-route" => moved_route::run(&record, !calm),
+        "planned-stop" => planned_stop::run(&record, !calm),
         "shape" => shape::run(&record, !calm),
         other => Verdict::NotRun(format!("no case {other:?}")),
     };
--- a/review/harness-2/src/servers.rs
+++ b/review/harness-2/src/servers.rs
@@ -45,6 +45,7 @@
     /// Id and address of each server; the first one is the primary.
     pub servers: Vec<(String, SocketAddr)>,
     lag: Duration,
+    work: Duration,
     state: Arc<Mutex<State>>,
 }
 
@@ -56,6 +57,16 @@
 
 impl Service {
     pub fn start(ip: &str, name: &str, size: usize, lag: Duration) -> Self {
+        Self::start_with_work(ip, name, size, lag, WORK)
+    }
+
+    pub fn start_with_work(
+        ip: &str,
+        name: &str,
+        size: usize,
+        lag: Duration,
+        work: Duration,
+    ) -> Self {
         let listeners: Vec<_> =
             (0..size).map(|_| TcpListener::bind((ip, 0)).expect("a free port")).collect();
         let servers = listeners.iter().enumerate().map(|(number, listener)| {
@@ -66,6 +77,7 @@
             name: name.to_owned(),
             servers: servers.collect(),
             lag,
+            work,
             state: Arc::new(Mutex::new(State { log: vec![first], runs: Vec::new() })),
         };
         for (number, listener) in listeners.into_iter().enumerate() {
@@ -197,13 +209,13 @@
                     session.writes.clear();
                     return Err("ABORTED");
                 }
-                std::thread::sleep(WORK);
+                std::thread::sleep(self.work);
                 self.record(number, id, text);
                 self.commit(session);
                 Ok(Vec::new())
             }
             "READ" => {
-                std::thread::sleep(WORK);
+                std::thread::sleep(self.work);
                 self.record(number, id, text);
                 Ok(vec![self.value(number, rest)])
             }
@@ -228,7 +240,7 @@
                 if prepared.0 == "WRITE" {
                     return self.write(number, session, id, text, arguments, Some(prepared));
                 }
-                std::thread::sleep(WORK);
+                std::thread::sleep(self.work);
                 self.record_prepared(number, id, text, Some(prepared));
                 Ok(vec![self.value(number, arguments)])
             }
@@ -285,7 +297,7 @@
         if number != 0 {
             return Err("READONLY");
         }
-        std::thread::sleep(WORK);
+        std::thread::sleep(self.work);
         self.record_prepared(number, id, text, prepared);
         let (item, data) = arguments.split_once(' ').unwrap_or((arguments, ""));
         session.writes.push((item.to_owned(), data.to_owned()));
