sessions: keep the position of own commits for each group

Cause: a session kept one position, which Session::resolve discarded when the route was at another group. Invariant: each read of a session on a read_your_writes route has every commit acknowledged to that session in the log that the read runs on. Change: SessionFloors keeps a position for each of the last eight groups; in a group beyond these, reads need the primary until its position is known again. Forwarded statements carry that too (new fields floor_age_ms and floor_unknown). A group that was removed and created again has another log: where the primary, under its lease, lacks the position, the read runs there and does not wait. Related paths: transactions that began before the move, read-only transactions, forwarded and passed-on statements (tests); values, prepared statements, objectives, affinity and samples (read: they do not depend on the group, or age out).

--- a/daemon/src/engine/forwarded_session.rs
+++ b/daemon/src/engine/forwarded_session.rs
@@ -15,6 +15,8 @@
 use chervilwharf_lib::id::GroupId;
 use chervilwharf_lib::position::Position;
 use chervilwharf_lib::received_statements::StatementTicket;
+use chervilwharf_lib::session_floors::OwnCommits;
+use chervilwharf_lib::session_floors::OwnPosition;
 use chervilwharf_lib::statement::Access;
 use chervilwharf_lib::statement::Prepared;
 use chervilwharf_lib::statement::Statement;
@@ -55,8 +57,8 @@
 
     async fn run_inner(&mut self, mut statement: engine_protos::Statement) -> StatementReply {
         let begin = statement.begin();
-        let floor = Position::new(statement.floor_term, statement.floor_index);
-        let refusal = |kind| refusal(kind, floor);
+        let own = own_commits(&statement);
+        let refusal = |kind| refusal(kind, own);
         let Some(work) = decode_work(statement.work.take()) else {
             return refusal(ErrorKind::BadStatement);
         };
@@ -111,7 +113,7 @@
         session.use_route(&request.id, &request.route, caller);
         let values = statement.values.into_iter();
         session.set_values(values.map(|value| (value.name.into(), value.value.into())).collect());
-        session.set_floor((floor.term > 0).then_some(floor));
+        session.set_own_commits(own);
         if begin != Begin::No {
             session.begin_forwarded(&request.route, begin == Begin::ReadOnly);
         }
@@ -177,8 +179,7 @@
 impl ForwardedStatementHandler for ForwardedSession {
     async fn run(&mut self, statement: engine_protos::Statement) -> StatementReply {
         let Some(_arrived) = ArrivedGuard::new(&self.engine, statement.ticket) else {
-            let floor = Position::new(statement.floor_term, statement.floor_index);
-            return refusal(ErrorKind::NotOwner, floor);
+            return refusal(ErrorKind::NotOwner, own_commits(&statement));
         };
         let group = statement.route.as_ref().map(|route| GroupId::from(&*route.group));
         let mut reply = self.run_inner(statement).await;
@@ -212,19 +213,32 @@
 /// The reply that refuses a statement. It returns the session's floor unchanged, since the
 /// other instance adopts the floor of the reply. Without it, later reads of the session could
 /// miss its own commit.
-fn refusal(kind: ErrorKind, floor: Position) -> StatementReply {
+fn refusal(kind: ErrorKind, own: OwnCommits) -> StatementReply {
     let failure = Failure::new(kind);
+    let floor = own.position().unwrap_or(Position::ZERO);
     StatementReply {
         error: kind.name().to_owned(),
         text: failure.text.to_string(),
         floor_term: floor.term,
         floor_index: floor.index,
+        floor_unknown: own == OwnCommits::Unknown,
         ..StatementReply::default()
     }
 }
 
+/// The own commits of the client's session, as the other instance sent them.
+fn own_commits(statement: &engine_protos::Statement) -> OwnCommits {
+    let position = Position::new(statement.floor_term, statement.floor_index);
+    if position.term == 0 {
+        return if statement.floor_unknown { OwnCommits::Unknown } else { OwnCommits::None };
+    }
+    let age = Duration::from_millis(statement.floor_age_ms);
+    OwnCommits::UpTo(OwnPosition { position, acknowledged_at: now().saturating_sub(age) })
+}
+
 fn encode_reply(session: &Session, result: Result<Served, Failure>) -> StatementReply {
-    let floor = session.floor().unwrap_or(Position::ZERO);
+    let own = session.own_commits();
+    let floor = own.position().unwrap_or(Position::ZERO);
     let state = session.state();
     let parts = &session.trace().parts;
     let mut reply = StatementReply {
@@ -235,6 +249,7 @@
         failed: state == TransactionState::Failed,
         floor_term: floor.term,
         floor_index: floor.index,
+        floor_unknown: own == OwnCommits::Unknown,
         ..StatementReply::default()
     };
     match result {
--- a/daemon/src/engine/remote/encoding.rs
+++ b/daemon/src/engine/remote/encoding.rs
@@ -10,6 +10,8 @@
 use chervilwharf_lib::engine_protos::statement::Work as WireWork;
 use chervilwharf_lib::error_kind::ErrorKind;
 use chervilwharf_lib::position::Position;
+use chervilwharf_lib::session_floors::OwnCommits;
+use chervilwharf_lib::session_floors::OwnPosition;
 use chervilwharf_lib::statement::Access;
 use chervilwharf_lib::statement::Answer;
 use chervilwharf_lib::statement::Statement;
@@ -37,8 +39,13 @@
         .values()
         .iter()
         .map(|(name, value)| SessionValue { name: name.to_string(), value: value.to_string() });
-    let floor = session.floor().unwrap_or(Position::ZERO);
+    let own = session.own_commits();
+    let floor = own.position().unwrap_or(Position::ZERO);
     let at = now();
+    let floor_age = match own {
+        OwnCommits::UpTo(own) => at.saturating_sub(own.acknowledged_at),
+        OwnCommits::None | OwnCommits::Unknown => Duration::ZERO,
+    };
     let time_left = request.time_left(at).saturating_sub(PEER_ROUND_TRIP_RESERVE);
     let objective_left = request.objective_left_at(at);
     let objective_left =
@@ -50,6 +57,8 @@
         values: values.collect(),
         floor_term: floor.term,
         floor_index: floor.index,
+        floor_age_ms: records::milliseconds(floor_age),
+        floor_unknown: own == OwnCommits::Unknown,
         begin: begin.into(),
         in_transaction: session.is_in_transaction(),
         work: encode_work(work),
@@ -85,7 +94,11 @@
 /// The failure that the reply reports.
 pub(super) fn decode(session: &mut Session, reply: StatementReply) -> Result<Served, Failure> {
     let position = |term, index| (term > 0).then(|| Position::new(term, index));
-    session.set_floor(position(reply.floor_term, reply.floor_index));
+    session.adopt_own_commits(match position(reply.floor_term, reply.floor_index) {
+        Some(position) => OwnCommits::UpTo(OwnPosition { position, acknowledged_at: now() }),
+        None if reply.floor_unknown => OwnCommits::Unknown,
+        None => OwnCommits::None,
+    });
     if reply.error.is_empty() {
         let rows = reply.rows.into_iter().map(Into::into).collect();
         let answer = Answer { rows, signature: reply.signature.into() };
--- a/daemon/src/engine/session.rs
+++ b/daemon/src/engine/session.rs
@@ -30,6 +30,7 @@
 use chervilwharf_lib::position::Position;
 use chervilwharf_lib::server_choice::ConnectionOwner;
 use chervilwharf_lib::server_choice::Need;
+use chervilwharf_lib::session_floors::SessionFloors;
 use chervilwharf_lib::statement::Answer;
 use chervilwharf_lib::statement::Prepared;
 use chervilwharf_lib::statement::Statement;
@@ -82,9 +83,8 @@
     is_forwarded: bool,
     values: SessionValues,
     prepared: HashMap<Arc<str>, Prepared>,
-    /// Position of the session's last own commit: the lowest position that its reads
-    /// have to see.
-    floor: Option<Position>,
+    /// The session's own commits, which its reads have to see.
+    floors: SessionFloors,
     transaction: Option<Transaction>,
     /// Whether a statement of the transaction is running.
     in_transaction: bool,
@@ -132,7 +132,7 @@
             is_forwarded: false,
             values: SessionValues::new(),
             prepared: HashMap::new(),
-            floor: None,
+            floors: SessionFloors::default(),
             transaction: None,
             in_transaction: false,
             affinity,
--- a/daemon/src/engine/session/consistency.rs
+++ b/daemon/src/engine/session/consistency.rs
@@ -9,6 +9,8 @@
 use chervilwharf_lib::id::Term;
 use chervilwharf_lib::moment::Moment;
 use chervilwharf_lib::position::Position;
+use chervilwharf_lib::session_floors::OwnCommits;
+use chervilwharf_lib::session_floors::OwnPosition;
 
 use crate::engine::clock::now;
 use crate::engine::event_log;
@@ -20,22 +22,43 @@
 const CONFIRM_LIMIT: Duration = Duration::from_millis(400);
 
 impl Session {
-    /// Position of the session's last own commit.
+    /// The session's own commits in the group that it uses.
     #[must_use]
-    pub fn floor(&self) -> Option<Position> {
-        self.floor
+    pub fn own_commits(&self) -> OwnCommits {
+        self.floors.get(self.shard.id())
+    }
+
+    /// Adopts what another instance reports of the session's own commits in the group that it
+    /// uses.
+    pub fn adopt_own_commits(&mut self, own: OwnCommits) {
+        self.floors.adopt(self.shard.id(), own);
     }
 
     /// Lowest log position that a read of this session has to see; `None` if the
     /// read needs the primary.
     #[must_use]
     pub fn floor_for(&self, arrived_at: Moment, consistency: Consistency) -> Option<Position> {
-        self.shard.with_group(|group| group.floor(arrived_at, consistency, self.floor))
+        let own = self.own_commits();
+        self.shard.with_group(|group| group.read_floor(arrived_at, consistency, own))
     }
 
     /// Records that the session committed at a position.
     pub fn raise_floor(&mut self, position: Position) {
-        self.floor = Some(self.floor.map_or(position, |floor| floor.max(position)));
+        self.floors.raise(self.shard.id(), now(), position);
+    }
+
+    /// Records the position that a primary had reached when it served a read, while its lease is
+    /// valid. It includes all own commits, if they are in the log at all.
+    pub fn observe_primary_position(&mut self, server: &str, position: Position) {
+        let is_needed = match self.own_commits() {
+            OwnCommits::None => false,
+            OwnCommits::Unknown => true,
+            OwnCommits::UpTo(own) => position < own.position,
+        };
+        if is_needed && self.shard.term_of(server).is_some() {
+            let own = OwnPosition { position, acknowledged_at: now() };
+            self.floors.set(self.shard.id(), own);
+        }
     }
 
     /// Records that a server has not applied `floor`. If that proves that a change of
@@ -50,8 +73,8 @@
         let floor = floor.unwrap_or_default();
         let rolled_back =
             self.shard.with_group(|group| group.observe_lagging(now(), server, floor, applied));
-        if rolled_back && self.floor.is_some_and(|own| own <= floor) {
-            self.floor = None;
+        if rolled_back && self.own_commits().position().is_some_and(|own| own <= floor) {
+            self.floors.clear(self.shard.id());
         }
     }
 
--- a/daemon/src/engine/session/dispatch.rs
+++ b/daemon/src/engine/session/dispatch.rs
@@ -89,8 +89,6 @@
         let route = route.ok_or_else(|| Failure::new(ErrorKind::UnknownDatabase))?;
         if *self.shard.id() != route.group {
             self.shard = self.engine.shard(&route.group);
-            // A position is valid only in the log of its own group.
-            self.floor = None;
         }
         Ok(route)
     }
--- a/daemon/src/engine/session/forwarded.rs
+++ b/daemon/src/engine/session/forwarded.rs
@@ -7,7 +7,8 @@
 use chervilwharf_lib::connection_setup::SessionValues;
 use chervilwharf_lib::holder_choice::Affinity;
 use chervilwharf_lib::id::RequestId;
-use chervilwharf_lib::position::Position;
+use chervilwharf_lib::session_floors::OwnCommits;
+use chervilwharf_lib::session_floors::SessionFloors;
 
 use crate::engine::caller::Caller;
 use crate::engine::session::Session;
@@ -50,9 +51,10 @@
         self.values = values;
     }
 
-    /// Sets the position of the session's last own commit.
-    pub fn set_floor(&mut self, floor: Option<Position>) {
-        self.floor = floor;
+    /// Sets the own commits of the client's session in the group of its statement.
+    pub fn set_own_commits(&mut self, own: OwnCommits) {
+        self.floors = SessionFloors::default();
+        self.floors.adopt(self.shard.id(), own);
     }
 
     /// Begins a transaction for the forwarding instance.
--- a/daemon/src/engine/single.rs
+++ b/daemon/src/engine/single.rs
@@ -208,6 +208,9 @@
                 }
                 group.observe_read_time(&server, now().saturating_sub(sent_at));
             });
+            if let (None, Some(position)) = (floor, reply.position) {
+                session.observe_primary_position(&server, position);
+            }
             let took = now().saturating_sub(sent_at);
             session.shard().observe_time(&server, took, slow_threshold);
             Attempt::Done(Served { answer, position: reply.position })
--- a/lib/src/group/reading.rs
+++ b/lib/src/group/reading.rs
@@ -9,6 +9,8 @@
 use crate::id::TargetId;
 use crate::moment::Moment;
 use crate::position::Position;
+use crate::session_floors::OwnCommits;
+use crate::session_floors::OwnPosition;
 
 /// A read may be sent to a server this long before the server is expected to reach the
 /// read's floor: about the time that a statement takes to arrive there and begin.
@@ -154,6 +156,41 @@
         }
     }
 
+    /// As [`Group::floor`], for a session with these own commits.
+    ///
+    /// `None` also if the log of the group lacks an own commit although it was not rolled back: the
+    /// group was removed and created again under its name, and a read with the floor of the
+    /// former log would wait for a position that means nothing in the present one.
+    #[must_use]
+    pub fn read_floor(
+        &self,
+        arrived_at: Moment,
+        consistency: Consistency,
+        own: OwnCommits,
+    ) -> Option<Position> {
+        if matches!(consistency, Consistency::ReadYourWrites(_)) {
+            match own {
+                OwnCommits::Unknown => return None,
+                OwnCommits::UpTo(own) if self.is_of_other_log(arrived_at, own) => return None,
+                OwnCommits::None | OwnCommits::UpTo(_) => {}
+            }
+        }
+        self.floor(arrived_at, consistency, own.position())
+    }
+
+    /// Whether the primary lacks a commit that was acknowledged to a session. With the lease on
+    /// its term it has every acknowledged commit of its log.
+    fn is_of_other_log(&self, now: Moment, own: OwnPosition) -> bool {
+        let Some(leader) = self.usable_leader(now) else {
+            return false;
+        };
+        let position = self.surviving(own.position);
+        let lacks_it = |(asked_at, sampled): (Moment, Position)| {
+            sampled.term == leader.term && asked_at > own.acknowledged_at && sampled < position
+        };
+        leader.term < position.term || self.samples.newest().is_some_and(lacks_it)
+    }
+
     /// The last position at or before `position` that survived later promotions. Entries
     /// beyond it were rolled back.
     #[must_use]
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -67,6 +67,7 @@
 pub mod server_choice;
 pub mod server_list;
 pub mod server_refusal;
+pub mod session_floors;
 pub mod settings;
 pub mod share_holders;
 pub mod statement;
--- a/lib/src/protos/chervilwharf.engine.rs
+++ b/lib/src/protos/chervilwharf.engine.rs
@@ -417,6 +417,12 @@
     pub floor_term: u64,
     #[prost(uint64, tag = "6")]
     pub floor_index: u64,
+    /// Time since that commit was acknowledged, rounded down.
+    #[prost(uint64, tag = "20")]
+    pub floor_age_ms: u64,
+    /// Whether the session may have commits at positions that are not known.
+    #[prost(bool, tag = "21")]
+    pub floor_unknown: bool,
     /// Whether the statement begins a transaction, whose next statements follow on
     /// the same connection.
     #[prost(enumeration = "statement::Begin", tag = "7")]
@@ -673,6 +679,9 @@
     pub floor_term: u64,
     #[prost(uint64, tag = "11")]
     pub floor_index: u64,
+    /// Whether the session may have commits at positions that are not known.
+    #[prost(bool, tag = "16")]
+    pub floor_unknown: bool,
     /// How the sender spent its time on the statement: in the queue for a connection, opening
     /// one, and at servers. 0 if not known.
     #[prost(uint64, tag = "12")]
