voters: instances that leave as planned hand over their votes

Cause: a group can only change its voters with a majority of the former ones. CHANGE_DELAY began anew with each change of the list of instances, so that in a steady exchange the change was not begun before the former voters had ended. And a voter that leaves counted as one that stays until its record was gone. Invariant, unchanged: any set of voters that can grant a lease shares a voter with any set whose promises allow a replacement. Every change still takes two writes and the acknowledgements of a majority of both lists; only when a change begins, and to which voters, is new. Otherwise one that leaves stays a voter, since it may only restart. A change begins 6 s after the list first differed at the latest, and one in progress is directed to other voters after 3 s at the earliest, so that it can be acknowledged. No leaving instance becomes a voter. The voters on keepers use the same code. The exploration of leases learns instances that leave as planned.

--- a/daemon/src/engine/keeper_voter_control.rs
+++ b/daemon/src/engine/keeper_voter_control.rs
@@ -24,6 +24,7 @@
 use chervilwharf_lib::keeper_voter_change::KnownStore;
 use chervilwharf_lib::moment::Moment;
 use chervilwharf_lib::revision::Era;
+use chervilwharf_lib::voter_change::PreferredVoters;
 use chervilwharf_lib::voter_set::VoterSet;
 use futures::future::join_all;
 
@@ -171,9 +172,10 @@
         if !known.set().contains(me) && !shard.preferred_voters.contains(me) {
             return None;
         }
-        let preferred = &shard.preferred_voters;
-        let is_recorded = |id: &_| self.is_recorded(id);
-        let action = shard.voter_change.tick(at, known, store, drives, preferred, is_recorded)?;
+        let preferred =
+            PreferredVoters { recorded: &shard.preferred_voters, staying: &shard.staying_voters };
+        let presence = |id: &InstanceId| self.presence(id);
+        let action = shard.voter_change.tick(at, known, store, drives, preferred, presence)?;
         shard.is_changing_voters = true;
         Some(action)
     }
@@ -206,6 +208,12 @@
         self.quota().lock().shard(number).known_voters.set().is_known()
     }
 
+    /// The voters on the keepers of all shards.
+    pub(super) fn keeper_voter_sets(&self) -> Vec<VoterSet> {
+        let mut inner = self.quota().lock();
+        (0..ACCOUNT_SHARDS).map(|number| inner.shard(number).known_voters.set().clone()).collect()
+    }
+
     /// The instances that should vote on a shard, ordered by id.
     fn preferred_keeper_voters(&self, number: ShardNumber) -> Vec<InstanceId> {
         self.update_keeper_voters();
--- a/daemon/src/engine/quota_control.rs
+++ b/daemon/src/engine/quota_control.rs
@@ -63,6 +63,8 @@
     pub(super) voters: Arc<Vec<InstanceRecord>>,
     /// The instances that should vote, ordered by id.
     pub(super) preferred_voters: Vec<InstanceId>,
+    /// The instances that should vote out of those that are not leaving, ordered by id.
+    pub(super) staying_voters: Vec<InstanceId>,
     /// The voters by which votes are counted.
     pub(super) known_voters: KeeperVoters,
     pub(super) voter_change: KeeperVoterChange,
@@ -99,6 +101,7 @@
         Self {
             voters: Arc::default(),
             preferred_voters: Vec::new(),
+            staying_voters: Vec::new(),
             known_voters: KeeperVoters::new(me.clone(), started_at),
             voter_change: KeeperVoterChange::default(),
             voters_revision: None,
@@ -131,6 +134,8 @@
     pub(super) shards: Vec<AccountShard>,
     /// Records of instances from which the voters were computed.
     pub(super) recorded: Vec<InstanceRecord>,
+    /// Those of them that are not leaving.
+    pub(super) staying: Vec<InstanceRecord>,
     /// Whether voters have changed since the holders were computed.
     pub(super) are_voters_outdated: bool,
     /// The other instances in these records.
@@ -159,6 +164,7 @@
                 votes: Votes::new(started_at),
                 shards,
                 recorded: Vec::new(),
+                staying: Vec::new(),
                 are_voters_outdated: false,
                 others: Arc::default(),
                 allowances: HashMap::new(),
--- a/daemon/src/engine/quota_leases.rs
+++ b/daemon/src/engine/quota_leases.rs
@@ -173,8 +173,11 @@
             let others = fleet.others().cloned();
             others.chain([self.me().clone()]).collect()
         });
+        let staying = recorded.iter().filter(|record| !self.is_leaving(&record.id));
+        let staying: Vec<_> = staying.cloned().collect();
         let mut inner = self.quota().lock();
-        if inner.recorded == recorded && !inner.are_voters_outdated {
+        let is_same = inner.recorded == recorded && inner.staying == staying;
+        if is_same && !inner.are_voters_outdated {
             return;
         }
         inner.are_voters_outdated = false;
@@ -191,6 +194,9 @@
             let extra = extra_share_holders(number, &recorded, &voters);
             shard.preferred_voters = preferred.into_iter().map(|record| record.id).collect();
             shard.preferred_voters.sort_unstable();
+            let staying = preferred_keeper_voters(number, &staying);
+            shard.staying_voters = staying.into_iter().map(|record| record.id).collect();
+            shard.staying_voters.sort_unstable();
             shard.holders = Arc::new(voters.iter().chain(&extra).cloned().collect());
             shard.voters = Arc::new(voters);
             shard.extra_holders = Arc::new(extra);
@@ -198,6 +204,7 @@
         let others = recorded.iter().filter(|record| record.id != self.me().id);
         inner.others = Arc::new(others.map(|record| record.id.clone()).collect());
         inner.recorded = recorded;
+        inner.staying = staying;
     }
 
     fn should_request_votes(&self, number: ShardNumber) -> bool {
--- a/daemon/src/engine/voter_control.rs
+++ b/daemon/src/engine/voter_control.rs
@@ -20,8 +20,11 @@
 use chervilwharf_lib::holders::preferred_voters;
 use chervilwharf_lib::id::GroupId;
 use chervilwharf_lib::id::InstanceId;
+use chervilwharf_lib::voter_change::PreferredVoters;
+use chervilwharf_lib::voter_change::Presence;
 use chervilwharf_lib::voter_change::VoterAction;
 use chervilwharf_lib::voter_change::VoterChange;
+use chervilwharf_lib::voter_change::needs_handover;
 use chervilwharf_lib::voter_set::VoterSet;
 use chervilwharf_lib::voter_set::VotersVersion;
 use futures::future::join_all;
@@ -39,18 +42,46 @@
 /// instance drives.
 #[derive(Default)]
 pub struct VoterControl {
-    preferred: Mutex<PreferredVoters>,
+    preferred: Mutex<PreferredLists>,
     changes: Mutex<HashMap<GroupId, VoterChange>>,
 }
 
 #[derive(Default)]
-struct PreferredVoters {
-    /// `Fleet::changes` and whether this instance has a record, when `recorded` was last
-    /// compared with the present instances.
-    compared_at: Option<(u64, bool)>,
-    /// The instances from which the lists were computed.
-    recorded: Vec<InstanceRecord>,
-    computed: HashMap<GroupId, Arc<Vec<InstanceId>>>,
+struct PreferredLists {
+    /// `Fleet::changes`, whether this instance has a record, and whether it is stopping, when
+    /// the lists were last compared with the present instances.
+    compared_at: Option<(u64, bool, bool)>,
+    /// Out of all instances that have a record.
+    recorded: ComputedVoters,
+    /// Out of those that are not leaving.
+    staying: ComputedVoters,
+}
+
+/// The instances that should vote on each group, out of some.
+#[derive(Default)]
+struct ComputedVoters {
+    from: Vec<InstanceRecord>,
+    by_group: HashMap<GroupId, Arc<Vec<InstanceId>>>,
+}
+
+impl ComputedVoters {
+    /// Discards the lists if they were computed from other instances.
+    fn set_instances(&mut self, from: Vec<InstanceRecord>) {
+        if self.from != from {
+            *self = Self { from, by_group: HashMap::new() };
+        }
+    }
+
+    fn of(&mut self, group: &GroupId) -> Arc<Vec<InstanceId>> {
+        if let Some(known) = self.by_group.get(group) {
+            return known.clone();
+        }
+        let mut computed = preferred_voters(group, &self.from);
+        computed.sort_unstable();
+        let computed = Arc::new(computed);
+        self.by_group.insert(group.clone(), computed.clone());
+        computed
+    }
 }
 
 impl VoterControl {
@@ -71,9 +102,11 @@
         return;
     }
     let voters = engine.voters(shard.id());
-    let preferred = engine.preferred_voters(shard.id());
+    let (recorded, staying) =
+        (engine.preferred_voters(shard.id()), engine.staying_voters(shard.id()));
+    let preferred = PreferredVoters { recorded: &recorded, staying: &staying };
     let action = engine.voter_control().with_change(shard.id(), |change| {
-        change.tick(now(), era, &voters, &preferred, |id| engine.is_recorded(id))
+        change.tick(now(), era, &voters, preferred, |id| engine.presence(id))
     });
     match action {
         Some(VoterAction::Write(next)) => {
@@ -156,15 +189,50 @@
     #[must_use]
     pub fn preferred_voters(&self, group: &GroupId) -> Arc<Vec<InstanceId>> {
         self.discard_outdated_preferences();
-        let mut preferred = self.voter_control().preferred.lock().expect("never poisoned");
-        if let Some(known) = preferred.computed.get(group) {
-            return known.clone();
+        self.voter_control().preferred.lock().expect("never poisoned").recorded.of(group)
+    }
+
+    /// The instances that should vote on a group, out of those that are not leaving.
+    #[must_use]
+    pub fn staying_voters(&self, group: &GroupId) -> Arc<Vec<InstanceId>> {
+        self.discard_outdated_preferences();
+        self.voter_control().preferred.lock().expect("never poisoned").staying.of(group)
+    }
+
+    /// Whether an instance, possibly this one, takes part.
+    #[must_use]
+    pub fn presence(&self, id: &InstanceId) -> Presence {
+        match (self.is_recorded(id), self.is_leaving(id)) {
+            (false, _) => Presence::Absent,
+            (true, true) => Presence::Leaving,
+            (true, false) => Presence::Staying,
         }
-        let mut computed = preferred_voters(group, &preferred.recorded);
-        computed.sort_unstable();
-        let computed = Arc::new(computed);
-        preferred.computed.insert(group.clone(), computed.clone());
-        computed
+    }
+
+    /// Whether an instance, possibly this one, is leaving as planned.
+    #[must_use]
+    pub fn is_leaving(&self, id: &InstanceId) -> bool {
+        if *id == self.me().id {
+            return self.is_stopping();
+        }
+        self.with_fleet(|fleet| fleet.is_leaving(id))
+    }
+
+    /// Whether this instance votes on a group or on the keeper of a shard of accounts, and so
+    /// few of the voters stay that these have to take over before it ends.
+    #[must_use]
+    pub fn has_votes_to_hand_over(&self) -> bool {
+        let me = &self.me().id;
+        // Without others that stay there is nobody to take over.
+        let has_others =
+            self.with_fleet(|fleet| fleet.others().any(|record| !fleet.is_leaving(&record.id)));
+        let has_to = |voters: &VoterSet| {
+            voters.contains(me) && needs_handover(voters, |id| self.presence(id))
+        };
+        has_others
+            && (self.shards().iter().any(|shard| {
+                has_to(&shard.with_group(|group| group.primary_lease().voters().clone()))
+            }) || self.keeper_voter_sets().iter().any(has_to))
     }
 
     /// Whether a voter of a group in use has no record here.
@@ -200,17 +268,19 @@
 
     /// Discards the lists of preferred voters if the recorded instances have changed.
     fn discard_outdated_preferences(&self) {
-        let compared_at = Some((self.with_fleet(|fleet| fleet.changes()), self.is_registered()));
+        let changes = self.with_fleet(|fleet| fleet.changes());
+        let compared_at = Some((changes, self.is_registered(), self.is_stopping()));
         let preferred = &self.voter_control().preferred;
         if preferred.lock().expect("never poisoned").compared_at == compared_at {
             return;
         }
         let recorded = self.recorded();
+        let staying = recorded.iter().filter(|record| !self.is_leaving(&record.id));
+        let staying: Vec<_> = staying.cloned().collect();
         let mut preferred = preferred.lock().expect("never poisoned");
         preferred.compared_at = compared_at;
-        if preferred.recorded != recorded {
-            *preferred = PreferredVoters { compared_at, recorded, computed: HashMap::new() };
-        }
+        preferred.staying.set_instances(staying);
+        preferred.recorded.set_instances(recorded);
     }
 
     /// Adopts the voters of all groups in use that the known duties name.
--- a/lib/src/event.rs
+++ b/lib/src/event.rs
@@ -177,6 +177,8 @@
     DutyTaken, "duty_taken", State;
     /// This instance adopted later voters of a group.
     VotersAdopted, "voters_adopted", State;
+    /// At a planned stop, other instances did not take over the votes of this one in time.
+    VotesKept, "votes_kept", State;
     /// This instance wrote a set of voters to the store.
     VotersWritten, "voters_written", State;
     /// This instance failed to take a duty.
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -393,6 +393,12 @@
         live
     }
 
+    /// Whether another instance is leaving as planned.
+    #[must_use]
+    pub fn is_leaving(&self, id: &str) -> bool {
+        self.members.get(id).is_some_and(|member| member.leaving)
+    }
+
     /// The present state of the instances that are eligible for new duties.
     #[must_use]
     pub fn eligible_stamp(&self, now: Moment) -> EligibleStamp {
@@ -403,8 +409,7 @@
     /// not leaving.
     #[must_use]
     pub fn eligible(&self, now: Moment) -> Vec<InstanceId> {
-        let leaving = |id: &InstanceId| self.members.get(id).is_some_and(|member| member.leaving);
-        self.live(now).into_iter().filter(|id| !leaving(id)).collect()
+        self.live(now).into_iter().filter(|id| !self.is_leaving(id)).collect()
     }
 
     /// Whether this instance is a relay: it reads the current configuration and
--- a/lib/src/keeper_voter_change.rs
+++ b/lib/src/keeper_voter_change.rs
@@ -12,6 +12,8 @@
 use crate::moment::Moment;
 use crate::primary_lease::VOTERS_LEASE;
 use crate::revision::Era;
+use crate::voter_change::PreferredVoters;
+use crate::voter_change::Presence;
 use crate::voter_change::VoterAction;
 use crate::voter_change::VoterChange;
 use crate::voter_set::VoterSet;
@@ -60,17 +62,16 @@
 }
 
 impl KeeperVoterChange {
-    /// Returns the action that is due. `preferred` are the instances that should vote, ordered
-    /// by id. `drives` tells whether this instance drives changes, and `is_recorded` whether an
-    /// instance has a record.
+    /// Returns the action that is due. `drives` tells whether this instance drives changes, and
+    /// `presence` whether an instance takes part.
     pub fn tick(
         &mut self,
         now: Moment,
         known: &KeeperVoters,
         store: KnownStore,
         drives: bool,
-        preferred: &[InstanceId],
-        is_recorded: impl Fn(&InstanceId) -> bool,
+        preferred: PreferredVoters<'_>,
+        presence: impl Fn(&InstanceId) -> Presence,
     ) -> Option<KeeperVoterAction> {
         let voters = known.set();
         self.change.note_version(now, voters);
@@ -90,15 +91,15 @@
         if !voters.is_known() {
             // A restored store may have lost them.
             let may_exist = store.era > 0 && store.era_since + FIRST_AFTER_RESTORE > now;
-            let is_possible = !preferred.is_empty() && !may_exist;
+            let is_possible = !preferred.recorded.is_empty() && !may_exist;
             return is_possible
-                .then(|| VoterSet::first(store.era, preferred.to_vec()))
+                .then(|| VoterSet::first(store.era, preferred.recorded.to_vec()))
                 .and_then(|first| self.write(now, first));
         }
         if !voters.is_of_era(store.era) {
             return self.rewrite(now, voters, store);
         }
-        match self.change.tick(now, store.era, voters, preferred, is_recorded)? {
+        match self.change.tick(now, store.era, voters, preferred, presence)? {
             VoterAction::Write(next) => Some(KeeperVoterAction::Write(next)),
             VoterAction::RequestAcknowledgements => Some(KeeperVoterAction::Send),
         }
--- a/lib/src/voter_change.rs
+++ b/lib/src/voter_change.rs
@@ -9,6 +9,7 @@
 use crate::id::InstanceId;
 use crate::id::Term;
 use crate::moment::Moment;
+use crate::primary_lease::VOTER_LEASE;
 use crate::primary_lease::VOTERS_LEASE;
 use crate::revision::Era;
 use crate::voter_set::VoterSet;
@@ -18,8 +19,17 @@
 /// restarts is usually back within this time.
 const CHANGE_DELAY: Duration = Duration::from_secs(3);
 
-/// How long new voters have to be preferred before they are added to all present ones.
-const ADDITION_DELAY: Duration = Duration::from_millis(500);
+/// The change begins after this time even if other voters have become preferred in between, so
+/// that instances which are exchanged one after the other do not defer it until they are gone.
+const MAX_CHANGE_DELAY: Duration = Duration::from_secs(6);
+
+/// How long new voters have to be preferred before they are added to all present ones, and how
+/// long voters have to be needed in place of those that leave.
+const SHORT_DELAY: Duration = Duration::from_millis(500);
+
+/// A change in progress is not directed to other voters before this time: each new set has to be
+/// acknowledged anew, which takes [`VOTER_LEASE`] and a few messages.
+const REDIRECT_AFTER: Duration = VOTER_LEASE.saturating_mul(2);
 
 /// Time between two attempts to write a set of voters, and between two rounds of requests
 /// for acknowledgements.
@@ -34,11 +44,43 @@
     RequestAcknowledgements,
 }
 
+/// The instances that should vote, each list ordered by id.
+#[derive(Clone, Copy, Debug)]
+pub struct PreferredVoters<'a> {
+    /// Out of all that have a record.
+    pub recorded: &'a [InstanceId],
+    /// Out of those that are not leaving as planned.
+    pub staying: &'a [InstanceId],
+}
+
+/// Whether an instance takes part in the fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Presence {
+    /// It has a record, and is not known to leave.
+    Staying,
+    /// It has a record, and leaves as planned.
+    Leaving,
+    /// It has no record.
+    Absent,
+}
+
+/// Other voters than the present ones that are preferred.
+#[derive(Clone, Debug)]
+struct Preferred {
+    voters: Vec<InstanceId>,
+    /// Since when these are preferred.
+    since: Moment,
+    /// Since when others than the present ones have been preferred.
+    differs_since: Moment,
+    /// Whether so few of the present voters stay that these have to take over from those that
+    /// leave as long as these can still acknowledge it.
+    is_urgent: bool,
+}
+
 /// Drives the changes of the voters of one group.
 #[derive(Clone, Debug, Default)]
 pub struct VoterChange {
-    /// Other voters than the present ones, and since when they have been preferred.
-    preferred: Option<(Vec<InstanceId>, Moment)>,
+    preferred: Option<Preferred>,
     /// Version of the set that the following fields are about.
     version: VotersVersion,
     /// Since when this instance has had the set.
@@ -53,21 +95,25 @@
 
 impl VoterChange {
     /// Returns the action that is due for the set `voters` in an era of the store.
-    /// `preferred` are the instances that should vote, ordered by id, and `is_recorded`
-    /// tells whether an instance has a record.
+    /// `presence` tells whether an instance takes part.
     pub fn tick(
         &mut self,
         now: Moment,
         era: Era,
         voters: &VoterSet,
-        preferred: &[InstanceId],
-        is_recorded: impl Fn(&InstanceId) -> bool,
+        preferred: PreferredVoters<'_>,
+        presence: impl Fn(&InstanceId) -> Presence,
     ) -> Option<VoterAction> {
         self.note_version(now, voters);
-        self.note_preferred(now, voters, preferred);
+        let needs_handover = needs_handover(voters, &presence);
+        let is_added =
+            |id: &InstanceId| presence(id) == Presence::Leaving && !voters.current.contains(id);
+        let adds_leaving = preferred.recorded.iter().any(is_added);
+        self.note_preferred(now, voters, preferred, needs_handover, adds_leaving);
         if !voters.is_known() {
             return None;
         }
+        let is_recorded = |id: &InstanceId| presence(id) != Presence::Absent;
         let action = self.due_action(now, era, voters, is_recorded)?;
         // A change is completed as soon as it can be: until then, both lists have to vote.
         let last = match action {
@@ -90,12 +136,28 @@
         }
     }
 
-    fn note_preferred(&mut self, now: Moment, voters: &VoterSet, preferred: &[InstanceId]) {
-        if preferred.is_empty() || *preferred == *voters.current {
+    fn note_preferred(
+        &mut self,
+        now: Moment,
+        voters: &VoterSet,
+        preferred: PreferredVoters<'_>,
+        needs_handover: bool,
+        adds_leaving: bool,
+    ) {
+        let PreferredVoters { recorded, staying } = preferred;
+        let is_urgent = needs_handover && !staying.is_empty();
+        // Others that leave stay voters, since they may only restart.
+        let next = if is_urgent || adds_leaving { staying } else { recorded };
+        if next.is_empty() || *next == *voters.current {
             self.preferred = None;
-        } else if self.preferred.as_ref().is_none_or(|(known, _)| *known != *preferred) {
-            self.preferred = Some((preferred.to_vec(), now));
+            return;
         }
+        let known = self.preferred.take();
+        let differs_since = known.as_ref().map_or(now, |known| known.differs_since);
+        let same = known.filter(|known| *known.voters == *next && known.is_urgent == is_urgent);
+        let since = same.map_or(now, |known| known.since);
+        let voters = next.to_vec();
+        self.preferred = Some(Preferred { voters, since, differs_since, is_urgent });
     }
 
     fn due_action(
@@ -108,14 +170,22 @@
         if voters.is_joint() && self.is_complete(now, voters, is_recorded) {
             return Some(VoterAction::Write(voters.settled(era, &self.acknowledged)));
         }
-        if let Some((preferred, since)) = &self.preferred
-            && *since + change_delay(voters, preferred) <= now
-        {
-            return Some(VoterAction::Write(voters.with_next(era, preferred.clone())));
+        if let Some(preferred) = self.preferred.as_ref().filter(|it| self.is_due(now, voters, it)) {
+            return Some(VoterAction::Write(voters.with_next(era, preferred.voters.clone())));
         }
         voters.is_joint().then_some(VoterAction::RequestAcknowledgements)
     }
 
+    /// Whether a change to the preferred voters begins.
+    fn is_due(&self, now: Moment, voters: &VoterSet, preferred: &Preferred) -> bool {
+        if voters.is_joint() && self.known_since + REDIRECT_AFTER > now {
+            return false;
+        }
+        let keeps_all = voters.current.iter().all(|id| preferred.voters.contains(id));
+        let delay = if keeps_all || preferred.is_urgent { SHORT_DELAY } else { CHANGE_DELAY };
+        preferred.since + delay <= now || preferred.differs_since + MAX_CHANGE_DELAY <= now
+    }
+
     /// Whether enough voters have acknowledged the change to complete it.
     ///
     /// Former voters that are gone for good never acknowledge it. If those that are left are
@@ -169,7 +239,10 @@
     }
 }
 
-fn change_delay(voters: &VoterSet, preferred: &[InstanceId]) -> Duration {
-    let keeps_all = voters.current.iter().all(|id| preferred.contains(id));
-    if keeps_all { ADDITION_DELAY } else { CHANGE_DELAY }
+/// Whether no more than a majority of the voters stay, so that a change needs the votes of those
+/// that leave once another one is lost. Those that leave wait for that before they end.
+#[must_use]
+pub fn needs_handover(voters: &VoterSet, presence: impl Fn(&InstanceId) -> Presence) -> bool {
+    let stays = |id: &InstanceId| presence(id) == Presence::Staying;
+    voters.is_known() && !voters.has_all(stays) && !voters.has_spare(stays)
 }
--- a/lib/tests/keeper_world/mod.rs
+++ b/lib/tests/keeper_world/mod.rs
@@ -17,6 +17,8 @@
 use chervilwharf_lib::keeper_voter_change::KnownStore;
 use chervilwharf_lib::keeper_voters::KeeperVoters;
 use chervilwharf_lib::moment::Moment;
+use chervilwharf_lib::voter_change::PreferredVoters;
+use chervilwharf_lib::voter_change::Presence;
 use chervilwharf_lib::voter_set::VoterSet;
 
 const SHARD: u32 = 0;
@@ -185,13 +187,17 @@
             era_since: self.era_since,
             is_available: side.reaches_store,
         };
-        let is_recorded = |id: &InstanceId| records.iter().any(|record| record.id == *id);
+        let presence = |id: &InstanceId| {
+            let is_recorded = records.iter().any(|record| record.id == *id);
+            if is_recorded { Presence::Staying } else { Presence::Absent }
+        };
         // One instance of each side drives the changes.
         let me = self.instances.get_mut(&number).expect("the instance was started");
         let is_first = side.numbers.first() == Some(&number);
         let drives = me.lease.is_held(now) || is_first;
         let known = me.voters.clone();
-        match me.change.tick(now, &known, store, drives, &preferred, is_recorded) {
+        let preferred = PreferredVoters { recorded: &preferred, staying: &preferred };
+        match me.change.tick(now, &known, store, drives, preferred, presence) {
             Some(KeeperVoterAction::Read) => self.read(number),
             Some(KeeperVoterAction::Write(next)) => {
                 if self.stored.last().map_or(0, |stored| stored.version) <= known.set().version {
--- a/lib/tests/lease_world/membership.rs
+++ b/lib/tests/lease_world/membership.rs
@@ -5,6 +5,8 @@
 use chervilwharf_lib::duty::is_token_of_era;
 use chervilwharf_lib::id::InstanceId;
 use chervilwharf_lib::id::Term;
+use chervilwharf_lib::voter_change::PreferredVoters;
+use chervilwharf_lib::voter_change::Presence;
 use chervilwharf_lib::voter_change::VoterAction;
 use chervilwharf_lib::voter_set::VoterSet;
 use chervilwharf_lib::voter_set::VotersVersion;
@@ -51,6 +53,14 @@
         } else if self.random.per_mille(2) && self.recorded.iter().filter(|is| **is).count() > 5 {
             self.instances[number].is_gone = true;
         }
+        let me = &mut self.instances[number];
+        if !me.is_gone && me.leaves_at_ms.is_none() && self.random.per_mille(3) {
+            me.leaves_at_ms = Some(self.now_ms + 1_000 + self.random.below(5_000));
+        }
+        if me.leaves_at_ms.is_some_and(|at| at <= self.now_ms) {
+            me.is_gone = true;
+            self.recorded[number] &= !self.store_up;
+        }
         let is_unresponsive = is_isolated || self.instances[number].is_gone;
         if is_unresponsive && self.random.per_mille(20) && self.store_up {
             self.recorded[number] = false;
@@ -66,10 +76,21 @@
         version
     }
 
+    /// Whether an instance leaves as planned, as far as another one knows.
+    fn is_leaving(&self, known_by: usize, number: usize) -> bool {
+        let is_heard = self.instances[known_by].side == self.instances[number].side;
+        is_heard && self.instances[number].leaves_at_ms.is_some()
+    }
+
     /// The instances that should vote, according to the records that an instance knows.
     pub(super) fn preferred_voters(&self, number: usize) -> Vec<InstanceId> {
+        self.first_voters(number, |_| true)
+    }
+
+    fn first_voters(&self, number: usize, counts: impl Fn(usize) -> bool) -> Vec<InstanceId> {
         let recorded = &self.instances[number].recorded;
-        let preferred = (0..INSTANCES).rev().filter(|number| recorded[*number]).take(MAX_VOTERS);
+        let counted = (0..INSTANCES).rev().filter(|number| recorded[*number] && counts(*number));
+        let preferred = counted.take(MAX_VOTERS);
         let mut preferred: Vec<_> = preferred.map(instance_id).collect();
         preferred.sort_unstable();
         preferred
@@ -91,18 +112,25 @@
     /// Drives the changes of voters, as the instance that is first in the succession does.
     pub(super) fn maintain_voters(&mut self, number: usize) {
         let (now, preferred) = (at(self.now_ms), self.preferred_voters(number));
+        let staying = self.first_voters(number, |other| !self.is_leaving(number, other));
+        let leaving: Vec<_> = (0..INSTANCES).map(|other| self.is_leaving(number, other)).collect();
         let may_lack_order = self.era > 0 && !is_token_of_era(self.stored.token, self.era);
         let me = &mut self.instances[number];
         if !self.store_up || !me.reaches_store || me.era != self.era || may_lack_order {
             return;
         }
         let recorded = me.recorded.clone();
-        let is_recorded = |id: &InstanceId| recorded[number_of(id)];
+        let presence = |id: &InstanceId| match number_of(id) {
+            number if !recorded[number] => Presence::Absent,
+            number if leaving[number] => Presence::Leaving,
+            _ => Presence::Staying,
+        };
         let voters = me.group.primary_lease().voters().clone();
         if voters.current != preferred && self.random.per_mille(200) {
             return self.write_voters(&voters, voters.with_next(self.era, preferred));
         }
-        let action = me.voter_change.tick(now, me.era, &voters, &preferred, is_recorded);
+        let lists = PreferredVoters { recorded: &preferred, staying: &staying };
+        let action = me.voter_change.tick(now, me.era, &voters, lists, presence);
         match action {
             Some(VoterAction::Write(next)) => self.write_voters(&voters, next),
             Some(VoterAction::RequestAcknowledgements) => {
--- a/lib/tests/lease_world/mod.rs
+++ b/lib/tests/lease_world/mod.rs
@@ -194,6 +194,8 @@
     recorded: Vec<bool>,
     /// Whether the instance ended for good, or has not been started yet.
     is_gone: bool,
+    /// When the instance ends, if it leaves as planned.
+    leaves_at_ms: Option<u64>,
     voter_change: VoterChange,
 }
 
@@ -313,6 +315,7 @@
             store_read: None,
             recorded: vec![false; INSTANCES],
             is_gone: false,
+            leaves_at_ms: None,
             voter_change: VoterChange::default(),
         }
     }
--- a/lib/tests/quota_simulation/membership.rs
+++ b/lib/tests/quota_simulation/membership.rs
@@ -14,6 +14,8 @@
 use chervilwharf_lib::moment::Moment;
 use chervilwharf_lib::revision::Era;
 use chervilwharf_lib::share_holders::extra_share_holders;
+use chervilwharf_lib::voter_change::PreferredVoters;
+use chervilwharf_lib::voter_change::Presence;
 use chervilwharf_lib::voter_set::VoterSet;
 use chervilwharf_lib::voter_set::VotersVersion;
 use rand::Rng;
@@ -241,9 +243,12 @@
         let era_since = me.local(restored_at.max(me.started_at));
         let store = KnownStore { era, era_since, is_available: reaches_store };
         let Instance { record, fleet, known_voters, preferred_voters, voter_change, .. } = me;
-        let is_recorded = |id: &InstanceId| *id == record.id || fleet.record(id).is_some();
-        let action =
-            voter_change.tick(local, known_voters, store, drives, preferred_voters, is_recorded);
+        let presence = |id: &InstanceId| {
+            let is_recorded = *id == record.id || fleet.record(id).is_some();
+            if is_recorded { Presence::Staying } else { Presence::Absent }
+        };
+        let preferred = PreferredVoters { recorded: preferred_voters, staying: preferred_voters };
+        let action = voter_change.tick(local, known_voters, store, drives, preferred, presence);
         let is_joint = known_voters.set().is_joint();
         let skips_answers = self.without == Some(Rule::ChangeIsAcknowledged);
         if is_joint && drives && reaches_store && skips_answers {
--- a/lib/tests/test_session_floors.rs
+++ b/lib/tests/test_session_floors.rs
@@ -50,7 +50,7 @@
     }
     assert_eq!(floors.get(&group(99)).position(), Some(Position::new(1, 50)));
     assert_eq!(floors.get(&group(0)), OwnCommits::Unknown);
-    assert!(MAX_FLOORS_BYTES < 1_024);
+    const { assert!(MAX_FLOORS_BYTES < 1_024) };
     let read_your_writes = Consistency::ReadYourWrites(Duration::from_secs(2));
     let group = sampled_group(1, 60);
     assert_eq!(group.read_floor(at(900), read_your_writes, OwnCommits::Unknown), None);
--- a/lib/tests/test_voter_change.rs
+++ b/lib/tests/test_voter_change.rs
@@ -15,6 +15,8 @@
 use chervilwharf_lib::primary_lease::RetireRequest;
 use chervilwharf_lib::primary_lease::VOTER_LEASE;
 use chervilwharf_lib::primary_lease::VOTERS_LEASE;
+use chervilwharf_lib::voter_change::PreferredVoters;
+use chervilwharf_lib::voter_change::Presence;
 use chervilwharf_lib::voter_change::VoterAction;
 use chervilwharf_lib::voter_change::VoterChange;
 use chervilwharf_lib::voter_set::VoterSet;
@@ -103,6 +105,10 @@
     }
 }
 
+fn presence(recorded: &[InstanceId], id: &InstanceId) -> Presence {
+    if recorded.contains(id) { Presence::Staying } else { Presence::Absent }
+}
+
 /// The action that is due at `now` when the store lists the instances `recorded`, which
 /// should all vote.
 fn due(
@@ -111,7 +117,8 @@
     voters: &VoterSet,
     recorded: &[InstanceId],
 ) -> Option<VoterAction> {
-    change.tick(now, 0, voters, recorded, |id| recorded.contains(id))
+    let preferred = PreferredVoters { recorded, staying: recorded };
+    change.tick(now, 0, voters, preferred, |id| presence(recorded, id))
 }
 
 /// Guards against two primaries in use: instances join behind a partition, and become a
@@ -142,7 +149,8 @@
         change.acknowledged(at(4_000), &joint, &voter, retired);
     }
     for ms in (4_000..100_000).step_by(500) {
-        let action = change.tick(at(ms), 0, &joint, &joint.current, |id| recorded.contains(id));
+        let preferred = PreferredVoters { recorded: &joint.current, staying: &joint.current };
+        let action = change.tick(at(ms), 0, &joint, preferred, |id| presence(&recorded, id));
         assert_eq!(action, Some(VoterAction::RequestAcknowledgements), "at {ms} ms");
     }
 }
