voters: report a change that waits for voters, and missing leases

Purpose: after a loss of most voters an operator saw refusals with cut_off and no line that told on whom the group waits. voters_awaited names the voters whose acknowledgements a change has lacked for 3 s, once for each change; chervilwharf_missing_leases shows the groups whose primary an instance may not use. Evidence: test_voters_that_a_change_waits_for_are_reported_once.

--- a/daemon/src/engine/metrics.rs
+++ b/daemon/src/engine/metrics.rs
@@ -225,6 +225,7 @@
     configuration_since: Mutex<Option<Moment>>,
     served_by_relays: Gauge,
     absent_replicas: Family<GroupLabels, Gauge>,
+    missing_leases: Family<GroupLabels, Gauge>,
     sessions: Gauge,
     lines_left_out: Gauge,
 }
@@ -265,6 +266,7 @@
             configuration_since: Mutex::default(),
             served_by_relays: Gauge::default(),
             absent_replicas: Family::default(),
+            missing_leases: Family::default(),
             sessions: Gauge::default(),
             lines_left_out: Gauge::default(),
         };
@@ -349,6 +351,11 @@
             "1 if this instance gets the records of the store from relays",
             self.served_by_relays.clone(),
         );
+        registry.register(
+            "missing_leases",
+            "1 for a group whose primary this instance may not use for lack of a lease",
+            self.missing_leases.clone(),
+        );
         registry.register(
             "absent_replicas",
             "Replicas that are not listed and may be the only ones with acknowledged commits",
@@ -446,6 +453,13 @@
                 self.sample_age_seconds.get_or_create(&labels).set(age.as_secs_f64());
             }
         }
+        self.missing_leases.clear();
+        for shard in engine.used_shards() {
+            if shard.with_group(|group| group.lacks_primary_lease(now())) {
+                let labels = GroupLabels { group: shard.id().to_string() };
+                self.missing_leases.get_or_create(&labels).set(1);
+            }
+        }
         self.absent_replicas.clear();
         for shard in &shards {
             let absent = engine.absent_replicas(shard);
--- a/daemon/src/engine/voter_control.rs
+++ b/daemon/src/engine/voter_control.rs
@@ -105,9 +105,15 @@
     let (recorded, staying) =
         (engine.preferred_voters(shard.id()), engine.staying_voters(shard.id()));
     let preferred = PreferredVoters { recorded: &recorded, staying: &staying };
-    let action = engine.voter_control().with_change(shard.id(), |change| {
-        change.tick(now(), era, &voters, preferred, |id| engine.presence(id))
+    let (action, awaited) = engine.voter_control().with_change(shard.id(), |change| {
+        let action = change.tick(now(), era, &voters, preferred, |id| engine.presence(id));
+        (action, change.newly_awaited(now(), &voters))
     });
+    if let Some(awaited) = awaited {
+        let ids: Vec<_> = awaited.iter().map(ToString::to_string).collect();
+        let event = Event::new(EventKind::VotersAwaited).with("group", shard.id());
+        event_log::emit(&event.with("version", voters.version).with("awaited", ids.join(", ")));
+    }
     match action {
         Some(VoterAction::Write(next)) => {
             // A replacement writes the same record.
--- a/lib/src/event.rs
+++ b/lib/src/event.rs
@@ -177,6 +177,9 @@
     DutyTaken, "duty_taken", State;
     /// This instance adopted later voters of a group.
     VotersAdopted, "voters_adopted", State;
+    /// A change of voters lacks the acknowledgements of these voters. If they are gone, it is
+    /// completed without them once they do not rely on the former set any more.
+    VotersAwaited, "voters_awaited", State;
     /// At a planned stop, other instances did not take over the votes of this one in time.
     VotesKept, "votes_kept", State;
     /// This instance wrote a set of voters to the store.
--- a/lib/src/voter_change.rs
+++ b/lib/src/voter_change.rs
@@ -91,6 +91,8 @@
     first_acknowledged_at: Option<Moment>,
     requested_at: Option<Moment>,
     written_at: Option<Moment>,
+    /// Whether the missing acknowledgements were reported.
+    has_reported: bool,
 }
 
 impl VoterChange {
@@ -213,6 +215,18 @@
             && expired_at <= now
     }
 
+    /// The voters whose acknowledgements a change has been lacking for long, once for each
+    /// change.
+    pub fn newly_awaited(&mut self, now: Moment, voters: &VoterSet) -> Option<Vec<InstanceId>> {
+        let is_new = voters.version == self.version && !self.has_reported;
+        if !is_new || !voters.is_joint() || self.known_since + REDIRECT_AFTER > now {
+            return None;
+        }
+        self.has_reported = true;
+        let has_acknowledged = |id: &&InstanceId| self.acknowledged.contains_key(*id);
+        Some(voters.members().filter(|id| !has_acknowledged(id)).cloned().collect())
+    }
+
     /// Whether a majority of the voters has acknowledged a set.
     #[must_use]
     pub fn has_majority(&self, voters: &VoterSet) -> bool {
--- a/lib/tests/test_voter_change.rs
+++ b/lib/tests/test_voter_change.rs
@@ -349,3 +349,20 @@
         (60_000..70_000).step_by(100).find_map(|ms| due(&mut change, at(ms), &voters, &ids(1..7)));
     assert_eq!(action, Some(VoterAction::Write(voters.with_next(0, ids(1..7)))));
 }
+
+/// Guards against a group that is not served for long while no log line tells on whom it waits.
+#[test]
+fn test_voters_that_a_change_waits_for_are_reported_once() {
+    let before = VoterSet::first(0, ids(0..4));
+    let joint = before.with_next(0, ids(2..6));
+    let mut change = VoterChange::default();
+    let mut reported = Vec::new();
+    for ms in (1_000..20_000).step_by(100) {
+        let _action = due(&mut change, at(ms), &joint, &ids(2..6));
+        for voter in ids(2..6) {
+            change.acknowledged(at(ms), &joint, &voter, 0);
+        }
+        reported.extend(change.newly_awaited(at(ms), &joint).map(|awaited| (ms, awaited)));
+    }
+    assert_eq!(reported, [(4_000, ids(0..2))]);
+}
