--- a/lib/tests/test_explanation.rs
+++ b/lib/tests/test_explanation.rs
@@ -200,3 +200,14 @@
         assert!(!text.contains(before), "{text}");
     }
 }
+
+/// Guards against refusals for lack of a primary that do not tell on whom the group waits.
+#[test]
+fn test_explanation_names_the_replicas_that_may_have_acknowledged_commits() {
+    let awaited = Event::new(EventKind::ReplicasAwaited).with("group", "db");
+    let awaited = awaited.with_count("answered", 1).with("absent", "s2, s3");
+    let refused = request(EventKind::RequestRefused, "r1", "no_primary").with("group", "db");
+    let log = vec![line(5_000, "a", &awaited), line(5_100, "a", &refused)];
+    let cause = explanation::explain_request("r1", log).cause.expect("a cause");
+    assert!(cause.contains("s2, s3"), "{cause}");
+}
