replicas: name the quorum of a planned change; test of a steady exchange

No change of behaviour: a quorum that any answer meets has a constructor of its own. test_steady_exchange_of_instances_does_not_defer_a_change guards the bound of 6 s on the delay of a change (with the delay begun anew at each change, as before, it never begins: began_ms would be None, by reading).

--- a/daemon/src/engine/survey.rs
+++ b/daemon/src/engine/survey.rs
@@ -71,10 +71,10 @@
             answered.push(replica(shard, Candidate { id, status }));
         }
     }
-    let quorum = engine.commit_quorum(shard, from).map(|quorum| {
-        // The position of the old primary shows which replica is complete.
-        if survey.is_old_primary_known { CommitQuorum::default() } else { quorum }
-    });
+    let mut quorum = engine.commit_quorum(shard, from);
+    if survey.is_old_primary_known {
+        quorum = quorum.map(|_| CommitQuorum::any_answer());
+    }
     match choose_successor(&answered, quorum.as_ref(), reason) {
         Ok(chosen) => survey.best = Some(chosen.id.clone()),
         Err(error) => {
--- a/lib/src/replica_set.rs
+++ b/lib/src/replica_set.rs
@@ -85,6 +85,13 @@
 }
 
 impl CommitQuorum {
+    /// A quorum that any answer meets, for a choice in which the position of the old primary
+    /// shows whether a replica has every acknowledged commit.
+    #[must_use]
+    pub fn any_answer() -> Self {
+        Self { replicas: 1, replicated: 1, absent: Vec::new() }
+    }
+
     /// Whether one of so many replicas that answered has every acknowledged commit.
     #[must_use]
     pub fn is_met(&self, answered: usize) -> bool {
--- a/lib/src/session_floors.rs
+++ b/lib/src/session_floors.rs
@@ -10,8 +10,8 @@
 use crate::moment::Moment;
 use crate::position::Position;
 
-/// The number of groups for which a session keeps its position. It is asked for the position in
-/// others at their primary.
+/// The number of groups for which a session keeps its position. Reads in other groups need the
+/// primary.
 const MAX_GROUPS: usize = 8;
 
 /// The most memory that the positions of one session take, in bytes, without the names of the
--- a/lib/tests/test_voter_change.rs
+++ b/lib/tests/test_voter_change.rs
@@ -366,3 +366,18 @@
     }
     assert_eq!(reported, [(4_000, ids(0..2))]);
 }
+
+/// Guards against a change that never begins, because other instances become preferred before
+/// the delay for the last ones has passed.
+#[test]
+fn test_steady_exchange_of_instances_does_not_defer_a_change() {
+    let voters = VoterSet::first(0, ids(0..8));
+    let mut change = VoterChange::default();
+    let began_ms = (0..30_000).step_by(100).find(|ms| {
+        // One voter is gone; of three others, another one is listed every second.
+        let other = 8 + usize::try_from(*ms / 1_000 % 3).unwrap();
+        let recorded: Vec<_> = ids((1..8).chain([other]));
+        due(&mut change, at(*ms), &voters, &recorded).is_some()
+    });
+    assert_eq!(began_ms, Some(6_000));
+}
