--- a/daemon/src/engine/duty_control.rs
+++ b/daemon/src/engine/duty_control.rs
@@ -90,16 +90,8 @@
             return false;
         }
         self.note_order_of_token(&record.group, record.token, record.order.clone());
-        let record = match self.duties.get(&record.group) {
-            // The restored store can lack members that are known here.
-            Some((at, known)) if at.era < revision.era => {
-                let replicas = record.replicas.merged(&known.replicas);
-                DutyRecord { replicas, ..record }
-            }
-            _ => record,
-        };
         let record =
-            if revision.era > 0 { self.with_order_lost_in_restore(record) } else { record };
+            if revision.era > 0 { self.with_lost_in_restore(revision.era, record) } else { record };
         // After a restore the store can hold the same record under a new revision.
         let is_new = self.record(&record.group).is_none_or(|known| !known.is_same_duty(&record));
         self.duties.insert(record.group.clone(), (revision, record));
@@ -107,10 +99,15 @@
     }
 
     /// Completes a record of a store that was restored from a backup by the order under a
-    /// higher token that the backup lacks.
-    fn with_order_lost_in_restore(&self, record: DutyRecord) -> DutyRecord {
-        let known = self.record(&record.group);
-        let retired = known.map_or(0, |known| known.retired).max(record.retired);
+    /// higher token that the backup lacks, and in the first one of an era by the replicas.
+    fn with_lost_in_restore(&self, era: Era, record: DutyRecord) -> DutyRecord {
+        let known = self.duties.get(&record.group);
+        let replicas = match known {
+            Some((at, known)) if at.era < era => record.replicas.merged(&known.replicas),
+            _ => record.replicas.clone(),
+        };
+        let record = DutyRecord { replicas, ..record };
+        let retired = known.map_or(0, |(_, known)| known.retired).max(record.retired);
         let latest = self.latest_orders.get(&record.group);
         match latest.filter(|latest| latest.token > record.token) {
             Some(latest) => DutyRecord { order: latest.order.clone(), retired, ..record },
@@ -432,7 +429,7 @@
 /// Adds the listed servers to the replicas of a record, so that the server that its order names
 /// is one of them.
 fn with_listed_replicas(engine: &Engine, next: DutyRecord) -> DutyRecord {
-    if engine.sync_replicas(&next.group) == 0 && !next.replicas.is_known() {
+    if !next.replicas.is_used(engine.sync_replicas(&next.group)) {
         return next;
     }
     let replicas = next.replicas.with_servers(&engine.shard(&next.group).listed_servers());
--- a/daemon/src/engine/forwarded_session.rs
+++ b/daemon/src/engine/forwarded_session.rs
@@ -16,7 +16,6 @@
 use chervilwharf_lib::position::Position;
 use chervilwharf_lib::received_statements::StatementTicket;
 use chervilwharf_lib::session_floors::OwnCommits;
-use chervilwharf_lib::session_floors::OwnPosition;
 use chervilwharf_lib::statement::Access;
 use chervilwharf_lib::statement::Prepared;
 use chervilwharf_lib::statement::Statement;
@@ -215,30 +214,32 @@
 /// miss its own commit.
 fn refusal(kind: ErrorKind, own: OwnCommits) -> StatementReply {
     let failure = Failure::new(kind);
-    let floor = own.position().unwrap_or(Position::ZERO);
     StatementReply {
         error: kind.name().to_owned(),
         text: failure.text.to_string(),
-        floor_term: floor.term,
-        floor_index: floor.index,
-        floor_unknown: own == OwnCommits::Unknown,
-        ..StatementReply::default()
+        ..reply_with(own)
     }
 }
 
 /// The own commits of the client's session, as the other instance sent them.
 fn own_commits(statement: &engine_protos::Statement) -> OwnCommits {
     let position = Position::new(statement.floor_term, statement.floor_index);
-    if position.term == 0 {
-        return if statement.floor_unknown { OwnCommits::Unknown } else { OwnCommits::None };
+    let acknowledged_at = now().saturating_sub(Duration::from_millis(statement.floor_age_ms));
+    records::decode_own_commits(position, statement.floor_unknown, acknowledged_at)
+}
+
+/// A reply that has only the own commits of the client's session.
+fn reply_with(own: OwnCommits) -> StatementReply {
+    let floor = own.position().unwrap_or(Position::ZERO);
+    StatementReply {
+        floor_term: floor.term,
+        floor_index: floor.index,
+        floor_unknown: own == OwnCommits::Unknown,
+        ..StatementReply::default()
     }
-    let age = Duration::from_millis(statement.floor_age_ms);
-    OwnCommits::UpTo(OwnPosition { position, acknowledged_at: now().saturating_sub(age) })
 }
 
 fn encode_reply(session: &Session, result: Result<Served, Failure>) -> StatementReply {
-    let own = session.own_commits();
-    let floor = own.position().unwrap_or(Position::ZERO);
     let state = session.state();
     let parts = &session.trace().parts;
     let mut reply = StatementReply {
@@ -247,10 +248,7 @@
         at_server_ms: records::nearest_milliseconds(parts.at_server),
         in_transaction: state != TransactionState::Idle,
         failed: state == TransactionState::Failed,
-        floor_term: floor.term,
-        floor_index: floor.index,
-        floor_unknown: own == OwnCommits::Unknown,
-        ..StatementReply::default()
+        ..reply_with(session.own_commits())
     };
     match result {
         Ok(served) => {
--- a/daemon/src/engine/quota_control.rs
+++ b/daemon/src/engine/quota_control.rs
@@ -134,8 +134,8 @@
     pub(super) shards: Vec<AccountShard>,
     /// Records of instances from which the voters were computed.
     pub(super) recorded: Vec<InstanceRecord>,
-    /// Those of them that are not leaving.
-    pub(super) staying: Vec<InstanceRecord>,
+    /// `Fleet::changes` and whether this instance was stopping, when the voters were computed.
+    pub(super) computed_at: Option<(u64, bool)>,
     /// Whether voters have changed since the holders were computed.
     pub(super) are_voters_outdated: bool,
     /// The other instances in these records.
@@ -164,7 +164,7 @@
                 votes: Votes::new(started_at),
                 shards,
                 recorded: Vec::new(),
-                staying: Vec::new(),
+                computed_at: None,
                 are_voters_outdated: false,
                 others: Arc::default(),
                 allowances: HashMap::new(),
--- a/daemon/src/engine/quota_leases.rs
+++ b/daemon/src/engine/quota_leases.rs
@@ -169,6 +169,14 @@
     }
 
     pub(super) fn update_keeper_voters(&self) {
+        let changes = self.with_fleet(|fleet| fleet.changes());
+        let computed_at = Some((changes, self.is_stopping()));
+        {
+            let inner = self.quota().lock();
+            if inner.computed_at == computed_at && !inner.are_voters_outdated {
+                return;
+            }
+        }
         let recorded: Vec<_> = self.with_fleet(|fleet| {
             let others = fleet.others().cloned();
             others.chain([self.me().clone()]).collect()
@@ -176,11 +184,8 @@
         let staying = recorded.iter().filter(|record| !self.is_leaving(&record.id));
         let staying: Vec<_> = staying.cloned().collect();
         let mut inner = self.quota().lock();
-        let is_same = inner.recorded == recorded && inner.staying == staying;
-        if is_same && !inner.are_voters_outdated {
-            return;
-        }
         inner.are_voters_outdated = false;
+        inner.computed_at = computed_at;
         for number in 0..ACCOUNT_SHARDS {
             let shard = inner.shard(number);
             let preferred = preferred_keeper_voters(number, &recorded);
@@ -204,7 +209,6 @@
         let others = recorded.iter().filter(|record| record.id != self.me().id);
         inner.others = Arc::new(others.map(|record| record.id.clone()).collect());
         inner.recorded = recorded;
-        inner.staying = staying;
     }
 
     fn should_request_votes(&self, number: ShardNumber) -> bool {
--- a/daemon/src/engine/records.rs
+++ b/daemon/src/engine/records.rs
@@ -22,6 +22,10 @@
 use chervilwharf_lib::group::ServerInfo;
 use chervilwharf_lib::id::AccountId;
 use chervilwharf_lib::id::GroupId;
+use chervilwharf_lib::moment::Moment;
+use chervilwharf_lib::position::Position;
+use chervilwharf_lib::session_floors::OwnCommits;
+use chervilwharf_lib::session_floors::OwnPosition;
 
 /// Encodes a duration, rounded down to whole milliseconds.
 #[must_use]
@@ -257,3 +261,18 @@
     };
     Some((shared_str(server.group), info))
 }
+
+/// Decodes the own commits of a session in a message: the position of the last one, with a term
+/// of 0 for none, and whether there may be others. They had been acknowledged at `acknowledged_at`.
+#[must_use]
+pub fn decode_own_commits(
+    position: Position,
+    is_unknown: bool,
+    acknowledged_at: Moment,
+) -> OwnCommits {
+    match position.term {
+        0 if is_unknown => OwnCommits::Unknown,
+        0 => OwnCommits::None,
+        _ => OwnCommits::UpTo(OwnPosition { position, acknowledged_at }),
+    }
+}
--- a/daemon/src/engine/remote/encoding.rs
+++ b/daemon/src/engine/remote/encoding.rs
@@ -11,7 +11,6 @@
 use chervilwharf_lib::error_kind::ErrorKind;
 use chervilwharf_lib::position::Position;
 use chervilwharf_lib::session_floors::OwnCommits;
-use chervilwharf_lib::session_floors::OwnPosition;
 use chervilwharf_lib::statement::Access;
 use chervilwharf_lib::statement::Answer;
 use chervilwharf_lib::statement::Statement;
@@ -94,11 +93,8 @@
 /// The failure that the reply reports.
 pub(super) fn decode(session: &mut Session, reply: StatementReply) -> Result<Served, Failure> {
     let position = |term, index| (term > 0).then(|| Position::new(term, index));
-    session.adopt_own_commits(match position(reply.floor_term, reply.floor_index) {
-        Some(position) => OwnCommits::UpTo(OwnPosition { position, acknowledged_at: now() }),
-        None if reply.floor_unknown => OwnCommits::Unknown,
-        None => OwnCommits::None,
-    });
+    let floor = Position::new(reply.floor_term, reply.floor_index);
+    session.adopt_own_commits(records::decode_own_commits(floor, reply.floor_unknown, now()));
     if reply.error.is_empty() {
         let rows = reply.rows.into_iter().map(Into::into).collect();
         let answer = Answer { rows, signature: reply.signature.into() };
--- a/daemon/src/engine/replica_control.rs
+++ b/daemon/src/engine/replica_control.rs
@@ -54,10 +54,15 @@
     if rank != Some(0) || engine.has_servers_outage() {
         return;
     }
-    let Some((revision, record)) = engine.with_duties(|duties| duties.entry(shard.id())) else {
+    let sync_replicas = engine.sync_replicas(shard.id());
+    // Most groups have no set, and are checked several times a second.
+    let entry = engine.with_duties(|duties| {
+        let is_used = duties.record(shard.id())?.replicas.is_used(sync_replicas);
+        is_used.then(|| duties.entry(shard.id())).flatten()
+    });
+    let Some((revision, record)) = entry else {
         return;
     };
-    let sync_replicas = engine.sync_replicas(shard.id());
     let listed = shard.listed_servers();
     let action = engine.replica_control().with_change(shard.id(), |change| {
         change.tick(now(), &record.replicas, &listed, sync_replicas)
@@ -139,15 +144,18 @@
     #[must_use]
     pub fn commit_quorum(&self, shard: &Shard, from: Option<&TargetId>) -> Option<CommitQuorum> {
         let sync_replicas = self.sync_replicas(shard.id());
-        let known = self.replicas(shard.id());
-        (sync_replicas > 0).then(|| known.quorum(&shard.listed_servers(), from, sync_replicas))
+        (sync_replicas > 0).then(|| {
+            let known = self.replicas(shard.id());
+            known.quorum(&shard.listed_servers(), from, sync_replicas)
+        })
     }
 
     /// The number of replicas of a group that are not listed and may be the only ones that have
     /// some acknowledged commits.
     #[must_use]
     pub fn absent_replicas(&self, shard: &Shard) -> usize {
-        self.replicas(shard.id()).absent(&shard.listed_servers()).count()
+        let known = self.replicas(shard.id());
+        if known.is_known() { known.absent(&shard.listed_servers()).count() } else { 0 }
     }
 
     /// The servers of a group that may have received acknowledged commits, as far as this
--- a/daemon/src/engine/session/consistency.rs
+++ b/daemon/src/engine/session/consistency.rs
@@ -39,7 +39,7 @@
     #[must_use]
     pub fn floor_for(&self, arrived_at: Moment, consistency: Consistency) -> Option<Position> {
         let own = self.own_commits();
-        self.shard.with_group(|group| group.read_floor(arrived_at, consistency, own))
+        self.shard.with_group(|group| group.floor(arrived_at, consistency, own))
     }
 
     /// Records that the session committed at a position.
--- a/daemon/tests/stubs/mod.rs
+++ b/daemon/tests/stubs/mod.rs
@@ -6,6 +6,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -26,6 +27,7 @@
 use chervilwharf_daemon::engine::shard::Shard;
 use chervilwharf_daemon::engine::shared::Engine;
 use chervilwharf_lib::catalog::Catalog;
+use chervilwharf_lib::duty::DutyRecord;
 use chervilwharf_lib::fleet::InstanceRecord;
 use chervilwharf_lib::group::ServerInfo;
 use chervilwharf_lib::id::AccountId;
@@ -147,6 +149,72 @@
     shard
 }
 
+/// A store that has one record, or none.
+#[derive(Default)]
+pub struct OneRecord(Mutex<Option<Entry>>);
+
+impl OneRecord {
+    /// A store with this record.
+    pub fn with(entry: Entry) -> Self {
+        Self(Mutex::new(Some(entry)))
+    }
+
+    /// The record, if there is one.
+    pub fn entry(&self) -> Option<Entry> {
+        self.0.lock().unwrap().clone()
+    }
+
+    /// The record of a duty.
+    pub fn duty(&self) -> DutyRecord {
+        match self.entry().expect("there is a record").record {
+            Record::Duty(duty) => duty,
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+#[async_trait]
+impl Directory for OneRecord {
+    async fn list(&self, _: RecordKind, _: Currency) -> Result<Listing, DirectoryError> {
+        Err(DirectoryError::Refused(503))
+    }
+
+    async fn watch(
+        &self,
+        _: RecordKind,
+        _: Revision,
+        _: Duration,
+        _: Currency,
+    ) -> Result<Changes, DirectoryError> {
+        Err(DirectoryError::Refused(503))
+    }
+
+    async fn get(&self, _: RecordKind, _: &str) -> Result<Option<Entry>, DirectoryError> {
+        Ok(self.entry())
+    }
+
+    async fn write(
+        &self,
+        name: &str,
+        record: &Record,
+        expected: Option<Revision>,
+    ) -> Result<Revision, WriteError> {
+        let mut kept = self.0.lock().unwrap();
+        let present = kept.as_ref().map(|entry| entry.revision);
+        if expected != present {
+            return Err(WriteError::Conflict(kept.clone()));
+        }
+        let mut revision = present.unwrap_or_default();
+        revision.number += 1;
+        *kept = Some(Entry { name: name.into(), revision, record: record.clone() });
+        Ok(revision)
+    }
+
+    async fn remove(&self, _: RecordKind, _: &str, _: Revision) -> Result<(), WriteError> {
+        Err(WriteError::Conflict(None))
+    }
+}
+
 /// The reading calls of a store.
 #[async_trait]
 pub trait StoreReads: Send + Sync {
--- a/daemon/tests/test_duty.rs
+++ b/daemon/tests/test_duty.rs
@@ -4,7 +4,6 @@
 mod stubs;
 
 use std::sync::Arc;
-use std::sync::Mutex;
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -33,61 +32,10 @@
 use chervilwharf_lib::replica_set::ReplicaSet;
 use chervilwharf_lib::voter_set::VoterSet;
 use stubs::NoServer;
+use stubs::OneRecord;
 use stubs::instance;
 use stubs::set_only_voter_for_long;
 
-/// A store with one record.
-struct OneRecord(Mutex<Entry>);
-
-impl OneRecord {
-    fn duty(&self) -> DutyRecord {
-        match self.0.lock().unwrap().record.clone() {
-            Record::Duty(duty) => duty,
-            other => panic!("{other:?}"),
-        }
-    }
-}
-
-#[async_trait]
-impl Directory for OneRecord {
-    async fn list(&self, _: RecordKind, _: Currency) -> Result<Listing, DirectoryError> {
-        Err(DirectoryError::Refused(503))
-    }
-
-    async fn watch(
-        &self,
-        _: RecordKind,
-        _: Revision,
-        _: Duration,
-        _: Currency,
-    ) -> Result<Changes, DirectoryError> {
-        Err(DirectoryError::Refused(503))
-    }
-
-    async fn get(&self, _: RecordKind, _: &str) -> Result<Option<Entry>, DirectoryError> {
-        Ok(Some(self.0.lock().unwrap().clone()))
-    }
-
-    async fn write(
-        &self,
-        _: &str,
-        record: &Record,
-        expected: Option<Revision>,
-    ) -> Result<Revision, WriteError> {
-        let mut entry = self.0.lock().unwrap();
-        if expected != Some(entry.revision) {
-            return Err(WriteError::Conflict(Some(entry.clone())));
-        }
-        entry.revision.number += 1;
-        entry.record = record.clone();
-        Ok(entry.revision)
-    }
-
-    async fn remove(&self, _: RecordKind, _: &str, _: Revision) -> Result<(), WriteError> {
-        Err(WriteError::Conflict(None))
-    }
-}
-
 /// A store with one record of a duty, and the records of instances.
 struct WithInstances {
     duty: OneRecord,
@@ -153,7 +101,7 @@
     let entry =
         Entry { name: "db".into(), revision: Revision::new(0, 5), record: Record::Duty(duty(4)) };
     let (engine, directory) =
-        (Engine::new(instance("me"), Arc::new(NoServer)), OneRecord(Mutex::new(entry)));
+        (Engine::new(instance("me"), Arc::new(NoServer)), OneRecord::with(entry));
     engine.with_duties(|duties| duties.apply_record(Revision::new(0, 5), duty(4)));
     let ours = || OrderChange::Put(Some(order("ours")));
     assert!(claim(&engine, &directory, &"db".into(), ours(), 3).await.is_none());
@@ -173,7 +121,7 @@
     let listed =
         |id: &&str| Entry { name: (*id).into(), revision, record: Record::Instance(instance(id)) };
     let directory = WithInstances {
-        duty: OneRecord(Mutex::new(entry)),
+        duty: OneRecord::with(entry),
         instances: ["a", "b", "c"].iter().map(listed).collect(),
     };
     let engine = Engine::new(instance("a"), Arc::new(NoServer));
@@ -252,7 +200,7 @@
 
 fn store_in(era: u64, token: u64) -> OneRecord {
     let record = Record::Duty(duty_of("other", token, None));
-    OneRecord(Mutex::new(Entry { name: "db".into(), revision: Revision::new(era, 5), record }))
+    OneRecord::with(Entry { name: "db".into(), revision: Revision::new(era, 5), record })
 }
 
 /// Guards against reuse of a token that was taken in the lost history.
--- a/daemon/tests/test_replicas.rs
+++ b/daemon/tests/test_replicas.rs
@@ -10,16 +10,9 @@
 
 use async_trait::async_trait;
 use chervilwharf_daemon::engine::clock::now;
-use chervilwharf_daemon::engine::directory::Changes;
-use chervilwharf_daemon::engine::directory::Currency;
-use chervilwharf_daemon::engine::directory::Directory;
-use chervilwharf_daemon::engine::directory::DirectoryError;
 use chervilwharf_daemon::engine::directory::Entry;
-use chervilwharf_daemon::engine::directory::Listing;
 use chervilwharf_daemon::engine::directory::Record;
-use chervilwharf_daemon::engine::directory::RecordKind;
 use chervilwharf_daemon::engine::directory::Revision;
-use chervilwharf_daemon::engine::directory::WriteError;
 use chervilwharf_daemon::engine::duty_control::OrderChange;
 use chervilwharf_daemon::engine::duty_control::claim;
 use chervilwharf_daemon::engine::probe::probe;
@@ -47,6 +40,7 @@
 use chervilwharf_lib::leader_watch::ReplaceReason;
 use chervilwharf_lib::position::Position;
 use chervilwharf_lib::server_refusal::ServerRefusal;
+use stubs::OneRecord;
 use stubs::instance;
 use stubs::primary;
 use stubs::set_only_voter_for_long;
@@ -107,65 +101,6 @@
     }
 }
 
-/// A store that keeps one record.
-#[derive(Default)]
-struct Store(Mutex<Option<Entry>>);
-
-impl Store {
-    fn duty(&self) -> Option<DutyRecord> {
-        match self.0.lock().unwrap().clone()?.record {
-            Record::Duty(duty) => Some(duty),
-            other => panic!("{other:?}"),
-        }
-    }
-
-    fn members(&self) -> Vec<String> {
-        let replicas = self.duty().map(|duty| duty.replicas).unwrap_or_default();
-        replicas.members.iter().map(|member| member.id.to_string()).collect()
-    }
-}
-
-#[async_trait]
-impl Directory for Store {
-    async fn list(&self, _: RecordKind, _: Currency) -> Result<Listing, DirectoryError> {
-        Err(DirectoryError::Refused(503))
-    }
-
-    async fn watch(
-        &self,
-        _: RecordKind,
-        _: Revision,
-        _: Duration,
-        _: Currency,
-    ) -> Result<Changes, DirectoryError> {
-        Err(DirectoryError::Refused(503))
-    }
-
-    async fn get(&self, _: RecordKind, _: &str) -> Result<Option<Entry>, DirectoryError> {
-        Ok(self.0.lock().unwrap().clone())
-    }
-
-    async fn write(
-        &self,
-        name: &str,
-        record: &Record,
-        expected: Option<Revision>,
-    ) -> Result<Revision, WriteError> {
-        let mut kept = self.0.lock().unwrap();
-        let present = kept.as_ref().map(|entry| entry.revision);
-        if present != expected {
-            return Err(WriteError::Conflict(kept.clone()));
-        }
-        let revision = Revision::new(0, present.map_or(1, |present| present.number + 1));
-        *kept = Some(Entry { name: name.into(), revision, record: record.clone() });
-        Ok(revision)
-    }
-
-    async fn remove(&self, _: RecordKind, _: &str, _: Revision) -> Result<(), WriteError> {
-        Err(WriteError::Conflict(None))
-    }
-}
-
 struct NoPromotions;
 
 #[async_trait]
@@ -177,7 +112,7 @@
 
 struct World {
     servers: Servers,
-    store: Arc<Store>,
+    store: Arc<OneRecord>,
     /// The addresses at which servers run.
     listeners: Vec<TcpListener>,
     replacer: Replacer,
@@ -185,7 +120,7 @@
 
 impl World {
     async fn new() -> Self {
-        let (servers, store) = (Servers::default(), Arc::<Store>::default());
+        let (servers, store) = (Servers::default(), Arc::<OneRecord>::default());
         let mut listeners = Vec::new();
         for _ in 0..3 {
             listeners.push(TcpListener::bind("127.0.0.1:0").await.unwrap());
@@ -195,7 +130,7 @@
     }
 
     /// An instance that has just started, and knows only what the store keeps.
-    fn started(servers: &Servers, store: &Arc<Store>) -> Replacer {
+    fn started(servers: &Servers, store: &Arc<OneRecord>) -> Replacer {
         let engine = Arc::new(Engine::new(instance("me"), Arc::new(servers.clone())));
         let settings = GroupSettings { max_connections: 20, sync_replicas: 1 };
         let groups = [("db".into(), settings)].into();
@@ -203,14 +138,18 @@
         engine.set_registered();
         engine.update_servers(|list| list.advance(Revision::new(0, 1)));
         set_only_voter_for_long(&engine, &"db".into());
-        if let Some(Entry { revision, record: Record::Duty(duty), .. }) =
-            store.0.lock().unwrap().clone()
-        {
+        if let Some(Entry { revision, record: Record::Duty(duty), .. }) = store.entry() {
             engine.with_duties(|duties| duties.apply_record(revision, duty));
         }
         Replacer { engine, directory: store.clone(), promoter: Arc::new(NoPromotions) }
     }
 
+    /// The ids of the replicas in the store.
+    fn members(&self) -> Vec<String> {
+        let members = self.store.duty().replicas.members;
+        members.iter().map(|member| member.id.to_string()).collect()
+    }
+
     fn shard(&self) -> Arc<Shard> {
         self.replacer.engine.shard(&"db".into())
     }
@@ -246,8 +185,8 @@
     /// Drives changes of the replicas until the store has these.
     async fn maintain_until(&self, members: &[&str]) {
         let until = now() + Duration::from_secs(10);
-        while self.store.members() != members {
-            assert!(now() < until, "the store has {:?}", self.store.members());
+        while self.members() != members {
+            assert!(now() < until, "the store has {:?}", self.members());
             let _probed = probe(&self.shard(), &"p".into()).await;
             maintain_replicas(&self.replacer, &self.shard(), Some(0));
             tokio::time::sleep(Duration::from_millis(20)).await;
@@ -262,7 +201,7 @@
     let mut world = World::new().await;
     world.list(&[("p", 0, false), ("deaf", 1, false), ("leaving", 2, true)]);
     world.claim().await;
-    assert_eq!(world.store.members(), ["deaf", "leaving", "p"]);
+    assert_eq!(world.members(), ["deaf", "leaving", "p"]);
     world.set_received(&[("deaf", 10)]);
     world.list(&[("p", 0, false), ("deaf", 1, false)]);
     assert_eq!(world.successor().await, None);
--- a/lib/src/group/reading.rs
+++ b/lib/src/group/reading.rs
@@ -135,47 +135,34 @@
         }
     }
 
-    /// Lowest position that a read which arrived at `arrived_at` has to see. `None` if
-    /// only the primary can answer the read, because it must see the latest commits or
-    /// because no sample of the primary's position is young enough.
+    /// Lowest position that a read which arrived at `arrived_at` has to see, in a session with
+    /// these own commits. `None` if only the primary can answer the read, because it must see the
+    /// latest commits or because no sample of the primary's position is young enough.
+    ///
+    /// Nor can a replica answer if it is not known which own commits the read has to see, or if the
+    /// log lacks one although it was not rolled back: the group was removed and created again under
+    /// its name, and a position of the former log means nothing in the present one.
     #[must_use]
     pub fn floor(
         &self,
         arrived_at: Moment,
         consistency: Consistency,
-        session_floor: Option<Position>,
+        own: OwnCommits,
     ) -> Option<Position> {
         match consistency {
             Consistency::Latest => None,
             Consistency::Bounded(age) => self.samples.floor(arrived_at, age),
             Consistency::ReadYourWrites(age) => {
                 let floor = self.samples.floor(arrived_at, age)?;
-                let own = session_floor.map(|position| self.surviving(position));
-                Some(own.map_or(floor, |own| own.max(floor)))
-            }
-        }
-    }
-
-    /// As [`Group::floor`], for a session with these own commits.
-    ///
-    /// `None` also if the log of the group lacks an own commit although it was not rolled back: the
-    /// group was removed and created again under its name, and a read with the floor of the
-    /// former log would wait for a position that means nothing in the present one.
-    #[must_use]
-    pub fn read_floor(
-        &self,
-        arrived_at: Moment,
-        consistency: Consistency,
-        own: OwnCommits,
-    ) -> Option<Position> {
-        if matches!(consistency, Consistency::ReadYourWrites(_)) {
-            match own {
-                OwnCommits::Unknown => return None,
-                OwnCommits::UpTo(own) if self.is_of_other_log(arrived_at, own) => return None,
-                OwnCommits::None | OwnCommits::UpTo(_) => {}
+                match own {
+                    OwnCommits::None => Some(floor),
+                    OwnCommits::UpTo(own) if !self.is_of_other_log(arrived_at, own) => {
+                        Some(self.surviving(own.position).max(floor))
+                    }
+                    OwnCommits::UpTo(_) | OwnCommits::Unknown => None,
+                }
             }
         }
-        self.floor(arrived_at, consistency, own.position())
     }
 
     /// Whether the primary lacks a commit that was acknowledged to a session. With the lease on
--- a/lib/src/replica_change.rs
+++ b/lib/src/replica_change.rs
@@ -44,8 +44,7 @@
         sync_replicas: usize,
     ) -> Option<ReplicaAction> {
         self.note_absent(now, known, listed);
-        let is_used = sync_replicas > 0 || known.is_known();
-        if !is_used || listed.is_empty() {
+        if !known.is_used(sync_replicas) || listed.is_empty() {
             return None;
         }
         let action = self.due_action(now, known, listed, sync_replicas)?;
--- a/lib/src/replica_set.rs
+++ b/lib/src/replica_set.rs
@@ -116,6 +116,13 @@
         !self.members.is_empty()
     }
 
+    /// Whether a group with so many synchronous replicas has a set. It has one also after their
+    /// number was set to 0, until its members are not needed any more.
+    #[must_use]
+    pub fn is_used(&self, sync_replicas: usize) -> bool {
+        sync_replicas > 0 || self.is_known()
+    }
+
     /// This set with all listed servers as members.
     #[must_use]
     pub fn with_servers(&self, listed: &[ServerInfo]) -> Self {
--- a/lib/tests/test_group.rs
+++ b/lib/tests/test_group.rs
@@ -11,6 +11,8 @@
 use chervilwharf_lib::id::TargetId;
 use chervilwharf_lib::moment::Moment;
 use chervilwharf_lib::position::Position;
+use chervilwharf_lib::session_floors::OwnCommits;
+use chervilwharf_lib::session_floors::OwnPosition;
 use quickcheck::quickcheck;
 
 const STALENESS: Duration = Duration::from_millis(1_500);
@@ -58,16 +60,17 @@
         let (asked_at, position) = (at(step * 100), Position::new(1, 100 + step));
         group.observe_leading(asked_at, asked_at, &id("p"), position);
     }
-    let floor = group.floor(at(2_000), Consistency::Bounded(STALENESS), None);
+    let floor = group.floor(at(2_000), Consistency::Bounded(STALENESS), OwnCommits::None);
     assert_eq!(floor, Some(Position::new(1, 105)));
 }
 
 #[test]
 fn test_own_commit_raises_the_floor() {
     let group = group();
-    let own = Some(Position::new(1, 120));
+    let position = Position::new(1, 120);
+    let own = OwnCommits::UpTo(OwnPosition { position, acknowledged_at: at(10) });
     let consistency = Consistency::ReadYourWrites(STALENESS);
-    assert_eq!(group.floor(at(10), consistency, own), own);
+    assert_eq!(group.floor(at(10), consistency, own), Some(position));
     assert_eq!(
         group.floor(at(10), Consistency::Bounded(STALENESS), own),
         Some(Position::new(1, 100))
@@ -77,8 +80,8 @@
 #[test]
 fn test_without_a_recent_sample_no_replica_may_answer() {
     let group = group();
-    assert_eq!(group.floor(at(1_501), Consistency::Bounded(STALENESS), None), None);
-    assert_eq!(group.floor(at(1), Consistency::Latest, None), None);
+    assert_eq!(group.floor(at(1_501), Consistency::Bounded(STALENESS), OwnCommits::None), None);
+    assert_eq!(group.floor(at(1), Consistency::Latest, OwnCommits::None), None);
 }
 
 #[test]
@@ -88,7 +91,7 @@
     // position of the primary.
     let mut group = group();
     group.observe_leading(at(1_000), at(1_001), &id("r1"), Position::new(1, 50));
-    assert_eq!(group.floor(at(1_600), Consistency::Bounded(STALENESS), None), None);
+    assert_eq!(group.floor(at(1_600), Consistency::Bounded(STALENESS), OwnCommits::None), None);
 }
 
 #[test]
@@ -195,7 +198,7 @@
     // the instance's queries for its position, and without a sample no replica may answer.
     let mut group = group();
     group.observe_reported_position(at(2_000), Position::new(1, 140));
-    let floor = group.floor(at(2_500), Consistency::Bounded(STALENESS), None);
+    let floor = group.floor(at(2_500), Consistency::Bounded(STALENESS), OwnCommits::None);
     assert_eq!(floor, Some(Position::new(1, 140)));
 }
 
@@ -219,7 +222,7 @@
         let read_at = time + u64::from(read_after);
         let staleness = u64::from(staleness);
         let consistency = Consistency::Bounded(at(staleness));
-        let Some(floor) = group.floor(at(read_at), consistency, None) else {
+        let Some(floor) = group.floor(at(read_at), consistency, OwnCommits::None) else {
             return true;
         };
         acknowledged
@@ -319,7 +322,7 @@
     let mut refused = 0;
     for ms in (started_ms..started_ms + 1_000).step_by(5) {
         group.observe_leading(at(ms), at(ms), &id("p"), position_at(ms));
-        let floor = group.floor(at(ms), Consistency::Bounded(STALENESS), None).unwrap();
+        let floor = group.floor(at(ms), Consistency::Bounded(STALENESS), OwnCommits::None).unwrap();
         if !group.can_read(at(ms), &id("r1"), floor) {
             continue;
         }
@@ -333,6 +336,7 @@
     }
     // The assumed delay doubles from 20 ms.
     assert!(refused <= 7, "{refused} refusals");
-    let floor = group.floor(at(started_ms + 1_500), Consistency::Bounded(STALENESS), None);
+    let floor =
+        group.floor(at(started_ms + 1_500), Consistency::Bounded(STALENESS), OwnCommits::None);
     assert!(group.can_read(at(started_ms + 1_500), &id("r1"), floor.unwrap()));
 }
--- a/lib/tests/test_session_floors.rs
+++ b/lib/tests/test_session_floors.rs
@@ -53,9 +53,9 @@
     const { assert!(MAX_FLOORS_BYTES < 1_024) };
     let read_your_writes = Consistency::ReadYourWrites(Duration::from_secs(2));
     let group = sampled_group(1, 60);
-    assert_eq!(group.read_floor(at(900), read_your_writes, OwnCommits::Unknown), None);
+    assert_eq!(group.floor(at(900), read_your_writes, OwnCommits::Unknown), None);
     let bounded = Consistency::Bounded(Duration::from_secs(2));
-    assert!(group.read_floor(at(900), bounded, OwnCommits::Unknown).is_some());
+    assert!(group.floor(at(900), bounded, OwnCommits::Unknown).is_some());
 }
 
 /// Guards against a floor of this instance that is weakened by a reply.
@@ -105,11 +105,11 @@
         })
     };
     let group = sampled_group(1, 60);
-    assert_eq!(group.read_floor(at(900), consistency, own(5, 9, 100)), None);
-    assert_eq!(group.read_floor(at(900), consistency, own(1, 90, 100)), None);
+    assert_eq!(group.floor(at(900), consistency, own(5, 9, 100)), None);
+    assert_eq!(group.floor(at(900), consistency, own(1, 90, 100)), None);
     // The commit is newer than what is known of the primary.
-    let floor = group.read_floor(at(900), consistency, own(1, 90, 600));
+    let floor = group.floor(at(900), consistency, own(1, 90, 600));
     assert_eq!(floor, Some(Position::new(1, 90)));
-    let floor = group.read_floor(at(900), consistency, own(1, 50, 100));
+    let floor = group.floor(at(900), consistency, own(1, 50, 100));
     assert_eq!(floor, Some(Position::new(1, 60)));
 }
