leases: instances that do not vote use the primary by reads of the store

Cause: the right to use a primary hung on the votes, as the right to replace it does. New instances vote 60 s after the last voter is lost. A read of the store could have shown them that the primary was not replaced, but for one kind of replacement: without the store, by all voters together.

ReaderAdmission decides when. - A replacement waits for readers, also former ones, although all voters promise (readers_end). - Reads of the store count at once after a start: the 4 s guarded against promises to replacements that no read shows. - While the store fails, nobody attempts a replacement, and requests for a primary that crashed are refused at once.

--- a/daemon/src/engine/duty_control.rs
+++ b/daemon/src/engine/duty_control.rs
@@ -24,6 +24,7 @@
 use chervilwharf_lib::id::InstanceId;
 use chervilwharf_lib::moment::Moment;
 use chervilwharf_lib::primary_lease::RetireRequest;
+use chervilwharf_lib::primary_lease::readers_end;
 use chervilwharf_lib::revision::Era;
 use chervilwharf_lib::voter_set::VoterSet;
 
@@ -46,7 +47,7 @@
 /// The duties that this instance knows, by group.
 #[derive(Debug, Default)]
 pub struct DutyTable {
-    duties: HashMap<GroupId, (Revision, DutyRecord)>,
+    duties: HashMap<GroupId, KnownDuty>,
     /// The last token of each group under which this incarnation sent an order. The platform
     /// can carry out an unanswered order seconds later; only a higher token keeps it from
     /// undoing a later order.
@@ -56,6 +57,14 @@
     latest_orders: HashMap<GroupId, LatestOrder>,
 }
 
+#[derive(Clone, Debug)]
+struct KnownDuty {
+    revision: Revision,
+    record: DutyRecord,
+    /// When this instance received the record.
+    known_since: Moment,
+}
+
 /// The order under a token; `None` if there is none.
 #[derive(Clone, Debug)]
 struct LatestOrder {
@@ -67,13 +76,28 @@
     /// The record of a group.
     #[must_use]
     pub fn record(&self, group: &GroupId) -> Option<&DutyRecord> {
-        self.duties.get(group).map(|(_, record)| record)
+        self.duties.get(group).map(|known| &known.record)
     }
 
     /// The record of a group with its revision.
     #[must_use]
     pub fn entry(&self, group: &GroupId) -> Option<(Revision, DutyRecord)> {
-        self.duties.get(group).cloned()
+        self.duties.get(group).map(|known| (known.revision, known.record.clone()))
+    }
+
+    /// When the last lease expires that the record of a group at `replaced` granted to a reader,
+    /// if an order was put in its place at `written_at`. `None` stands for a record that cannot
+    /// be decoded, or for no record.
+    fn readers_end(
+        &self,
+        group: &GroupId,
+        replaced: Option<Revision>,
+        written_at: Moment,
+    ) -> Moment {
+        let known = self.duties.get(group).filter(|known| Some(known.revision) == replaced);
+        let (admits_readers, known_since) = known
+            .map_or((true, written_at), |known| (known.record.admits_readers, known.known_since));
+        readers_end(written_at, admits_readers, known_since)
     }
 
     /// The instance that holds the duty of a group.
@@ -86,7 +110,7 @@
     /// differs from the known one.
     pub fn apply_record(&mut self, revision: Revision, record: DutyRecord) -> bool {
         let known = self.duties.get(&record.group);
-        if known.is_some_and(|(at, _)| *at >= revision) {
+        if known.is_some_and(|known| known.revision >= revision) {
             return false;
         }
         self.note_order_of_token(&record.group, record.token, record.order.clone());
@@ -94,7 +118,8 @@
             if revision.era > 0 { self.with_lost_in_restore(revision.era, record) } else { record };
         // After a restore the store can hold the same record under a new revision.
         let is_new = self.record(&record.group).is_none_or(|known| !known.is_same_duty(&record));
-        self.duties.insert(record.group.clone(), (revision, record));
+        let group = record.group.clone();
+        self.duties.insert(group, KnownDuty { revision, record, known_since: now() });
         is_new
     }
 
@@ -103,11 +128,13 @@
     fn with_lost_in_restore(&self, era: Era, record: DutyRecord) -> DutyRecord {
         let known = self.duties.get(&record.group);
         let replicas = match known {
-            Some((at, known)) if at.era < era => record.replicas.merged(&known.replicas),
+            Some(known) if known.revision.era < era => {
+                record.replicas.merged(&known.record.replicas)
+            }
             _ => record.replicas.clone(),
         };
         let record = DutyRecord { replicas, ..record };
-        let retired = known.map_or(0, |(_, known)| known.retired).max(record.retired);
+        let retired = known.map_or(0, |known| known.record.retired).max(record.retired);
         let latest = self.latest_orders.get(&record.group);
         match latest.filter(|latest| latest.token > record.token) {
             Some(latest) => DutyRecord { order: latest.order.clone(), retired, ..record },
@@ -139,7 +166,7 @@
     /// Whether an instance took the duty of any group in an era of the store.
     #[must_use]
     pub fn is_any_taken_in(&self, era: Era) -> bool {
-        self.duties.values().any(|(_, record)| is_token_of_era(record.token, era))
+        self.duties.values().any(|known| is_token_of_era(known.record.token, era))
     }
 
     /// Whether an instance took the duty of a group in an era of the store.
@@ -161,14 +188,6 @@
         self.used_tokens.insert(duty.group.clone(), duty.token);
     }
 
-    /// Records an order that is not in the store, under a token that this instance took
-    /// before.
-    pub fn note_order(&mut self, group: &GroupId, order: OrderChange) {
-        if let (Some((_, record)), OrderChange::Put(order)) = (self.duties.get_mut(group), order) {
-            record.order = order;
-        }
-    }
-
     /// The present token of a group; 0 if no instance ever held its duty.
     #[must_use]
     pub fn token(&self, group: &GroupId) -> DutyToken {
@@ -181,14 +200,6 @@
         let token = self.record(group).map(|record| record.token);
         token.is_some() && self.used_tokens.get(group).copied() >= token
     }
-
-    /// The record of a group's duty if the incarnation `life` of the instance `id` holds it
-    /// under a token that it has not used.
-    fn usable(&self, group: &GroupId, id: &InstanceId, life: u64) -> Option<DutyRecord> {
-        let record = self.record(group)?;
-        let ours = record.holder == *id && record.life == life;
-        (ours && !self.is_token_used(group)).then(|| record.clone())
-    }
 }
 
 /// How long the watch of the duties waits for the orders that are read at the start.
@@ -224,13 +235,18 @@
             _ => return,
         };
         let (group, holder, token) = (record.group.clone(), record.holder.clone(), record.token);
-        let order = record.order.clone();
-        let (is_new, ordered_before) = self.engine.with_duties(|duties| {
-            let before = duties.record(&group).and_then(|known| known.order.clone());
-            (duties.apply_record(entry.revision, record), before)
+        let (order, admits_readers) = (record.order.clone(), record.admits_readers);
+        let (is_new, ordered_before, admitted_before) = self.engine.with_duties(|duties| {
+            let before = duties.record(&group);
+            let admitted_before = before.is_some_and(|known| known.admits_readers);
+            let ordered_before = before.and_then(|known| known.order.clone());
+            (duties.apply_record(entry.revision, record), ordered_before, admitted_before)
         });
         if self.engine.is_holder(&group) {
             self.engine.adopt_stored_voters(&self.engine.shard(&group));
+            if admits_readers && !admitted_before {
+                self.engine.lease_renewal().notify_one();
+            }
         }
         if is_new {
             // A line at each instance for each group would be most of the log of a start.
@@ -251,6 +267,12 @@
         RecordKind::Duties
     }
 
+    fn outage(&mut self, lasting: bool) {
+        if !lasting {
+            self.engine.watches().end_deferrals();
+        }
+    }
+
     fn currency(&self) -> Currency {
         Currency::MayBeStale
     }
@@ -290,48 +312,49 @@
 pub struct Claim {
     /// The record.
     pub duty: DutyRecord,
-    /// When the store had accepted the record; `None` if it could not be written and the
-    /// token is one that this instance took before.
-    pub written_at: Option<Moment>,
+    /// When the store had accepted the record.
+    pub written_at: Moment,
     /// Era in which the store accepted the record.
-    pub written_era: Option<Era>,
+    pub written_era: Era,
+    /// When the last lease expires that the store granted to a reader before that.
+    pub readers_end: Moment,
+}
+
+/// Why a duty could not be taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ClaimFailure {
+    /// The record was changed meanwhile, possibly by another instance that took the duty.
+    Conflict,
+    /// The store did not accept the write from this instance.
+    NotWritten,
 }
 
-/// Takes the duty of a group under a new token. `None` if it cannot be taken.
+/// Takes the duty of a group under a new token.
 ///
 /// `since` is the highest token that this instance knew when it decided to act. If another
-/// instance has taken the duty under a higher one, this one does not. While the store does
-/// not accept the write, a token suffices that this incarnation took before and has not
-/// used.
+/// instance has taken the duty under a higher one, this one does not.
+///
+/// # Errors
+///
+/// If the record could not be written.
 pub async fn claim(
     engine: &Engine,
     directory: &dyn Directory,
     group: &GroupId,
     order: OrderChange,
     since: DutyToken,
-) -> Option<Claim> {
-    match claim_new(engine, directory, group, order.clone(), since).await {
-        Ok((duty, era)) => Some(Claim { duty, written_at: Some(now()), written_era: Some(era) }),
-        Err(error) => {
-            let me = engine.me();
-            let kept = engine.with_duties(|duties| duties.usable(group, &me.id, me.life));
-            let token = kept.as_ref().map(|record| record.token);
-            let event = Event::new(EventKind::DutyFailed).with("group", group);
-            event_log::emit(&event.with("reason", &error).with_some("kept_token", token));
-            // A newer record of another instance invalidates the token taken before.
-            match error {
-                WriteError::Conflict(present) => {
-                    apply_present(engine, present);
-                    None
-                }
-                WriteError::NotDone(_) | WriteError::Unanswered(_) => {
-                    let duty = kept?;
-                    engine.with_duties(|duties| duties.note_order(group, order));
-                    Some(Claim { duty, written_at: None, written_era: None })
-                }
+) -> Result<Claim, ClaimFailure> {
+    claim_new(engine, directory, group, order, since).await.map_err(|error| {
+        let event = Event::new(EventKind::DutyFailed).with("group", group);
+        event_log::emit(&event.with("reason", &error));
+        match error {
+            WriteError::Conflict(present) => {
+                apply_present(engine, present);
+                ClaimFailure::Conflict
             }
+            WriteError::NotDone(_) | WriteError::Unanswered(_) => ClaimFailure::NotWritten,
         }
-    }
+    })
 }
 
 async fn claim_new(
@@ -340,7 +363,7 @@
     group: &GroupId,
     order: OrderChange,
     since: DutyToken,
-) -> Result<(DutyRecord, Era), WriteError> {
+) -> Result<Claim, WriteError> {
     let (present, expected) = match directory.get(RecordKind::Duties, group).await {
         Ok(present) => {
             let expected = present.as_ref().map(|entry| entry.revision);
@@ -386,7 +409,12 @@
         }
         result => result?,
     };
-    engine.with_duties(|duties| duties.apply_record(written, next.clone()));
+    let written_at = now();
+    let readers_end = engine.with_duties(|duties| {
+        let readers_end = duties.readers_end(group, expected, written_at);
+        duties.apply_record(written, next.clone());
+        readers_end
+    });
     // The store was restored from a backup meanwhile. The write may have replaced another
     // record under the expected revision number, and a higher token may exist.
     if written.era != era {
@@ -395,7 +423,7 @@
     }
     let event = Event::new(EventKind::DutyTaken).with("group", group);
     event_log::emit(&event.with("holder", &next.holder).with("token", next.token));
-    Ok((next, era))
+    Ok(Claim { duty: next, written_at, written_era: era, readers_end })
 }
 
 /// Adds to the first record of an era the highest term that a majority of the voters has
--- a/daemon/src/engine/leader_control.rs
+++ b/daemon/src/engine/leader_control.rs
@@ -32,6 +32,7 @@
 use crate::engine::event_log;
 use crate::engine::probe;
 use crate::engine::probe::Probed;
+use crate::engine::reader_control;
 use crate::engine::replacement::Outcome;
 use crate::engine::replacement::Replacer;
 use crate::engine::replacement::replace;
@@ -69,6 +70,13 @@
         self.with(group, |watch| watch.defer_replacement(now()));
     }
 
+    /// Lets this instance replace primaries again that it left to others, now that the store
+    /// answers it.
+    pub fn end_deferrals(&self) {
+        let mut watches = self.watches.lock().expect("never poisoned");
+        watches.values_mut().for_each(LeaderWatch::end_deferral);
+    }
+
     fn is_replacing(&self, group: &GroupId) -> bool {
         self.replacing.lock().expect("never poisoned").contains(group)
     }
@@ -117,10 +125,14 @@
 
 fn check_group(replacer: &Replacer, shard: &Arc<Shard>, claims_from: Moment) {
     let engine = &replacer.engine;
-    let rank = engine.duty_rank(shard.id());
+    // An order has to be written first. While the store fails, an attempt would only keep others,
+    // and this instance after the outage, from one that succeeds.
+    let lacks_store = engine.has_servers_outage();
+    let rank = engine.duty_rank(shard.id()).filter(|_| !lacks_store);
     let (claimants, actions) = shard.with_group(|group| {
         let suspected = group.take_suspicion();
         let actions = engine.watches().with(shard.id(), |watch| {
+            watch.set_lacks_store(lacks_store);
             let mut actions = watch.tick(now(), group, rank);
             actions.extend(suspected.then(|| watch.suspect_primary(now(), group)).flatten());
             actions
@@ -146,6 +158,7 @@
     }
     voter_control::maintain_voters(replacer, shard, rank);
     replica_control::maintain_replicas(replacer, shard, rank);
+    reader_control::maintain_readers(replacer, shard, rank);
 }
 
 /// Whether this instance, at `rank` in the succession, takes the duty of a group if it is vacant.
@@ -206,8 +219,8 @@
     }
 }
 
-/// Takes the duty of a group that no instance holds, before it is needed: during an outage
-/// of the store only an instance that holds a token can replace a primary.
+/// Takes the duty of a group that no instance holds, before it is needed, so that the group has
+/// voters.
 fn claim_vacant_duty(replacer: &Replacer, shard: &Arc<Shard>) {
     let engine = &replacer.engine;
     if !engine.is_duty_vacant(shard.id()) || engine.has_servers_outage() {
@@ -226,7 +239,7 @@
         let since = engine.with_duties(|duties| duties.token(shard.id()));
         let claimed =
             duty_control::claim(engine, directory, shard.id(), OrderChange::Keep, since).await;
-        if claimed.is_none() {
+        if claimed.is_err() {
             tokio::time::sleep(CLAIM_PAUSE).await;
         }
         drop(guard);
--- a/daemon/src/engine/mod.rs
+++ b/daemon/src/engine/mod.rs
@@ -44,6 +44,7 @@
 pub mod quota_control;
 pub mod quota_leases;
 pub mod quota_shards;
+pub mod reader_control;
 pub mod record_watch;
 pub mod records;
 pub mod remote;
--- a/daemon/src/engine/primary_lease_control.rs
+++ b/daemon/src/engine/primary_lease_control.rs
@@ -29,8 +29,8 @@
 use chervilwharf_lib::primary_lease::Promise;
 use chervilwharf_lib::primary_lease::RESTART_PROMISE_WINDOW;
 use chervilwharf_lib::primary_lease::RetireRequest;
+use chervilwharf_lib::primary_lease::StoredLease;
 use chervilwharf_lib::revision::Era;
-use chervilwharf_lib::voter_set::VoterSet;
 use futures::future::try_join_all;
 
 use crate::engine::clock::now;
@@ -132,7 +132,7 @@
     let read_at = listing.revision;
     let era = read_at.era;
     engine.note_store_era(era, RecordKind::Duties);
-    let mut read: HashMap<GroupId, (Term, VoterSet)> = HashMap::new();
+    let mut read: HashMap<GroupId, StoredLease> = HashMap::new();
     let mut keeper_voters = HashMap::new();
     for Entry { revision, record, .. } in listing.entries {
         let record = match record {
@@ -143,7 +143,7 @@
             }
             _ => continue,
         };
-        read.insert(record.group.clone(), (record.ended_term(), record.voters.clone()));
+        read.insert(record.group.clone(), record.stored_lease());
         // Creates the group, in case the configuration arrives later.
         let _shard = engine.shard(&record.group);
         engine.with_duties(|duties| duties.apply_record(revision, record));
@@ -154,8 +154,8 @@
     }
     let latest = engine.store_era().latest();
     for shard in engine.shards() {
-        let (term, voters) = read.remove(shard.id()).unwrap_or_default();
-        apply_store_grant(&shard, latest, asked_at, term, era, &voters);
+        let stored = read.remove(shard.id()).unwrap_or_default();
+        apply_store_grant(&shard, latest, asked_at, era, &stored);
     }
     Ok(())
 }
@@ -166,15 +166,14 @@
     tokio::time::sleep(HEARTBEAT_ANSWER_WAIT).await;
     let at = now();
     let ends_soon = |shard: &Arc<Shard>| {
+        let admits_readers = engine.admits_readers(shard.id());
         shard.with_group(|group| {
             let Some(term) = group.confirmed_leader().map(|leader| leader.term) else {
                 return false;
             };
             let lease = group.primary_lease();
             let ends_soon = lease.lease_end(term).is_none_or(|end| end < at + RENEWAL_MARGIN);
-            // Otherwise instances that have just restarted read the store in vain, while it
-            // sends all of them their records.
-            ends_soon && lease.retired() < term && lease.takes_store_grants(at)
+            ends_soon && lease.retired() < term && lease.takes_store_grants(admits_readers)
         })
     };
     let used = engine.used_shards();
@@ -182,10 +181,16 @@
     if ending.is_empty() {
         return;
     }
-    let result = if ending.len() <= MAX_ORDERS_READ_SINGLY {
-        read_orders_singly(&engine, &*directory, &ending).await
-    } else {
+    let is_many = ending.len() > MAX_ORDERS_READ_SINGLY;
+    // Voters grant the leases soon to instances that have just restarted, and the store sends all
+    // of them their records meanwhile.
+    if is_many && !engine.has_run_for(RESTART_PROMISE_WINDOW) {
+        return;
+    }
+    let result = if is_many {
         read_orders(&engine, &*directory).await
+    } else {
+        read_orders_singly(&engine, &*directory, &ending).await
     };
     let event = Event::new(EventKind::RightFromStore).with_count("groups", ending.len());
     event_log::emit(&event.with_some("failed", result.err()));
@@ -213,28 +218,27 @@
             continue;
         };
         engine.note_store_era(revision.era, RecordKind::Duties);
-        let (term, voters) = (record.ended_term(), record.voters.clone());
+        let stored = record.stored_lease();
         engine.with_duties(|duties| duties.apply_record(revision, record));
         let latest = engine.store_era().latest();
-        apply_store_grant(shard, latest, asked_at, term, revision.era, &voters);
+        apply_store_grant(shard, latest, asked_at, revision.era, &stored);
     }
     Ok(())
 }
 
-/// Applies a read of a group's duty, requested at `asked_at` and answered in `era`, that shows an
-/// order to end `ended_term`, and the voters; `latest` is the latest known era.
+/// Applies a read of a group's duty, requested at `asked_at` and answered in `era`; `latest` is the
+/// latest known era.
 fn apply_store_grant(
     shard: &Arc<Shard>,
     latest: Era,
     asked_at: Moment,
-    ended_term: Term,
     era: Era,
-    voters: &VoterSet,
+    stored: &StoredLease,
 ) {
     shard.change_lease(|primary_lease| {
         primary_lease.note_era(latest);
-        primary_lease.adopt_ended_term(ended_term);
-        primary_lease.record_store_grant(now(), asked_at, ended_term, era, voters);
+        primary_lease.adopt_ended_term(stored.retired);
+        primary_lease.record_store_grant(now(), asked_at, era, stored);
     });
 }
 
@@ -479,6 +483,7 @@
         Objection::OtherSuccessor(server) => {
             TermEndReply { other_successor: server.to_string(), ..reply }
         }
+        Objection::NotWritten => reply,
     }
 }
 
--- a/daemon/src/engine/replacement.rs
+++ b/daemon/src/engine/replacement.rs
@@ -45,6 +45,7 @@
 use crate::engine::directory::Directory;
 use crate::engine::duty_control;
 use crate::engine::duty_control::Claim;
+use crate::engine::duty_control::ClaimFailure;
 use crate::engine::duty_control::OrderChange;
 use crate::engine::event_log;
 use crate::engine::probe;
@@ -104,7 +105,7 @@
 enum Abandoned {
     /// The platform carries out no order of this replacement.
     BeforeOrder(&'static str),
-    /// As `BeforeOrder`, and another instance may be able to replace the primary.
+    /// There is no order in the store, and another instance may be able to write one.
     LeftToOthers(&'static str),
     /// Another instance took the duty first, and replaces the primary.
     Overtaken,
@@ -127,11 +128,12 @@
     successor: TargetId,
     /// Token of an order of this replacement that it did not send; 0 for none.
     withdrawn_token: DutyToken,
-    /// When the store accepted the order; `None` if the store could not be written and
-    /// this instance uses a token that it took before.
-    written_at: Option<Moment>,
+    /// When the store accepted the order.
+    written_at: Moment,
     /// Era in which the store accepted the order.
-    written_era: Option<Era>,
+    written_era: Era,
+    /// When the last lease expires that the store granted to a reader before that.
+    readers_end: Moment,
     /// The voters by which the promises are counted.
     voters: VoterSet,
 }
@@ -157,7 +159,9 @@
     let (outcome, reason) = match try_replace(replacer, shard, from.clone(), reason).await {
         Ok(()) => return Outcome::Replaced,
         Err(Abandoned::AfterOrder) => return Outcome::Failed,
-        Err(Abandoned::BeforeOrder(reason) | Abandoned::LeftToOthers(reason)) => {
+        Err(Abandoned::BeforeOrder(reason)) => (Outcome::Failed, reason),
+        Err(Abandoned::LeftToOthers(reason)) => {
+            replacer.engine.watches().defer_replacement(shard.id());
             (Outcome::Failed, reason)
         }
         Err(Abandoned::Overtaken) => (Outcome::Overtaken, "another instance took the duty"),
@@ -200,11 +204,16 @@
     let metrics = replacer.engine.metrics();
     let began_at = now();
     let claim = claim(replacer, shard.id(), OrderChange::Put(Some(order)), since).await;
-    let Some(claim) = claim else {
+    let claim = claim.map_err(|failure| {
         let holds = replacer.engine.with_duties(|duties| duties.token(shard.id())) <= since;
-        let reason = Abandoned::BeforeOrder("the duty could not be taken");
-        return Err(if holds { reason } else { Abandoned::Overtaken });
-    };
+        match failure {
+            _ if !holds => Abandoned::Overtaken,
+            ClaimFailure::Conflict => Abandoned::BeforeOrder("the duty was changed meanwhile"),
+            ClaimFailure::NotWritten => {
+                Abandoned::LeftToOthers("the store does not accept the order")
+            }
+        }
+    })?;
     metrics.replacement_step("claim", now().saturating_sub(began_at));
     let mut replacement = Replacement {
         replacer,
@@ -218,16 +227,12 @@
         withdrawn_token: 0,
         written_at: claim.written_at,
         written_era: claim.written_era,
+        readers_end: claim.readers_end,
         voters: replacer.engine.voters(shard.id()),
     };
     let result = replacement.carry_out(target).await;
-    match result {
-        Err(Abandoned::BeforeOrder(_)) => replacement.withdraw().await,
-        Err(Abandoned::LeftToOthers(_)) => {
-            replacement.withdraw().await;
-            replacer.engine.watches().defer_replacement(shard.id());
-        }
-        _ => {}
+    if let Err(Abandoned::BeforeOrder(_)) = result {
+        replacement.withdraw().await;
     }
     result
 }
@@ -261,7 +266,7 @@
     group: &GroupId,
     order: OrderChange,
     since: DutyToken,
-) -> Option<Claim> {
+) -> Result<Claim, ClaimFailure> {
     duty_control::claim(&replacer.engine, &*replacer.directory, group, order, since).await
 }
 
@@ -282,11 +287,6 @@
         if self.is_planned() {
             self.prepare_planned().await;
         }
-        if self.written_at.is_none() && !self.do_all_voters_answer().await {
-            return Err(Abandoned::LeftToOthers(
-                "the order is not in the store, and not all voters answer",
-            ));
-        }
         self.collect_promises().await?;
         self.record_step("agree", began_at);
         let began_at = now();
@@ -314,7 +314,7 @@
     /// order in the store.
     fn check_order_stored(&self) -> Result<(), Abandoned> {
         let latest = self.replacer.engine.store_era().latest();
-        if self.written_era.is_some_and(|era| era < latest) {
+        if self.written_era < latest {
             return Err(Abandoned::BeforeOrder("the store was restored from a backup"));
         }
         Ok(())
@@ -347,9 +347,7 @@
     /// the old primary meanwhile. Then it pauses new work there and waits until running
     /// statements have ended, at most for `PAUSE_LIMIT`.
     async fn prepare_planned(&self) {
-        if let Some(written_at) = self.written_at {
-            tokio::time::sleep((written_at + STORE_LEASE).saturating_sub(now())).await;
-        }
+        tokio::time::sleep((self.written_at + STORE_LEASE).saturating_sub(now())).await;
         let until = now() + PAUSE_LIMIT;
         loop {
             let replies = self.send_term_end_to_all(true).await;
@@ -394,9 +392,6 @@
     /// server. Returns whether it did. It needs the store: the voters promised for the
     /// first server, and the store has to show the new one.
     async fn replace_order(&mut self, target: &Candidate) -> bool {
-        if self.written_at.is_none() {
-            return false;
-        }
         let permitted =
             duty::order_permits(self.last_order.as_ref(), &target.id, target.status.term);
         if !permitted && self.reason != ReplaceReason::LastResort {
@@ -405,7 +400,7 @@
         let order = DutyOrder { server: target.id.clone(), term: self.term.saturating_add(1) };
         let (change, since) = (OrderChange::Put(Some(order)), self.duty.token);
         let claim = claim(self.replacer, self.shard.id(), change, since).await;
-        let Some(Claim { duty, written_at: Some(_), written_era }) = claim else {
+        let Ok(Claim { duty, written_era, .. }) = claim else {
             return false;
         };
         self.written_era = written_era;
@@ -424,13 +419,8 @@
     async fn withdraw(&self) {
         self.announce_outcome(None);
         let restored = OrderChange::Put(self.last_order.clone());
-        if self.written_at.is_none() {
-            let engine = &self.replacer.engine;
-            engine.with_duties(|duties| duties.note_order(self.shard.id(), restored));
-            return;
-        }
         let since = self.duty.token;
-        if claim(self.replacer, self.shard.id(), restored, since).await.is_none() {
+        if claim(self.replacer, self.shard.id(), restored, since).await.is_err() {
             let event = Event::new(EventKind::DutyFailed).with("group", self.shard.id());
             event_log::emit(&event.with("reason", "the order could not be withdrawn"));
         }
--- a/daemon/src/engine/replacement/promises.rs
+++ b/daemon/src/engine/replacement/promises.rs
@@ -34,15 +34,6 @@
 const PROMISE_PAUSE: Duration = Duration::from_millis(100);
 
 impl Replacement<'_> {
-    /// Whether all voters answer, so that each can give its promise itself. Checked
-    /// before any of them promises: without this check an instance that the store
-    /// refused ended the term again and again, and the group had no primary for twelve
-    /// seconds.
-    pub(super) async fn do_all_voters_answer(&self) -> bool {
-        let replies = self.send_term_end_to_all(true).await;
-        self.voters.has_all(|voter| replies.iter().any(|(id, _)| id == voter))
-    }
-
     /// All instances that may use the primary or vote, including this one.
     pub(super) fn participants(&self) -> Vec<InstanceRecord> {
         let engine = &self.replacer.engine;
@@ -81,7 +72,7 @@
             token: self.duty.token,
             successor: self.successor.to_string(),
             withdrawn_token: self.withdrawn_token,
-            written_era: self.written_era,
+            written_era: Some(self.written_era),
             voters: Some(encode_voters(&self.voters)),
             holder: me.id.to_string(),
             life: me.life,
@@ -107,7 +98,7 @@
     /// A tally without promises of these instances.
     fn new_tally(&self, participants: &[InstanceRecord]) -> PromiseTally {
         let ids = participants.iter().map(|record| record.id.clone()).collect();
-        PromiseTally::new(self.voters.clone(), ids, self.written_at)
+        PromiseTally::new(self.voters.clone(), ids, self.written_at, self.readers_end)
     }
 
     /// Collects promises until no instance can use the old term any more.
@@ -134,9 +125,6 @@
                 }
                 Readiness::From(_) => "unreachable instances may still use the old primary",
                 Readiness::TooFewVotes => "too few voters have promised",
-                Readiness::SomeUnreachable => {
-                    "some instances do not answer and the store does not have the order"
-                }
             };
             if at >= until {
                 return Err(Abandoned::BeforeOrder(why));
--- a/daemon/src/engine/shared.rs
+++ b/daemon/src/engine/shared.rs
@@ -67,6 +67,7 @@
 use crate::engine::peers::PeerHandler;
 use crate::engine::peers::Peers;
 use crate::engine::quota_control::QuotaControl;
+use crate::engine::reader_control::ReaderControl;
 use crate::engine::remote::StatementLinks;
 use crate::engine::replica_control::ReplicaControl;
 use crate::engine::server_connection::Connector;
@@ -125,6 +126,7 @@
     lease_renewal: Arc<Notify>,
     voter_control: VoterControl,
     replica_control: ReplicaControl,
+    reader_control: ReaderControl,
     /// Whether this instance has a record in the store, without which it should not vote.
     registered: AtomicBool,
     /// Notified when the store returned a listing of the configuration or the instances.
@@ -201,6 +203,7 @@
             lease_renewal: Arc::default(),
             voter_control: VoterControl::default(),
             replica_control: ReplicaControl::default(),
+            reader_control: ReaderControl::default(),
             registered: AtomicBool::new(false),
             store_answered: Notify::new(),
             store_answered_at: Mutex::default(),
@@ -319,6 +322,12 @@
         &self.voter_control
     }
 
+    /// The admissions of readers that this instance drives.
+    #[must_use]
+    pub fn reader_control(&self) -> &ReaderControl {
+        &self.reader_control
+    }
+
     /// The changes of replicas that this instance drives.
     #[must_use]
     pub fn replica_control(&self) -> &ReplicaControl {
--- a/daemon/tests/values_world/mod.rs
+++ b/daemon/tests/values_world/mod.rs
@@ -346,6 +346,7 @@
             server: SERVER.to_owned(),
             token: self.term + 1,
             successor: SERVER.to_owned(),
+            written_era: Some(0),
             voters: Some(encode_voters(&self.engine.voters(&GROUP.into()))),
             ..TermEnd::default()
         });
--- a/lib/src/duty.rs
+++ b/lib/src/duty.rs
@@ -11,6 +11,7 @@
 use crate::id::TargetId;
 use crate::id::Term;
 use crate::placement::stable_hash;
+use crate::primary_lease::StoredLease;
 use crate::replica_set::ReplicaSet;
 use crate::revision::Era;
 use crate::voter_set::VoterSet;
@@ -64,6 +65,9 @@
     /// The servers that may have received acknowledged commits, in a group with synchronous
     /// replicas.
     pub replicas: ReplicaSet,
+    /// Whether instances that do not vote may use the primary by reads of this record (see
+    /// [`crate::primary_lease`]).
+    pub admits_readers: bool,
 }
 
 impl DutyRecord {
@@ -75,10 +79,20 @@
         ordered.max(self.retired).max(self.voters.retired)
     }
 
-    /// Whether the records of a group differ in their voters and replicas at most.
+    /// What a read of this record shows of the leases on the primary.
+    #[must_use]
+    pub fn stored_lease(&self) -> StoredLease {
+        StoredLease {
+            retired: self.ended_term(),
+            voters: self.voters.clone(),
+            admits_readers: self.admits_readers,
+        }
+    }
+
+    /// Whether the records of a group have the same holder, token and order.
     #[must_use]
     pub fn is_same_duty(&self, other: &Self) -> bool {
-        let Self { group, holder, life, token, order, retired, voters: _, replicas: _ } = self;
+        let Self { group, holder, life, token, order, retired, .. } = self;
         *group == other.group
             && *holder == other.holder
             && *life == other.life
@@ -143,5 +157,6 @@
         retired: last.map_or(0, |record| record.retired),
         voters: last.map(|record| record.voters.clone()).unwrap_or_default(),
         replicas: last.map(|record| record.replicas.clone()).unwrap_or_default(),
+        admits_readers: last.is_some_and(|record| record.admits_readers),
     }
 }
--- a/lib/src/event.rs
+++ b/lib/src/event.rs
@@ -184,6 +184,8 @@
     VotesKept, "votes_kept", State;
     /// This instance wrote a set of voters to the store.
     VotersWritten, "voters_written", State;
+    /// This instance had the store admit readers of a group's duty, or stopped that.
+    ReadersAdmitted, "readers_admitted", State;
     /// This instance failed to take a duty.
     DutyFailed, "duty_failed", State;
     /// This instance reaches a server through another instance.
--- a/lib/src/leader_watch.rs
+++ b/lib/src/leader_watch.rs
@@ -92,6 +92,9 @@
     replacement_until: Moment,
     /// This instance leaves the replacement to others before this time.
     deferred_until: Moment,
+    /// Whether the store, which has to accept the order to replace a primary, fails for this
+    /// instance.
+    lacks_store: bool,
     sampled_at: Option<Moment>,
     /// When each failed replica was last probed.
     replicas_probed_at: BTreeMap<TargetId, Moment>,
@@ -345,8 +348,8 @@
         }
         suspicion.rounds += 1;
         let lasting = suspicion.since + LAST_RESORT_AFTER <= now;
-        suspicion.out_of_reach =
-            suspicion.rounds >= ROUNDS_OUT_OF_REACH && is_out_of_reach(reports);
+        let is_out_of_reach = none_reaches(reports) && (self.lacks_store || are_too_few(reports));
+        suspicion.out_of_reach = suspicion.rounds >= ROUNDS_OUT_OF_REACH && is_out_of_reach;
         if should_replace(reports, suspicion.rounds, lasting) {
             suspicion.confirmed_at.get_or_insert(now);
         } else {
@@ -354,11 +357,16 @@
         }
     }
 
+    /// Records whether the store fails for this instance.
+    pub fn set_lacks_store(&mut self, lacks_store: bool) {
+        self.lacks_store = lacks_store;
+    }
+
     /// The primary that can neither be reached nor replaced from this side of a
-    /// partition, if there is one.
+    /// partition, or while the store fails, if there is one.
     ///
     /// Requests that need it should be refused at once, so that their clients turn to
-    /// an instance on the other side. Otherwise they wait for their whole time limit,
+    /// an instance on the other side, or come back later. Otherwise they wait for their whole time limit,
     /// 760 ms or more, before they fail for lack of a primary.
     #[must_use]
     pub fn out_of_reach(&self) -> Option<&TargetId> {
@@ -384,6 +392,11 @@
         self.deferred_until = now + STAGGER * 2 + REPLACEMENT_TIME;
     }
 
+    /// Ends the time for which this instance leaves the replacement to others.
+    pub fn end_deferral(&mut self) {
+        self.deferred_until = Moment::ZERO;
+    }
+
     /// Records that a replacement ended without a new primary, so that it may be
     /// tried again at once.
     pub fn replacement_failed(&mut self, now: Moment) {
@@ -417,12 +430,15 @@
     votes * 2 > all
 }
 
-/// Whether none of the answering instances reaches a primary, and too few instances
-/// answer to replace it.
-fn is_out_of_reach(reports: PeerReports) -> bool {
-    let none_reaches = reports.reached == 0 && reports.unknown == 0 && !reports.replacing;
+/// Whether none of the answering instances reaches a primary, or replaces it.
+fn none_reaches(reports: PeerReports) -> bool {
+    reports.reached == 0 && reports.unknown == 0 && !reports.replacing
+}
+
+/// Whether too few instances answer to replace a primary.
+fn are_too_few(reports: PeerReports) -> bool {
     let answering = reports.failed + 1;
-    none_reaches && answering <= reports.unresponsive
+    answering <= reports.unresponsive
 }
 
 impl Suspicion {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -56,6 +56,7 @@
 pub mod quota;
 pub mod quota_search;
 pub mod quota_share;
+pub mod reader_admission;
 pub mod received_statements;
 pub mod relisting;
 pub mod replica_change;
--- a/lib/src/primary_lease.rs
+++ b/lib/src/primary_lease.rs
@@ -9,9 +9,15 @@
 //! An instance uses a primary only while it holds a lease on the primary's term.
 //! The lease is granted either by half of the voters, which are instances, or by
 //! a read of the platform's store that shows no order to replace the primary. An
-//! instance that replaces a primary first collects promises from more than half
-//! of the voters. A voter that promises retires the term: it neither uses nor
-//! grants it any more.
+//! instance that replaces a primary first writes its order to the store, and then
+//! collects promises from more than half of the voters. A voter that promises
+//! retires the term: it neither uses nor grants it any more.
+//!
+//! The store grants leases to voters, and also to other instances while the record of
+//! the group's duty admits them as *readers*. So instances that find none of the voters
+//! use the primary without replacing them. Since every order is in the same record, either
+//! the reader sees the order, or the instance that wrote it knows that it has to wait for
+//! the readers.
 //!
 //! Each grant and each promise is given under one version of the set of voters. An
 //! instance neither grants nor promises under a version below that which it has.
@@ -56,6 +62,17 @@
 /// a round of heartbeats and a read of a slow store.
 const CUT_OFF_AFTER: Duration = Duration::from_millis(350);
 
+/// What a read of the store shows of the leases on a primary.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct StoredLease {
+    /// The store holds no order to end a term above this one.
+    pub retired: Term,
+    /// The voters; unknown if the store holds none.
+    pub voters: VoterSet,
+    /// Whether instances that do not vote may use the primary by reads of the store.
+    pub admits_readers: bool,
+}
+
 /// A grant of every term above `retired`, by a voter or by the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Grant {
@@ -105,8 +122,6 @@
     era: Era,
     /// Before this time, this instance does not promise.
     promises_from: Moment,
-    /// Reads of the store that were requested before this time grant nothing.
-    store_grants_from: Moment,
     /// When the last grant of this instance to each other instance expires.
     granted_until: BTreeMap<InstanceId, Moment>,
     /// Since when the instance has needed the lease and lacked it.
@@ -119,8 +134,8 @@
 }
 
 /// How long after a start the promises of an earlier incarnation of this instance can
-/// matter. By then a replacement that collected such a promise has either sent its
-/// order, so that the new term is visible, or never will.
+/// matter for an order that a restored store lacks. By then a replacement that collected such
+/// a promise has either sent its order, so that the new term is visible, or never will.
 pub const RESTART_PROMISE_WINDOW: Duration = Duration::from_secs(4);
 
 /// How long the platform may take to carry out an order that it did not answer.
@@ -153,7 +168,7 @@
     /// there is none.
     pub withdrawn: DutyToken,
     /// Era of the store in which the order was written; `None` if it is not in the
-    /// store.
+    /// store, as an earlier version of the program may request.
     pub written_era: Option<Era>,
     /// The voters by which the replacement counts the promises.
     pub voters: VoterSet,
@@ -177,6 +192,8 @@
     UnsentOrder(DutyToken),
     /// An earlier order to promote this other server may still be carried out.
     OtherSuccessor(TargetId),
+    /// The order is not in the store, so that no reader learns of it.
+    NotWritten,
     /// The store was restored from a backup after the order was written there, and
     /// may have lost the order. The value is the store's present era.
     LaterEra(Era),
@@ -228,7 +245,6 @@
             store_grant: None,
             era: 0,
             promises_from: Moment::ZERO,
-            store_grants_from: Moment::ZERO,
             granted_until: BTreeMap::new(),
             missing_since: None,
             highest_token: 0,
@@ -238,15 +254,11 @@
 
     /// Sets the time at which the instance started.
     ///
-    /// For [`RESTART_PROMISE_WINDOW`] after it, reads of the store grant no lease.
-    /// An earlier incarnation of the instance may have promised to retire a term to an
-    /// instance that could not write its order to the store. For [`ORDER_LEASE`] the instance
-    /// does not promise, because it may have promised for an order that is not sent yet.
+    /// For [`ORDER_LEASE`] after it the instance does not promise, because an earlier
+    /// incarnation may have promised for an order that is not sent yet.
     #[must_use]
     pub fn with_start(self, started_at: Moment) -> Self {
-        let promises_from = started_at + ORDER_LEASE;
-        let store_grants_from = started_at + RESTART_PROMISE_WINDOW;
-        Self { promises_from, store_grants_from, ..self }
+        Self { promises_from: started_at + ORDER_LEASE, ..self }
     }
 
     /// The latest voters that this instance has.
@@ -377,26 +389,25 @@
         self.note_era(era);
     }
 
-    /// Records a read of the store that was requested at `asked_at` and answered in
-    /// `era`. The store held no order to end a term above `retired`, and the voters
-    /// `voters`, if it held any.
+    /// Records a read of the store that was requested at `asked_at` and answered in `era`.
     ///
-    /// The store grants leases only to an instance that votes both before and after a change
-    /// of the voters, because an instance that replaces a primary contacts all voters that it
-    /// has, but not every instance.
+    /// While the store admits no readers, it grants leases only to an instance that votes
+    /// both before and after a change of the voters, because an instance that replaces a
+    /// primary contacts all voters that it has, but not every instance.
     pub fn record_store_grant(
         &mut self,
         now: Moment,
         asked_at: Moment,
-        retired: Term,
         era: Era,
-        voters: &VoterSet,
+        read: &StoredLease,
     ) {
+        let StoredLease { retired, voters, admits_readers } = read;
         self.note_era(era);
         self.adopt_voters(now, voters);
         self.confirm_voters(voters.version, asked_at);
-        let grant = Grant { asked_at, retired, era };
-        self.store_grant = voters.is_in_each_list(&self.me).then_some(grant);
+        let grant = Grant { asked_at, retired: *retired, era };
+        let is_granted = *admits_readers || voters.is_in_each_list(&self.me);
+        self.store_grant = is_granted.then_some(grant);
     }
 
     /// When the lease on a term expires; `None` if there is none.
@@ -411,16 +422,15 @@
     /// When the lease that the store granted expires.
     fn store_lease_end(&self, term: Term) -> Option<Moment> {
         let grant = self.store_grant.filter(|grant| grant.retired < term);
-        let grant = grant.filter(|grant| grant.asked_at >= self.store_grants_from);
         let grant = grant.filter(|grant| self.store_has_all_orders(grant, term));
         grant.map(|grant| grant.asked_at + STORE_LEASE)
     }
 
-    /// Whether a read of the store that is requested now can grant a lease: this instance is a
-    /// voter and has run long enough.
+    /// Whether a read of the store can grant a lease: this instance is a voter, or the store
+    /// admits readers. `admits_readers` is what is known of the latter.
     #[must_use]
-    pub fn takes_store_grants(&self, now: Moment) -> bool {
-        self.present.voters.is_in_each_list(&self.me) && now >= self.store_grants_from
+    pub fn takes_store_grants(&self, admits_readers: bool) -> bool {
+        admits_readers || self.present.voters.is_in_each_list(&self.me)
     }
 
     /// Whether a read of the store shows every order to end `term` for which a
@@ -545,7 +555,10 @@
         if self.highest_token > request.token {
             return Err(Objection::HigherToken(self.highest_token));
         }
-        if request.written_era.is_some_and(|era| era < self.era) {
+        let Some(written_era) = request.written_era else {
+            return Err(Objection::NotWritten);
+        };
+        if written_era < self.era {
             return Err(Objection::LaterEra(self.era));
         }
         self.discard_settled_orders(now);
@@ -599,6 +612,19 @@
         false
     }
 
+    /// For how long the instance has needed the lease on `term` and lacked it, if it does now.
+    #[must_use]
+    pub fn missing_for(&self, now: Moment, term: Term) -> Option<Duration> {
+        let since = self.missing_since.filter(|_| !self.holds(now, term));
+        since.map(|since| now.saturating_sub(since))
+    }
+
+    /// Whether voters grant the instance a lease on `term` now.
+    #[must_use]
+    pub fn holds_from_voters(&self, now: Moment, term: Term) -> bool {
+        term > self.retired && self.voter_lease_end(term).is_some_and(|end| end > now)
+    }
+
     /// Whether a request needs the lease, and there are no voters yet that could grant it.
     #[must_use]
     pub fn lacks_voters(&self) -> bool {
@@ -621,8 +647,10 @@
     voters: VoterSet,
     /// Instances that are asked for a promise.
     asked: Vec<InstanceId>,
-    /// When the order was written to the store; `None` if it could not be.
-    written_at: Option<Moment>,
+    /// When the order was written to the store.
+    written_at: Moment,
+    /// When the last lease expires that the store granted to an instance that does not vote.
+    readers_end: Moment,
     promised: Vec<InstanceId>,
     /// When the latest grant to each instance expires, as the voters that promised
     /// reported it.
@@ -636,17 +664,32 @@
     From(Moment),
     /// Too few voters have promised.
     TooFewVotes,
-    /// Some voters do not answer, and they cannot find the order in the store either,
-    /// because it is not written there.
-    SomeUnreachable,
+}
+
+/// When the last lease expires that the store granted to an instance that does not vote, on
+/// the primary that the order written at `written_at` replaces.
+///
+/// `admits_readers` tells whether the record in which the order was put admitted readers. If it
+/// did not, it had not since `known_since`, when this instance received that record.
+#[must_use]
+pub fn readers_end(written_at: Moment, admits_readers: bool, known_since: Moment) -> Moment {
+    let last_read_before = if admits_readers { written_at } else { known_since };
+    last_read_before + STORE_LEASE
 }
 
 impl PromiseTally {
     /// A tally without promises. `asked` are the instances that are asked to promise,
-    /// and `written_at` is when the order was written to the store, if it was.
+    /// `written_at` is when the order was written to the store, and `readers_end` is when the
+    /// leases of instances that do not vote have expired.
     #[must_use]
-    pub fn new(voters: VoterSet, asked: Vec<InstanceId>, written_at: Option<Moment>) -> Self {
-        Self { voters, asked, written_at, promised: Vec::new(), granted_until: BTreeMap::new() }
+    pub fn new(
+        voters: VoterSet,
+        asked: Vec<InstanceId>,
+        written_at: Moment,
+        readers_end: Moment,
+    ) -> Self {
+        let (promised, granted_until) = Default::default();
+        Self { voters, asked, written_at, readers_end, promised, granted_until }
     }
 
     /// Records a promise of the instance `id` that arrived at `now`.
@@ -677,8 +720,8 @@
     /// An instance that does not answer may still hold a lease. One that the voters
     /// granted includes a grant of a voter that has promised since, so it expires
     /// with the last such grant at the latest. One that the store granted belongs to
-    /// a voter that read the store before the order was written. With `last_resort`,
-    /// a majority of promises is not required.
+    /// a voter that read the store before the order was written, or to a reader. With
+    /// `last_resort`, a majority of promises is not required.
     #[must_use]
     pub fn readiness(&self, last_resort: bool) -> Readiness {
         let has_promised = |voter: &InstanceId| self.promised.contains(voter);
@@ -687,12 +730,11 @@
         }
         let unreachable = self.granted_until.iter().filter(|(id, _)| !self.promised.contains(id));
         let voter_leases_end = unreachable.map(|(_, until)| *until).max().unwrap_or_default();
-        if self.voters.has_all(has_promised) {
-            return Readiness::From(voter_leases_end);
-        }
-        match self.written_at {
-            Some(written_at) => Readiness::From(voter_leases_end.max(written_at + STORE_LEASE)),
-            None => Readiness::SomeUnreachable,
-        }
+        let store_leases_end = if self.voters.has_all(has_promised) {
+            self.readers_end
+        } else {
+            self.written_at + STORE_LEASE
+        };
+        Readiness::From(voter_leases_end.max(store_leases_end))
     }
 }
--- a/lib/tests/lease_world/servers.rs
+++ b/lib/tests/lease_world/servers.rs
@@ -99,6 +99,17 @@
         }
     }
 
+    /// Divides the servers between the sides of a partition, at random or so that the primary is
+    /// alone on the first one.
+    pub fn divide(&mut self, random: &mut Random) {
+        let is_primary_alone = random.per_mille(500);
+        for (number, server) in self.all.iter_mut().enumerate() {
+            let is_apart =
+                if is_primary_alone { number != self.current } else { random.per_mille(500) };
+            server.side = usize::from(is_apart);
+        }
+    }
+
     /// Carries out a due order, replicates the log of the current primary and makes old
     /// primaries step down.
     pub fn step(&mut self, now_ms: u64) -> Option<Promoted> {
--- a/lib/tests/test_replacement.rs
+++ b/lib/tests/test_replacement.rs
@@ -253,6 +253,27 @@
     }
 }
 
+/// Guards against requests that wait for their whole time for a primary that nobody can replace
+/// while the store fails.
+#[test]
+fn test_failed_primary_is_given_up_while_the_store_fails() {
+    let (mut watch, mut group) = (LeaderWatch::default(), group(false));
+    group.observe_failure(at(0), &id("p"));
+    let asked_ms = until_asked(&mut watch, &mut group, 0);
+    watch.set_lacks_store(true);
+    let mut report = |replacing| {
+        let reports = PeerReports { replacing, ..NONE_REACHES };
+        watch.record_reports(at(asked_ms), Some(&id("p")), reports);
+        watch.out_of_reach().is_some()
+    };
+    assert_eq!([report(false), report(false)], [false, true]);
+    assert!(!report(true), "another instance, which reaches the store, replaces it");
+    assert!(report(false));
+    watch.set_lacks_store(false);
+    watch.record_reports(at(asked_ms), Some(&id("p")), NONE_REACHES);
+    assert_eq!(watch.out_of_reach(), None);
+}
+
 #[test]
 fn test_later_instances_in_the_succession_wait_for_the_first() {
     let (mut watch, mut group) = (LeaderWatch::default(), group(false));
@@ -372,6 +393,7 @@
             retired: 0,
             voters: VoterSet::default(),
             replicas: ReplicaSet::default(),
+            admits_readers: false,
         }
     );
 }
