--- a/lib/tests/test_restarts_in_series.rs
+++ b/lib/tests/test_restarts_in_series.rs
@@ -15,7 +15,7 @@
 use chervilwharf_lib::voter_set::VoterSet;
 
 const INSTANCES: usize = 67;
-const STEP_MS: u64 = 100;
+const STEP_MS: usize = 100;
 
 /// Time from the request to stop to the removal of the record.
 const STOP_MS: u64 = 4_000;
@@ -66,7 +66,7 @@
     let first_voters = voters.clone();
     let (mut change, mut written_ms) = (VoterChange::default(), 0);
     let (mut is_changed, mut has_to_change) = (false, false);
-    for ms in (0..150_000).step_by(STEP_MS as usize) {
+    for ms in (0..150_000).step_by(STEP_MS) {
         let present = |record: &InstanceRecord| {
             let number = all.iter().position(|other| other.id == record.id).expect("it exists");
             presence_at(stops_ms[number], ms)
