--- a/daemon/src/engine/reader_control.rs
+++ b/daemon/src/engine/reader_control.rs
@@ -53,10 +53,10 @@
     };
     let state = lease_state(shard, now(), &record);
     let change = engine.reader_control().tick(shard.id(), record.admits_readers, state, rank);
-    // A replacement writes the same record.
     let Some(admits_readers) = change else {
         return;
     };
+    // A replacement writes the same record.
     let Some(guard) = ReplacingGuard::new(engine, shard.id()) else {
         return;
     };
--- a/lib/tests/test_loss_of_all_voters.rs
+++ b/lib/tests/test_loss_of_all_voters.rs
@@ -17,6 +17,7 @@
 use chervilwharf_lib::primary_lease::readers_end;
 use chervilwharf_lib::reader_admission::LeaseState;
 use chervilwharf_lib::reader_admission::ReaderAdmission;
+use chervilwharf_lib::revision::Era;
 use chervilwharf_lib::voter_set::VoterSet;
 use voting::lease_of;
 
@@ -146,18 +147,22 @@
     assert!(stopped.is_some_and(|ms| ms <= 32_000), "stopped at {stopped:?}");
 }
 
-fn promise_of_all(written_at: Moment, readers_end: Moment) -> Readiness {
-    let voters = stored().voters;
-    let request = RetireRequest {
-        holder: "i0".into(),
+fn retire_request(written_era: Option<Era>) -> RetireRequest {
+    RetireRequest {
+        holder: "i1".into(),
         life: 1,
         term: TERM,
         token: 2,
         successor: "s1".into(),
         withdrawn: 0,
-        written_era: Some(0),
-        voters: voters.clone(),
-    };
+        written_era,
+        voters: stored().voters,
+    }
+}
+
+fn promise_of_all(written_at: Moment, readers_end: Moment) -> Readiness {
+    let voters = stored().voters;
+    let request = retire_request(Some(0));
     let mut tally = PromiseTally::new(voters.clone(), ids(0..6), written_at, readers_end);
     for id in ids(0..6) {
         let promise = lease_of(&id, &voters).promise(written_at, &request).unwrap();
@@ -192,17 +197,6 @@
 /// Guards against a replacement that no read of the store shows.
 #[test]
 fn test_order_that_is_not_in_the_store_gets_no_promise() {
-    let voters = stored().voters;
-    let request = RetireRequest {
-        holder: "i1".into(),
-        life: 1,
-        term: TERM,
-        token: 2,
-        successor: "s1".into(),
-        withdrawn: 0,
-        written_era: None,
-        voters: voters.clone(),
-    };
-    let mut voter = lease_of(&"i0".into(), &voters);
-    assert_eq!(voter.promise(at(1_000), &request), Err(Objection::NotWritten));
+    let mut voter = lease_of(&"i0".into(), &stored().voters);
+    assert_eq!(voter.promise(at(1_000), &retire_request(None)), Err(Objection::NotWritten));
 }
