--- a/lib/src/voter_change.rs
+++ b/lib/src/voter_change.rs
@@ -19,9 +19,8 @@
 /// restarts is usually back within this time.
 const CHANGE_DELAY: Duration = Duration::from_secs(3);
 
-/// The change begins after this time even if other voters have become preferred in between, if one
-/// of the present voters was not preferred all the time. So instances that are exchanged one after
-/// the other do not defer it until they are gone, and those that restart cause none.
+/// The change begins after this time even if other voters have become preferred in between, so
+/// that instances which are exchanged one after the other do not defer it until they are gone.
 const MAX_CHANGE_DELAY: Duration = Duration::from_secs(6);
 
 /// How long new voters have to be preferred before they are added to all present ones, and how
@@ -71,8 +70,8 @@
     voters: Vec<InstanceId>,
     /// Since when these are preferred.
     since: Moment,
-    /// Since when each present voter that is not preferred has not been.
-    dropped_since: BTreeMap<InstanceId, Moment>,
+    /// Since when others than the present ones have been preferred.
+    differs_since: Moment,
     /// Whether so few of the present voters stay that these have to take over from those that
     /// leave as long as these can still acknowledge it.
     is_urgent: bool,
@@ -156,16 +155,11 @@
             return;
         }
         let known = self.preferred.take();
-        let dropped_before = known.as_ref().map(|known| known.dropped_since.clone());
-        let dropped_before = dropped_before.unwrap_or_default();
-        let dropped = voters.current.iter().filter(|id| !next.contains(id));
-        let dropped_since = dropped
-            .map(|id| (id.clone(), dropped_before.get(id).copied().unwrap_or(now)))
-            .collect();
+        let differs_since = known.as_ref().map_or(now, |known| known.differs_since);
         let same = known.filter(|known| *known.voters == *next && known.is_urgent == is_urgent);
         let since = same.map_or(now, |known| known.since);
         let voters = next.to_vec();
-        self.preferred = Some(Preferred { voters, since, dropped_since, is_urgent });
+        self.preferred = Some(Preferred { voters, since, differs_since, is_urgent });
     }
 
     fn due_action(
@@ -191,9 +185,7 @@
         }
         let keeps_all = voters.current.iter().all(|id| preferred.voters.contains(id));
         let delay = if keeps_all || preferred.is_urgent { SHORT_DELAY } else { CHANGE_DELAY };
-        let mut dropped_since = preferred.dropped_since.values();
-        preferred.since + delay <= now
-            || dropped_since.any(|since| *since + MAX_CHANGE_DELAY <= now)
+        preferred.since + delay <= now || preferred.differs_since + MAX_CHANGE_DELAY <= now
     }
 
     /// Whether enough voters have acknowledged the change to complete it.
@@ -261,10 +253,10 @@
     }
 }
 
-/// Whether no majority of the voters stays, so that a change needs the votes of those that leave.
-/// These wait for that before they end. Otherwise they may only restart.
+/// Whether no more than a majority of the voters stay, so that a change needs the votes of those
+/// that leave once another one is lost. Those that leave wait for that before they end.
 #[must_use]
 pub fn needs_handover(voters: &VoterSet, presence: impl Fn(&InstanceId) -> Presence) -> bool {
     let stays = |id: &InstanceId| presence(id) == Presence::Staying;
-    voters.is_known() && !voters.has_majority(stays)
+    voters.is_known() && !voters.has_all(stays) && !voters.has_spare(stays)
 }
--- a/lib/src/voter_set.rs
+++ b/lib/src/voter_set.rs
@@ -153,6 +153,13 @@
         self.has_quorum(majority, is_counted)
     }
 
+    /// Whether the counted instances are more than half of each list, also without any one of
+    /// them.
+    #[must_use]
+    pub fn has_spare(&self, is_counted: impl Fn(&InstanceId) -> bool) -> bool {
+        self.has_quorum(|size| majority(size) + 1, is_counted)
+    }
+
     /// Whether all voters are counted.
     #[must_use]
     pub fn has_all(&self, is_counted: impl Fn(&InstanceId) -> bool) -> bool {
