readers: copy no record on each check, and look for readers only where a lease ends

No change of behaviour. - Ten times a second each instance copied the duty of every group it holds, as replica_control takes care not to; now it copies one when the record has to change. The renewal of leases took the lock of the duties for each group in use, now only for those whose lease ends. - PrimaryLease::takes_store_grants had a flag for what the caller knows anyway. - The empty state of a PromiseTally is spelled out again; a comment fits its line. Checks: fmt, the tests of duties, renewals from the store, session values and the handover of votes (daemon), all pass.

--- a/daemon/src/engine/primary_lease_control.rs
+++ b/daemon/src/engine/primary_lease_control.rs
@@ -165,19 +165,18 @@
 pub async fn renew_leases_from_store(engine: Arc<Engine>, directory: Arc<dyn Directory>) {
     tokio::time::sleep(HEARTBEAT_ANSWER_WAIT).await;
     let at = now();
-    let ends_soon = |shard: &Arc<Shard>| {
-        let admits_readers = engine.admits_readers(shard.id());
-        shard.with_group(|group| {
-            let Some(term) = group.confirmed_leader().map(|leader| leader.term) else {
-                return false;
-            };
+    // Whether the lease ends soon, and a read of the store can renew it.
+    let needs_read = |shard: &Arc<Shard>| {
+        let takes_store_grants = shard.with_group(|group| {
+            let term = group.confirmed_leader()?.term;
             let lease = group.primary_lease();
             let ends_soon = lease.lease_end(term).is_none_or(|end| end < at + RENEWAL_MARGIN);
-            ends_soon && lease.retired() < term && lease.takes_store_grants(admits_readers)
-        })
+            (ends_soon && lease.retired() < term).then(|| lease.takes_store_grants())
+        });
+        takes_store_grants.is_some_and(|takes| takes || engine.admits_readers(shard.id()))
     };
     let used = engine.used_shards();
-    let ending: Vec<_> = used.iter().filter(|shard| ends_soon(shard)).collect();
+    let ending: Vec<_> = used.iter().filter(|shard| needs_read(shard)).collect();
     if ending.is_empty() {
         return;
     }
--- a/daemon/src/engine/reader_control.rs
+++ b/daemon/src/engine/reader_control.rs
@@ -9,6 +9,7 @@
 use chervilwharf_lib::event::Event;
 use chervilwharf_lib::event::EventKind;
 use chervilwharf_lib::id::GroupId;
+use chervilwharf_lib::id::Term;
 use chervilwharf_lib::moment::Moment;
 use chervilwharf_lib::reader_admission::LeaseState;
 use chervilwharf_lib::reader_admission::ReaderAdmission;
@@ -48,14 +49,22 @@
     if engine.has_servers_outage() {
         return;
     }
-    let Some((revision, record)) = engine.with_duties(|duties| duties.entry(shard.id())) else {
+    // Groups are checked several times a second, and the record seldom changes.
+    let known = engine.with_duties(|duties| {
+        let record = duties.record(shard.id()).filter(|record| record.voters.is_known())?;
+        Some((record.ended_term(), record.admits_readers))
+    });
+    let Some((ended_term, admits_readers)) = known else {
         return;
     };
-    let state = lease_state(shard, now(), &record);
-    let change = engine.reader_control().tick(shard.id(), record.admits_readers, state, rank);
+    let state = lease_state(shard, now(), ended_term);
+    let change = engine.reader_control().tick(shard.id(), admits_readers, state, rank);
     let Some(admits_readers) = change else {
         return;
     };
+    let Some((revision, record)) = engine.with_duties(|duties| duties.entry(shard.id())) else {
+        return;
+    };
     // A replacement writes the same record.
     let Some(guard) = ReplacingGuard::new(engine, shard.id()) else {
         return;
@@ -76,7 +85,7 @@
     });
 }
 
-fn lease_state(shard: &Shard, at: Moment, record: &DutyRecord) -> LeaseState {
+fn lease_state(shard: &Shard, at: Moment, ended_term: Term) -> LeaseState {
     shard.with_group(|group| {
         let Some(term) = group.confirmed_leader().map(|leader| leader.term) else {
             return LeaseState::default();
@@ -84,9 +93,7 @@
         let primary_lease = group.primary_lease();
         LeaseState {
             missing_for: primary_lease.missing_for(at, term),
-            is_readable: record.voters.is_known()
-                && record.ended_term() < term
-                && !primary_lease.takes_store_grants(false),
+            is_readable: ended_term < term && !primary_lease.takes_store_grants(),
             is_voted: primary_lease.holds_from_voters(at, term),
         }
     })
--- a/lib/src/leader_watch.rs
+++ b/lib/src/leader_watch.rs
@@ -366,8 +366,8 @@
     /// partition, or while the store fails, if there is one.
     ///
     /// Requests that need it should be refused at once, so that their clients turn to
-    /// an instance on the other side, or come back later. Otherwise they wait for their whole time limit,
-    /// 760 ms or more, before they fail for lack of a primary.
+    /// an instance on the other side, or come back later. Otherwise they wait for their
+    /// whole time limit, 760 ms or more, before they fail for lack of a primary.
     #[must_use]
     pub fn out_of_reach(&self) -> Option<&TargetId> {
         let suspicion = self.suspicion.as_ref().filter(|suspicion| suspicion.out_of_reach);
--- a/lib/src/primary_lease.rs
+++ b/lib/src/primary_lease.rs
@@ -426,11 +426,11 @@
         grant.map(|grant| grant.asked_at + STORE_LEASE)
     }
 
-    /// Whether a read of the store can grant a lease: this instance is a voter, or the store
-    /// admits readers. `admits_readers` is what is known of the latter.
+    /// Whether a read of a store that admits no readers can grant a lease: this instance votes
+    /// both before and after a change of the voters.
     #[must_use]
-    pub fn takes_store_grants(&self, admits_readers: bool) -> bool {
-        admits_readers || self.present.voters.is_in_each_list(&self.me)
+    pub fn takes_store_grants(&self) -> bool {
+        self.present.voters.is_in_each_list(&self.me)
     }
 
     /// Whether a read of the store shows every order to end `term` for which a
@@ -688,8 +688,14 @@
         written_at: Moment,
         readers_end: Moment,
     ) -> Self {
-        let (promised, granted_until) = Default::default();
-        Self { voters, asked, written_at, readers_end, promised, granted_until }
+        Self {
+            voters,
+            asked,
+            written_at,
+            readers_end,
+            promised: Vec::new(),
+            granted_until: BTreeMap::new(),
+        }
     }
 
     /// Records a promise of the instance `id` that arrived at `now`.
