tests: restarts of all voters, and replacements without the store for a bounded time, in the exploration of leases

Events added to the runs in which all voters are lost: the store and the primary fail, and after 1 to 4 s both are back and all instances restart under their names, as when the machines lose power. One instance takes the duty before, as in the product.

All voters forget the order for which they promised, nothing in the store shows it, and the platform carries it out up to 7 s later.

Conclusion: the bounded replacement is refuted as long as voters forget. A trace at the servers would be needed; PAUSE is none, since a restart of the replica ends it and servers that are not listed are not asked (PROTOCOL.md). The bound stays at zero.

--- a/lib/tests/lease_world/membership.rs
+++ b/lib/tests/lease_world/membership.rs
@@ -17,6 +17,7 @@
 use super::Instance;
 use super::Message;
 use super::StoredOrder;
+use super::UNWRITTEN_BOUND_MS;
 use super::World;
 use super::at;
 use super::instance_id;
@@ -172,6 +173,9 @@
     /// Loses all voters, and lets other instances join. The voters end, or they are cut off
     /// from the store and from the others, with a part of the servers.
     pub(super) fn lose_all_voters(&mut self) {
+        if self.random.per_mille(300) {
+            return self.begin_outage();
+        }
         self.losses += 1;
         self.partitioned_until_ms = self.now_ms + 2_000 + self.random.below(6_000);
         self.next_loss_ms = Some(self.partitioned_until_ms + self.random.below(3_000));
@@ -197,6 +201,59 @@
         }
     }
 
+    /// Lets the store and the primary fail until all instances restart.
+    ///
+    /// An instance takes the duty before, as one does soon after each replacement.
+    pub(super) fn begin_outage(&mut self) {
+        self.losses += 1;
+        let restart_ms = self.now_ms + 1_000 + self.random.below(3_000);
+        self.restart_ms = Some(restart_ms);
+        self.partitioned_until_ms = restart_ms;
+        self.next_loss_ms = Some(restart_ms + 8_000 + self.random.below(3_000));
+        for instance in &mut self.instances {
+            (instance.side, instance.reaches_store) = (0, true);
+        }
+        let number = self.any_instance();
+        if !self.instances[number].is_gone
+            && let Some(next) = self.next_order(number)
+        {
+            self.put(next);
+            self.instances[number].known_order = self.stored.clone();
+        }
+        self.store_up = false;
+        self.servers.unite();
+        self.servers.fail_primary();
+    }
+
+    /// Restarts all instances that are not gone, under their names, with the store and all servers.
+    pub(super) fn restart_all(&mut self) {
+        self.store_up = true;
+        self.servers.unite();
+        for number in 0..INSTANCES {
+            if !self.instances[number].is_gone {
+                self.instances[number] = self.start_instance(number);
+            }
+        }
+    }
+
+    /// Whether a primary is replaced without the store in this run.
+    pub(super) fn replaces_without_store(&self) -> bool {
+        let rules = [DisabledRule::WrittenOrders, DisabledRule::WrittenOrdersWithinBound];
+        rules.contains(&self.disabled)
+    }
+
+    /// Whether a voter promises for an order that the store does not have.
+    pub(super) fn promises_unwritten(&self, number: usize) -> bool {
+        let me = &self.instances[number];
+        let is_recent = me.store_read.as_ref().is_some_and(|(asked_ms, stored)| {
+            let voters = me.group.primary_lease().voters();
+            asked_ms + UNWRITTEN_BOUND_MS > self.now_ms
+                && !stored.admits_readers
+                && stored.voters.version == voters.version
+        });
+        self.disabled == DisabledRule::WrittenOrdersWithinBound && is_recent
+    }
+
     /// Whether a majority of the voters is on the same side of a partition as an instance.
     pub(super) fn has_voters_on_its_side(&self, number: usize) -> bool {
         let is_there = |id: &InstanceId| {
--- a/lib/tests/lease_world/mod.rs
+++ b/lib/tests/lease_world/mod.rs
@@ -49,6 +49,12 @@
 const HEARTBEAT_MS: u64 = 500;
 /// Time limit for the collection of promises by a replacement.
 const PROMISE_LIMIT_MS: u64 = 2_000;
+/// For how long after its last read of the store a voter promises for an order that is not there,
+/// with [`DisabledRule::WrittenOrdersWithinBound`].
+const UNWRITTEN_BOUND_MS: u64 = 2_000;
+/// After this time no such order can be carried out any more: the bound, the time to send the
+/// order, and the time in which the platform carries it out.
+const UNWRITTEN_SETTLED_MS: u64 = UNWRITTEN_BOUND_MS + 300 + 7_000;
 
 /// A pseudorandom generator. The same seed gives the same run.
 pub struct Random(u64);
@@ -109,6 +115,9 @@
     AcknowledgedVoters,
     /// A primary is replaced without the store if all voters promise.
     WrittenOrders,
+    /// As before, but each voter promises only for [`UNWRITTEN_BOUND_MS`] after a read that shows
+    /// no readers, and readers wait until no such order can be carried out any more.
+    WrittenOrdersWithinBound,
     /// Instances that do not vote use the primary by reads of a store that admits no readers.
     AdmittedReaders,
     /// An order for which all voters promised is sent while the leases of readers last.
@@ -203,6 +212,8 @@
     known_order: StoredOrder,
     /// The instance's last read of the store, with the time of its request.
     store_read: Option<(u64, StoredOrder)>,
+    /// Since when the reads of the instance have shown that the store admits readers.
+    readers_since_ms: Option<u64>,
     /// The latest revision of the store that the instance has received, and when it first did.
     known_revision: (u64, u64),
     /// The instances with a record, as the instance last read them from the store.
@@ -241,6 +252,8 @@
     changes_from_ms: u64,
     /// When all voters are lost, if they are in this run.
     next_loss_ms: Option<u64>,
+    /// When an outage of the store and the primary ends, and all instances restart.
+    restart_ms: Option<u64>,
     /// Orders on their way to the platform, by time of arrival and number.
     orders_on_way: BTreeMap<(u64, u64), (usize, u64, Replacement)>,
     /// Whether each instance has a record in the store.
@@ -298,6 +311,7 @@
             changes_instances: seed / 2 % 2 == 1,
             changes_from_ms: 0,
             next_loss_ms: None,
+            restart_ms: None,
             orders_on_way: BTreeMap::new(),
             voter_changes: 0,
             losses: 0,
@@ -352,6 +366,7 @@
             era: 0,
             known_order: StoredOrder::default(),
             store_read: None,
+            readers_since_ms: None,
             known_revision: (0, 0),
             recorded: vec![false; INSTANCES],
             is_gone: false,
@@ -441,6 +456,9 @@
         if self.next_loss_ms.is_some_and(|at_ms| at_ms <= self.now_ms) {
             self.lose_all_voters();
         }
+        if self.restart_ms.take_if(|at_ms| *at_ms <= self.now_ms).is_some() {
+            self.restart_all();
+        }
         if self.random.per_mille(3) && self.now_ms >= self.partitioned_until_ms {
             let whole = self.random.per_mille(500);
             for number in 0..INSTANCES {
@@ -634,6 +652,10 @@
                 }
                 let token = retire_request.token;
                 let mut retire_request = retire_request;
+                if retire_request.written_era.is_none() && self.promises_unwritten(to) {
+                    // The voter takes it for one that the store has.
+                    retire_request.written_era = Some(self.instances[to].era);
+                }
                 if self.disabled == DisabledRule::AgreedVoters {
                     let voters = self.instances[to].group.primary_lease().voters();
                     retire_request.voters = voters.clone();
@@ -684,8 +706,14 @@
         } else {
             stored.voters.clone()
         };
+        let readers_since_ms = *me.readers_since_ms.get_or_insert(self.now_ms);
+        if !stored.admits_readers {
+            me.readers_since_ms = None;
+        }
+        let is_settled = readers_since_ms + UNWRITTEN_SETTLED_MS <= self.now_ms
+            || self.disabled != DisabledRule::WrittenOrdersWithinBound;
         let admits_readers =
-            stored.admits_readers || self.disabled == DisabledRule::AdmittedReaders;
+            stored.admits_readers && is_settled || self.disabled == DisabledRule::AdmittedReaders;
         let read = StoredLease { retired: ended, voters, admits_readers };
         primary_lease.record_store_grant(at(self.now_ms), at(asked_ms), era, &read);
         let settled = at(self.now_ms) >= at(me.started_ms) + RESTART_PROMISE_WINDOW;
@@ -890,7 +918,7 @@
             replacement.written = Some(Written { at_ms: self.now_ms, era: self.era });
         } else {
             let token = self.reusable_token(number);
-            let Some(token) = token.filter(|_| self.disabled == DisabledRule::WrittenOrders) else {
+            let Some(token) = token.filter(|_| self.replaces_without_store()) else {
                 return false;
             };
             replacement.token = token;
--- a/lib/tests/lease_world/servers.rs
+++ b/lib/tests/lease_world/servers.rs
@@ -110,6 +110,18 @@
         }
     }
 
+    /// Starts all servers that are down, and ends the partition between them.
+    pub fn unite(&mut self) {
+        for server in &mut self.all {
+            (server.up, server.side) = (true, 0);
+        }
+    }
+
+    /// Stops the present primary.
+    pub fn fail_primary(&mut self) {
+        self.all[self.current].up = false;
+    }
+
     /// Carries out a due order, replicates the log of the current primary and makes old
     /// primaries step down.
     pub fn step(&mut self, now_ms: u64) -> Option<Promoted> {
--- a/lib/tests/test_lease_exploration.rs
+++ b/lib/tests/test_lease_exploration.rs
@@ -187,6 +187,13 @@
     assert_detected_with_losses(DisabledRule::WrittenOrders);
 }
 
+/// The voters forget an order that the store does not have when all of them restart, and no time
+/// that readers wait makes up for that.
+#[test]
+fn test_replacement_without_the_store_for_a_bounded_time_is_detected() {
+    assert_detected_with_losses(DisabledRule::WrittenOrdersWithinBound);
+}
+
 #[test]
 fn test_read_of_a_store_that_admits_no_readers_is_detected() {
     assert_detected_with_losses(DisabledRule::AdmittedReaders);
