orders: no order lets the record show an ended term as usable

What would be seen: commits acknowledged at a primary that was replaced, or reads there that miss commits.

Cause: an order ends the highest term that its instance has observed. An instance that has restarted behind a partition may have observed servers of an early term only, while the record, which it can read, holds a later order. Nothing compared the two; order_permits lets the server of the last order be ordered again. And if the record was of an earlier incarnation of the same instance, the claim did not even count as a conflict although the instance had not read it.

Invariant: the terms that the record of a duty shows as ended stay so, unless an order is withdrawn that was never sent. It holds when instances join or restart, since an order is put only into a record that its instance knew when it chose the term (the token is that of the decision, and an earlier incarnation counts as another instance); with two at once, since the write names the revision; while the store is away no order is written; after a restore the duty is taken anew with the terms retired by a majority, as before.

- duty::term_to_end: the highest term observed, or the last one that the record shows as ended.
- claim: a record of an earlier incarnation is a conflict like one of another instance.

--- a/daemon/src/engine/duty_control.rs
+++ b/daemon/src/engine/duty_control.rs
@@ -385,10 +385,12 @@
     let era = engine.store_era().latest();
     if let Some(Entry { record: Record::Duty(record), revision, .. }) = &present {
         engine.with_duties(|duties| duties.apply_record(*revision, record.clone()));
-        // Another instance took the duty after this one decided to act. Two instances
-        // that replace a primary concurrently undo each other's work, and readers of the
-        // store do not see an order that was overwritten.
-        if record.token > since && record.holder != engine.me().id {
+        // Another instance, or an earlier incarnation of this one, took the duty before this one
+        // decided to act. Two instances that replace a primary concurrently undo each other's work,
+        // and readers of the store do not see an order that was overwritten.
+        let me = engine.me();
+        let is_own = record.holder == me.id && record.life == me.life;
+        if record.token > since && !is_own {
             return Err(WriteError::Conflict(present));
         }
     }
--- a/daemon/src/engine/replacement.rs
+++ b/daemon/src/engine/replacement.rs
@@ -192,6 +192,8 @@
     let highest_observed_term =
         shard.with_group(|group| group.highest_observed_term()).max(target.status.term);
     let known = replacer.engine.with_duties(|duties| duties.record(shard.id()).cloned());
+    let highest_term = shard.with_group(|group| group.highest_term()).max(highest_observed_term);
+    let highest_term = duty::term_to_end(highest_term, known.as_ref());
     let last_order = known.and_then(|record| record.order);
     if !last_resort && !duty::order_permits(last_order.as_ref(), &target.id, highest_observed_term)
     {
@@ -199,7 +201,6 @@
             "the outcome of an order for another server is unknown",
         ));
     }
-    let highest_term = shard.with_group(|group| group.highest_term()).max(highest_observed_term);
     let order = DutyOrder { server: target.id.clone(), term: highest_term.saturating_add(1) };
     let metrics = replacer.engine.metrics();
     let began_at = now();
--- a/daemon/tests/test_duty.rs
+++ b/daemon/tests/test_duty.rs
@@ -115,6 +115,22 @@
     assert_eq!((claimed.duty.token, claimed.duty.order), (5, Some(order("ours"))));
 }
 
+/// Guards against an order that takes no account of the last one: this instance restarts, decides
+/// before it has read the record, and takes that of its earlier incarnation for its own.
+#[tokio::test]
+async fn test_order_of_an_earlier_incarnation_is_not_overwritten_before_it_is_known() {
+    let revision = Revision::new(0, 5);
+    let stored = duty_of("me", 4, Some(order("theirs")));
+    let entry = Entry { name: "db".into(), revision, record: Record::Duty(stored.clone()) };
+    let (engine, directory) =
+        (Engine::new(instance("me"), Arc::new(NoServer)), OneRecord::with(entry));
+    assert_ne!(engine.me().life, stored.life);
+    let ours = || OrderChange::Put(Some(order("ours")));
+    assert!(claim(&engine, &directory, &"db".into(), ours(), 0).await.is_err());
+    assert_eq!(directory.duty(), stored);
+    assert!(claim(&engine, &directory, &"db".into(), ours(), 4).await.is_ok());
+}
+
 /// Guards against first voters that are the first instance alone because it was not told yet of
 /// those that have started together with it: until they are changed, no side of a partition
 /// that lacks this instance is served.
--- a/lib/src/duty.rs
+++ b/lib/src/duty.rs
@@ -122,6 +122,17 @@
     order.is_none_or(|order| order.term <= highest_term || order.server == *server)
 }
 
+/// The term that an order of an instance ends, with those before it, if the instance has observed
+/// terms up to `highest_term` and knows the record `known`.
+///
+/// An instance that was partitioned or has restarted may have observed no term as late as the
+/// last order. An order that ends a lower term than that would let the record show terms as usable
+/// that no instance may use any more.
+#[must_use]
+pub fn term_to_end(highest_term: Term, known: Option<&DutyRecord>) -> Term {
+    known.map_or(0, DutyRecord::ended_term).max(highest_term)
+}
+
 /// The order in which instances take the duty for a group: the present holder first,
 /// then by rendezvous hashing, which distributes the groups over the instances.
 #[must_use]
