--- a/daemon/src/engine/lease.rs
+++ b/daemon/src/engine/lease.rs
@@ -5,14 +5,20 @@
 
 use chervilwharf_lib::connection_setup::ConnectionSetup;
 use chervilwharf_lib::connection_setup::SessionValues;
+use chervilwharf_lib::group::ServerStatus;
 use chervilwharf_lib::id::AccountId;
 use chervilwharf_lib::id::TargetId;
 use chervilwharf_lib::moment::Moment;
+use chervilwharf_lib::server_refusal::ServerRefusal;
 use chervilwharf_lib::statement::Prepared;
 
+use crate::engine::checked_connection::CheckedConnection;
 use crate::engine::clock::now;
+use crate::engine::server_connection::ExchangeError;
+use crate::engine::server_connection::IdleState;
 use crate::engine::server_connection::ServerConnection;
 use crate::engine::server_connection::Step;
+use crate::engine::server_connection::StepReply;
 use crate::engine::shard::Shard;
 
 /// An open connection to a server, with the session values and prepared statements that
@@ -20,8 +26,7 @@
 pub struct PooledConnection {
     /// The account that it was opened for; `None` if clients have no accounts.
     pub account: Option<AccountId>,
-    /// The connection itself.
-    pub connection: Box<dyn ServerConnection>,
+    connection: CheckedConnection,
     connection_setup: ConnectionSetup,
     /// Whether setup statements that `connection_setup` counts as run may not have run.
     setup_pending: bool,
@@ -41,7 +46,7 @@
     ) -> Self {
         Self {
             account,
-            connection,
+            connection: CheckedConnection::new(connection),
             connection_setup: ConnectionSetup::default(),
             setup_pending: false,
             answered_at: now(),
@@ -49,6 +54,11 @@
         }
     }
 
+    /// Whether the idle connection can be used, as far as the local socket shows it.
+    pub fn idle_state(&mut self) -> IdleState {
+        self.connection.idle_state()
+    }
+
     /// For how long after `since` it was being opened, for its first user; zero for later ones.
     pub fn take_opening_time(&mut self, since: Moment) -> Duration {
         let began_at = self.opening_began_at.take();
@@ -121,6 +131,39 @@
         self.connection.as_mut().expect("present until the lease ends")
     }
 
+    /// Sends all steps at once and returns one reply for each.
+    ///
+    /// Dropping the future before it completes leaves the connection in an unknown state; the
+    /// lease has to be dropped then.
+    ///
+    /// # Errors
+    ///
+    /// When the answer is not complete.
+    pub async fn run(&mut self, steps: &[Step]) -> Result<Vec<StepReply>, ExchangeError> {
+        let connection = &mut self.connection().connection;
+        let result = connection.run(steps).await;
+        let fault = connection.take_fault();
+        let fault = fault.or(result.as_ref().err().and_then(ExchangeError::reply_fault));
+        if let Some(fault) = fault {
+            let request = steps.iter().find_map(|step| step.id.as_ref());
+            self.shard.record_wrong_reply(&self.server, fault, request);
+        }
+        result
+    }
+
+    /// Queries the server's role, term and log position.
+    ///
+    /// # Errors
+    ///
+    /// When the answer is not complete.
+    pub async fn status(&mut self) -> Result<Result<ServerStatus, ServerRefusal>, ExchangeError> {
+        let result = self.connection().connection.status().await;
+        if let Some(fault) = result.as_ref().err().and_then(ExchangeError::reply_fault) {
+            self.shard.record_wrong_reply(&self.server, fault, None);
+        }
+        result
+    }
+
     /// Stops counting a running statement until [`Lease::resume`]: the client's transaction
     /// is idle.
     pub fn pause(&mut self) {
--- a/daemon/src/engine/metrics.rs
+++ b/daemon/src/engine/metrics.rs
@@ -27,6 +27,7 @@
 use crate::engine::keeper_metrics::KeeperMetrics;
 use crate::engine::load_metrics::LoadMetrics;
 use crate::engine::queue_metrics::QueueMetrics;
+use crate::engine::reply_metrics::ReplyMetrics;
 use crate::engine::sent_bytes;
 use crate::engine::sent_bytes::SentLabels;
 use crate::engine::shard::Shard;
@@ -219,6 +220,7 @@
     fair_order: FairOrderMetrics,
     queue: QueueMetrics,
     keeper: KeeperMetrics,
+    replies: ReplyMetrics,
     sample_age_seconds: Family<GroupLabels, SecondsGauge>,
     configuration_version: Gauge,
     configuration_age_seconds: SecondsGauge,
@@ -260,6 +262,7 @@
             fair_order: FairOrderMetrics::default(),
             queue: QueueMetrics::default(),
             keeper: KeeperMetrics::default(),
+            replies: ReplyMetrics::default(),
             sample_age_seconds: Family::default(),
             configuration_version: Gauge::default(),
             configuration_age_seconds: SecondsGauge::default(),
@@ -328,6 +331,7 @@
         self.fair_order.register(registry);
         self.queue.register(registry);
         self.keeper.register(registry);
+        self.replies.register(registry);
         let age = self.sample_age_seconds.clone();
         registry.register(
             "sample_age_seconds",
@@ -487,6 +491,7 @@
         let waiting = i64::try_from(shard.waiting()).unwrap_or(i64::MAX);
         self.waiting.get_or_create(&labels).set(waiting);
         self.fair_order.update(&labels, shard.fair_order_counts());
+        self.replies.update(shard);
         for counts in shard.connection_counts() {
             for (state, count) in counts.by_state() {
                 let group = shard.id().to_string();
--- a/daemon/src/engine/mod.rs
+++ b/daemon/src/engine/mod.rs
@@ -11,6 +11,7 @@
 
 pub mod account_metrics;
 pub mod caller;
+pub mod checked_connection;
 pub mod clock;
 pub mod configuration_control;
 pub mod controllers;
@@ -50,6 +51,7 @@
 pub mod remote;
 pub mod replacement;
 pub mod replica_control;
+pub mod reply_metrics;
 pub mod request;
 pub mod sent_bytes;
 pub mod server_connection;
--- a/daemon/src/engine/probe.rs
+++ b/daemon/src/engine/probe.rs
@@ -125,7 +125,7 @@
         }
     };
     let asked_at = now();
-    let asking = lease.connection().connection.status();
+    let asking = lease.status();
     match tokio::time::timeout(probe_timeout(shard, id), asking).await {
         Ok(Ok(answer)) => {
             lease.connection().record_all_answered();
--- a/daemon/src/engine/server_connection.rs
+++ b/daemon/src/engine/server_connection.rs
@@ -8,6 +8,9 @@
 use chervilwharf_lib::id::GroupId;
 use chervilwharf_lib::id::RequestId;
 use chervilwharf_lib::position::Position;
+use chervilwharf_lib::reply_check::Purpose;
+use chervilwharf_lib::reply_check::ReplyFault;
+use chervilwharf_lib::reply_check::Rows;
 use chervilwharf_lib::server_refusal::ServerRefusal;
 use chervilwharf_lib::statement::Answer;
 use chervilwharf_lib::statement::Statement;
@@ -25,13 +28,28 @@
     pub floor: Option<Position>,
     /// The statement to run.
     pub statement: Statement,
+    /// What the statement is sent for.
+    pub purpose: Purpose,
 }
 
 impl Step {
     /// A statement that the proxy issues itself, without a request id or a position.
     #[must_use]
     pub fn internal(statement: Statement) -> Self {
-        Self { id: None, floor: None, statement }
+        Self { id: None, floor: None, statement, purpose: Purpose::Internal }
+    }
+
+    /// A client's statement.
+    #[must_use]
+    pub fn of_client(id: RequestId, statement: Statement, writes: bool) -> Self {
+        let purpose = if writes { Purpose::ClientWrite } else { Purpose::ClientRead };
+        Self { id: Some(id), floor: None, statement, purpose }
+    }
+
+    /// Sets the position up to which the server must have applied its log.
+    #[must_use]
+    pub fn with_floor(self, floor: Option<Position>) -> Self {
+        Self { floor, ..self }
     }
 }
 
@@ -44,6 +62,19 @@
     pub state: TransactionState,
     /// Position that the server's log had reached, if the server reported it.
     pub position: Option<Position>,
+    /// Whether the rows are those that the statement returned.
+    pub rows: Rows,
+}
+
+/// What an idle connection shows without an exchange.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum IdleState {
+    /// It can be used.
+    Open,
+    /// The server has closed it, or it failed.
+    Closed,
+    /// The server sent data although no statement is outstanding.
+    UnexpectedData,
 }
 
 /// Why an exchange with a server gave no complete answer. The connection cannot be
@@ -55,10 +86,25 @@
     Ended(String),
     /// the server does not keep to the protocol: {0}
     Protocol(String),
+    /// the reply is not that of the statement: {0}
+    WrongReply(ReplyFault),
     /// no whole answer came in time
     TimedOut,
 }
 
+impl ExchangeError {
+    /// The fault of the reply, if the server answered with something else than the reply to the
+    /// statement.
+    #[must_use]
+    pub fn reply_fault(&self) -> Option<ReplyFault> {
+        match self {
+            Self::WrongReply(fault) => Some(*fault),
+            Self::Protocol(_) => Some(ReplyFault::Malformed),
+            Self::Ended(_) | Self::TimedOut => None,
+        }
+    }
+}
+
 /// Why no connection could be opened.
 #[derive(Clone, Debug)]
 #[derive(Display)]
@@ -98,9 +144,9 @@
         term: u64,
     ) -> Result<Result<ServerStatus, ServerRefusal>, ExchangeError>;
 
-    /// Whether the server has closed this idle connection, as far as the local socket
-    /// shows it; sends nothing.
-    fn is_closed(&mut self) -> bool;
+    /// Whether this idle connection can be used, as far as the local socket shows it; sends
+    /// nothing.
+    fn idle_state(&mut self) -> IdleState;
 }
 
 /// Opens sessions with servers.
--- a/daemon/src/engine/shard.rs
+++ b/daemon/src/engine/shard.rs
@@ -9,6 +9,7 @@
 mod load;
 mod pool;
 mod queue_counts;
+mod wrong_replies;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -51,10 +52,12 @@
 use crate::engine::server_connection::ServerConnection;
 use crate::engine::shard::load::WaitExample;
 use crate::engine::shard::pool::Pool;
+use crate::engine::shard::wrong_replies::WrongReplyCounts;
 use crate::engine::waiting::Waiter;
 
 #[derive(Default)]
 pub(super) struct Inner {
+    id: GroupId,
     pub(super) group: Group,
     pools: HashMap<TargetId, Pool>,
     pub(super) queue: WaitQueue<Waiter>,
@@ -76,6 +79,8 @@
     pub(super) request_rates: AccountRates,
     /// Connections being opened, by server and account.
     openings: HashMap<(TargetId, Option<AccountId>), usize>,
+    /// Replies that were not those of the statements in whose place they arrived.
+    wrong_replies: WrongReplyCounts,
     /// Servers that this instance cannot reach directly, with the detour to each.
     detours: HashMap<TargetId, Detour>,
 }
@@ -147,7 +152,8 @@
         primary_check: Arc<Notify>,
     ) -> Self {
         let group = Group::with_home(home);
-        let inner = Inner { budget: 1, logged_budget: 1, group, ..Inner::default() };
+        let inner =
+            Inner { id: id.clone(), budget: 1, logged_budget: 1, group, ..Inner::default() };
         let (inner, primary_lease_changed) = (Mutex::new(inner), Notify::new());
         Self {
             id,
--- a/daemon/src/engine/shard/assign.rs
+++ b/daemon/src/engine/shard/assign.rs
@@ -7,6 +7,7 @@
 use chervilwharf_lib::id::AccountId;
 use chervilwharf_lib::id::TargetId;
 use chervilwharf_lib::moment::Moment;
+use chervilwharf_lib::reply_check::ReplyFault;
 use chervilwharf_lib::server_choice::Choice;
 use chervilwharf_lib::server_choice::ConnectionOwner;
 use chervilwharf_lib::server_choice::Need;
@@ -17,6 +18,7 @@
 
 use crate::engine::clock::now;
 use crate::engine::lease::PooledConnection;
+use crate::engine::server_connection::IdleState;
 use crate::engine::shard::Assignments;
 use crate::engine::shard::Inner;
 use crate::engine::shard::pool::Pool;
@@ -84,15 +86,19 @@
         owner: &ConnectionOwner,
         cost: impl Fn(&PooledConnection) -> usize,
     ) -> Option<PooledConnection> {
-        let pool = self.pools.get_mut(server)?;
         loop {
+            let pool = self.pools.get_mut(server)?;
             let usable = |index: &usize| owner.accepts(pool.idle[*index].account.as_ref());
             let indices = (0..pool.idle.len()).rev().filter(usable);
             // Among equals the last one wins: it was used most recently.
             let best = indices.min_by_key(|index| cost(&pool.idle[*index]))?;
             let mut connection = pool.idle.swap_remove(best);
-            if connection.connection.is_closed() {
+            let state = connection.idle_state();
+            if state != IdleState::Open {
                 pool.closed(connection.account.as_ref());
+                if state == IdleState::UnexpectedData {
+                    self.record_wrong_reply(server, ReplyFault::DataWithoutRequest, None);
+                }
                 continue;
             }
             self.group.begin_running(server);
--- a/daemon/src/engine/single.rs
+++ b/daemon/src/engine/single.rs
@@ -103,7 +103,7 @@
 ) -> Result<Vec<StepReply>, ExchangeError> {
     let server = lease.server().clone();
     let usual_time = session.shard().with_group(|group| group.read_time(&server));
-    let running = lease.connection().connection.run(steps);
+    let running = lease.run(steps);
     let mut running = std::pin::pin!(tokio::time::timeout(limit, running));
     let early =
         tokio::time::timeout(statement_timing::liveness_check_after(usual_time), &mut running)
@@ -173,8 +173,8 @@
         steps.push(Step::internal(Statement::Begin { read_only: false }));
     }
     let main = steps.len();
-    let id = Some(request.id.clone());
-    steps.push(Step { id, floor, statement: work.statement.clone() });
+    let step = Step::of_client(request.id.clone(), work.statement.clone(), false);
+    steps.push(step.with_floor(floor));
     if floor.is_none() {
         steps.push(Step::internal(Statement::Rollback));
     }
@@ -328,8 +328,7 @@
     };
     let mut steps = session.setup_steps(lease.as_mut(), work.prepared.as_ref());
     let main = steps.len();
-    let id = Some(request.id.clone());
-    steps.push(Step { id, floor: None, statement: work.statement.clone() });
+    steps.push(Step::of_client(request.id.clone(), work.statement.clone(), true));
     let sent_at = now();
     let limit = request.time_left(sent_at);
     let replies = match send(session, &mut lease, &steps, limit).await {
--- a/daemon/src/engine/transaction.rs
+++ b/daemon/src/engine/transaction.rs
@@ -195,7 +195,7 @@
 
 async fn roll_back(mut lease: Lease) {
     let steps = [Step::internal(Statement::Rollback)];
-    let rolling_back = lease.connection().connection.run(&steps);
+    let rolling_back = lease.run(&steps);
     let Ok(Ok(replies)) = tokio::time::timeout(ROLLBACK_LIMIT, rolling_back).await else {
         let event = Event::new(EventKind::ConnectionDropped).with("server", lease.server());
         event_log::emit(
@@ -249,8 +249,7 @@
         let server = server_of(transaction);
         let mut steps = session.setup_steps(transaction.lease.as_mut(), work.prepared.as_ref());
         let main = steps.len();
-        let id = Some(request.id.clone());
-        steps.push(Step { id, floor: None, statement: work.statement.clone() });
+        steps.push(Step::of_client(request.id.clone(), work.statement.clone(), writes));
         transaction.wrote |= writes;
         let sent_at = now();
         let limit = request.time_left(sent_at);
@@ -387,7 +386,7 @@
     // A server that is no longer the primary does not refuse a read-only BEGIN. So a
     // transaction without a floor, which needs the primary, begins as one that may write.
     let statement = Statement::Begin { read_only: floor.is_some() };
-    steps.push(Step { id: None, floor, statement });
+    steps.push(Step::internal(statement).with_floor(floor));
     let limit = session.stall_limit(request, &server);
     let replies = match send(session, &mut lease, &steps, limit).await {
         Sent::Replies(replies) => replies,
@@ -456,8 +455,7 @@
             // The caller drops the transaction, which rolls it back.
             return Err(Failure::new(ErrorKind::TransactionLost));
         }
-        let steps =
-            [Step { id: Some(request.id.clone()), floor: None, statement: Statement::Commit }];
+        let steps = [Step::of_client(request.id.clone(), Statement::Commit, true)];
         let sent_at = now();
         let limit = request.time_left(sent_at);
         let mut replies = match send(session, &mut transaction.lease, &steps, limit).await {
--- a/daemon/tests/test_moved_route.rs
+++ b/daemon/tests/test_moved_route.rs
@@ -15,6 +15,7 @@
 use chervilwharf_daemon::engine::server_connection::ConnectError;
 use chervilwharf_daemon::engine::server_connection::Connector;
 use chervilwharf_daemon::engine::server_connection::ExchangeError;
+use chervilwharf_daemon::engine::server_connection::IdleState;
 use chervilwharf_daemon::engine::server_connection::ServerConnection;
 use chervilwharf_daemon::engine::server_connection::Step;
 use chervilwharf_daemon::engine::server_connection::StepReply;
@@ -36,6 +37,7 @@
 use chervilwharf_lib::id::GroupId;
 use chervilwharf_lib::id::TargetId;
 use chervilwharf_lib::position::Position;
+use chervilwharf_lib::reply_check::Rows;
 use chervilwharf_lib::server_refusal::RefusalKind;
 use chervilwharf_lib::server_refusal::ServerRefusal;
 use chervilwharf_lib::session_floors::OwnCommits;
@@ -85,7 +87,7 @@
     fn run_one(&mut self, step: &Step) -> StepReply {
         let refused = |kind, state, position| {
             let refusal = ServerRefusal { kind, text: "".into() };
-            StepReply { result: Err(refusal), state, position: Some(position) }
+            StepReply { result: Err(refusal), state, position: Some(position), rows: Rows::Certain }
         };
         if step.floor.is_some_and(|floor| floor > self.position()) {
             return refused(RefusalKind::Lagging, self.state, self.position());
@@ -105,8 +107,14 @@
             }
             _ => {}
         }
-        let answer = Answer { rows: Vec::new(), signature: "signed".into() };
-        StepReply { result: Ok(answer), state: self.state, position: Some(self.position()) }
+        let signature = step.id.as_ref().map(|id| format!("signed.{id}")).unwrap_or_default();
+        let answer = Answer { rows: Vec::new(), signature: signature.into() };
+        StepReply {
+            result: Ok(answer),
+            state: self.state,
+            position: Some(self.position()),
+            rows: Rows::Certain,
+        }
     }
 }
 
@@ -133,8 +141,8 @@
         Err(ExchangeError::TimedOut)
     }
 
-    fn is_closed(&mut self) -> bool {
-        false
+    fn idle_state(&mut self) -> IdleState {
+        IdleState::Open
     }
 }
 
--- a/daemon/tests/test_replicas.rs
+++ b/daemon/tests/test_replicas.rs
@@ -23,6 +23,7 @@
 use chervilwharf_daemon::engine::server_connection::ConnectError;
 use chervilwharf_daemon::engine::server_connection::Connector;
 use chervilwharf_daemon::engine::server_connection::ExchangeError;
+use chervilwharf_daemon::engine::server_connection::IdleState;
 use chervilwharf_daemon::engine::server_connection::ServerConnection;
 use chervilwharf_daemon::engine::server_connection::Step;
 use chervilwharf_daemon::engine::server_connection::StepReply;
@@ -96,8 +97,8 @@
         Ok(Ok(self.status))
     }
 
-    fn is_closed(&mut self) -> bool {
-        false
+    fn idle_state(&mut self) -> IdleState {
+        IdleState::Open
     }
 }
 
--- a/daemon/tests/values_world/mod.rs
+++ b/daemon/tests/values_world/mod.rs
@@ -15,6 +15,7 @@
 use chervilwharf_daemon::engine::server_connection::ConnectError;
 use chervilwharf_daemon::engine::server_connection::Connector;
 use chervilwharf_daemon::engine::server_connection::ExchangeError;
+use chervilwharf_daemon::engine::server_connection::IdleState;
 use chervilwharf_daemon::engine::server_connection::ServerConnection;
 use chervilwharf_daemon::engine::server_connection::Step;
 use chervilwharf_daemon::engine::server_connection::StepReply;
@@ -36,6 +37,7 @@
 use chervilwharf_lib::id::AccountId;
 use chervilwharf_lib::id::GroupId;
 use chervilwharf_lib::position::Position;
+use chervilwharf_lib::reply_check::Rows;
 use chervilwharf_lib::revision::Revision;
 use chervilwharf_lib::server_refusal::RefusalKind;
 use chervilwharf_lib::server_refusal::ServerRefusal;
@@ -190,7 +192,12 @@
     fn run_one(&mut self, step: &Step, busy: bool) -> StepReply {
         if busy && step.id.is_some() {
             let refusal = ServerRefusal { kind: RefusalKind::Busy, text: "".into() };
-            return StepReply { result: Err(refusal), state: self.state, position: None };
+            return StepReply {
+                result: Err(refusal),
+                state: self.state,
+                position: None,
+                rows: Rows::Certain,
+            };
         }
         if let Some(id) = &step.id {
             self.check(id, &step.statement);
@@ -211,8 +218,14 @@
             _ => {}
         }
         let index = self.shared.position.fetch_add(1, Ordering::Relaxed) + 1;
-        let answer = Answer { rows: Vec::new(), signature: "signed".into() };
-        StepReply { result: Ok(answer), state: self.state, position: Some(Position::new(1, index)) }
+        let signature = step.id.as_ref().map(|id| format!("{index}.{id}")).unwrap_or_default();
+        let answer = Answer { rows: Vec::new(), signature: signature.into() };
+        StepReply {
+            result: Ok(answer),
+            state: self.state,
+            position: Some(Position::new(1, index)),
+            rows: Rows::Certain,
+        }
     }
 }
 
@@ -258,8 +271,8 @@
         Err(ExchangeError::TimedOut)
     }
 
-    fn is_closed(&mut self) -> bool {
-        false
+    fn idle_state(&mut self) -> IdleState {
+        IdleState::Open
     }
 }
 
--- a/lib/src/explanation.rs
+++ b/lib/src/explanation.rs
@@ -31,7 +31,7 @@
 
 /// Events about a group, a server or an instance that can explain why requests
 /// failed.
-const CONTEXT_EVENTS: [&str; 25] = [
+const CONTEXT_EVENTS: [&str; 26] = [
     "started",
     "stopping",
     "stood_still",
@@ -56,6 +56,7 @@
     "detour_closed",
     "connection_failed",
     "connection_dropped",
+    "wrong_reply",
     "probe_failed",
 ];
 
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -61,6 +61,7 @@
 pub mod relisting;
 pub mod replica_change;
 pub mod replica_set;
+pub mod reply_check;
 pub mod retry;
 pub mod revision;
 pub mod routing;
--- /dev/null
+++ b/lib/src/reply_check.rs
@@ -0,0 +1,309 @@
+//! Checks that the replies on a connection to a server belong to the statements that were
+//! sent on it.
+//!
+//! A reply names no statement: it belongs to one by its place on the connection. A server
+//! that repeats a reply, whole or cut off and possibly much later, shifts all replies after
+//! it. So a reply counts as that of a statement only if it cannot be a repetition:
+//!
+//! - A statement of a client is answered with a signature that this connection has not
+//!   delivered before, a statement of the proxy without one.
+//! - The state of the connection after a reply is the one that its statement leads to.
+//! - A refusal carries no signature, so nothing distinguishes it from a repeated one. It counts
+//!   only after further statements of the proxy got the replies that follow it in order
+//!   ([`ReplyCheck::confirmation`]).
+//! - The rows of a reply that was cut off precede those of the next reply, under the next
+//!   signature. Rows that may begin with such rows are in doubt, and the read is repeated
+//!   until two replies agree ([`RowAgreement`]).
+
+use std::collections::HashSet;
+use std::collections::VecDeque;
+use std::hash::BuildHasher;
+use std::hash::Hash;
+use std::hash::RandomState;
+use std::sync::Arc;
+
+use displaydoc::Display;
+
+use crate::server_refusal::ServerRefusal;
+use crate::statement::Access;
+use crate::statement::Answer;
+use crate::statement::Prepared;
+use crate::statement::Statement;
+use crate::statement::TransactionState;
+
+/// How many of the latest replies of a connection are remembered, to recognise repetitions.
+const REMEMBERED_REPLIES: usize = 4096;
+
+/// Name of the prepared statement that the proxy prepares and discards to test the order of
+/// replies. It is never executed.
+const ORDER_TEST_NAME: &str = "order_test";
+
+/// Number of independent choices in the confirmation of a refusal. A repeated burst of replies
+/// of an earlier confirmation fits only if all choices are the same.
+const CONFIRMATION_CHOICES: u8 = 3;
+
+/// Why a reply is not that of the statement in whose place it arrived.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Display)]
+pub enum ReplyFault {
+    /// the signature was delivered before on this connection
+    RepeatedSignature,
+    /// a statement of the proxy was answered with a signature
+    UnexpectedSignature,
+    /// a client's statement was answered without a signature
+    MissingSignature,
+    /// the state of the connection is not the one after the statement
+    UnexpectedState,
+    /// a statement of the proxy was answered with rows
+    UnexpectedRows,
+    /// a statement of the proxy that confirms a refusal was refused
+    UnexpectedRefusal,
+    /// data arrived while no statement was outstanding
+    DataWithoutRequest,
+    /// the data is not a valid reply
+    Malformed,
+}
+
+impl ReplyFault {
+    /// Name in metrics and logs.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::RepeatedSignature => "repeated_signature",
+            Self::UnexpectedSignature => "unexpected_signature",
+            Self::MissingSignature => "missing_signature",
+            Self::UnexpectedState => "unexpected_state",
+            Self::UnexpectedRows => "unexpected_rows",
+            Self::UnexpectedRefusal => "unexpected_refusal",
+            Self::DataWithoutRequest => "data_without_request",
+            Self::Malformed => "malformed",
+        }
+    }
+}
+
+/// A reply as it is checked.
+#[derive(Clone, Copy, Debug)]
+pub struct ReceivedReply<'a> {
+    /// Rows and signature, or the refusal.
+    pub result: &'a Result<Answer, ServerRefusal>,
+    /// State of the connection after the reply.
+    pub state: TransactionState,
+    /// Whether the text of a row shows that it may begin with a reply that was cut off.
+    pub rows: Rows,
+}
+
+/// A statement as its reply is checked.
+#[derive(Clone, Copy, Debug)]
+pub struct SentStatement<'a> {
+    /// The statement.
+    pub statement: &'a Statement,
+    /// Whose statement it is, and whether it reads.
+    pub purpose: Purpose,
+}
+
+/// What a statement is sent for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Purpose {
+    /// The proxy needs it to serve a client.
+    Internal,
+    /// It is a client's and returns rows.
+    ClientRead,
+    /// It is a client's and returns no rows.
+    ClientWrite,
+}
+
+/// Whether the rows of a reply are those that its statement returned.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Rows {
+    /// They are.
+    #[default]
+    Certain,
+    /// They may begin with rows of an earlier reply that was repeated and cut off.
+    InDoubt,
+}
+
+/// The latest values of a sequence, as hashes.
+#[derive(Debug, Default)]
+struct RecentHashes {
+    hashes: HashSet<u64>,
+    order: VecDeque<u64>,
+}
+
+impl RecentHashes {
+    fn contains(&self, hash: u64) -> bool {
+        self.hashes.contains(&hash)
+    }
+
+    fn insert(&mut self, hash: u64) {
+        if !self.hashes.insert(hash) {
+            return;
+        }
+        self.order.push_back(hash);
+        if self.order.len() > REMEMBERED_REPLIES {
+            if let Some(oldest) = self.order.pop_front() {
+                self.hashes.remove(&oldest);
+            }
+        }
+    }
+}
+
+/// What is known of the replies on one connection.
+#[derive(Debug, Default)]
+pub struct ReplyCheck {
+    state: TransactionState,
+    hasher: RandomState,
+    signatures: RecentHashes,
+    first_rows: RecentHashes,
+    /// Whether the server has answered a read without rows.
+    had_empty_read: bool,
+}
+
+impl ReplyCheck {
+    /// State of the connection after the last reply that was checked.
+    #[must_use]
+    pub fn state(&self) -> TransactionState {
+        self.state
+    }
+
+    /// Checks the next reply, in the place of the reply to the statement.
+    ///
+    /// # Errors
+    ///
+    /// If the reply is not that of the statement. The connection cannot be used any more.
+    pub fn check(
+        &mut self,
+        sent: SentStatement<'_>,
+        reply: ReceivedReply<'_>,
+    ) -> Result<Rows, ReplyFault> {
+        let before = std::mem::replace(&mut self.state, reply.state);
+        let Ok(answer) = reply.result else {
+            return Ok(Rows::Certain);
+        };
+        if reply.state != state_after(before, sent.statement) {
+            return Err(ReplyFault::UnexpectedState);
+        }
+        let is_signed = !answer.signature.is_empty();
+        if sent.purpose == Purpose::Internal {
+            return match (is_signed, answer.rows.is_empty()) {
+                (true, _) => Err(ReplyFault::UnexpectedSignature),
+                (false, false) => Err(ReplyFault::UnexpectedRows),
+                (false, true) => Ok(Rows::Certain),
+            };
+        }
+        if !is_signed {
+            return Err(ReplyFault::MissingSignature);
+        }
+        let signature = self.hash(&answer.signature);
+        if self.signatures.contains(signature) {
+            return Err(ReplyFault::RepeatedSignature);
+        }
+        self.signatures.insert(signature);
+        let in_doubt =
+            reply.rows == Rows::InDoubt || self.may_begin_with_other_rows(sent.purpose, answer);
+        if let Some(first) = answer.rows.first() {
+            let first = self.hash(first);
+            self.first_rows.insert(first);
+        } else if sent.purpose == Purpose::ClientRead {
+            self.had_empty_read = true;
+        }
+        Ok(if in_doubt { Rows::InDoubt } else { Rows::Certain })
+    }
+
+    /// Whether the rows may be those of an earlier reply that was cut off, followed by the
+    /// statement's own rows. A read is taken to have a row of its own until the server has
+    /// answered one without.
+    fn may_begin_with_other_rows(&self, purpose: Purpose, answer: &Answer) -> bool {
+        let own_rows = usize::from(purpose == Purpose::ClientRead && !self.had_empty_read);
+        let begins_like_another =
+            answer.rows.first().is_some_and(|first| self.first_rows.contains(self.hash(first)));
+        answer.rows.len() > own_rows && begins_like_another
+    }
+
+    fn hash(&self, text: impl Hash) -> u64 {
+        self.hasher.hash_one(text)
+    }
+
+    /// The statements whose replies confirm that a refusal belongs to its statement. To be sent
+    /// after the replies to an exchange that began in the state `began_in`, if one of them was a
+    /// refusal. Empty if the connection can only be rolled back or closed, which makes any
+    /// refusal true. `nonce` is a random number.
+    #[must_use]
+    pub fn confirmation(&self, began_in: TransactionState, nonce: u8) -> Vec<Statement> {
+        match (began_in, self.state) {
+            (_, TransactionState::Open) => order_test_in_transaction().into(),
+            (_, TransactionState::Idle) => order_test(nonce),
+            (TransactionState::Idle, TransactionState::Failed) => {
+                let mut statements = vec![Statement::Rollback];
+                statements.extend(order_test(nonce));
+                statements
+            }
+            (_, TransactionState::Failed) => Vec::new(),
+        }
+    }
+
+    /// Checks a reply to a statement of [`Self::confirmation`], none of which a server refuses.
+    ///
+    /// # Errors
+    ///
+    /// If the reply is not that of the statement. The refusal that was to be confirmed may then
+    /// be that of an earlier statement.
+    pub fn check_confirmation(
+        &mut self,
+        statement: &Statement,
+        reply: ReceivedReply<'_>,
+    ) -> Result<(), ReplyFault> {
+        if reply.result.is_err() {
+            return Err(ReplyFault::UnexpectedRefusal);
+        }
+        self.check(SentStatement { statement, purpose: Purpose::Internal }, reply).map(|_| ())
+    }
+}
+
+/// Decides when the rows of a read that is repeated count, although they are in doubt.
+#[derive(Debug, Default)]
+pub struct RowAgreement {
+    doubtful: Option<Vec<Arc<str>>>,
+}
+
+impl RowAgreement {
+    /// Whether the rows of an answer count: they are certain, or the same as those of the try
+    /// before. If not, the read has to be tried again.
+    pub fn accepts(&mut self, answer: &Answer, rows: Rows) -> bool {
+        if rows == Rows::Certain || self.doubtful.as_ref() == Some(&answer.rows) {
+            return true;
+        }
+        self.doubtful = Some(answer.rows.clone());
+        false
+    }
+}
+
+/// Statements without an effect that a connection in any state without a transaction accepts.
+/// Their replies differ by the state that they report, in an order that depends on `nonce`.
+#[must_use]
+pub fn order_test(nonce: u8) -> Vec<Statement> {
+    let choice = |bit| match nonce >> bit & 1 {
+        0 => [Statement::Begin { read_only: true }, Statement::Rollback],
+        _ => order_test_in_transaction(),
+    };
+    // Without a change of state in it, a test could be passed by repetitions of a single reply.
+    let last = [Statement::Begin { read_only: true }, Statement::Rollback];
+    (0..CONFIRMATION_CHOICES - 1).flat_map(choice).chain(last).collect()
+}
+
+/// Statements without an effect that a connection accepts inside and outside of a transaction.
+/// They follow BEGIN, so that a reply that precedes the one to BEGIN is noticed.
+#[must_use]
+pub fn order_test_in_transaction() -> [Statement; 2] {
+    let name: Arc<str> = ORDER_TEST_NAME.into();
+    let prepared = Prepared { access: Access::Read, shape: name.clone() };
+    [Statement::Prepare { name: name.clone(), prepared }, Statement::Deallocate { name }]
+}
+
+/// State that a statement leads to if it succeeds.
+fn state_after(before: TransactionState, statement: &Statement) -> TransactionState {
+    match statement {
+        Statement::Begin { .. } => TransactionState::Open,
+        Statement::Commit | Statement::Rollback => TransactionState::Idle,
+        _ => before,
+    }
+}
--- a/lib/src/statement.rs
+++ b/lib/src/statement.rs
@@ -96,7 +96,8 @@
 pub struct Answer {
     /// Rows, in order.
     pub rows: Vec<Arc<str>>,
-    /// The signature with which the server proves that it ran this statement.
+    /// The signature with which the server proves that it ran this statement. Empty for
+    /// statements that the proxy issues itself.
     pub signature: Arc<str>,
 }
 
