--- a/standin/src/platform/servers.rs
+++ b/standin/src/platform/servers.rs
@@ -529,6 +529,10 @@
                 self.record_run(number, session, id, &text);
                 Ok(vec![self.value(number, arguments)])
             }
+            "DEALLOC" => match session.prepared.remove(rest) {
+                Some(_) => Ok(Vec::new()),
+                None => Err("NOSTMT"),
+            },
             "STATUS" => Ok(vec![self.status(number)]),
             "DEMOTE" => {
                 self.demote(number, rest.parse().unwrap());
