--- a/standin/src/platform/mod.rs
+++ b/standin/src/platform/mod.rs
@@ -2,5 +2,6 @@
 //! store, the promotion call, and clients.
 
 pub mod client;
+pub mod repetition;
 pub mod servers;
 pub mod store;
--- a/standin/src/platform/servers.rs
+++ b/standin/src/platform/servers.rs
@@ -16,6 +16,17 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
+use crate::platform::repetition::Repeater;
+use crate::platform::repetition::Repetition;
+use crate::platform::repetition::Reply;
+
+/// Prefix of items of which a read returns several rows: a decimal number of rows and a hyphen
+/// follow, as in `rows3-a`.
+const SEVERAL_ROWS_PREFIX: &str = "rows";
+
+/// Largest number of rows that a read returns.
+const MAX_ROWS: usize = 100;
+
 /// A committed write in a server's log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Entry {
@@ -48,6 +59,8 @@
     pub values: BTreeMap<String, String>,
     /// Whether it ran inside a transaction.
     pub in_transaction: bool,
+    /// Rows of its result.
+    pub rows: Vec<String>,
     /// Time at which it ran.
     pub at: Instant,
 }
@@ -72,6 +85,8 @@
     accepted_connections: usize,
     /// Whether the server is listed as draining.
     draining: bool,
+    /// Which replies the server sends once more.
+    repetition: Option<Repetition>,
     /// Term in which a former primary still accepts writes after another server was promoted.
     former_primary_term: Option<u64>,
 }
@@ -83,6 +98,8 @@
     servers: Vec<Server>,
     runs: Vec<Run>,
     next_connection: u64,
+    /// Number of repeated replies that were sent.
+    repetitions_sent: u64,
     /// Whether a former primary still accepts writes until it is demoted.
     old_primary_stays_writable: bool,
 }
@@ -115,6 +132,7 @@
                 connections: 0,
                 accepted_connections: 0,
                 draining: false,
+                repetition: None,
                 former_primary_term: None,
             });
             listeners.push(listener);
@@ -126,6 +144,7 @@
             servers,
             runs: Vec::new(),
             next_connection: 0,
+            repetitions_sent: 0,
             old_primary_stays_writable: false,
         };
         let group = Self { state: Arc::new(Mutex::new(state)) };
@@ -246,6 +265,19 @@
         self.lock().servers[number].busy_left = count;
     }
 
+    /// From now on the server sends some replies once more; `None` ends the fault. Repetitions
+    /// that are due later are still sent.
+    pub fn repeat_replies(&self, number: usize, repetition: Option<Repetition>) {
+        self.lock().servers[number].repetition = repetition;
+    }
+
+    /// Returns how often servers of the group have sent replies once more. Several replies in a
+    /// row count as one.
+    #[must_use]
+    pub fn repetitions_sent(&self) -> u64 {
+        self.lock().repetitions_sent
+    }
+
     /// Sets the replication lag: a replica applies an entry only this long after it received it.
     pub fn set_lag(&self, number: usize, lag: Duration) {
         self.lock().servers[number].lag = lag;
@@ -333,23 +365,42 @@
             state.next_connection += 1;
             Session::new(state.next_connection)
         };
-        while let Ok(Some(line)) = lines.next_line().await {
-            let answer = match line.split_once(' ') {
+        let mut repeater = Repeater::new(session.connection);
+        loop {
+            let line = tokio::select! {
+                line = lines.next_line() => line,
+                repeated = repeater.next_due() => {
+                    if write.write_all(repeated.as_bytes()).await.is_ok() {
+                        self.lock().repetitions_sent += 1;
+                    }
+                    continue;
+                }
+            };
+            let Ok(Some(line)) = line else {
+                return;
+            };
+            let (request, answer) = match line.split_once(' ') {
                 Some(("START", rest)) => {
                     session.caller = rest.split(' ').nth(1).unwrap_or_default().to_owned();
-                    Some(self.answer_start(number, rest))
+                    (None, Some(self.answer_start(number, rest)))
                 }
                 Some(("QUERY", rest)) => {
-                    let (id, text) = rest.split_once(' ').unwrap();
-                    self.answer_query(number, &mut session, id, text)
+                    let (id, text) = rest.split_once(' ').unwrap_or((rest, ""));
+                    (Some(id.to_owned()), self.answer_query(number, &mut session, id, text))
                 }
                 _ => return,
             };
-            match answer {
-                Some(answer) => write.write_all(answer.as_bytes()).await.unwrap_or(()),
+            let Some(text) = answer else {
                 // The reply is lost: the server sends nothing more on this connection.
-                None if self.lock().servers[number].disconnects_on_lost_answer => return,
-                None => std::future::pending().await,
+                if self.lock().servers[number].disconnects_on_lost_answer {
+                    return;
+                }
+                std::future::pending().await
+            };
+            write.write_all(text.as_bytes()).await.unwrap_or(());
+            let repetition = self.lock().servers[number].repetition.clone();
+            if let Some(repetition) = repetition {
+                repeater.record_sent(Reply { request, text }, &repetition);
             }
         }
     }
@@ -357,7 +408,7 @@
     fn answer_start(&self, number: usize, rest: &str) -> String {
         let state = self.lock();
         let mut fields = rest.split(' ');
-        let group = fields.next().unwrap();
+        let group = fields.next().unwrap_or_default();
         let id = fields.nth(1);
         let server = &state.servers[number];
         if group != state.group || id.is_some_and(|id| id != server.id) {
@@ -457,7 +508,7 @@
     ) -> Result<Vec<String>, &'static str> {
         let text = match text.strip_prefix("AFTER ") {
             Some(rest) => {
-                let (position, rest) = rest.split_once(' ').unwrap();
+                let (position, rest) = two_fields(rest)?;
                 if !self.has_applied(number, position) {
                     return Err("LAGGING");
                 }
@@ -495,13 +546,10 @@
                 session.writes.clear();
                 Ok(Vec::new())
             }
-            "READ" => {
-                self.record_run(number, session, id, text);
-                Ok(vec![self.value(number, rest)])
-            }
+            "READ" => Ok(self.read(number, session, id, text, rest)),
             "WRITE" => self.write(number, session, id, text, rest),
             "SET" => {
-                let (name, value) = rest.split_once(' ').unwrap();
+                let (name, value) = two_fields(rest)?;
                 session.values.insert(name.to_owned(), value.to_owned());
                 Ok(Vec::new())
             }
@@ -511,14 +559,14 @@
                 Ok(Vec::new())
             }
             "PREPARE" => {
-                let (name, rest) = rest.split_once(' ').unwrap();
-                let (access, shape) = rest.split_once(' ').unwrap();
+                let (name, rest) = two_fields(rest)?;
+                let (access, shape) = two_fields(rest)?;
                 let prepared = (access.to_owned(), shape.to_owned());
                 session.prepared.insert(name.to_owned(), prepared);
                 Ok(Vec::new())
             }
             "EXECUTE" => {
-                let (name, arguments) = rest.split_once(' ').unwrap();
+                let (name, arguments) = two_fields(rest)?;
                 let Some((access, shape)) = session.prepared.get(name).cloned() else {
                     return Err("NOSTMT");
                 };
@@ -526,8 +574,7 @@
                 if access == "WRITE" {
                     return self.write(number, session, id, &text, arguments);
                 }
-                self.record_run(number, session, id, &text);
-                Ok(vec![self.value(number, arguments)])
+                Ok(self.read(number, session, id, &text, arguments))
             }
             "DEALLOC" => match session.prepared.remove(rest) {
                 Some(_) => Ok(Vec::new()),
@@ -535,7 +582,7 @@
             },
             "STATUS" => Ok(vec![self.status(number)]),
             "DEMOTE" => {
-                self.demote(number, rest.parse().unwrap());
+                self.demote(number, rest.parse().map_err(|_| "MALFORMED")?);
                 Ok(vec![self.status(number)])
             }
             _ => Err("MALFORMED"),
@@ -568,7 +615,37 @@
         found.map_or("none".to_owned(), |entry| entry.data.clone())
     }
 
-    fn record_run(&mut self, server: usize, session: &Session, id: &str, text: &str) {
+    /// Returns the value of an item. If the name of the item asks for several rows, the others
+    /// contain the name.
+    fn rows(&self, number: usize, item: &str) -> Vec<String> {
+        let count = item.strip_prefix(SEVERAL_ROWS_PREFIX);
+        let count = count.and_then(|rest| rest.split_once('-')?.0.parse::<usize>().ok());
+        let mut rows = vec![self.value(number, item)];
+        rows.extend((2..=count.unwrap_or(1).min(MAX_ROWS)).map(|row| format!("{item} row {row}")));
+        rows
+    }
+
+    fn read(
+        &mut self,
+        number: usize,
+        session: &Session,
+        id: &str,
+        text: &str,
+        item: &str,
+    ) -> Vec<String> {
+        let rows = self.rows(number, item);
+        self.record_run(number, session, id, text, rows.clone());
+        rows
+    }
+
+    fn record_run(
+        &mut self,
+        server: usize,
+        session: &Session,
+        id: &str,
+        text: &str,
+        rows: Vec<String>,
+    ) {
         self.runs.push(Run {
             server,
             connection: session.connection,
@@ -577,6 +654,7 @@
             text: text.to_owned(),
             values: session.values.clone(),
             in_transaction: session.state == 'T',
+            rows,
             at: Instant::now(),
         });
     }
@@ -592,8 +670,8 @@
         if !self.leads(number) {
             return Err("READONLY");
         }
-        self.record_run(number, session, id, text);
-        let (item, data) = arguments.split_once(' ').unwrap();
+        let (item, data) = two_fields(arguments)?;
+        self.record_run(number, session, id, text, Vec::new());
         let write = (id.to_owned(), item.to_owned(), data.to_owned());
         session.writes.push(write);
         if session.state == 'I' {
@@ -615,7 +693,7 @@
             session.writes.clear();
             return Err(if failed { "ABORTED" } else { "READONLY" });
         }
-        self.record_run(number, session, id, text);
+        self.record_run(number, session, id, text, Vec::new());
         self.append_writes(number, session);
         Ok(Vec::new())
     }
@@ -640,6 +718,11 @@
     }
 }
 
+/// Splits a field from the text that follows it.
+fn two_fields(text: &str) -> Result<(&str, &str), &'static str> {
+    text.split_once(' ').ok_or("MALFORMED")
+}
+
 /// Applies received entries at replicas, each after the lag of its server. Runs until the task
 /// is dropped.
 pub async fn run_replication(group: Group) {
