--- a/standin/src/platform/servers.rs
+++ b/standin/src/platform/servers.rs
@@ -194,6 +194,12 @@
         self.lock().runs.clone()
     }
 
+    /// Returns all client statements that servers of the group ran, and forgets them.
+    #[must_use]
+    pub fn take_runs(&self) -> Vec<Run> {
+        std::mem::take(&mut self.lock().runs)
+    }
+
     /// Returns the log entries that a server received.
     #[must_use]
     pub fn log(&self, number: usize) -> Vec<Entry> {
@@ -604,8 +610,14 @@
     fn has_applied(&self, number: usize, position: &str) -> bool {
         let server = &self.servers[number];
         let applied = &server.log[..server.applied];
-        let same = |entry: &Entry| format!("{}.{}", entry.term, entry.index) == position;
-        position.ends_with(".0") || applied.iter().any(same)
+        if position.ends_with(".0") {
+            return true;
+        }
+        let fields = position.split_once('.');
+        let index = fields.and_then(|(_, index)| index.parse::<usize>().ok());
+        // Indices are consecutive from 1.
+        let entry = index.and_then(|index| applied.get(index.checked_sub(1)?));
+        entry.is_some_and(|entry| format!("{}.{}", entry.term, entry.index) == position)
     }
 
     fn value(&self, number: usize, item: &str) -> String {
@@ -735,7 +747,9 @@
                 let times = &mut received[number];
                 times.truncate(server.log.len());
                 times.resize(server.log.len(), Instant::now());
-                let due = times.iter().take_while(|at| at.elapsed() >= server.lag).count();
+                let received = times[server.applied.min(times.len())..].iter();
+                let due =
+                    server.applied + received.take_while(|at| at.elapsed() >= server.lag).count();
                 if number != leader && server.former_primary_term.is_none() {
                     server.applied = server.applied.max(due.min(server.log.len()));
                 }
