--- a/testing/testutils/src/checked_clients.rs
+++ b/testing/testutils/src/checked_clients.rs
@@ -5,23 +5,23 @@
 use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use chervilwharf_standin::platform::client::Answer;
 use chervilwharf_standin::platform::client::Client;
-use chervilwharf_standin::platform::repetition::Repetition;
+use chervilwharf_standin::platform::servers::Group;
 use chervilwharf_standin::platform::servers::Run;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use tokio::task::JoinSet;
-use tokio::time::Instant;
 
-use crate::standin::deployment::Deployment;
-
-const ROUTES: [&str; 3] = ["latest", "bounded", "own"];
-
-const CLIENTS_PER_ROUTE: usize = 6;
+/// Databases that the clients use: one for each kind of route.
+pub const DATABASES: [&str; 3] = ["latest", "bounded", "own"];
 
 const OPERATIONS_PER_SESSION: std::ops::RangeInclusive<usize> = 20..=60;
 
@@ -32,11 +32,6 @@
 /// arrive.
 const MAX_TRANSACTION_PAUSE: Duration = Duration::from_millis(30);
 
-/// Pause between the times at which servers refuse statements as overloaded.
-const BUSY_INTERVAL: Duration = Duration::from_millis(25);
-
-const REPLICATION_LAG: Duration = Duration::from_millis(20);
-
 /// Answers after which nothing of a statement or transaction may have been kept.
 const PROMISES: [&str; 7] =
     ["BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "TOOMANY", "NOSTMT"];
@@ -64,50 +59,46 @@
     /// A statement ran with another text or with session values of another client, or no client
     /// sent it.
     ChangedStatement,
+    /// A client received an answer that it cannot read, or none in time.
+    UnusableAnswer,
 }
 
-/// What was played.
-pub struct Play {
-    /// Which replies all servers repeat.
-    pub repetition: Repetition,
-    /// How long clients work.
-    pub duration: Duration,
-    /// Whether the servers refuse some statements as overloaded.
-    pub has_refusals: bool,
+/// How the statements on one database were answered.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Number of statements that were sent.
+    pub sent: u64,
+    /// Number of successes.
+    pub successes: u64,
+    /// Number of answers that leave open whether the statement ran.
+    pub unknown: u64,
+    /// Number of answers that guarantee that nothing was kept.
+    pub refused: u64,
+    /// Number of statements whose connection ended without an answer.
+    pub unanswered: u64,
+    /// Number of successes with the answer of another statement.
+    pub answers_of_others: u64,
+    /// Number of successes with other rows than those of the statement.
+    pub other_rows: u64,
 }
 
 /// What the comparison found.
+#[derive(Debug)]
 pub struct Findings {
     /// Examples of each violation.
-    violations: BTreeMap<Violation, Vec<String>>,
-    /// Number of successful statements by route.
-    successes: BTreeMap<&'static str, usize>,
-    repetitions: u64,
-    expects_repetitions: bool,
-}
-
-impl Findings {
-    /// Fails the test if there is a violation of one of these kinds, or if too little was
-    /// played.
-    pub fn assert_none_of(&self, kinds: &[Violation]) {
-        println!("{self}");
-        assert!(self.repetitions > 0 || !self.expects_repetitions, "{self}");
-        for route in ROUTES {
-            assert!(self.successes.get(route).is_some_and(|count| *count >= 20), "{self}");
-        }
-        assert!(!kinds.iter().any(|kind| self.violations.contains_key(kind)), "{self}");
-    }
-
-    /// Fails the test if there is any violation, or if too little was played.
-    pub fn assert_none(&self) {
-        let found: Vec<Violation> = self.violations.keys().copied().collect();
-        self.assert_none_of(&found);
-    }
+    pub violations: BTreeMap<Violation, Vec<String>>,
+    /// Counts by database.
+    pub counts: BTreeMap<&'static str, Counts>,
+    /// Number of repetitions that the servers sent.
+    pub repetitions: u64,
 }
 
 impl fmt::Display for Findings {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(formatter, "{} repetitions, successes {:?}", self.repetitions, self.successes)?;
+        write!(formatter, "{} repetitions", self.repetitions)?;
+        for (database, counts) in &self.counts {
+            write!(formatter, "; {database} {counts:?}")?;
+        }
         for (kind, found) in &self.violations {
             write!(formatter, "; {kind:?} {} times, first {}", found.len(), found[0])?;
         }
@@ -117,7 +108,7 @@
 
 /// A statement that a client sent.
 struct Sent {
-    route: &'static str,
+    database: &'static str,
     id: String,
     /// Text of the statement as a server has to run it.
     text: String,
@@ -143,60 +134,96 @@
     is_transaction: bool,
 }
 
-/// Plays clients against repeating servers, and compares answers with what the servers ran.
-pub async fn play(play: Play) -> Findings {
-    let deployment = Deployment::start(REPLICATION_LAG).await;
-    let first = deployment.instance("a", &[]).await;
-    let second = deployment.instance("b", &[first.peers]).await;
-    let fronts = [first.front, second.front];
-    let until = Instant::now() + play.duration;
-    let mut clients = JoinSet::new();
-    for number in 0..ROUTES.len() * CLIENTS_PER_ROUTE {
-        let client = CheckedClient::new(number, fronts, play.repetition.seed);
-        clients.spawn(client.run(until));
-    }
-    for server in 0..deployment.group.size() {
-        deployment.group.repeat_replies(server, Some(play.repetition.clone()));
-    }
-    while play.has_refusals && Instant::now() < until {
-        for server in 0..deployment.group.size() {
-            deployment.group.refuse_as_busy(server, 1);
+/// What all clients share.
+struct Shared {
+    addresses: Vec<SocketAddr>,
+    is_stopped: AtomicBool,
+    /// Number of answered statements by database, in the order of [`DATABASES`].
+    answered: [AtomicU64; DATABASES.len()],
+}
+
+/// Clients that work until they are stopped. A task for each.
+pub struct CheckedClients {
+    shared: Arc<Shared>,
+    tasks: JoinSet<Vec<Operation>>,
+}
+
+impl CheckedClients {
+    /// Starts as many clients for each database, which connect to instances at these addresses.
+    /// The seed determines what they send.
+    #[must_use]
+    pub fn start(addresses: &[SocketAddr], clients_per_database: usize, seed: u64) -> Self {
+        let shared = Arc::new(Shared {
+            addresses: addresses.to_vec(),
+            is_stopped: AtomicBool::new(false),
+            answered: Default::default(),
+        });
+        let mut tasks = JoinSet::new();
+        for number in 0..DATABASES.len() * clients_per_database {
+            tasks.spawn(CheckedClient::new(shared.clone(), number, seed).run());
         }
-        tokio::time::sleep(BUSY_INTERVAL).await;
+        Self { shared, tasks }
+    }
+
+    /// Returns the number of statements that were answered on the database with the fewest.
+    #[must_use]
+    pub fn least_answered(&self) -> u64 {
+        let counts = self.shared.answered.iter().map(|count| count.load(Ordering::Relaxed));
+        counts.min().unwrap_or_default()
+    }
+
+    /// Stops the clients and compares what they were answered with what the servers of the group
+    /// ran. The group forgets these runs.
+    pub async fn finish(mut self, group: &Group) -> Findings {
+        self.shared.is_stopped.store(true, Ordering::Relaxed);
+        let mut operations = Vec::new();
+        let mut found = Found::new();
+        while let Some(ended) = self.tasks.join_next().await {
+            match ended {
+                Ok(of_client) => operations.extend(of_client),
+                Err(error) => found.push((Violation::UnusableAnswer, error.to_string())),
+            }
+        }
+        compare(group, &operations, found)
     }
-    let operations = clients.join_all().await.into_iter().flatten().collect::<Vec<_>>();
-    compare(&deployment, &operations, play.repetition.share > 0.0)
 }
 
 struct CheckedClient {
+    shared: Arc<Shared>,
     number: usize,
-    route: &'static str,
-    fronts: [SocketAddr; 2],
     random: StdRng,
     next_data: usize,
     operations: Vec<Operation>,
 }
 
 impl CheckedClient {
-    fn new(number: usize, fronts: [SocketAddr; 2], seed: u64) -> Self {
+    fn new(shared: Arc<Shared>, number: usize, seed: u64) -> Self {
         let random = StdRng::seed_from_u64(seed.wrapping_mul(1_000).wrapping_add(number as u64));
-        let route = ROUTES[number % ROUTES.len()];
-        Self { number, route, fronts, random, next_data: 0, operations: Vec::new() }
+        Self { shared, number, random, next_data: 0, operations: Vec::new() }
+    }
+
+    fn is_stopped(&self) -> bool {
+        self.shared.is_stopped.load(Ordering::Relaxed)
     }
 
-    async fn run(mut self, until: Instant) -> Vec<Operation> {
-        while Instant::now() < until {
-            self.run_session(until).await;
+    fn database(&self) -> &'static str {
+        DATABASES[self.number % DATABASES.len()]
+    }
+
+    async fn run(mut self) -> Vec<Operation> {
+        while !self.is_stopped() {
+            self.run_session().await;
             tokio::time::sleep(RECONNECT_PAUSE).await;
         }
         self.operations
     }
 
     /// Runs a session until an answer leaves it unusable. Returns `None` if it ended early.
-    async fn run_session(&mut self, until: Instant) -> Option<()> {
-        let front = self.fronts[self.random.random_range(0..self.fronts.len())];
-        let mut client = Client::try_connect(front, &format!("c{}", self.number)).await?;
-        client.start_session(self.route).await.filter(|answer| answer.error.is_none())?;
+    async fn run_session(&mut self) -> Option<()> {
+        let addresses = &self.shared.addresses;
+        let address = addresses[self.random.random_range(0..addresses.len())];
+        let mut client = Client::try_connect(address, &format!("c{}", self.number)).await?;
+        client.start_session(self.database()).await.filter(|answer| answer.error.is_none())?;
         let number = self.number;
         // All clients use the same names for different values and shapes.
         let set_up = [
@@ -208,7 +235,7 @@
             client.try_query(&text).await.filter(|answer| answer.error.is_none())?;
         }
         for _ in 0..self.random.random_range(OPERATIONS_PER_SESSION) {
-            if Instant::now() >= until {
+            if self.is_stopped() {
                 break;
             }
             let operation = if self.random.random_bool(0.3) {
@@ -264,12 +291,16 @@
 
     async fn query(&self, client: &mut Client, text: String) -> Sent {
         let answer = client.try_query(&text).await;
+        if answer.is_some() {
+            let count = &self.shared.answered[self.number % DATABASES.len()];
+            count.fetch_add(1, Ordering::Relaxed);
+        }
         let number = self.number;
         let text = text
             .replace("EXECUTE s1 ", &format!("EXECUTE write{number} "))
             .replace("EXECUTE s2 ", &format!("EXECUTE read{number} "));
         let zone = format!("z{number}");
-        Sent { route: self.route, id: client.last_id(), text, zone, answer }
+        Sent { database: self.database(), id: client.last_id(), text, zone, answer }
     }
 }
 
@@ -297,13 +328,8 @@
 
 type Found = Vec<(Violation, String)>;
 
-fn compare(
-    deployment: &Deployment,
-    operations: &[Operation],
-    expects_repetitions: bool,
-) -> Findings {
-    let group = &deployment.group;
-    let runs = group.runs();
+fn compare(group: &Group, operations: &[Operation], mut found: Found) -> Findings {
+    let runs = group.take_runs();
     let mut logged: HashMap<String, usize> = HashMap::new();
     for entry in group.log(group.leader()) {
         *logged.entry(entry.request).or_default() += 1;
@@ -316,12 +342,12 @@
     }
     let server_ids = (0..group.size()).map(|number| group.id(number)).collect();
     let observed = Observed { runs: &runs, by_id, by_connection, logged, server_ids };
-    let mut found = Found::new();
-    let mut successes: BTreeMap<&str, usize> = BTreeMap::new();
+    let mut all_counts: BTreeMap<&'static str, Counts> = BTreeMap::new();
     for operation in operations {
         for sent in &operation.statements {
-            *successes.entry(sent.route).or_default() += usize::from(sent.is_success());
-            compare_answer(sent, &observed, &mut found);
+            let counts = all_counts.entry(sent.database).or_default();
+            count(sent, counts);
+            compare_answer(sent, &observed, counts, &mut found);
         }
         if operation.is_transaction {
             compare_transaction(&operation.statements, &observed, &mut found);
@@ -334,17 +360,28 @@
     for (kind, text) in found {
         violations.entry(kind).or_default().push(text);
     }
-    let repetitions = group.repetitions_sent();
-    Findings { violations, successes, repetitions, expects_repetitions }
+    Findings { violations, counts: all_counts, repetitions: group.repetitions_sent() }
+}
+
+fn count(sent: &Sent, counts: &mut Counts) {
+    counts.sent += 1;
+    match sent.answer.as_ref().map(Answer::code) {
+        None => counts.unanswered += 1,
+        Some("DONE") => counts.successes += 1,
+        Some("UNKNOWN" | "TIMEOUT") => counts.unknown += 1,
+        Some(_) if sent.is_promise() => counts.refused += 1,
+        Some(_) => {}
+    }
 }
 
 /// Compares a success with what the server of its signature returned for the statement.
-fn compare_answer(sent: &Sent, observed: &Observed<'_>, found: &mut Found) {
+fn compare_answer(sent: &Sent, observed: &Observed<'_>, counts: &mut Counts, found: &mut Found) {
     let Some(answer) = sent.answer.as_ref().filter(|_| sent.is_success()) else {
         return;
     };
     if matches!(&*sent.text, "BEGIN" | "ROLLBACK") {
         if !answer.rows.is_empty() {
+            counts.other_rows += 1;
             found.push((Violation::OtherRows, format!("{} {answer:?}", sent.text)));
         }
         return;
@@ -353,10 +390,12 @@
     let of_run =
         |run: &&Run| signature == format!("sig.{}.{}", observed.server_ids[run.server], sent.id);
     let mut own_runs = observed.runs_of(&sent.id).filter(of_run).peekable();
-    let description = || format!("{} {} {answer:?}", sent.id, sent.text);
+    let description = || format!("{} {} {} {answer:?}", sent.database, sent.id, sent.text);
     if own_runs.peek().is_none() {
+        counts.answers_of_others += 1;
         found.push((Violation::AnotherAnswer, description()));
     } else if !own_runs.any(|run| run.rows == answer.rows) {
+        counts.other_rows += 1;
         found.push((Violation::OtherRows, description()));
     }
 }
--- a/testing/testutils/src/lib.rs
+++ b/testing/testutils/src/lib.rs
@@ -3,6 +3,7 @@
 //! fault matrix, and performance experiments.
 
 pub mod account_load;
+pub mod checked_clients;
 pub mod checker;
 pub mod clients;
 pub mod cluster;
