--- a/standin/src/platform/servers.rs
+++ b/standin/src/platform/servers.rs
@@ -364,6 +364,9 @@
     }
 
     async fn serve_session(&self, number: usize, stream: TcpStream) {
+        // Otherwise the replies to several statements that were sent together wait for delayed
+        // acknowledgements.
+        stream.set_nodelay(true).unwrap_or(());
         let (read, mut write) = stream.into_split();
         let mut lines = BufReader::new(read).lines();
         let mut session = {
