--- a/lib/src/statement.rs
+++ b/lib/src/statement.rs
@@ -3,6 +3,12 @@
 
 use std::sync::Arc;
 
+use sha2::Digest;
+use sha2::Sha256;
+
+/// Maximum length of a shape that is part of a name, in bytes. It is that of a digest in hex.
+const MAX_SHAPE_BYTES_IN_NAME: usize = 64;
+
 /// Whether a prepared statement reads or writes the item that it is executed on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Access {
@@ -76,18 +82,27 @@
 }
 
 impl Prepared {
-    /// Name under which the statement is prepared at servers.
+    /// Name under which the statement is prepared at servers. It consists of ASCII letters,
+    /// digits and underscores, and has at most 66 bytes.
     ///
-    /// The name depends on the shape and not on the name that a client chose:
-    /// client names would collide on a shared connection, and a statement that
-    /// is prepared once serves all clients.
+    /// The name depends on the access and the shape and not on the name that a client chose:
+    /// client names would collide on a shared connection, and a statement that is prepared once
+    /// serves all clients. Another shape or access has another name. A shape may contain
+    /// anything, so only one that is a short word is part of the name. Of any other the name has
+    /// the whole SHA-256 digest, which no underscore precedes.
     #[must_use]
     pub fn shared_name(&self) -> Arc<str> {
         let prefix = match self.access {
-            Access::Read => "r",
-            Access::Write => "w",
+            Access::Read => 'r',
+            Access::Write => 'w',
         };
-        format!("{prefix}_{}", self.shape).into()
+        let is_short_word = self.shape.len() <= MAX_SHAPE_BYTES_IN_NAME
+            && self.shape.bytes().all(|byte| matches!(byte, b'a'..=b'z' | b'0'..=b'9' | b'_'));
+        if is_short_word {
+            return format!("{prefix}_{}", self.shape).into();
+        }
+        let digest = Sha256::digest(self.shape.as_bytes());
+        format!("{prefix}{digest:x}").into()
     }
 }
 
--- a/lib/tests/test_session_parts.rs
+++ b/lib/tests/test_session_parts.rs
@@ -12,6 +12,8 @@
 use chervilwharf_lib::statement::Prepared;
 use chervilwharf_lib::statement::Statement;
 use chervilwharf_lib::stop_plan::StopPlan;
+use quickcheck::Arbitrary;
+use quickcheck::Gen;
 use quickcheck::quickcheck;
 
 fn values(pairs: &[(&str, &str)]) -> SessionValues {
@@ -58,6 +60,43 @@
     assert!(names[0] != names[1] && names[0] != names[2] && names[1] != names[2]);
 }
 
+/// Shapes from few characters, so that equal and similar ones are frequent, with lengths on both
+/// sides of the limit from which on names are digests.
+#[derive(Clone, Debug)]
+struct AnyPrepared(Prepared);
+
+impl Arbitrary for AnyPrepared {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let access = *g.choose(&[Access::Read, Access::Write]).unwrap();
+        let length = *g.choose(&[0, 1, 2, 3, 8, 63, 64, 65, 300]).unwrap();
+        let characters = ['a', 'b', '_', ' ', 'A', '0', 'ż', '\r', '\n', '\0', '-'];
+        let usual = *g.choose(&[1, 3, characters.len()]).unwrap();
+        let text: String = (0..length).map(|_| *g.choose(&characters[..usual]).unwrap()).collect();
+        Self(shape(access, &text))
+    }
+}
+
+quickcheck! {
+    /// Guards against two shapes that share a name on a connection, and against names that a
+    /// server reads as more than a name: they have only characters that a name may have.
+    fn prop_names_are_single_words_of_one_shape(one: AnyPrepared, other: AnyPrepared) -> bool {
+        let (one, other) = (one.0, other.0);
+        let (name, other_name) = (one.shared_name(), other.shared_name());
+        let is_word = name.bytes().all(|byte| byte.is_ascii_alphanumeric() || byte == b'_');
+        is_word && name.len() <= 66 && (name == other_name) == (one == other)
+    }
+}
+
+/// Guards against a shape whose text is the digest or the name of another one.
+#[test]
+fn test_shape_that_spells_another_name_has_a_name_of_its_own() {
+    let long = shape(Access::Read, "two words");
+    let name = long.shared_name();
+    for text in [&*name, &name[1..], &name[2..]] {
+        assert_ne!(shape(Access::Read, text).shared_name(), name);
+    }
+}
+
 quickcheck! {
     /// After `begin_setup`, a connection has exactly the values of the current session,
     /// whatever sessions used it before.
