--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod event;
 pub mod explanation;
 pub mod fair_order;
+pub mod field_text;
 pub mod fleet;
 pub mod floors;
 pub mod group;
