--- a/standin/src/target_session.rs
+++ b/standin/src/target_session.rs
@@ -301,8 +301,17 @@
         Ok(())
     }
 
-    /// Returns the names and types of a statement's columns; empty if it returns no rows.
+    /// Returns the names and types of a statement's columns; empty if it returns no rows. If
+    /// this fails, an open transaction is aborted.
     pub fn describe(&mut self, sql: &str) -> Result<Vec<(String, Type)>, SqlError> {
+        let result = self.describe_inner(sql);
+        if result.is_err() && !matches!(self.transaction, Transaction::None) {
+            self.abort();
+        }
+        result
+    }
+
+    fn describe_inner(&mut self, sql: &str) -> Result<Vec<(String, Type)>, SqlError> {
         if let Some(call) = crate::target_contract::parse(sql) {
             return Ok(contract_columns(&call));
         }
