--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod admin;
 pub mod answer;
+pub mod batch_reply;
 pub mod checkout;
 pub mod command;
 pub mod confirm;
--- a/daemon/src/postgres.rs
+++ b/daemon/src/postgres.rs
@@ -10,7 +10,6 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
-use chervilwharf_lib::protos::Column;
 use chervilwharf_lib::protos::Result as StatementResult;
 use chervilwharf_lib::protos::Row;
 use displaydoc::Display;
@@ -20,7 +19,6 @@
 use pgwire::api::client::auth::DefaultStartupHandler;
 use pgwire::messages::PgWireBackendMessage;
 use pgwire::messages::PgWireFrontendMessage;
-use pgwire::messages::data::RowDescription;
 use pgwire::messages::extendedquery::Bind;
 use pgwire::messages::extendedquery::Describe;
 use pgwire::messages::extendedquery::Execute;
@@ -32,6 +30,12 @@
 use pgwire::messages::response::TransactionStatus;
 use pgwire::tokio::client::PgWireClient;
 
+use crate::batch_reply::BatchReply;
+use crate::batch_reply::CompleteReply;
+use crate::batch_reply::Refusal;
+use crate::batch_reply::StepReply;
+use crate::batch_reply::unexpected;
+
 /// Largest result of a batch that is accepted. The owner and the entry instance
 /// each hold a result in memory as a whole.
 pub const RESULT_LIMIT_BYTES: usize = 16 * 1024 * 1024;
@@ -186,33 +190,110 @@
     /// When a step is refused, the connection breaks, or the result exceeds
     /// [`RESULT_LIMIT_BYTES`].
     pub async fn run(&mut self, steps: &[Step]) -> Result<Vec<StatementResult>, BatchError> {
+        self.start()?;
+        for step in steps {
+            self.feed_step(step).await?;
+        }
+        let kinds = steps.iter().map(|step| {
+            if step.skip_columns { StepReply::Undescribed } else { StepReply::Described }
+        });
+        self.finish(kinds.collect()).await
+    }
+
+    /// Marks the connection as unfinished, so that it is closed if the reply does not arrive
+    /// as a whole.
+    fn start(&mut self) -> Result<(), BatchError> {
         if self.unfinished {
             return Err(BatchError::Broken("an earlier answer is missing".into()));
         }
         self.unfinished = true;
-        self.send(steps).await?;
-        self.receive(steps.len()).await
+        Ok(())
     }
 
-    async fn send(&mut self, steps: &[Step]) -> Result<(), BatchError> {
-        for step in steps {
-            let parse = Parse::new(None, step.sql.clone(), step.parameter_types.clone());
-            let bind = Bind::new(
-                None,
-                None,
-                step.parameter_formats.clone(),
-                step.parameters.clone(),
-                step.result_formats.clone(),
-            );
+    async fn feed_step(&mut self, step: &Step) -> Result<(), BatchError> {
+        let parse = Parse::new(None, step.sql.clone(), step.parameter_types.clone());
+        let bind = Bind::new(
+            None,
+            None,
+            step.parameter_formats.clone(),
+            step.parameters.clone(),
+            step.result_formats.clone(),
+        );
+        self.feed(PgWireFrontendMessage::Parse(parse)).await?;
+        self.feed(PgWireFrontendMessage::Bind(bind)).await?;
+        if !step.skip_columns {
             let describe = Describe::new(TARGET_TYPE_BYTE_PORTAL, None);
-            self.feed(PgWireFrontendMessage::Parse(parse)).await?;
-            self.feed(PgWireFrontendMessage::Bind(bind)).await?;
-            if !step.skip_columns {
-                self.feed(PgWireFrontendMessage::Describe(describe)).await?;
+            self.feed(PgWireFrontendMessage::Describe(describe)).await?;
+        }
+        self.feed(PgWireFrontendMessage::Execute(Execute::new(None, 0))).await
+    }
+
+    /// Sends the end of a batch and receives the reply to it.
+    async fn finish(&mut self, kinds: Vec<StepReply>) -> Result<Vec<StatementResult>, BatchError> {
+        let reply = self.receive_marked(kinds).await?;
+        if let Err(refusal) = &reply.result {
+            self.confirm_refusal(reply.status, refusal).await?;
+        }
+        self.unfinished = false;
+        self.idle = reply.status == TransactionStatus::Idle;
+        reply.result.map_err(refused)
+    }
+
+    /// Sends a mark after the fed steps, and receives the reply up to its end.
+    async fn receive_marked(&mut self, kinds: Vec<StepReply>) -> Result<CompleteReply, BatchError> {
+        let mark = new_mark();
+        let step = Step::internal(format!("SELECT * FROM chervilwharf_mark({mark})"));
+        self.feed_step(&step).await?;
+        self.finish_sending().await?;
+        let mut reply = BatchReply::new(kinds, mark);
+        loop {
+            let message = self.next().await?;
+            if let Some(complete) = reply.accept(message)? {
+                return Ok(complete);
+            }
+        }
+    }
+
+    /// Checks that a refusal was the whole reply to the batch. If it was the repetition of an
+    /// earlier one, the batch may have run, and its own reply follows.
+    async fn confirm_refusal(
+        &mut self,
+        status: TransactionStatus,
+        refusal: &Refusal,
+    ) -> Result<(), BatchError> {
+        let is_marked = match status {
+            TransactionStatus::Idle => {
+                let reply = self.receive_marked(Vec::new()).await?;
+                reply.result.is_ok() && reply.status == status
+            }
+            TransactionStatus::Error => self.is_missing_name_returned().await?,
+            // A refusal aborts the open transaction.
+            TransactionStatus::Transaction => false,
+        };
+        if is_marked {
+            return Ok(());
+        }
+        let text = field(&refusal.error, b'M');
+        Err(unexpected(&format!("a refusal that may be another statement's: {text}")))
+    }
+
+    /// Asks for a prepared statement that does not exist. An aborted transaction refuses all
+    /// statements with the same message, but this refusal has the name in its message.
+    async fn is_missing_name_returned(&mut self) -> Result<bool, BatchError> {
+        let name = format!("chervilwharf_mark_{}", new_mark());
+        let describe = Describe::new(TARGET_TYPE_BYTE_STATEMENT, Some(name.clone()));
+        self.feed(PgWireFrontendMessage::Describe(describe)).await?;
+        self.finish_sending().await?;
+        let mut reply = BatchReply::new(Vec::new(), 0);
+        loop {
+            let message = self.next().await?;
+            if let Some(complete) = reply.accept(message)? {
+                let refusal = complete.result.err();
+                let has_name =
+                    refusal.is_some_and(|refusal| field(&refusal.error, b'M').contains(&name));
+                return Ok(has_name && complete.status == TransactionStatus::Error);
             }
-            self.feed(PgWireFrontendMessage::Execute(Execute::new(None, 0))).await?;
         }
-        self.finish_sending().await
     }
 
     async fn finish_sending(&mut self) -> Result<(), BatchError> {
@@ -232,47 +313,6 @@
         }
     }
 
-    async fn receive(&mut self, steps: usize) -> Result<Vec<StatementResult>, BatchError> {
-        let mut done = Vec::with_capacity(steps);
-        let mut current = StatementResult::default();
-        let mut refusal = None;
-        let mut size = 0;
-        loop {
-            match self.next().await? {
-                PgWireBackendMessage::RowDescription(description) => {
-                    current.has_rows = true;
-                    current.columns = columns(&description);
-                }
-                PgWireBackendMessage::DataRow(row) => {
-                    size += row.data.len();
-                    if size > RESULT_LIMIT_BYTES {
-                        return Err(BatchError::TooLarge);
-                    }
-                    let column_count = i32::from(row.field_count);
-                    current.rows.push(Row { column_count, data: row.data.to_vec() });
-                }
-                PgWireBackendMessage::CommandComplete(complete) => {
-                    current.command_tag = complete.tag;
-                    done.push(std::mem::take(&mut current));
-                }
-                PgWireBackendMessage::EmptyQueryResponse(_) => {
-                    done.push(std::mem::take(&mut current));
-                }
-                PgWireBackendMessage::ErrorResponse(error) => refusal = Some(error),
-                PgWireBackendMessage::ReadyForQuery(ready) => {
-                    self.unfinished = false;
-                    self.idle = ready.status == TransactionStatus::Idle;
-                    break;
-                }
-                _ => {}
-            }
-        }
-        match refusal {
-            Some(error) => Err(refused(done, &error)),
-            None => Ok(done),
-        }
-    }
-
     /// Asks the server for the types of the parameters and columns of a statement.
     ///
     /// # Errors
@@ -283,63 +323,30 @@
         sql: &str,
         parameter_types: &[u32],
     ) -> Result<StatementResult, BatchError> {
-        if self.unfinished {
-            return Err(BatchError::Broken("an earlier answer is missing".into()));
-        }
-        self.unfinished = true;
+        self.start()?;
         let parse = Parse::new(None, sql.to_owned(), parameter_types.to_vec());
         let describe = Describe::new(TARGET_TYPE_BYTE_STATEMENT, None);
         self.feed(PgWireFrontendMessage::Parse(parse)).await?;
         self.feed(PgWireFrontendMessage::Describe(describe)).await?;
-        self.finish_sending().await?;
-        let mut described = StatementResult::default();
-        let mut refusal = None;
-        loop {
-            match self.next().await? {
-                PgWireBackendMessage::ParameterDescription(parameters) => {
-                    described.parameter_type_oids = parameters.types;
-                }
-                PgWireBackendMessage::RowDescription(description) => {
-                    described.has_rows = true;
-                    described.columns = columns(&description);
-                }
-                PgWireBackendMessage::ErrorResponse(error) => refusal = Some(error),
-                PgWireBackendMessage::ReadyForQuery(ready) => {
-                    self.unfinished = false;
-                    self.idle = ready.status == TransactionStatus::Idle;
-                    break;
-                }
-                _ => {}
-            }
-        }
-        match refusal {
-            Some(error) => Err(refused(Vec::new(), &error)),
-            None => Ok(described),
-        }
+        let results = self.finish(vec![StepReply::Description]).await?;
+        results.into_iter().next().ok_or_else(|| unexpected("no description"))
     }
 }
 
-fn columns(description: &RowDescription) -> Vec<Column> {
-    description
-        .fields
-        .iter()
-        .map(|field| Column {
-            name: field.name.clone(),
-            type_oid: field.type_id,
-            type_size: i32::from(field.type_size),
-            type_modifier: field.type_modifier,
-            format: i32::from(field.format_code),
-        })
-        .collect()
+/// Returns a number that no earlier batch used, so that no earlier reply contains it. It
+/// fits into the type `bigint`.
+fn new_mark() -> u64 {
+    rand::random::<u64>() >> 1
+}
+
+fn field(error: &ErrorResponse, code: u8) -> String {
+    let found = error.fields.iter().find(|(field, _)| *field == code);
+    found.map(|(_, text)| text.clone()).unwrap_or_default()
 }
 
-fn refused(done: Vec<StatementResult>, error: &ErrorResponse) -> BatchError {
-    let field = |code: u8| {
-        let found = error.fields.iter().find(|(field, _)| *field == code);
-        found.map(|(_, text)| text.clone()).unwrap_or_default()
-    };
-    let (sqlstate, message) = (field(b'C'), field(b'M'));
-    BatchError::Refused { step: done.len(), done, sqlstate, message }
+fn refused(refusal: Refusal) -> BatchError {
+    let (sqlstate, message) = (field(&refusal.error, b'C'), field(&refusal.error, b'M'));
+    BatchError::Refused { step: refusal.done.len(), done: refusal.done, sqlstate, message }
 }
 
 /// Splits a row into its values, in the text or binary form in which the server
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod target;
 mod target_contract;
 mod target_log;
+pub mod target_repeats;
 mod target_session;
 mod target_wire;
--- a/standin/src/target_contract.rs
+++ b/standin/src/target_contract.rs
@@ -18,6 +18,8 @@
     RequirePosition { term: u64, index: u64 },
     /// Returns the last position that the server has applied.
     Position,
+    /// Returns the number, so that the caller recognises the reply.
+    Mark { number: u64 },
 }
 
 /// Parses `SELECT [* FROM] chervilwharf_name(arguments)`. Returns `None` for any other
@@ -44,6 +46,7 @@
         "use_term" => ContractCall::UseTerm { term: number(0)? },
         "require_position" => ContractCall::RequirePosition { term: number(0)?, index: number(1)? },
         "position" => ContractCall::Position,
+        "mark" => ContractCall::Mark { number: number(0)? },
         _ => return None,
     })
 }
--- a/standin/src/target_session.rs
+++ b/standin/src/target_session.rs
@@ -569,6 +569,10 @@
                 return Ok(position_row(applied));
             }
             ContractCall::Position => return Ok(position_row(log.applied_position())),
+            ContractCall::Mark { number } => {
+                let rows = vec![vec![integer(*number)]];
+                return Ok(Rows { columns: contract_columns(call), rows });
+            }
         }
         Ok(state_row(&log))
     }
@@ -604,6 +608,8 @@
     ("primary_heard_ms", Type::INT8),
 ];
 
+const MARK_COLUMNS: [(&str, Type); 1] = [("mark", Type::INT8)];
+
 const POSITION_COLUMNS: [(&str, Type); 2] = [("term", Type::INT8), ("index", Type::INT8)];
 
 fn contract_columns(call: &ContractCall) -> Vec<(String, Type)> {
@@ -611,6 +617,7 @@
         ContractCall::Promote { .. }
         | ContractCall::RequirePosition { .. }
         | ContractCall::Position => &POSITION_COLUMNS,
+        ContractCall::Mark { .. } => &MARK_COLUMNS,
         _ => &STATE_COLUMNS,
     };
     columns.iter().map(|(name, kind)| ((*name).to_owned(), kind.clone())).collect()
