--- a/daemon/src/engine/checked_connection.rs
+++ b/daemon/src/engine/checked_connection.rs
@@ -2,12 +2,12 @@
 //! sent. [`chervilwharf_lib::reply_check`] has the rules.
 
 use chervilwharf_lib::group::ServerStatus;
+use chervilwharf_lib::reply_check;
 use chervilwharf_lib::reply_check::ReceivedReply;
 use chervilwharf_lib::reply_check::ReplyCheck;
-use chervilwharf_lib::reply_check::ReplyFault;
-use chervilwharf_lib::reply_check::Rows;
 use chervilwharf_lib::reply_check::SentStatement;
 use chervilwharf_lib::server_refusal::ServerRefusal;
+use chervilwharf_lib::statement::Statement;
 
 use crate::engine::server_connection::ExchangeError;
 use crate::engine::server_connection::IdleState;
@@ -19,52 +19,60 @@
 pub struct CheckedConnection {
     connection: Box<dyn ServerConnection>,
     check: ReplyCheck,
-    /// The first wrong reply since the last call of [`Self::take_fault`].
-    fault: Option<ReplyFault>,
 }
 
 impl CheckedConnection {
     /// Wraps a connection on which no statement was sent yet.
     #[must_use]
     pub fn new(connection: Box<dyn ServerConnection>) -> Self {
-        Self { connection, check: ReplyCheck::default(), fault: None }
+        Self { connection, check: ReplyCheck::default() }
     }
 
-    /// Sends all steps at once and returns one reply for each.
+    /// Sends all steps at once and returns one reply for each. If the server refused one of
+    /// them, a second exchange confirms that the refusal is not a repeated one.
     ///
     /// # Errors
     ///
-    /// When the answer is not complete.
+    /// When the answer is not complete, or not certain to be the answer to these steps.
     pub async fn run(&mut self, steps: &[Step]) -> Result<Vec<StepReply>, ExchangeError> {
+        let began_in = self.check.state();
         let mut replies = self.connection.run(steps).await?;
         for (step, reply) in steps.iter().zip(&mut replies) {
-            match self.check_reply(step, reply) {
-                Ok(rows) => reply.rows = rows,
-                Err(fault) => self.fault = self.fault.or(Some(fault)),
-            }
+            let sent = SentStatement { statement: &step.statement, purpose: step.purpose };
+            let checked = self.check.check(sent, received(reply));
+            reply.rows = checked.map_err(ExchangeError::WrongReply)?;
+        }
+        if replies.iter().any(|reply| reply.result.is_err()) {
+            let statements = self.check.confirmation(began_in, rand::random());
+            self.test_order(statements).await?;
         }
         Ok(replies)
     }
 
-    fn check_reply(&mut self, step: &Step, reply: &StepReply) -> Result<Rows, ReplyFault> {
-        let sent = SentStatement { statement: &step.statement, purpose: step.purpose };
-        let received =
-            ReceivedReply { result: &reply.result, state: reply.state, rows: reply.rows };
-        self.check.check(sent, received)
+    /// Runs statements of the proxy, whose replies show whether those before were in order.
+    async fn test_order(&mut self, statements: Vec<Statement>) -> Result<(), ExchangeError> {
+        let steps: Vec<_> = statements.into_iter().map(Step::internal).collect();
+        if steps.is_empty() {
+            return Ok(());
+        }
+        let replies = self.connection.run(&steps).await?;
+        for (step, reply) in steps.iter().zip(&replies) {
+            let checked = self.check.check_confirmation(&step.statement, received(reply));
+            checked.map_err(ExchangeError::WrongReply)?;
+        }
+        Ok(())
     }
 
     /// Queries the server's role, term and log position.
     ///
     /// # Errors
     ///
-    /// When the answer is not complete.
+    /// When the answer is not complete, or not certain to be the answer to this query.
     pub async fn status(&mut self) -> Result<Result<ServerStatus, ServerRefusal>, ExchangeError> {
-        self.connection.status().await
-    }
-
-    /// The first wrong reply since the last call of this method.
-    pub fn take_fault(&mut self) -> Option<ReplyFault> {
-        self.fault.take()
+        let status = self.connection.status().await?;
+        // The answer names no query, and may be the repeated one to an earlier query.
+        self.test_order(reply_check::order_test(rand::random())).await?;
+        Ok(status)
     }
 
     /// Whether the idle connection can be used, as far as the local socket shows it.
@@ -72,3 +80,7 @@
         self.connection.idle_state()
     }
 }
+
+fn received(reply: &StepReply) -> ReceivedReply<'_> {
+    ReceivedReply { result: &reply.result, state: reply.state, rows: reply.rows }
+}
--- a/daemon/src/engine/lease.rs
+++ b/daemon/src/engine/lease.rs
@@ -9,6 +9,8 @@
 use chervilwharf_lib::id::AccountId;
 use chervilwharf_lib::id::TargetId;
 use chervilwharf_lib::moment::Moment;
+use chervilwharf_lib::reply_check::ReplyFault;
+use chervilwharf_lib::reply_check::Rows;
 use chervilwharf_lib::server_refusal::ServerRefusal;
 use chervilwharf_lib::statement::Prepared;
 
@@ -140,10 +142,14 @@
     ///
     /// When the answer is not complete.
     pub async fn run(&mut self, steps: &[Step]) -> Result<Vec<StepReply>, ExchangeError> {
-        let connection = &mut self.connection().connection;
-        let result = connection.run(steps).await;
-        let fault = connection.take_fault();
-        let fault = fault.or(result.as_ref().err().and_then(ExchangeError::reply_fault));
+        let result = self.connection().connection.run(steps).await;
+        let fault = match &result {
+            Ok(replies) => {
+                let in_doubt = replies.iter().any(|reply| reply.rows == Rows::InDoubt);
+                in_doubt.then_some(ReplyFault::RowsInDoubt)
+            }
+            Err(error) => error.reply_fault(),
+        };
         if let Some(fault) = fault {
             let request = steps.iter().find_map(|step| step.id.as_ref());
             self.shard.record_wrong_reply(&self.server, fault, request);
--- a/daemon/src/engine/remote/encoding.rs
+++ b/daemon/src/engine/remote/encoding.rs
@@ -10,6 +10,7 @@
 use chervilwharf_lib::engine_protos::statement::Work as WireWork;
 use chervilwharf_lib::error_kind::ErrorKind;
 use chervilwharf_lib::position::Position;
+use chervilwharf_lib::reply_check::Rows;
 use chervilwharf_lib::session_floors::OwnCommits;
 use chervilwharf_lib::statement::Access;
 use chervilwharf_lib::statement::Answer;
@@ -98,7 +99,9 @@
     if reply.error.is_empty() {
         let rows = reply.rows.into_iter().map(Into::into).collect();
         let answer = Answer { rows, signature: reply.signature.into() };
-        return Ok(Served { answer, position: position(reply.term, reply.index) });
+        // The other instance answers only with rows that are certain.
+        let rows = Rows::Certain;
+        return Ok(Served { answer, position: position(reply.term, reply.index), rows });
     }
     let kind = ErrorKind::from_name(&reply.error);
     let retry_after = Some(Duration::from_millis(reply.retry_after_ms)).filter(|t| !t.is_zero());
--- a/daemon/src/engine/request.rs
+++ b/daemon/src/engine/request.rs
@@ -10,6 +10,7 @@
 use chervilwharf_lib::moment::Moment;
 use chervilwharf_lib::operation_clock;
 use chervilwharf_lib::position::Position;
+use chervilwharf_lib::reply_check::Rows;
 use chervilwharf_lib::server_refusal::ServerRefusal;
 use chervilwharf_lib::statement::Answer;
 use chervilwharf_lib::statement_timing;
@@ -103,4 +104,6 @@
     pub answer: Answer,
     /// The server's log position after the statement; `None` if it sent none.
     pub position: Option<Position>,
+    /// Whether the rows are those that the statement returned.
+    pub rows: Rows,
 }
--- a/daemon/src/engine/single.rs
+++ b/daemon/src/engine/single.rs
@@ -8,6 +8,8 @@
 use chervilwharf_lib::event::EventKind;
 use chervilwharf_lib::id::TargetId;
 use chervilwharf_lib::position::Position;
+use chervilwharf_lib::reply_check::RowAgreement;
+use chervilwharf_lib::reply_check::Rows;
 use chervilwharf_lib::server_choice::Need;
 use chervilwharf_lib::server_refusal::RefusalKind;
 use chervilwharf_lib::server_refusal::ServerRefusal;
@@ -81,6 +83,8 @@
             *lease = Some(open);
             Sent::Replies(replies)
         }
+        // The server runs, and its other connections are not affected.
+        Err(error) if error.reply_fault().is_some() => Sent::Lost(error),
         Err(error) => {
             session.shard().with_group(|group| group.observe_failure(now(), open.server()));
             session.shard().request_primary_check();
@@ -129,10 +133,14 @@
     work: &Work,
 ) -> Result<Served, Failure> {
     let mut failed_server = None;
+    let mut agreement = RowAgreement::default();
     let mut last = Failure::new(ErrorKind::DeadlineBeforeStart);
     while now() < request.deadline {
         match try_read(session, request, work, &mut failed_server).await {
-            Attempt::Done(served) => return Ok(served),
+            Attempt::Done(served) if agreement.accepts(&served.answer, served.rows) => {
+                return Ok(served);
+            }
+            Attempt::Done(_) => last = Failure::new(ErrorKind::ServerTimedOut),
             Attempt::Failed(failure) => return Err(failure),
             Attempt::Retry { failure, pause } => {
                 session.report_retry(&failure);
@@ -213,7 +221,7 @@
             }
             let took = now().saturating_sub(sent_at);
             session.shard().observe_time(&server, took, slow_threshold);
-            Attempt::Done(Served { answer, position: reply.position })
+            Attempt::Done(Served { answer, position: reply.position, rows: reply.rows })
         }
         Err(refusal) => {
             if refusal.kind == RefusalKind::Failed || refusal.kind == RefusalKind::TimedOut {
@@ -304,6 +312,9 @@
                 if let Some(position) = served.position {
                     session.raise_floor(position);
                 }
+                if served.rows == Rows::InDoubt {
+                    return Err(Failure::new(ErrorKind::OutcomeUnknown));
+                }
                 return Ok(served);
             }
             Attempt::Failed(failure) => return Err(failure),
@@ -362,7 +373,7 @@
                     .shard()
                     .with_group(|group| group.observe_leading(sent_at, now(), &server, position));
             }
-            Attempt::Done(Served { answer, position })
+            Attempt::Done(Served { answer, position, rows: reply.rows })
         }
         Err(refusal) => refused_write(session, &server, refusal),
     }
--- a/daemon/src/engine/transaction.rs
+++ b/daemon/src/engine/transaction.rs
@@ -14,6 +14,9 @@
 use chervilwharf_lib::id::Term;
 use chervilwharf_lib::moment::Moment;
 use chervilwharf_lib::position::Position;
+use chervilwharf_lib::reply_check;
+use chervilwharf_lib::reply_check::RowAgreement;
+use chervilwharf_lib::reply_check::Rows;
 use chervilwharf_lib::server_choice::Need;
 use chervilwharf_lib::server_refusal::RefusalKind;
 use chervilwharf_lib::server_refusal::ServerRefusal;
@@ -244,6 +247,7 @@
     if let Some(lease) = &mut transaction.lease {
         lease.resume();
     }
+    let mut agreement = RowAgreement::default();
     let mut last = Failure::new(ErrorKind::Overloaded);
     while now() < request.deadline {
         let server = server_of(transaction);
@@ -272,7 +276,15 @@
                     statement_timing::slow_threshold(request.route.objective),
                 );
                 observe(session, transaction, sent_at, &server, reply.position);
-                return Ok(Served { answer, position: reply.position });
+                if writes && reply.rows == Rows::InDoubt {
+                    transaction.lease = None;
+                    return Err(Failure::new(ErrorKind::TransactionLost));
+                }
+                if agreement.accepts(&answer, reply.rows) {
+                    let rows = reply.rows;
+                    return Ok(Served { answer, position: reply.position, rows });
+                }
+                continue;
             }
             Err(refusal) if is_retryable(&refusal, reply.state) => {
                 session.shard().observe_busy(&server);
@@ -387,6 +399,8 @@
     // transaction without a floor, which needs the primary, begins as one that may write.
     let statement = Statement::Begin { read_only: floor.is_some() };
     steps.push(Step::internal(statement).with_floor(floor));
+    // The statements of the transaction must not be sent before it is certain to have begun.
+    steps.extend(reply_check::order_test_in_transaction().map(Step::internal));
     let limit = session.stall_limit(request, &server);
     let replies = match send(session, &mut lease, &steps, limit).await {
         Sent::Replies(replies) => replies,
@@ -478,12 +492,15 @@
                     }
                 }
                 committed(session, transaction, sent_at, &server, reply.position);
+                if reply.rows == Rows::InDoubt {
+                    return Err(Failure::new(ErrorKind::OutcomeUnknown));
+                }
                 if let (Some(lease), TransactionState::Idle) =
                     (transaction.lease.take(), reply.state)
                 {
                     lease.give_back();
                 }
-                return Ok(Served { answer, position: reply.position });
+                return Ok(Served { answer, position: reply.position, rows: reply.rows });
             }
             Err(refusal) if is_retryable(&refusal, reply.state) => {
                 session.shard().observe_busy(&server);
--- a/daemon/tests/test_moved_route.rs
+++ b/daemon/tests/test_moved_route.rs
@@ -5,6 +5,8 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -64,6 +66,8 @@
     committed: Arc<Mutex<HashMap<GroupId, u64>>>,
     /// The servers at which reads ran, and the last index that each read saw.
     read_at: Arc<Mutex<Vec<(TargetId, u64)>>>,
+    /// Number of answers, which makes their signatures differ.
+    answers: Arc<AtomicU64>,
 }
 
 struct Connection {
@@ -107,7 +111,8 @@
             }
             _ => {}
         }
-        let signature = step.id.as_ref().map(|id| format!("signed.{id}")).unwrap_or_default();
+        let number = self.servers.answers.fetch_add(1, Ordering::Relaxed);
+        let signature = step.id.as_ref().map(|_| format!("signed.{number}")).unwrap_or_default();
         let answer = Answer { rows: Vec::new(), signature: signature.into() };
         StepReply {
             result: Ok(answer),
--- a/lib/src/event.rs
+++ b/lib/src/event.rs
@@ -201,8 +201,8 @@
     ConnectionFailed, "connection_failed", Exchange;
     /// A connection to a server was lost or closed while it was in use.
     ConnectionDropped, "connection_dropped", Exchange;
-    /// A server sent a reply that is not that of the statement in whose place it arrived. Its
-    /// connection was closed.
+    /// A server sent a reply that is not, or not certainly, that of the statement in whose place
+    /// it arrived.
     WrongReply, "wrong_reply", Exchange;
     /// A status query to a server failed.
     ProbeFailed, "probe_failed", Exchange;
--- a/lib/src/reply_check.rs
+++ b/lib/src/reply_check.rs
@@ -12,8 +12,8 @@
 //!   only after further statements of the proxy got the replies that follow it in order
 //!   ([`ReplyCheck::confirmation`]).
 //! - The rows of a reply that was cut off precede those of the next reply, under the next
-//!   signature. Rows that may begin with such rows are in doubt, and the read is repeated
-//!   until two replies agree ([`RowAgreement`]).
+//!   signature. Rows that may begin with such rows are in doubt, and the read is tried again
+//!   until the replies agree ([`RowAgreement`]).
 
 use std::collections::HashSet;
 use std::collections::VecDeque;
@@ -42,6 +42,10 @@
 /// of an earlier confirmation fits only if all choices are the same.
 const CONFIRMATION_CHOICES: u8 = 3;
 
+/// How many tries of a read in a row have to return the same rows if these are in doubt. Each
+/// of them could begin with a repetition of the same rows.
+const AGREEING_TRIES: usize = 3;
+
 /// Why a reply is not that of the statement in whose place it arrived.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(Display)]
@@ -62,6 +66,8 @@
     DataWithoutRequest,
     /// the data is not a valid reply
     Malformed,
+    /// the rows may begin with those of a reply that was cut off; the statement is tried again
+    RowsInDoubt,
 }
 
 impl ReplyFault {
@@ -77,6 +83,7 @@
             Self::UnexpectedRefusal => "unexpected_refusal",
             Self::DataWithoutRequest => "data_without_request",
             Self::Malformed => "malformed",
+            Self::RowsInDoubt => "rows_in_doubt",
         }
     }
 }
@@ -153,7 +160,8 @@
     state: TransactionState,
     hasher: RandomState,
     signatures: RecentHashes,
-    first_rows: RecentHashes,
+    /// First rows of answers, and whole answers with their statements.
+    rows: RecentHashes,
     /// Whether the server has answered a read without rows.
     had_empty_read: bool,
 }
@@ -198,25 +206,32 @@
             return Err(ReplyFault::RepeatedSignature);
         }
         self.signatures.insert(signature);
-        let in_doubt =
-            reply.rows == Rows::InDoubt || self.may_begin_with_other_rows(sent.purpose, answer);
-        if let Some(first) = answer.rows.first() {
-            let first = self.hash(first);
-            self.first_rows.insert(first);
-        } else if sent.purpose == Purpose::ClientRead {
-            self.had_empty_read = true;
-        }
-        Ok(if in_doubt { Rows::InDoubt } else { Rows::Certain })
+        Ok(self.check_rows(sent, answer, reply.rows))
     }
 
     /// Whether the rows may be those of an earlier reply that was cut off, followed by the
     /// statement's own rows. A read is taken to have a row of its own until the server has
-    /// answered one without.
-    fn may_begin_with_other_rows(&self, purpose: Purpose, answer: &Answer) -> bool {
-        let own_rows = usize::from(purpose == Purpose::ClientRead && !self.had_empty_read);
-        let begins_like_another =
-            answer.rows.first().is_some_and(|first| self.first_rows.contains(self.hash(first)));
-        answer.rows.len() > own_rows && begins_like_another
+    /// answered one without. Rows that the same statement returned before are its own.
+    fn check_rows(&mut self, sent: SentStatement<'_>, answer: &Answer, rows: Rows) -> Rows {
+        let Some(first) = answer.rows.first() else {
+            self.had_empty_read |= sent.purpose == Purpose::ClientRead;
+            return rows;
+        };
+        let (first, whole) = (self.hash(first), self.hash((sent.statement, &answer.rows)));
+        let own_rows = usize::from(sent.purpose == Purpose::ClientRead && !self.had_empty_read);
+        let may_begin_with_other_rows =
+            answer.rows.len() > own_rows && self.rows.contains(first) && !self.rows.contains(whole);
+        if rows == Rows::InDoubt || may_begin_with_other_rows {
+            // Any of them may be the first one of the statement's own.
+            for row in &answer.rows {
+                let row = self.hash(row);
+                self.rows.insert(row);
+            }
+            return Rows::InDoubt;
+        }
+        self.rows.insert(first);
+        self.rows.insert(whole);
+        Rows::Certain
     }
 
     fn hash(&self, text: impl Hash) -> u64 {
@@ -230,7 +245,9 @@
     #[must_use]
     pub fn confirmation(&self, began_in: TransactionState, nonce: u8) -> Vec<Statement> {
         match (began_in, self.state) {
-            (_, TransactionState::Open) => order_test_in_transaction().into(),
+            (_, TransactionState::Open) => {
+                [order_test_in_transaction(), order_test_in_transaction()].concat()
+            }
             (_, TransactionState::Idle) => order_test(nonce),
             (TransactionState::Idle, TransactionState::Failed) => {
                 let mut statements = vec![Statement::Rollback];
@@ -259,21 +276,26 @@
     }
 }
 
-/// Decides when the rows of a read that is repeated count, although they are in doubt.
+/// Decides when the rows of a read count although they are in doubt.
 #[derive(Debug, Default)]
 pub struct RowAgreement {
-    doubtful: Option<Vec<Arc<str>>>,
+    /// The rows of the last tries, and the number of tries in a row that had them.
+    doubtful: Option<(Vec<Arc<str>>, usize)>,
 }
 
 impl RowAgreement {
-    /// Whether the rows of an answer count: they are certain, or the same as those of the try
-    /// before. If not, the read has to be tried again.
+    /// Whether the rows of an answer count: they are certain, or enough tries in a row returned
+    /// the same. If not, the read has to be tried again.
     pub fn accepts(&mut self, answer: &Answer, rows: Rows) -> bool {
-        if rows == Rows::Certain || self.doubtful.as_ref() == Some(&answer.rows) {
+        if rows == Rows::Certain {
             return true;
         }
-        self.doubtful = Some(answer.rows.clone());
-        false
+        let tries = match self.doubtful.take() {
+            Some((known, tries)) if known == answer.rows => tries + 1,
+            _ => 1,
+        };
+        self.doubtful = Some((answer.rows.clone(), tries));
+        tries >= AGREEING_TRIES
     }
 }
 
