--- a/daemon/src/engine/checked_connection.rs
+++ b/daemon/src/engine/checked_connection.rs
@@ -43,8 +43,13 @@
             reply.rows = checked.map_err(ExchangeError::WrongReply)?;
         }
         if replies.iter().any(|reply| reply.result.is_err()) {
-            let statements = self.check.confirmation(began_in, rand::random());
+            let commits = steps.iter().any(|step| step.statement == Statement::Commit);
+            let statements = self.check.confirmation(began_in, commits, rand::random());
             self.test_order(statements).await?;
+            if let (Some(last), true) = (replies.last_mut(), commits) {
+                // The confirmation has rolled back the transaction of a refused COMMIT.
+                last.state = self.check.state();
+            }
         }
         Ok(replies)
     }
--- a/lib/src/reply_check.rs
+++ b/lib/src/reply_check.rs
@@ -241,15 +241,23 @@
     /// The statements whose replies confirm that a refusal belongs to its statement. To be sent
     /// after the replies to an exchange that began in the state `began_in`, if one of them was a
     /// refusal. Empty if the connection can only be rolled back or closed, which makes any
-    /// refusal true. `nonce` is a random number.
+    /// refusal true, except that of a COMMIT: the transaction may have ended. `commits` is
+    /// whether the exchange has one. `nonce` is a random number.
     #[must_use]
-    pub fn confirmation(&self, began_in: TransactionState, nonce: u8) -> Vec<Statement> {
+    pub fn confirmation(
+        &self,
+        began_in: TransactionState,
+        commits: bool,
+        nonce: u8,
+    ) -> Vec<Statement> {
         match (began_in, self.state) {
             (_, TransactionState::Open) => {
                 [order_test_in_transaction(), order_test_in_transaction()].concat()
             }
             (_, TransactionState::Idle) => order_test(nonce),
-            (TransactionState::Idle, TransactionState::Failed) => {
+            (began_in, TransactionState::Failed)
+                if commits || began_in == TransactionState::Idle =>
+            {
                 let mut statements = vec![Statement::Rollback];
                 statements.extend(order_test(nonce));
                 statements
--- a/lib/tests/test_reply_check.rs
+++ b/lib/tests/test_reply_check.rs
@@ -23,7 +23,7 @@
 use rand::rngs::StdRng;
 
 /// Number of random sequences that a test plays.
-const SEQUENCES: u64 = 60_000;
+const SEQUENCES: u64 = 100_000;
 
 /// Most sequences until the loss of a rule is noticed.
 const SEQUENCES_WITHOUT_RULE: u64 = 100_000;
@@ -83,6 +83,8 @@
     state: TransactionState,
     replies: Vec<Reply>,
     repetitions: Vec<Repetition>,
+    /// Decides whether a refusal in a transaction makes it fail.
+    random: StdRng,
     /// What the proxy has not read yet: replies, or rows of one that was cut off.
     sent: VecDeque<Result<Reply, Vec<Arc<str>>>>,
 }
@@ -92,12 +94,16 @@
     fn run(&mut self, statement: &Statement, is_client: bool, refuses: bool) -> Run {
         let number = self.replies.len();
         let was_open = self.state == TransactionState::Open;
-        let mut run = Run { signature: None, rows: Vec::new(), in_transaction: was_open };
+        // One that has failed refuses every statement.
+        let in_transaction = self.state != TransactionState::Idle;
+        let mut run = Run { signature: None, rows: Vec::new(), in_transaction };
         let fails = self.state == TransactionState::Failed
             && !matches!(statement, Statement::Rollback | Statement::Commit);
         let nested = was_open && matches!(statement, Statement::Begin { .. });
         let result = if refuses || fails || nested {
-            if matches!(statement, Statement::Commit) {
+            if was_open && self.random.random() {
+                self.state = TransactionState::Failed;
+            } else if matches!(statement, Statement::Commit) {
                 self.state = TransactionState::Idle;
             }
             let kind = if fails || nested { RefusalKind::Malformed } else { RefusalKind::Busy };
@@ -188,6 +194,7 @@
             state: TransactionState::Idle,
             replies: Vec::new(),
             repetitions,
+            random: StdRng::seed_from_u64(!seed),
             sent: VecDeque::new(),
         };
         Self {
@@ -243,14 +250,15 @@
         if self.in_transaction && runs.iter().any(|run| !run.in_transaction) {
             self.violations.push("a statement ran outside of its transaction".to_owned());
         }
-        let mut replies = Vec::new();
+        let mut replies: Vec<(Reply, Rows)> = Vec::new();
         for step in steps {
             replies.push(self.read(step, false).map_err(|_| Closed)?);
         }
         let has_refusal = replies.iter().any(|(reply, _)| reply.result.is_err());
         if has_refusal && self.without != Some(Rule::Confirmation) {
             let nonce = self.random.random();
-            let confirmation = self.check.confirmation(began_in, nonce);
+            let commits = steps.iter().any(|step| step.statement == Statement::Commit);
+            let confirmation = self.check.confirmation(began_in, commits, nonce);
             let confirmation: Vec<_> = confirmation.into_iter().map(Step::internal).collect();
             for step in &confirmation {
                 self.server.run(&step.statement, false, false);
@@ -258,6 +266,9 @@
             for step in &confirmation {
                 self.read(step, true).map_err(|_| Closed)?;
             }
+            if let (Some((last, _)), true) = (replies.last_mut(), commits) {
+                last.state = self.check.state();
+            }
         }
         Ok((runs, replies))
     }
@@ -360,20 +371,33 @@
         }
         self.in_transaction = true;
         for _ in 0..self.random.random_range(1..3) {
-            self.statement_in_transaction()?;
+            if self.statement_in_transaction()? == TransactionState::Failed {
+                return self.roll_back();
+            }
         }
-        self.in_transaction = false;
         if self.random.random() {
-            let rollback = [Step::internal(Statement::Rollback)];
-            return self.exchange(&rollback, &[false]).map(|_| ());
+            return self.roll_back();
         }
+        self.in_transaction = false;
         let refuses = self.refuses();
         let commit = Step { statement: Statement::Commit, purpose: Purpose::ClientWrite };
         let (runs, replies) = self.exchange(&[commit], &[refuses])?;
-        self.judge_write(&runs[0], &replies[0])
+        self.judge_write(&runs[0], &replies[0])?;
+        if replies[0].0.state == TransactionState::Failed {
+            return self.roll_back();
+        }
+        Ok(())
+    }
+
+    fn roll_back(&mut self) -> Result<(), Closed> {
+        self.in_transaction = false;
+        let rollback = [Step::internal(Statement::Rollback)];
+        let (_, replies) = self.exchange(&rollback, &[false])?;
+        if replies[0].0.state == TransactionState::Idle { Ok(()) } else { Err(Closed) }
     }
 
-    fn statement_in_transaction(&mut self) -> Result<(), Closed> {
+    /// Returns the state in which it leaves the transaction.
+    fn statement_in_transaction(&mut self) -> Result<TransactionState, Closed> {
         let item = self.item();
         let reads: bool = self.random.random();
         let (statement, purpose) = if reads {
@@ -388,6 +412,10 @@
             let (runs, replies) = self.exchange(std::slice::from_ref(&step), &[refuses])?;
             let (reply, rows) = &replies[0];
             let Ok(answer) = &reply.result else {
+                if reply.state == TransactionState::Failed {
+                    // The server rolls it back, whether it ran or not.
+                    return Ok(reply.state);
+                }
                 // It is sent again, and must not have run.
                 self.judge(&runs[0], reply);
                 continue;
@@ -400,9 +428,9 @@
                 continue;
             }
             self.judge(&runs[0], reply);
-            return Ok(());
+            return Ok(reply.state);
         }
-        Ok(())
+        Ok(TransactionState::Open)
     }
 
     fn play(&mut self) {
@@ -483,3 +511,33 @@
         assert_eq!(connection.violations, Vec::<String>::new(), "seed {seed}");
     }
 }
+
+/// Guards against a COMMIT that took effect and is told as refused. The refusal is that of an
+/// earlier transaction, which it made fail, so no transaction seems to be open after it.
+#[test]
+fn test_repeated_refusal_of_a_failed_transaction_refuses_no_commit() {
+    let mut check = ReplyCheck::default();
+    let refusal = ServerRefusal { kind: RefusalKind::NotLeading, text: "".into() };
+    let refused = (Err(refusal), TransactionState::Failed);
+    let done = |state| (Ok(Answer::default()), state);
+    let begin = Statement::Begin { read_only: false };
+    let write = Statement::Write { item_and_data: "a b".into() };
+    let replies = [
+        (begin.clone(), Purpose::Internal, done(TransactionState::Open)),
+        (write, Purpose::ClientWrite, refused.clone()),
+        (Statement::Rollback, Purpose::Internal, done(TransactionState::Idle)),
+        (begin, Purpose::Internal, done(TransactionState::Open)),
+        (Statement::Commit, Purpose::ClientWrite, refused),
+    ];
+    for (statement, purpose, (result, state)) in &replies {
+        let reply = ReceivedReply { result, state: *state, rows: Rows::Certain };
+        let sent = SentStatement { statement, purpose: *purpose };
+        assert_eq!(check.check(sent, reply), Ok(Rows::Certain), "{statement:?}");
+    }
+    let confirmation = check.confirmation(TransactionState::Open, true, 0);
+    let committed = Ok(Answer { rows: Vec::new(), signature: "signed".into() });
+    let reply =
+        ReceivedReply { result: &committed, state: TransactionState::Idle, rows: Rows::Certain };
+    let first = confirmation.first().expect("the refusal is confirmed before it is told");
+    assert_eq!(check.check_confirmation(first, reply), Err(ReplyFault::UnexpectedSignature));
+}
