--- a/daemon/src/engine/transaction.rs
+++ b/daemon/src/engine/transaction.rs
@@ -413,6 +413,10 @@
     }
     let reply = &replies[setup];
     let Err(refusal) = &reply.result else {
+        // The server refuses none of these: the reply to BEGIN may be that of an earlier one.
+        if let Some(refusal) = first_refusal(&replies[setup + 1..]) {
+            return Err((refusal.into(), Some(statement_timing::BUSY_PAUSE)));
+        }
         transaction.lease = lease;
         transaction.term = term;
         return Ok(());
--- a/lib/tests/test_reply_check.rs
+++ b/lib/tests/test_reply_check.rs
@@ -369,6 +369,9 @@
         if replies[0].0.result.is_err() {
             return Ok(());
         }
+        if replies.iter().any(|(reply, _)| reply.result.is_err()) {
+            return Err(Closed);
+        }
         self.in_transaction = true;
         for _ in 0..self.random.random_range(1..3) {
             if self.statement_in_transaction()? == TransactionState::Failed {
