--- a/daemon/src/engine/checked_connection.rs
+++ b/daemon/src/engine/checked_connection.rs
@@ -5,6 +5,7 @@
 use chervilwharf_lib::reply_check;
 use chervilwharf_lib::reply_check::ReceivedReply;
 use chervilwharf_lib::reply_check::ReplyCheck;
+use chervilwharf_lib::reply_check::ReplyFault;
 use chervilwharf_lib::reply_check::SentStatement;
 use chervilwharf_lib::server_refusal::ServerRefusal;
 use chervilwharf_lib::statement::Statement;
@@ -36,7 +37,7 @@
     /// When the answer is not complete, or not certain to be the answer to these steps.
     pub async fn run(&mut self, steps: &[Step]) -> Result<Vec<StepReply>, ExchangeError> {
         let began_in = self.check.state();
-        let mut replies = self.connection.run(steps).await?;
+        let mut replies = self.run_unchecked(steps).await?;
         for (step, reply) in steps.iter().zip(&mut replies) {
             let sent = SentStatement { statement: &step.statement, purpose: step.purpose };
             let checked = self.check.check(sent, received(reply));
@@ -54,13 +55,22 @@
         Ok(replies)
     }
 
+    /// Sends steps, unless data has arrived that can only be a repetition: all earlier statements
+    /// are answered.
+    async fn run_unchecked(&mut self, steps: &[Step]) -> Result<Vec<StepReply>, ExchangeError> {
+        if self.connection.idle_state() == IdleState::UnexpectedData {
+            return Err(ExchangeError::WrongReply(ReplyFault::DataWithoutRequest));
+        }
+        self.connection.run(steps).await
+    }
+
     /// Runs statements of the proxy, whose replies show whether those before were in order.
     async fn test_order(&mut self, statements: Vec<Statement>) -> Result<(), ExchangeError> {
         let steps: Vec<_> = statements.into_iter().map(Step::internal).collect();
         if steps.is_empty() {
             return Ok(());
         }
-        let replies = self.connection.run(&steps).await?;
+        let replies = self.run_unchecked(&steps).await?;
         for (step, reply) in steps.iter().zip(&replies) {
             let checked = self.check.check_confirmation(&step.statement, received(reply));
             checked.map_err(ExchangeError::WrongReply)?;
