--- a/daemon/src/engine/controllers.rs
+++ b/daemon/src/engine/controllers.rs
@@ -40,7 +40,8 @@
 use crate::engine::shared::PEER_FALLBACK_DELAY;
 use crate::engine::store_liveness;
 
-/// Starts all background tasks. They run until the program ends.
+/// Starts all background tasks. They run until the program ends; the engine's supervisor notices
+/// if one of them ends before.
 ///
 /// `seeds` are addresses of other instances from which this one pulls records if the store
 /// does not answer at the start.
@@ -60,16 +61,22 @@
         directory: directory.clone(),
         promoter: promoter.clone(),
     };
-    tokio::spawn(leader_control::run(replacer));
-    tokio::spawn(primary_lease_control::load_orders(engine.clone(), directory.clone()));
-    tokio::spawn(instance_control::keep_record(engine.clone(), directory.clone()));
-    tokio::spawn(fleet_control::send_heartbeats(engine.clone(), directory.clone()));
-    tokio::spawn(pull_when_told(engine.clone()));
-    tokio::spawn(quota_leases::maintain_keeper_leases(engine.clone()));
-    tokio::spawn(keeper_voter_control::maintain_keeper_voters(engine.clone(), directory.clone()));
-    tokio::spawn(peers::serve(engine.clone(), peer_listener));
-    tokio::spawn(pull_from_seeds(engine.clone(), seeds.to_vec()));
-    tokio::spawn(start_without_peers(engine.clone()));
+    let supervisor = engine.supervisor();
+    supervisor.spawn_endless("leaders", leader_control::run(replacer));
+    let orders = primary_lease_control::load_orders(engine.clone(), directory.clone());
+    supervisor.spawn("orders", orders);
+    let record = instance_control::keep_record(engine.clone(), directory.clone());
+    supervisor.spawn_endless("own_record", record);
+    let heartbeats = fleet_control::send_heartbeats(engine.clone(), directory.clone());
+    supervisor.spawn_endless("heartbeats", heartbeats);
+    supervisor.spawn_endless("pulls", pull_when_told(engine.clone()));
+    let keeper_leases = quota_leases::maintain_keeper_leases(engine.clone());
+    supervisor.spawn_endless("keeper_leases", keeper_leases);
+    let voters = keeper_voter_control::maintain_keeper_voters(engine.clone(), directory.clone());
+    supervisor.spawn_endless("keeper_voters", voters);
+    supervisor.spawn_endless("peer_listener", peers::serve(engine.clone(), peer_listener));
+    supervisor.spawn("seeds", pull_from_seeds(engine.clone(), seeds.to_vec()));
+    supervisor.spawn("start_without_peers", start_without_peers(engine.clone()));
 }
 
 /// Starts the tasks that watch the records in the store, and returns their handles.
@@ -90,12 +97,13 @@
     let servers = watch_records(directory.clone(), state.clone(), servers).boxed();
     let instances = watch_records(directory.clone(), state.clone(), instances);
     let duties = watch_records(directory.clone(), state.clone(), duties).boxed();
+    let supervisor = engine.supervisor();
     vec![
-        tokio::spawn(liveness_checks),
-        tokio::spawn(after(first_pull.clone(), configuration)),
-        tokio::spawn(after(first_pull, servers)),
-        tokio::spawn(instances),
-        tokio::spawn(after(orders_read, duties)),
+        supervisor.spawn_endless("store_liveness", liveness_checks),
+        supervisor.spawn_endless("watch_config", after(first_pull.clone(), configuration)),
+        supervisor.spawn_endless("watch_servers", after(first_pull, servers)),
+        supervisor.spawn_endless("watch_instances", instances),
+        supervisor.spawn_endless("watch_duties", after(orders_read, duties)),
     ]
 }
 
--- a/daemon/src/engine/event_log.rs
+++ b/daemon/src/engine/event_log.rs
@@ -13,6 +13,8 @@
 use std::sync::mpsc::Receiver;
 use std::sync::mpsc::SyncSender;
 use std::sync::mpsc::sync_channel;
+use std::time::Duration;
+use std::time::Instant;
 
 use chervilwharf_lib::event::Event;
 use chervilwharf_lib::event::EventKind;
@@ -35,6 +37,8 @@
     /// Number of lines dropped because the queue was full or the limit of their kind was
     /// reached.
     left_out: AtomicU64,
+    queued: AtomicU64,
+    written: AtomicU64,
 }
 
 static EVENT_LOG: OnceLock<EventLog> = OnceLock::new();
@@ -66,8 +70,9 @@
         .chain(fern::Output::call(|record| queue_line(record.args().to_string())));
     dispatch.apply()?;
     let counters = Mutex::new(vec![LineCounter::default(); EventKind::ALL.len()]);
-    let left_out = AtomicU64::new(0);
-    let started = EVENT_LOG.set(EventLog { instance, counters, lines, left_out });
+    let [left_out, queued_lines, written] = [(); 3].map(|()| AtomicU64::new(0));
+    let log = EventLog { instance, counters, lines, left_out, queued: queued_lines, written };
+    let started = EVENT_LOG.set(log);
     if started.is_ok() {
         std::thread::spawn(move || write_lines(&queued, out));
     }
@@ -78,9 +83,10 @@
     let Some(log) = EVENT_LOG.get() else {
         return;
     };
-    if log.lines.try_send(line).is_err() {
-        log.left_out.fetch_add(1, Ordering::Relaxed);
-    }
+    match log.lines.try_send(line) {
+        Ok(()) => log.queued.fetch_add(1, Ordering::Relaxed),
+        Err(_) => log.left_out.fetch_add(1, Ordering::Relaxed),
+    };
 }
 
 /// Writes queued lines. Runs on a thread of its own, since standard output can be a pipe
@@ -90,9 +96,29 @@
         // There is no other place to report a failure to write.
         let _written = out.write_all(line.as_bytes()).and_then(|()| out.write_all(b"\n"));
         let _flushed = out.flush();
+        if let Some(log) = EVENT_LOG.get() {
+            log.written.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+/// Waits until all queued lines are written, at most for `limit`. Blocks the thread, so it is
+/// only for the end of a process.
+pub fn flush(limit: Duration) {
+    let Some(log) = EVENT_LOG.get() else {
+        return;
+    };
+    let started_at = Instant::now();
+    while log.written.load(Ordering::Relaxed) < log.queued.load(Ordering::Relaxed)
+        && started_at.elapsed() < limit
+    {
+        std::thread::sleep(FLUSH_CHECK_INTERVAL);
     }
 }
 
+/// Time between two checks whether the queued lines are written.
+const FLUSH_CHECK_INTERVAL: Duration = Duration::from_millis(2);
+
 /// Number of lines dropped since the start.
 #[must_use]
 pub fn left_out() -> u64 {
--- a/daemon/src/engine/mod.rs
+++ b/daemon/src/engine/mod.rs
@@ -66,6 +66,7 @@
 pub mod store_era;
 pub mod store_gate;
 pub mod store_liveness;
+pub mod supervisor;
 pub mod survey;
 pub mod trace;
 pub mod transaction;
--- a/daemon/src/engine/shared.rs
+++ b/daemon/src/engine/shared.rs
@@ -73,6 +73,7 @@
 use crate::engine::server_connection::Connector;
 use crate::engine::shard::Shard;
 use crate::engine::store_era::StoreEra;
+use crate::engine::supervisor::Supervisor;
 use crate::engine::transaction_times::TransactionTimes;
 use crate::engine::voter_control::VoterControl;
 
@@ -166,6 +167,7 @@
     /// Revision of the store up to which the configuration in force is the latest.
     configuration_revision: Mutex<Revision>,
     received_statements: Mutex<ReceivedStatements>,
+    supervisor: Supervisor,
     /// The last instance whose heartbeat told of later records.
     told_of_records: watch::Sender<Option<InstanceId>>,
 }
@@ -226,6 +228,7 @@
             configuration_revision: Mutex::default(),
             told_of_records: watch::Sender::new(None),
             received_statements: Mutex::new(ReceivedStatements::new(now())),
+            supervisor: Supervisor::default(),
         }
     }
 
@@ -249,6 +252,12 @@
         self.store_timeouts.with_heartbeat_rounds(heartbeat_rounds)
     }
 
+    /// Notices that a long-lived task of this instance has ended.
+    #[must_use]
+    pub fn supervisor(&self) -> &Supervisor {
+        &self.supervisor
+    }
+
     /// Record of this instance.
     #[must_use]
     pub fn me(&self) -> &InstanceRecord {
@@ -535,7 +544,7 @@
     /// instances and at least one server, and is not stopping.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        if self.is_stopping() || !self.is_prepared() {
+        if self.is_stopping() || !self.is_prepared() || self.supervisor.has_failed() {
             return false;
         }
         let shards = self.shards();
--- a/lib/src/event.rs
+++ b/lib/src/event.rs
@@ -224,6 +224,11 @@
     OperationLate, "operation_late", Request;
     /// A transaction was rolled back because its client left it idle.
     TransactionRested, "transaction_rested", Request;
+    /// A task panicked. Only the request or exchange that it served has failed, unless
+    /// `task_failed` follows.
+    Panicked, "panicked", State;
+    /// A task without which the instance cannot go on has ended. The process ends.
+    TaskFailed, "task_failed", State;
     /// Log lines of one kind were omitted because of its rate limit.
     LinesLeftOut, "lines_left_out", State;
 }
