--- a/standin/src/platform/store.rs
+++ b/standin/src/platform/store.rs
@@ -75,6 +75,8 @@
     watches: Vec<(String, u64)>,
     /// Number of requests to create an object, by kind.
     creations: HashMap<String, usize>,
+    /// JSON texts that stand for themselves in responses, at the places of their placeholders.
+    texts: Vec<String>,
 }
 
 /// Changes objects of a kind in the responses of [`Store::serve_view`].
@@ -276,6 +278,15 @@
         self.notify_watchers();
     }
 
+    /// Returns a value that stands for a JSON text within an object. The text is put into
+    /// responses as it is, also if it is nested too deeply for a [`Value`] or is no JSON.
+    #[must_use]
+    pub fn text(&self, text: &str) -> Value {
+        let texts = &mut self.lock().texts;
+        texts.push(text.to_owned());
+        json!(placeholder(texts.len() - 1))
+    }
+
     /// Removes an object.
     pub fn delete(&self, kind: &str, name: &str) {
         self.lock().history.delete(kind, name);
@@ -332,7 +343,19 @@
     }
 }
 
+fn placeholder(number: usize) -> String {
+    format!("@text-{number}@")
+}
+
 impl StoreState {
+    /// Encodes the body of a response.
+    fn body(&self, body: &Value) -> String {
+        let encoded = body.to_string();
+        self.texts.iter().enumerate().fold(encoded, |encoded, (number, text)| {
+            encoded.replace(&format!("\"{}\"", placeholder(number)), text)
+        })
+    }
+
     /// Adds the era to a response, if the store reports it.
     fn with_era_header(&self, answer: impl IntoResponse) -> Response {
         let mut response = answer.into_response();
@@ -407,7 +430,7 @@
     let items: Vec<_> = of_kind.map(|(_, object)| store.as_viewed(&kind, object.clone())).collect();
     let revision = state.history.revision;
     let body = json!({ "items": items, "has_more": false, "store_revision": revision });
-    state.with_era_header(Json(body))
+    state.with_era_header(state.body(&body))
 }
 
 async fn watch_changes(store: &Store, kind: &str, after: u64, wait_ms: u64) -> Response {
@@ -432,7 +455,7 @@
             if !events.is_empty() || tokio::time::Instant::now() >= until {
                 let revision = history.revision;
                 let body = json!({ "events": events, "store_revision": revision });
-                return state.with_era_header(Json(body));
+                return state.with_era_header(state.body(&body));
             }
         }
         // A change or the end of the wait continues the loop.
@@ -446,7 +469,7 @@
     }
     let state = store.lock();
     match state.history.get(&kind, &name) {
-        Some(object) => state.with_era_header(Json(store.as_viewed(&kind, object))),
+        Some(object) => state.with_era_header(state.body(&store.as_viewed(&kind, object))),
         None => state.with_era_header(StatusCode::NOT_FOUND),
     }
 }
