--- a/daemon/src/engine/forwarded_session.rs
+++ b/daemon/src/engine/forwarded_session.rs
@@ -12,6 +12,7 @@
 use chervilwharf_lib::engine_protos::statement::Begin;
 use chervilwharf_lib::engine_protos::statement::Work as WireWork;
 use chervilwharf_lib::error_kind::ErrorKind;
+use chervilwharf_lib::field_text;
 use chervilwharf_lib::id::GroupId;
 use chervilwharf_lib::position::Position;
 use chervilwharf_lib::received_statements::StatementTicket;
@@ -58,6 +59,9 @@
         let begin = statement.begin();
         let own = own_commits(&statement);
         let refusal = |kind| refusal(kind, own);
+        if !has_sendable_texts(&statement) {
+            return refusal(ErrorKind::BadStatement);
+        }
         let Some(work) = decode_work(statement.work.take()) else {
             return refusal(ErrorKind::BadStatement);
         };
@@ -190,6 +194,29 @@
     }
 }
 
+/// Whether all texts can be sent to a server: those that are followed by another field are words,
+/// and the others contain no line end.
+fn has_sendable_texts(statement: &engine_protos::Statement) -> bool {
+    let is_last_field = |text: &str| !text.is_empty() && field_text::is_line(text);
+    let has_sendable_work = match &statement.work {
+        Some(WireWork::Rollback(_)) => return true,
+        Some(WireWork::Read(text) | WireWork::Write(text)) => is_last_field(text),
+        Some(WireWork::Execute(execution)) => {
+            is_last_field(&execution.shape) && is_last_field(&execution.arguments)
+        }
+        Some(WireWork::Commit(_)) | None => true,
+    };
+    let has_sendable_values = statement
+        .values
+        .iter()
+        .all(|value| field_text::is_word(&value.name) && is_last_field(&value.value));
+    let account = &statement.account;
+    field_text::is_word(&statement.id)
+        && (account.is_empty() || field_text::is_word(account))
+        && has_sendable_values
+        && has_sendable_work
+}
+
 fn decode_work(work: Option<WireWork>) -> Option<ForwardedWork> {
     let run = |statement, prepared, writes| {
         Some(ForwardedWork::Run(Work { statement, prepared }, writes))
--- a/daemon/tests/test_forwarded_session.rs
+++ b/daemon/tests/test_forwarded_session.rs
@@ -14,6 +14,8 @@
 use chervilwharf_lib::catalog::GroupSettings;
 use chervilwharf_lib::catalog::Route;
 use chervilwharf_lib::engine_protos;
+use chervilwharf_lib::engine_protos::Execution;
+use chervilwharf_lib::engine_protos::SessionValue;
 use chervilwharf_lib::engine_protos::statement::Work;
 use chervilwharf_lib::error_kind::ErrorKind;
 use stubs::NoServer;
@@ -78,3 +80,52 @@
     let reply = ForwardedSession::new(engine).run(statement()).await;
     assert_ne!(reply.error, ErrorKind::NotOwner.name());
 }
+
+/// Guards against a text of another instance that a server reads as more than one field or
+/// message. An instance of an earlier version may forward what this one refuses.
+#[tokio::test]
+async fn test_forwarded_texts_that_cannot_be_sent_to_a_server_are_refused() {
+    let engine = Arc::new(Engine::new(instance("one"), Arc::new(NoServer)));
+    let value = |name: &str, value: &str| SessionValue { name: name.into(), value: value.into() };
+    let execution = |shape: &str, arguments: &str| {
+        let (shape, arguments) = (shape.to_owned(), arguments.to_owned());
+        Some(Work::Execute(Execution { writes: true, shape, arguments }))
+    };
+    let mut refused = Vec::new();
+    for end in ["\r", "\n", "\0", "\r\n"] {
+        let text = format!("a{end}b");
+        refused.extend([
+            engine_protos::Statement { id: text.clone(), ..statement() },
+            engine_protos::Statement { account: text.clone(), ..statement() },
+            engine_protos::Statement { values: vec![value(&text, "x")], ..statement() },
+            engine_protos::Statement { values: vec![value("x", &text)], ..statement() },
+            engine_protos::Statement { work: Some(Work::Read(text.clone())), ..statement() },
+            engine_protos::Statement { work: Some(Work::Write(text.clone())), ..statement() },
+            engine_protos::Statement { work: execution(&text, "x"), ..statement() },
+            engine_protos::Statement { work: execution("x", &text), ..statement() },
+        ]);
+    }
+    refused.extend([
+        engine_protos::Statement { id: String::new(), ..statement() },
+        engine_protos::Statement { id: "a b".to_owned(), ..statement() },
+        engine_protos::Statement { account: "a b".to_owned(), ..statement() },
+        engine_protos::Statement { values: vec![value("a b", "x")], ..statement() },
+        engine_protos::Statement { values: vec![value("", "x")], ..statement() },
+        engine_protos::Statement { values: vec![value("x", "")], ..statement() },
+        engine_protos::Statement { work: Some(Work::Read(String::new())), ..statement() },
+        engine_protos::Statement { work: execution("", "x"), ..statement() },
+        engine_protos::Statement { work: execution("x", ""), ..statement() },
+    ]);
+    for statement in refused {
+        let shown = format!("{statement:?}");
+        let reply = ForwardedSession::new(engine.clone()).run(statement).await;
+        assert_eq!(reply.error, ErrorKind::BadStatement.name(), "{shown}");
+    }
+    let accepted = engine_protos::Statement {
+        values: vec![value("zone", "two words")],
+        work: execution("mark READ messages", "box7  done "),
+        ..statement()
+    };
+    let reply = ForwardedSession::new(engine).run(accepted).await;
+    assert_eq!(reply.error, ErrorKind::NotOwner.name());
+}
