--- a/daemon/src/engine/checked_connection.rs
+++ b/daemon/src/engine/checked_connection.rs
@@ -90,6 +90,11 @@
         Ok(status)
     }
 
+    /// What the replies on this connection have shown.
+    pub fn check_mut(&mut self) -> &mut ReplyCheck {
+        &mut self.check
+    }
+
     /// Whether the idle connection can be used, as far as the local socket shows it.
     pub fn idle_state(&mut self) -> IdleState {
         self.connection.idle_state()
--- a/daemon/src/engine/lease.rs
+++ b/daemon/src/engine/lease.rs
@@ -56,6 +56,15 @@
         }
     }
 
+    /// Exchanges with the other connections to the server whether it answers reads without rows.
+    pub fn share_empty_reads(&mut self, reads_may_be_empty: &mut bool) {
+        let check = self.connection.check_mut();
+        *reads_may_be_empty |= check.reads_may_be_empty();
+        if *reads_may_be_empty {
+            check.expect_empty_reads();
+        }
+    }
+
     /// Whether the idle connection can be used, as far as the local socket shows it.
     pub fn idle_state(&mut self) -> IdleState {
         self.connection.idle_state()
--- a/daemon/src/engine/shard.rs
+++ b/daemon/src/engine/shard.rs
@@ -368,12 +368,13 @@
     pub(crate) fn return_to_pool(
         self: &Arc<Self>,
         server: &TargetId,
-        connection: PooledConnection,
+        mut connection: PooledConnection,
     ) {
         let mut inner = self.lock();
         let usable = inner.group.takes_work(server);
         let budget = inner.budget;
         let pool = inner.pools.entry(server.clone()).or_default();
+        connection.share_empty_reads(&mut pool.reads_may_be_empty);
         if usable && pool.view.open <= budget {
             pool.idle.push(connection);
         } else {
--- a/daemon/src/engine/shard/assign.rs
+++ b/daemon/src/engine/shard/assign.rs
@@ -93,6 +93,7 @@
             // Among equals the last one wins: it was used most recently.
             let best = indices.min_by_key(|index| cost(&pool.idle[*index]))?;
             let mut connection = pool.idle.swap_remove(best);
+            connection.share_empty_reads(&mut pool.reads_may_be_empty);
             let state = connection.idle_state();
             if state != IdleState::Open {
                 pool.closed(connection.account.as_ref());
--- a/daemon/src/engine/shard/pool.rs
+++ b/daemon/src/engine/shard/pool.rs
@@ -15,6 +15,8 @@
     pub(super) view: PoolView,
     /// Number of connections that are open or being opened, by account.
     pub(super) by_account: HashMap<Option<AccountId>, usize>,
+    /// Whether the server has answered a read without rows on any of the connections.
+    pub(super) reads_may_be_empty: bool,
     /// Number of connections that were granted to waiting requests.
     pub(super) granted_from_queue: usize,
 }
--- a/lib/src/reply_check.rs
+++ b/lib/src/reply_check.rs
@@ -163,7 +163,9 @@
     /// First rows of answers, and whole answers with their statements.
     rows: RecentHashes,
     /// Whether the server has answered a read without rows.
-    had_empty_read: bool,
+    reads_may_be_empty: bool,
+    /// Whether the server has answered a write with rows.
+    had_write_with_rows: bool,
 }
 
 impl ReplyCheck {
@@ -173,6 +175,19 @@
         self.state
     }
 
+    /// Whether the server has answered a read without rows, on this connection or on another
+    /// one before [`Self::expect_empty_reads`].
+    #[must_use]
+    pub fn reads_may_be_empty(&self) -> bool {
+        self.reads_may_be_empty
+    }
+
+    /// Expects reads without rows from now on: the server has answered one so on another
+    /// connection.
+    pub fn expect_empty_reads(&mut self) {
+        self.reads_may_be_empty = true;
+    }
+
     /// Checks the next reply, in the place of the reply to the statement.
     ///
     /// # Errors
@@ -211,14 +226,18 @@
 
     /// Whether the rows may be those of an earlier reply that was cut off, followed by the
     /// statement's own rows. A read is taken to have a row of its own until the server has
-    /// answered one without. Rows that the same statement returned before are its own.
+    /// answered one without, and a write to have none until the server has answered one with
+    /// rows. Rows that the same statement returned before are its own.
     fn check_rows(&mut self, sent: SentStatement<'_>, answer: &Answer, rows: Rows) -> Rows {
         let Some(first) = answer.rows.first() else {
-            self.had_empty_read |= sent.purpose == Purpose::ClientRead;
+            self.reads_may_be_empty |= sent.purpose == Purpose::ClientRead;
             return rows;
         };
         let (first, whole) = (self.hash(first), self.hash((sent.statement, &answer.rows)));
-        let own_rows = usize::from(sent.purpose == Purpose::ClientRead && !self.had_empty_read);
+        let is_write = sent.purpose == Purpose::ClientWrite;
+        let has_own_row =
+            if is_write { self.had_write_with_rows } else { !self.reads_may_be_empty };
+        let own_rows = usize::from(has_own_row);
         let may_begin_with_other_rows =
             answer.rows.len() > own_rows && self.rows.contains(first) && !self.rows.contains(whole);
         if rows == Rows::InDoubt || may_begin_with_other_rows {
@@ -229,6 +248,7 @@
             }
             return Rows::InDoubt;
         }
+        self.had_write_with_rows |= is_write;
         self.rows.insert(first);
         self.rows.insert(whole);
         Rows::Certain
