--- a/lib/src/account_homes.rs
+++ b/lib/src/account_homes.rs
@@ -183,5 +183,5 @@
 #[must_use]
 pub fn domain_connections(max_connections: usize, holders: usize, near: usize) -> usize {
     let others = vec![1.0; holders.saturating_sub(1)];
-    near * budget(max_connections, 1.0, &others)
+    near.saturating_mul(budget(max_connections, 1.0, &others))
 }
--- a/lib/tests/test_account_homes.rs
+++ b/lib/tests/test_account_homes.rs
@@ -277,3 +277,11 @@
     assert_eq!(domain_connections(56, 8, 3), 18);
     assert_eq!(domain_connections(56, 8, 0), 0);
 }
+
+/// Guards against a configuration, also one of another instance, whose number of connections ends
+/// the task that computes with it.
+#[test]
+fn test_connections_beyond_any_server_do_not_overflow() {
+    assert!(domain_connections(usize::MAX, 6, 3) >= domain_connections(1_000_000, 6, 3));
+    assert_eq!(domain_connections(usize::MAX, 1, 1_000), usize::MAX);
+}
