--- a/daemon/src/engine/supervisor.rs
+++ b/daemon/src/engine/supervisor.rs
@@ -109,7 +109,10 @@
 }
 
 fn report_panic(panic: &PanicHookInfo<'_>) {
-    let message = panic.payload_as_str().unwrap_or("no text");
+    let payload = panic.payload();
+    let literal = payload.downcast_ref::<&str>().copied();
+    let formatted = payload.downcast_ref::<String>().map(String::as_str);
+    let message = literal.or(formatted).unwrap_or("no text");
     if message.contains("PoisonError") {
         HAS_POISONED_LOCK.send_replace(true);
     }
