--- a/daemon/src/batch_reply.rs
+++ b/daemon/src/batch_reply.rs
@@ -11,7 +11,9 @@
 //! is not where it is expected.
 //!
 //! The server skips the mark after a refusal, so a refusal is certain only once the reply
-//! to a second request with a mark of its own has followed it.
+//! to a second request with a mark of its own has followed it. Which step was refused is not
+//! certain even then: whole steps of an earlier reply may precede the refusal, and a step
+//! after the refused one is then taken for it.
 
 use chervilwharf_lib::protos::Column;
 use chervilwharf_lib::protos::Result as StatementResult;
@@ -55,7 +57,7 @@
 /// Refusal of a step.
 #[derive(Debug)]
 pub struct Refusal {
-    /// Results of the steps before it.
+    /// Results of the steps before it, possibly after some of an earlier reply.
     pub done: Vec<StatementResult>,
     /// The error that the server sent.
     pub error: ErrorResponse,
@@ -113,6 +115,7 @@
             return Ok(None);
         }
         let kind = self.steps.get(self.done.len()).copied();
+        let is_mark = self.done.len() + 1 == self.steps.len() && !self.done.is_empty();
         self.expected = match (self.expected, message) {
             (Expected::ParseComplete, PgWireBackendMessage::ParseComplete(_)) => match kind {
                 Some(StepReply::Description) => Expected::Parameters,
@@ -158,6 +161,11 @@
             ) => {
                 return Err(unexpected("an error after the end of the batch"));
             }
+            // The mark is refused in no state that the steps before it can leave, so an
+            // earlier step was refused and a repetition has been counted as a step.
+            (_, PgWireBackendMessage::ErrorResponse(_)) if is_mark => {
+                return Err(unexpected("an error in place of the mark"));
+            }
             (_, PgWireBackendMessage::ErrorResponse(error)) => {
                 self.refusal = Some(error);
                 Expected::ReadyAfterRefusal
@@ -189,8 +197,9 @@
     }
 
     fn end_step(&mut self) -> Result<Expected, BatchError> {
-        if !has_counted_rows(&self.current) {
-            return Err(unexpected("another number of rows than the command tag counts"));
+        let kind = self.steps.get(self.done.len()).copied();
+        if !has_possible_rows(&self.current, kind) {
+            return Err(unexpected("another number of rows than the statement has"));
         }
         let ended = std::mem::take(&mut self.current);
         if self.done.len() + 1 < self.steps.len() {
@@ -231,11 +240,21 @@
     BatchError::Broken(format!("the server sent {what}"))
 }
 
-/// Whether the number at the end of the command tag, if there is one, is that of the rows.
-/// A statement without rows, such as `UPDATE 3`, may have changed any number of them.
-fn has_counted_rows(result: &StatementResult) -> bool {
-    let count = result.command_tag.rsplit(' ').next().and_then(|word| word.parse::<usize>().ok());
-    result.rows.is_empty() || count.is_none_or(|count| count == result.rows.len())
+/// Whether a result has as many rows as its command tag counts, if the tag has a number. The
+/// tags of statements such as `SHOW` have none. A statement without rows, such as `UPDATE 3`,
+/// may have changed any number of them.
+fn has_possible_rows(result: &StatementResult, kind: Option<StepReply>) -> bool {
+    let count = result.rows.len();
+    if count == 0 {
+        return true;
+    }
+    if kind != Some(StepReply::Described) {
+        // Of the proxy's own statements only queries return rows.
+        return result.command_tag == format!("SELECT {count}");
+    }
+    let word = result.command_tag.rsplit(' ').next();
+    let tagged = word.and_then(|word| word.parse::<usize>().ok());
+    tagged.is_none_or(|tagged| tagged == count)
 }
 
 fn columns(description: &RowDescription) -> Vec<Column> {
--- a/daemon/src/postgres.rs
+++ b/daemon/src/postgres.rs
@@ -102,9 +102,11 @@
 pub enum BatchError {
     /// step {step} was refused: {sqlstate} {message}
     Refused {
-        /// Index of the refused step.
+        /// Index of the refused step, or a higher one. It is too high if a part of an
+        /// earlier reply preceded the refusal. A refusal of the last step has its index.
         step: usize,
-        /// Results of the steps before it.
+        /// Results of the steps before it. They may be those of an earlier reply, so nothing
+        /// may be concluded from them alone.
         done: Vec<StatementResult>,
         /// SQLSTATE of the refusal.
         sqlstate: String,
--- a/daemon/src/transaction.rs
+++ b/daemon/src/transaction.rs
@@ -156,9 +156,15 @@
     let position = match run {
         Ok(Ok(results)) => results.get(2).and_then(read_position),
         Ok(Err(BatchError::Refused { step, sqlstate, message, .. })) if step < 2 => {
-            if step == 0 && sqlstate == UNIQUE_VIOLATION {
+            if sqlstate == UNIQUE_VIOLATION {
                 drop(transaction);
-                return resolve_commit(context, request).await;
+                // The refused step may be the insertion of the row, also if it is not the
+                // first by the count of the replies. Without a row, COMMIT was refused.
+                let is_in_ledger = step == 0
+                    || !matches!(write::look_up(context, request, &serving).await, Ok(None));
+                if is_in_ledger {
+                    return resolve_commit(context, request).await;
+                }
             }
             let error = BatchError::Refused { step, done: Vec::new(), sqlstate, message };
             let failure = owner::batch_failure(context, &request.database, &serving, &error);
--- a/daemon/src/write.rs
+++ b/daemon/src/write.rs
@@ -341,7 +341,7 @@
         }
         Ok(Err(error)) => {
             guard.end_transaction();
-            return classify_batch_failure(context, request, serving, &error);
+            return classify_batch_failure(context, request, serving, &error).await;
         }
         Err(Interruption::TermOver) => return AttemptResult::NotRun(failure(ErrorKind::NoPrimary)),
         Err(Interruption::Late) if limit < deadline => return AttemptResult::Stalled,
@@ -363,7 +363,7 @@
 }
 
 /// Classifies the failure of a batch that contains no COMMIT.
-fn classify_batch_failure(
+async fn classify_batch_failure(
     context: &Shared,
     request: &Request,
     serving: &Serving,
@@ -371,9 +371,14 @@
 ) -> AttemptResult {
     if let BatchError::Refused { done, .. } = error {
         // The ledger was read before the statement ran. A repeated statement
-        // may be refused now, and its first answer still counts.
-        if let Some(row) = done.get(1).and_then(read_row) {
-            return AttemptResult::InLedger(row);
+        // may be refused now, and its first answer still counts. The row is read again,
+        // because a result before a refusal may be another request's.
+        if done.get(1).and_then(read_row).is_some() {
+            match look_up(context, request, serving).await {
+                Ok(Some(row)) => return AttemptResult::InLedger(row),
+                Ok(None) => {}
+                Err(failure) => return AttemptResult::NotRun(failure),
+            }
         }
     }
     classify_failure(owner::batch_failure(context, &request.database, serving, error))
@@ -410,6 +415,14 @@
                 // Another copy of the request or a tombstone has the row: the
                 // next attempt reads the ledger.
                 (0, UNIQUE_VIOLATION) => AttemptResult::Unknown,
+                // The refused step may be the insertion of the row all the same.
+                (1, UNIQUE_VIOLATION) => match look_up(context, request, serving).await {
+                    Ok(Some(row)) => AttemptResult::InLedger(row),
+                    Ok(None) => AttemptResult::Refused(crate::answer::refused_by_server(
+                        &sqlstate, &message,
+                    )),
+                    Err(_) => AttemptResult::Unknown,
+                },
                 (0 | 1, WRONG_TERM) => {
                     let error = BatchError::Refused { step, done: Vec::new(), sqlstate, message };
                     let failure = owner::batch_failure(context, &request.database, serving, &error);
@@ -434,7 +447,11 @@
 }
 
 /// Reads the row of a request from the ledger of the current primary.
-async fn look_up(
+///
+/// # Errors
+///
+/// When the primary cannot be reached or refuses.
+pub async fn look_up(
     context: &Shared,
     request: &Request,
     serving: &Serving,
