--- a/daemon/src/engine/peers.rs
+++ b/daemon/src/engine/peers.rs
@@ -107,25 +107,31 @@
 }
 
 impl PeerLink {
-    /// Whether the link is connected and the other side has not closed it, as far as the
-    /// local socket shows it; sends nothing.
+    /// Whether the link is connected, the other side has not closed it, and nothing has
+    /// arrived on it since the last answer, as far as the local socket shows it; sends
+    /// nothing. Otherwise the connection is closed: no exchange is outstanding, so what has
+    /// arrived belongs to none, and the check may have read a part of it.
     #[must_use]
-    pub fn is_open(&self) -> bool {
-        let Some(frames) = &self.frames else {
-            return false;
-        };
-        let mut byte = [0_u8; 1];
-        let read = frames.get_ref().try_read(&mut byte);
-        read.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock)
+    pub fn is_open(&mut self) -> bool {
+        let is_open = self.frames.as_ref().is_some_and(|frames| {
+            let mut byte = [0_u8; 1];
+            let read = frames.get_ref().try_read(&mut byte);
+            let is_silent = read.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock);
+            is_silent && frames.read_buffer().is_empty()
+        });
+        if !is_open {
+            self.frames = None;
+        }
+        is_open
     }
 
-    /// Connects the link, unless it is connected.
+    /// Connects the link, unless it is open.
     ///
     /// # Errors
     ///
     /// When the connection cannot be opened in time.
     pub async fn open(&mut self, address: SocketAddr) -> Result<(), PeerError> {
-        if self.frames.is_none() {
+        if !self.is_open() {
             self.frames = Some(frames(connect(address).await?));
         }
         Ok(())
@@ -195,7 +201,7 @@
     address: SocketAddr,
     body: Body,
 ) -> Result<Body, LinkError> {
-    let is_kept = link.try_lock().is_ok_and(|link| link.is_open());
+    let is_kept = link.try_lock().is_ok_and(|mut link| link.is_open());
     if !is_kept {
         return link.lock().await.exchange(address, body).await;
     }
--- a/daemon/src/engine/remote.rs
+++ b/daemon/src/engine/remote.rs
@@ -43,7 +43,7 @@
     fn take(&self, address: SocketAddr) -> PeerLink {
         let mut idle = self.idle.lock().expect("never poisoned");
         let links = idle.entry(address).or_default();
-        while let Some(link) = links.pop() {
+        while let Some(mut link) = links.pop() {
             if link.is_open() {
                 return link;
             }
