--- a/testing/testutils/tests/test_repeated_replies.rs
+++ b/testing/testutils/tests/test_repeated_replies.rs
@@ -247,3 +247,28 @@
     let aborted = answer_of(connection.run(&[Step::new("SELECT 1")]).await);
     assert_eq!(aborted.as_deref(), Some("current transaction is aborted"));
 }
+
+/// Guards against the reply to an abandoned batch on a connection that is used again. The
+/// future of a batch is dropped at its deadline, at the end of a term and when a client leaves.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_connection_of_an_abandoned_batch_is_not_used_again() {
+    let cost = Duration::from_millis(100);
+    let options = TargetOptions { statement_cost: cost, ..TargetOptions::new("a") };
+    let target = Target::start(options).await.unwrap();
+    let address = ServerAddress {
+        address: target.address,
+        login: "proxy".into(),
+        password: "".into(),
+        database: "db".into(),
+    };
+    let mut connection = ServerConnection::open(&address, TIMEOUT).await.unwrap();
+    let steps = [Step::new("SELECT 'abandoned'")];
+    let run = tokio::time::timeout(cost / 10, connection.run(&steps)).await;
+    assert!(run.is_err(), "{run:?}");
+    assert!(!connection.is_reusable() && !connection.is_answer_complete());
+    tokio::time::sleep(cost * 2).await;
+    let next = connection.run(&[Step::new("SELECT 'next'")]).await;
+    assert!(matches!(next, Err(BatchError::Broken(_))), "{next:?}");
+    let described = connection.describe("SELECT 'next'", &[]).await;
+    assert!(matches!(described, Err(BatchError::Broken(_))), "{described:?}");
+}
