--- a/lib/tests/test_session_parts.rs
+++ b/lib/tests/test_session_parts.rs
@@ -1,6 +1,8 @@
 //! Tests of connection setup, the list of servers, and the plan of a stop.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use chervilwharf_lib::connection_setup::ConnectionSetup;
@@ -50,6 +52,45 @@
     assert!(matches!(steps[..], [Statement::Reset, Statement::Prepare { .. }]));
 }
 
+/// What a server has prepared after the statements that it got, as shapes by name.
+fn run_at_server(server: &mut HashMap<Arc<str>, Prepared>, steps: Vec<Statement>) {
+    for step in steps {
+        match step {
+            Statement::Reset => server.clear(),
+            Statement::Prepare { name, prepared } => {
+                assert!(server.insert(name, prepared).is_none(), "prepared twice");
+            }
+            Statement::Deallocate { name } => assert!(server.remove(&name).is_some()),
+            _ => {}
+        }
+    }
+}
+
+/// Guards against a connection on which prepared statements pile up, here and at the server, and
+/// against one that executes a statement that was discarded.
+#[test]
+fn test_prepared_statements_of_a_connection_are_bounded() {
+    let mut connection_setup = ConnectionSetup::default();
+    let mut server = HashMap::new();
+    let none = values(&[]);
+    for round in 0..3 {
+        for number in 0..5_000 {
+            let text = format!("q{number}");
+            // Some shapes are as long as a message can be.
+            let text = if number % 1_000 == 7 { text.repeat(200_000) } else { text };
+            let wanted = shape(Access::Write, &text);
+            let cost = connection_setup.setup_cost(&none, Some(&wanted));
+            let steps = connection_setup.begin_setup(&none, Some(&wanted));
+            assert_eq!(cost, steps.len(), "round {round}, shape {number}");
+            run_at_server(&mut server, steps);
+            assert_eq!(server.get(&wanted.shared_name()), Some(&wanted));
+            let bytes: usize = server.values().map(|prepared| prepared.shape.len()).sum();
+            assert!(server.len() <= 1_024, "{} statements", server.len());
+            assert!(bytes <= 1024 * 1024 || server.len() == 1, "{bytes} bytes");
+        }
+    }
+}
+
 #[test]
 fn test_shapes_that_differ_have_different_names() {
     let names = [
