--- a/lib/tests/test_reply_check.rs
+++ b/lib/tests/test_reply_check.rs
@@ -544,3 +544,32 @@
     let first = confirmation.first().expect("the refusal is confirmed before it is told");
     assert_eq!(check.check_confirmation(first, reply), Err(ReplyFault::UnexpectedSignature));
 }
+
+/// Checks the replies to statements, each of which the server ran, in the state without a
+/// transaction, and returns what is found of the rows of the last.
+fn rows_of_last(replies: &[(Statement, Purpose, &[&str], &str)]) -> Rows {
+    let mut check = ReplyCheck::default();
+    let mut last = Rows::Certain;
+    for (statement, purpose, rows, signature) in replies {
+        let rows = rows.iter().map(|row| Arc::from(*row)).collect();
+        let result = Ok(Answer { rows, signature: (*signature).into() });
+        let state = TransactionState::Idle;
+        let reply = ReceivedReply { result: &result, state, rows: Rows::Certain };
+        last = check.check(SentStatement { statement, purpose: *purpose }, reply).unwrap();
+    }
+    last
+}
+
+/// Guards against the rows of another client's read in the answer to a read without rows, the
+/// first such one on its connection.
+#[test]
+fn test_rows_before_the_first_read_without_rows_are_in_doubt() {
+    let read = |item: &str| Statement::Read { item: item.into() };
+    // The server repeats the first reply, without its end, and answers the second read without
+    // rows.
+    let replies: [(_, _, &[&str], _); 2] = [
+        (read("a"), Purpose::ClientRead, &["row of a"], "s1"),
+        (read("b"), Purpose::ClientRead, &["row of a"], "s2"),
+    ];
+    assert_eq!(rows_of_last(&replies), Rows::InDoubt);
+}
