--- a/lib/tests/test_reply_check.rs
+++ b/lib/tests/test_reply_check.rs
@@ -573,3 +573,15 @@
     ];
     assert_eq!(rows_of_last(&replies), Rows::InDoubt);
 }
+
+/// Guards against unknown outcomes of all writes of a server that answers them with rows, such
+/// as the number of changed records.
+#[test]
+fn test_equal_rows_of_writes_are_certain() {
+    let write = |text: &str| Statement::Write { item_and_data: text.into() };
+    let replies: [(_, _, &[&str], _); 2] = [
+        (write("a x"), Purpose::ClientWrite, &["1"], "s1"),
+        (write("b y"), Purpose::ClientWrite, &["1"], "s2"),
+    ];
+    assert_eq!(rows_of_last(&replies), Rows::Certain);
+}
