--- a/daemon/src/engine/checked_connection.rs
+++ b/daemon/src/engine/checked_connection.rs
@@ -86,7 +86,7 @@
     pub async fn status(&mut self) -> Result<Result<ServerStatus, ServerRefusal>, ExchangeError> {
         let status = self.connection.status().await?;
         // The answer names no query, and may be the repeated one to an earlier query.
-        self.test_order(reply_check::order_test(rand::random())).await?;
+        self.test_order(reply_check::confirmation_of_status(rand::random())).await?;
         Ok(status)
     }
 
--- a/lib/src/reply_check.rs
+++ b/lib/src/reply_check.rs
@@ -40,7 +40,19 @@
 
 /// Number of independent choices in the confirmation of a refusal. A repeated burst of replies
 /// of an earlier confirmation fits only if all choices are the same.
-const CONFIRMATION_CHOICES: u8 = 3;
+const CONFIRMATION_CHOICES: u8 = 7;
+
+/// Number of independent choices in the test after a request for the state of a server, which
+/// healthy connections run regularly.
+const STATUS_CHOICES: u8 = 3;
+
+/// Least number of tests that confirm a refusal in a transaction.
+const MIN_TESTS_IN_TRANSACTION: usize = 2;
+
+/// Among how many numbers of tests in a transaction is chosen at random. Their replies are all
+/// equal, so a repeated burst of replies of an earlier confirmation fits only if it has the
+/// same number of them.
+const TEST_COUNTS: usize = 8;
 
 /// How many tries of a read in a row have to return the same rows if these are in doubt. Each
 /// of them could begin with a repetition of the same rows.
@@ -252,14 +264,15 @@
     ) -> Vec<Statement> {
         match (began_in, self.state) {
             (_, TransactionState::Open) => {
-                [order_test_in_transaction(), order_test_in_transaction()].concat()
+                let count = MIN_TESTS_IN_TRANSACTION + usize::from(nonce) % TEST_COUNTS;
+                vec![order_test_in_transaction(); count].concat()
             }
-            (_, TransactionState::Idle) => order_test(nonce),
+            (_, TransactionState::Idle) => order_test(CONFIRMATION_CHOICES, nonce),
             (began_in, TransactionState::Failed)
                 if commits || began_in == TransactionState::Idle =>
             {
                 let mut statements = vec![Statement::Rollback];
-                statements.extend(order_test(nonce));
+                statements.extend(order_test(CONFIRMATION_CHOICES, nonce));
                 statements
             }
             (_, TransactionState::Failed) => Vec::new(),
@@ -307,17 +320,23 @@
     }
 }
 
+/// The statements whose replies show that the reply before them is the answer to a request for
+/// the state of a server. `nonce` is a random number.
+#[must_use]
+pub fn confirmation_of_status(nonce: u8) -> Vec<Statement> {
+    order_test(STATUS_CHOICES, nonce)
+}
+
 /// Statements without an effect that a connection in any state without a transaction accepts.
 /// Their replies differ by the state that they report, in an order that depends on `nonce`.
-#[must_use]
-pub fn order_test(nonce: u8) -> Vec<Statement> {
+fn order_test(choices: u8, nonce: u8) -> Vec<Statement> {
     let choice = |bit| match nonce >> bit & 1 {
         0 => [Statement::Begin { read_only: true }, Statement::Rollback],
         _ => order_test_in_transaction(),
     };
     // Without a change of state in it, a test could be passed by repetitions of a single reply.
     let last = [Statement::Begin { read_only: true }, Statement::Rollback];
-    (0..CONFIRMATION_CHOICES - 1).flat_map(choice).chain(last).collect()
+    (0..choices - 1).flat_map(choice).chain(last).collect()
 }
 
 /// Statements without an effect that a connection accepts inside and outside of a transaction.
--- a/lib/tests/test_reply_check.rs
+++ b/lib/tests/test_reply_check.rs
@@ -2,6 +2,7 @@
 //! cut off, at any later place. The statements, their checks and confirmations are those of the
 //! engine; the network is left out.
 
+use std::collections::HashSet;
 use std::collections::VecDeque;
 use std::sync::Arc;
 
@@ -545,6 +546,26 @@
     assert_eq!(check.check_confirmation(first, reply), Err(ReplyFault::UnexpectedSignature));
 }
 
+/// Guards against a confirmation that the repeated replies of an earlier one fit: a burst of
+/// them, together with the refusal, would refuse a statement that ran.
+#[test]
+fn test_confirmations_differ() {
+    let distinct = |state: TransactionState| {
+        let mut check = ReplyCheck::default();
+        let result = Ok(Answer::default());
+        let begin = Statement::Begin { read_only: false };
+        if state == TransactionState::Open {
+            let sent = SentStatement { statement: &begin, purpose: Purpose::Internal };
+            let reply = ReceivedReply { result: &result, state, rows: Rows::Certain };
+            check.check(sent, reply).unwrap();
+        }
+        let confirmations = (0..=u8::MAX).map(|nonce| check.confirmation(state, false, nonce));
+        confirmations.map(|statements| format!("{statements:?}")).collect::<HashSet<_>>().len()
+    };
+    assert_eq!(distinct(TransactionState::Idle), 64);
+    assert_eq!(distinct(TransactionState::Open), 8);
+}
+
 /// Checks the replies to statements, each of which the server ran, in the state without a
 /// transaction, and returns what is found of the rows of the last.
 fn rows_of_last(replies: &[(Statement, Purpose, &[&str], &str)]) -> Rows {
