--- a/daemon/src/engine/probe.rs
+++ b/daemon/src/engine/probe.rs
@@ -14,6 +14,7 @@
 use chervilwharf_lib::server_choice::ConnectionOwner;
 use chervilwharf_lib::server_choice::Need;
 use chervilwharf_lib::server_refusal::RefusalKind;
+use chervilwharf_lib::server_refusal::ServerRefusal;
 
 use crate::engine::clock::now;
 use crate::engine::event_log;
@@ -72,7 +73,18 @@
             }
             Err(error) => return Err(error.to_string()),
         };
-        connection.status().await.map_err(|error| error.to_string())
+        match connection.status().await {
+            Ok(answer) => Ok(answer),
+            Err(error) => match error.reply_fault() {
+                // The server runs, and its answer is not certain.
+                Some(fault) => {
+                    shard.record_wrong_reply(id, fault, None);
+                    let text = error.to_string().into();
+                    Ok(Err(ServerRefusal { kind: RefusalKind::Unknown, text }))
+                }
+                None => Err(error.to_string()),
+            },
+        }
     };
     let result = match tokio::time::timeout(probe_timeout(shard, id), asking).await {
         Ok(result) => result,
@@ -136,7 +148,9 @@
         }
         Ok(Err(error)) => {
             report_failure(shard, id, &error.to_string());
-            shard.with_group(|group| group.observe_failure(now(), id));
+            if error.reply_fault().is_none() {
+                shard.with_group(|group| group.observe_failure(now(), id));
+            }
         }
         Err(_) => {
             report_failure(shard, id, "no answer in time");
--- a/daemon/tests/test_probe.rs
+++ b/daemon/tests/test_probe.rs
@@ -5,16 +5,29 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use async_trait::async_trait;
 use chervilwharf_daemon::engine::clock::now;
 use chervilwharf_daemon::engine::probe::Probed;
 use chervilwharf_daemon::engine::probe::probe;
+use chervilwharf_daemon::engine::server_connection::ConnectError;
 use chervilwharf_daemon::engine::server_connection::Connector;
+use chervilwharf_daemon::engine::server_connection::ExchangeError;
+use chervilwharf_daemon::engine::server_connection::IdleState;
+use chervilwharf_daemon::engine::server_connection::ServerConnection;
+use chervilwharf_daemon::engine::server_connection::Step;
+use chervilwharf_daemon::engine::server_connection::StepReply;
 use chervilwharf_daemon::engine::shard::Shard;
+use chervilwharf_lib::group::ServerInfo;
+use chervilwharf_lib::group::ServerStatus;
+use chervilwharf_lib::id::AccountId;
+use chervilwharf_lib::id::GroupId;
 use chervilwharf_lib::id::TargetId;
+use chervilwharf_lib::server_refusal::ServerRefusal;
 use stubs::NeverGreets;
 use stubs::TooManyConnections;
 use stubs::shard_with_primary;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 
 /// A shard with one server that accepts connections and sends no greeting.
 async fn shard() -> (Arc<Shard>, TargetId, TcpListener) {
@@ -65,3 +78,56 @@
     assert_eq!(probe(&shard, &id).await, Probed::Busy);
     assert_eq!(failures(&shard, &id), 0);
 }
+
+type StatusResult = Result<Result<ServerStatus, ServerRefusal>, ExchangeError>;
+
+/// A server that sends something else than replies.
+struct WrongReplies;
+
+#[async_trait]
+impl Connector for WrongReplies {
+    async fn start(
+        &self,
+        _stream: TcpStream,
+        _group: &GroupId,
+        _account: Option<&AccountId>,
+        _server: &ServerInfo,
+    ) -> Result<Box<dyn ServerConnection>, ConnectError> {
+        Ok(Box::new(Self))
+    }
+}
+
+fn wrong_reply<T>() -> Result<T, ExchangeError> {
+    Err(ExchangeError::Protocol("a second greeting".to_owned()))
+}
+
+#[async_trait]
+impl ServerConnection for WrongReplies {
+    async fn run(&mut self, _steps: &[Step]) -> Result<Vec<StepReply>, ExchangeError> {
+        wrong_reply()
+    }
+
+    async fn status(&mut self) -> StatusResult {
+        wrong_reply()
+    }
+
+    async fn pause(&mut self, _term: u64) -> StatusResult {
+        wrong_reply()
+    }
+
+    async fn demote(&mut self, _term: u64) -> StatusResult {
+        wrong_reply()
+    }
+
+    fn idle_state(&mut self) -> IdleState {
+        IdleState::Open
+    }
+}
+
+/// Guards against the replacement of a healthy primary that repeats its greeting.
+#[tokio::test]
+async fn test_server_that_repeats_a_reply_is_alive() {
+    let (shard, id, _listener) = shard_with(Arc::new(WrongReplies)).await;
+    assert_eq!(probe(&shard, &id).await, Probed::Busy);
+    assert_eq!(failures(&shard, &id), 0);
+}
