--- a/lib/src/reply_check.rs
+++ b/lib/src/reply_check.rs
@@ -14,6 +14,11 @@
 //! - The rows of a reply that was cut off precede those of the next reply, under the next
 //!   signature. Rows that may begin with such rows are in doubt, and the read is tried again
 //!   until the replies agree ([`RowAgreement`]).
+//!
+//! Up to two repetitions at any place are covered, also next to each other. Not covered are a
+//! longer burst that arrives between a statement and its own reply and happens to fit the
+//! statements of the proxy, a lost reply with a repeated refusal in its place, a repetition of a
+//! reply that is no longer remembered, and the first read without rows of a server.
 
 use std::collections::HashSet;
 use std::collections::VecDeque;
@@ -31,8 +36,9 @@
 use crate::statement::Statement;
 use crate::statement::TransactionState;
 
-/// How many of the latest replies of a connection are remembered, to recognise repetitions.
-const REMEMBERED_REPLIES: usize = 4096;
+/// How many of the latest signatures of a connection are remembered, to recognise repetitions,
+/// and how many of its latest rows: two entries a reply.
+const REMEMBERED_ENTRIES: usize = 4096;
 
 /// Name of the prepared statement that the proxy prepares and discards to test the order of
 /// replies. It is never executed.
@@ -158,7 +164,7 @@
             return;
         }
         self.order.push_back(hash);
-        if self.order.len() > REMEMBERED_REPLIES {
+        if self.order.len() > REMEMBERED_ENTRIES {
             if let Some(oldest) = self.order.pop_front() {
                 self.hashes.remove(&oldest);
             }
