--- a/daemon/src/batch_reply.rs
+++ b/daemon/src/batch_reply.rs
@@ -15,19 +15,44 @@
 //! certain even then: whole steps of an earlier reply may precede the refusal, and a step
 //! after the refused one is then taken for it.
 
+use bytes::Bytes;
+use bytes::BytesMut;
 use chervilwharf_lib::protos::Column;
 use chervilwharf_lib::protos::Result as StatementResult;
 use chervilwharf_lib::protos::Row;
+use displaydoc::Display;
 use pgwire::messages::PgWireBackendMessage;
 use pgwire::messages::data::DataRow;
 use pgwire::messages::data::RowDescription;
 use pgwire::messages::response::ErrorResponse;
 use pgwire::messages::response::TransactionStatus;
 
-use crate::postgres::BatchError;
-use crate::postgres::RESULT_LIMIT_BYTES;
-use crate::postgres::number_value;
-use crate::postgres::row_values;
+/// Largest result of a batch that is accepted. The owner and the entry instance
+/// each hold a result in memory as a whole.
+pub const RESULT_LIMIT_BYTES: usize = 16 * 1024 * 1024;
+
+/// Reason why a batch did not run to its end.
+#[derive(Clone, Debug)]
+#[derive(Display)]
+pub enum BatchError {
+    /// step {step} was refused: {sqlstate} {message}
+    Refused {
+        /// Index of the refused step, or a higher one. It is too high if a part of an
+        /// earlier reply preceded the refusal. A refusal of the last step has its index.
+        step: usize,
+        /// Results of the steps before it. They may be those of an earlier reply, so nothing
+        /// may be concluded from them alone.
+        done: Vec<StatementResult>,
+        /// SQLSTATE of the refusal.
+        sqlstate: String,
+        /// Message of the refusal.
+        message: String,
+    },
+    /// the connection broke: {0}
+    Broken(String),
+    /// the result exceeds the size limit
+    TooLarge,
+}
 
 /// Messages that the reply to one step consists of.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -270,3 +295,37 @@
         })
         .collect()
 }
+
+/// Splits a row into its values, in the text or binary form in which the server
+/// sent them; `None` is NULL.
+#[must_use]
+pub fn row_values(row: &Row) -> Vec<Option<Bytes>> {
+    let mut data = Bytes::from(BytesMut::from(row.data.as_slice()));
+    let mut values = Vec::new();
+    while data.len() >= 4 {
+        let length = i32::from_be_bytes([data[0], data[1], data[2], data[3]]);
+        let _ = data.split_to(4);
+        let Ok(length) = usize::try_from(length) else {
+            values.push(None);
+            continue;
+        };
+        if length > data.len() {
+            break;
+        }
+        values.push(Some(data.split_to(length)));
+    }
+    values
+}
+
+/// Returns a value that the server sent in text form.
+#[must_use]
+pub fn text_value(values: &[Option<Bytes>], index: usize) -> Option<String> {
+    let bytes = values.get(index)?.as_ref()?;
+    Some(String::from_utf8_lossy(bytes).into_owned())
+}
+
+/// Returns a number that the server sent in text form.
+#[must_use]
+pub fn number_value(values: &[Option<Bytes>], index: usize) -> Option<u64> {
+    text_value(values, index)?.parse().ok()
+}
--- a/daemon/src/postgres.rs
+++ b/daemon/src/postgres.rs
@@ -9,10 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use chervilwharf_lib::protos::Result as StatementResult;
-use chervilwharf_lib::protos::Row;
-use displaydoc::Display;
 use futures::SinkExt;
 use futures::StreamExt;
 use pgwire::api::client::Config;
@@ -30,16 +27,13 @@
 use pgwire::messages::response::TransactionStatus;
 use pgwire::tokio::client::PgWireClient;
 
+use crate::batch_reply::BatchError;
 use crate::batch_reply::BatchReply;
 use crate::batch_reply::CompleteReply;
 use crate::batch_reply::Refusal;
 use crate::batch_reply::StepReply;
 use crate::batch_reply::unexpected;
 
-/// Largest result of a batch that is accepted. The owner and the entry instance
-/// each hold a result in memory as a whole.
-pub const RESULT_LIMIT_BYTES: usize = 16 * 1024 * 1024;
-
 /// One statement of a batch.
 #[derive(Clone, Debug, Default)]
 pub struct Step {
@@ -96,29 +90,6 @@
     }
 }
 
-/// Reason why a batch did not run to its end.
-#[derive(Clone, Debug)]
-#[derive(Display)]
-pub enum BatchError {
-    /// step {step} was refused: {sqlstate} {message}
-    Refused {
-        /// Index of the refused step, or a higher one. It is too high if a part of an
-        /// earlier reply preceded the refusal. A refusal of the last step has its index.
-        step: usize,
-        /// Results of the steps before it. They may be those of an earlier reply, so nothing
-        /// may be concluded from them alone.
-        done: Vec<StatementResult>,
-        /// SQLSTATE of the refusal.
-        sqlstate: String,
-        /// Message of the refusal.
-        message: String,
-    },
-    /// the connection broke: {0}
-    Broken(String),
-    /// the result exceeds the size limit
-    TooLarge,
-}
-
 /// Address and login of a database server.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ServerAddress {
@@ -190,7 +161,7 @@
     /// # Errors
     ///
     /// When a step is refused, the connection breaks, or the result exceeds
-    /// [`RESULT_LIMIT_BYTES`].
+    /// [`RESULT_LIMIT_BYTES`](crate::batch_reply::RESULT_LIMIT_BYTES).
     pub async fn run(&mut self, steps: &[Step]) -> Result<Vec<StatementResult>, BatchError> {
         self.start()?;
         for step in steps {
@@ -350,37 +321,3 @@
     let (sqlstate, message) = (field(&refusal.error, b'C'), field(&refusal.error, b'M'));
     BatchError::Refused { step: refusal.done.len(), done: refusal.done, sqlstate, message }
 }
-
-/// Splits a row into its values, in the text or binary form in which the server
-/// sent them; `None` is NULL.
-#[must_use]
-pub fn row_values(row: &Row) -> Vec<Option<Bytes>> {
-    let mut data = Bytes::from(BytesMut::from(row.data.as_slice()));
-    let mut values = Vec::new();
-    while data.len() >= 4 {
-        let length = i32::from_be_bytes([data[0], data[1], data[2], data[3]]);
-        let _ = data.split_to(4);
-        let Ok(length) = usize::try_from(length) else {
-            values.push(None);
-            continue;
-        };
-        if length > data.len() {
-            break;
-        }
-        values.push(Some(data.split_to(length)));
-    }
-    values
-}
-
-/// Returns a value that the server sent in text form.
-#[must_use]
-pub fn text_value(values: &[Option<Bytes>], index: usize) -> Option<String> {
-    let bytes = values.get(index)?.as_ref()?;
-    Some(String::from_utf8_lossy(bytes).into_owned())
-}
-
-/// Returns a number that the server sent in text form.
-#[must_use]
-pub fn number_value(values: &[Option<Bytes>], index: usize) -> Option<u64> {
-    text_value(values, index)?.parse().ok()
-}
--- a/daemon/src/read.rs
+++ b/daemon/src/read.rs
@@ -18,12 +18,12 @@
 
 use crate::answer::failure;
 use crate::answer::kind_of;
+use crate::batch_reply::BatchError;
 use crate::confirm::NotConfirmed;
 use crate::context::Shared;
 use crate::databases::Interruption;
 use crate::owner;
 use crate::owner::Request;
-use crate::postgres::BatchError;
 use crate::postgres::Step;
 use crate::serving::Serving;
 use crate::target::NOT_APPLIED;
--- a/daemon/src/target.rs
+++ b/daemon/src/target.rs
@@ -22,13 +22,13 @@
 use chervilwharf_lib::protos::Result as StatementResult;
 use tokio::sync::Mutex;
 
-use crate::postgres::BatchError;
+use crate::batch_reply::BatchError;
+use crate::batch_reply::number_value;
+use crate::batch_reply::row_values;
+use crate::batch_reply::text_value;
 use crate::postgres::ServerAddress;
 use crate::postgres::ServerConnection;
 use crate::postgres::Step;
-use crate::postgres::number_value;
-use crate::postgres::row_values;
-use crate::postgres::text_value;
 
 /// SQLSTATE of a statement whose session declared another term than the server
 /// holds.
--- a/testing/testutils/tests/test_repeated_replies.rs
+++ b/testing/testutils/tests/test_repeated_replies.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use chervilwharf_daemon::postgres::BatchError;
+use chervilwharf_daemon::batch_reply::BatchError;
+use chervilwharf_daemon::batch_reply::row_values;
+use chervilwharf_daemon::batch_reply::text_value;
 use chervilwharf_daemon::postgres::ServerAddress;
 use chervilwharf_daemon::postgres::ServerConnection;
 use chervilwharf_daemon::postgres::Step;
-use chervilwharf_daemon::postgres::row_values;
-use chervilwharf_daemon::postgres::text_value;
 use chervilwharf_daemon::target::PgTarget;
 use chervilwharf_daemon::target::Target as _;
 use chervilwharf_lib::protos::Result as StatementResult;
